workspace: lay down packages, core types and the seams between them

Cause: the core, the clients, the peers, the stand-ins and the tool are to be written side by side and need fixed interfaces first. Ruled out: one package (the core would see tokio); traits inside the daemon only (the operators' tool needs the platform's clients too). Change: six packages, the events and effects of the core, the life of a request as a typestate, the traits of the platform and of the peers, the schema between nodes with its generated code, docs/design/interfaces.md.

--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! The tool.
+fn main() {}
--- /dev/null
+++ b/lib/src/id.rs
@@ -0,0 +1,128 @@
+//! Identifiers.
+
+use derive_more::{AsRef, Display, From, FromStr};
+use serde::{Deserialize, Serialize};
+
+/// Declares a newtype over `String` that names one kind of thing.
+macro_rules! name {
+    ($(#[$doc:meta])* $kind:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Debug, Display, From, FromStr, AsRef, Default,
+            PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $kind(String);
+
+        impl $kind {
+            /// Returns the name as a string slice.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $kind {
+            fn from(name: &str) -> Self {
+                Self(name.to_owned())
+            }
+        }
+    };
+}
+
+name! {
+    /// Names one process of the daemon for as long as its host lives.
+    Node
+}
+name! {
+    /// Names one back end: a model engine's replica or a plain service's.
+    Endpoint
+}
+name! {
+    /// Names a service of the operators' text.
+    Service
+}
+name! {
+    /// Names a customer's workspace of the operators' text.
+    Workspace
+}
+name! {
+    /// Names a data centre.
+    DataCentre
+}
+name! {
+    /// Names a model or an adapter.
+    Model
+}
+name! {
+    /// Names a call of the operators' text.
+    Call
+}
+
+/// Identifies one attempt of a request inside one node.
+#[derive(Clone, Copy, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[display("{_0}")]
+pub struct Request(pub u64);
+
+/// Position of a tier in the operators' text; zero is the highest.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    Default,
+    From,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Tier(pub u8);
+
+/// Number of an accepted configuration; higher replaces lower.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    Default,
+    From,
+    FromStr,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Generation(pub u64);
+
+impl Generation {
+    /// Returns the generation that follows this one.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+/// Hash of a request's content, equal when the same request is sent again.
+#[derive(
+    Clone, Copy, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{_0:016x}")]
+#[serde(transparent)]
+pub struct Fingerprint(pub u64);
+
+/// Hash of a prompt's first blocks; equal prefixes have equal hashes.
+#[derive(
+    Clone, Copy, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{_0:016x}")]
+#[serde(transparent)]
+pub struct Prefix(pub u64);
--- /dev/null
+++ b/lib/src/size.rs
@@ -0,0 +1,54 @@
+//! Sizes and rates.
+
+use derive_more::{Add, AddAssign, Display, From, FromStr, Sum};
+use serde::{Deserialize, Serialize};
+
+/// A number of tokens.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    Default,
+    From,
+    FromStr,
+    Add,
+    AddAssign,
+    Sum,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0} tokens")]
+#[serde(transparent)]
+pub struct Tokens(pub u64);
+
+impl Tokens {
+    /// Subtracts, stopping at zero.
+    #[must_use]
+    pub const fn saturating_sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+}
+
+/// A rate in tokens per second.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    Default,
+    From,
+    FromStr,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0} tokens/s")]
+#[serde(transparent)]
+pub struct Rate(pub f64);
--- /dev/null
+++ b/node/src/clock.rs
@@ -0,0 +1,28 @@
+//! The monotonic clock that the decision core is driven by.
+
+use std::time;
+
+use dottereltally_lib::time::Instant;
+
+/// A monotonic clock with its origin at the start of the process.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    origin: time::Instant,
+}
+
+impl Clock {
+    /// Starts a clock.
+    #[must_use]
+    pub fn start() -> Self {
+        Self {
+            origin: time::Instant::now(),
+        }
+    }
+
+    /// Returns the time since the start.
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        let micros = self.origin.elapsed().as_micros();
+        Instant::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+}
--- /dev/null
+++ b/node/src/main.rs
@@ -0,0 +1,2 @@
+//! The daemon.
+fn main() {}
--- /dev/null
+++ b/testutils/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
