text: read the operators' text with every fault, its line and remedy

Cause: nodes and the operators' tool need one checked text; serde alone stops at the first fault and has no line for a wrong value. Change: a tree of nodes with lines, typed access that collects faults, checks of names, cycles, overlapping calls and keys; the difference of two texts. Conclusion: one parser serves check, apply and the nodes.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,9 +4,12 @@
 //! numbers: every call takes the time and an event and returns effects. The
 //! daemon, the randomised runs and the experiments drive the same code.
 
+pub mod difference;
 pub mod effect;
 pub mod endpoint;
 pub mod event;
+pub mod fault;
+pub mod fields;
 pub mod id;
 pub mod prefix;
 pub mod refusal;
@@ -15,3 +18,4 @@
 pub mod size;
 pub mod text;
 pub mod time;
+pub mod tree;
--- a/lib/src/text.rs
+++ b/lib/src/text.rs
@@ -1,5 +1,11 @@
 //! The operators' text: services, calls and workspaces, checked as a whole.
 
+mod calls;
+pub mod graph;
+mod services;
+pub mod wire;
+mod workspaces;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -80,3 +86,75 @@
     /// Requests that it may have in one node at a time; none for no limit.
     pub limit: Option<u32>,
 }
+
+impl Text {
+    /// Returns the tier of this name.
+    #[must_use]
+    pub fn tier(&self, name: &str) -> Option<id::Tier> {
+        let position = self.tiers.iter().position(|tier| tier == name)?;
+        u8::try_from(position).ok().map(id::Tier)
+    }
+
+    /// Returns the name of a tier.
+    #[must_use]
+    pub fn tier_name(&self, tier: id::Tier) -> &str {
+        self.tiers
+            .get(usize::from(tier.0))
+            .map_or("", String::as_str)
+    }
+
+    /// Returns the call that matches a request: the longest path wins, then
+    /// the one that names the model.
+    #[must_use]
+    pub fn call(
+        &self,
+        method: &str,
+        path: &str,
+        model: Option<&id::Model>,
+    ) -> Option<(&id::Call, &Call)> {
+        let mut best: Option<(&id::Call, &Call)> = None;
+        for (name, call) in &self.calls {
+            if !call.matches(method, path, model) {
+                continue;
+            }
+            if best.is_none_or(|(_, other)| call.rank() > other.rank()) {
+                best = Some((name, call));
+            }
+        }
+        best
+    }
+
+    /// Returns every workspace by the digests of its keys.
+    #[must_use]
+    pub fn keys(&self) -> BTreeMap<&str, &id::Workspace> {
+        let mut keys = BTreeMap::new();
+        for (name, workspace) in &self.workspaces {
+            for key in &workspace.keys {
+                keys.insert(key.as_str(), name);
+            }
+        }
+        keys
+    }
+}
+
+impl Call {
+    /// Returns whether the call matches a request.
+    #[must_use]
+    pub fn matches(&self, method: &str, path: &str, model: Option<&id::Model>) -> bool {
+        let path_matches = match self.path.strip_suffix('*') {
+            Some(stem) => path.starts_with(stem),
+            None => path == self.path,
+        };
+        let model_matches = self.model.is_none() || self.model.as_ref() == model;
+        path_matches && model_matches && method == self.method
+    }
+
+    /// Orders calls that match the same request; the greater one is meant.
+    fn rank(&self) -> (bool, usize, bool) {
+        (
+            !self.path.ends_with('*'),
+            self.path.len(),
+            self.model.is_some(),
+        )
+    }
+}
--- /dev/null
+++ b/lib/src/text/calls.rs
@@ -0,0 +1,173 @@
+//! Reads the calls of the operators' text.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    fields::{Fields, Reader},
+    id,
+    text::{Call, Text, wire::check_name},
+    tree::Node,
+};
+
+const MIN_DEADLINE: Duration = Duration::from_millis(1);
+const MAX_DEADLINE: Duration = Duration::from_hours(1);
+const METHODS: [&str; 7] = ["DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"];
+
+/// Reads every call; tiers and services have been read before.
+pub(super) fn read(reader: &mut Reader, node: &Node, text: &Text) -> BTreeMap<id::Call, Call> {
+    let entries = reader.entries(node, "calls");
+    let mut calls = BTreeMap::new();
+    let mut seen: BTreeMap<(String, String, Option<id::Model>), String> = BTreeMap::new();
+    for (name, node) in entries.iter() {
+        let path = format!("calls.{name}");
+        check_name(reader, node.line, &path, name);
+        let Some(call) = read_call(reader, node, &path, text) else {
+            continue;
+        };
+        let matched = (call.method.clone(), call.path.clone(), call.model.clone());
+        if let Some(other) = seen.insert(matched, name.to_owned()) {
+            let message = format!(
+                "matches the same requests as `calls.{other}`; change method, path or model of one"
+            );
+            reader.fault(node.line, path, message);
+        }
+        calls.insert(id::Call::from(name), call);
+    }
+    calls
+}
+
+fn read_call(reader: &mut Reader, node: &Node, path: &str, text: &Text) -> Option<Call> {
+    let known = [
+        "service",
+        "method",
+        "path",
+        "model",
+        "tier",
+        "deadline",
+        "idempotent",
+        "unkeyed",
+    ];
+    let fields = reader.fields(node, path, &known);
+    let service = read_call_service(reader, &fields, text);
+    let method = read_method(reader, &fields);
+    let route = read_path(reader, &fields);
+    let tier = read_tier(reader, &fields, text);
+    let deadline = reader.duration(&fields, "deadline", (MIN_DEADLINE, MAX_DEADLINE));
+    let idempotent = reader.flag(&fields, "idempotent");
+    let unkeyed = read_unkeyed(reader, &fields, idempotent);
+    let model = reader
+        .optional_text(&fields, "model", "NAME")
+        .map(id::Model::from);
+    let service = service?;
+    if let Some(model) = &model {
+        check_model(reader, &fields, model, &service, text);
+    }
+    Some(Call {
+        service,
+        method: method?,
+        path: route?,
+        model,
+        tier: tier?,
+        deadline: deadline?,
+        idempotent: idempotent?,
+        unkeyed,
+    })
+}
+
+fn read_call_service(reader: &mut Reader, fields: &Fields<'_>, text: &Text) -> Option<id::Service> {
+    let name = reader.text(fields, "service", "NAME")?;
+    let service = id::Service::from(name);
+    if !text.services.contains_key(&service) {
+        let message = format!("`{service}` is no usable service; declare it under `services`");
+        reader.fault(
+            fields.line_of("service"),
+            format!("{}.service", fields.path()),
+            message,
+        );
+    }
+    Some(service)
+}
+
+fn read_method(reader: &mut Reader, fields: &Fields<'_>) -> Option<String> {
+    let method = reader.text(fields, "method", "POST")?;
+    if METHODS.contains(&method.as_str()) {
+        return Some(method);
+    }
+    let message = format!("`{method}` is no method; use one of {}", METHODS.join(", "));
+    reader.fault(
+        fields.line_of("method"),
+        format!("{}.method", fields.path()),
+        message,
+    );
+    None
+}
+
+fn read_path(reader: &mut Reader, fields: &Fields<'_>) -> Option<String> {
+    let path = reader.text(fields, "path", "/v1/chat/completions")?;
+    let body = path.strip_suffix("/*").unwrap_or(&path);
+    if path.starts_with('/') && !body.contains(['*', '?', '#', ' ']) {
+        return Some(path);
+    }
+    let message =
+        format!("`{path}` is no path; start with `/`, without query, `*` only as the last segment");
+    reader.fault(
+        fields.line_of("path"),
+        format!("{}.path", fields.path()),
+        message,
+    );
+    None
+}
+
+fn read_tier(reader: &mut Reader, fields: &Fields<'_>, text: &Text) -> Option<id::Tier> {
+    let name = reader.text(fields, "tier", "NAME")?;
+    let tier = text.tier(&name);
+    if tier.is_none() {
+        let message = format!(
+            "`{name}` is no tier; use one of `{}`",
+            text.tiers.join("`, `")
+        );
+        reader.fault(
+            fields.line_of("tier"),
+            format!("{}.tier", fields.path()),
+            message,
+        );
+    }
+    tier
+}
+
+fn read_unkeyed(reader: &mut Reader, fields: &Fields<'_>, idempotent: Option<bool>) -> bool {
+    let Some(word) = reader.optional_text(fields, "unkeyed", "allow") else {
+        return false;
+    };
+    let path = format!("{}.unkeyed", fields.path());
+    if !["allow", "refuse"].contains(&word.as_str()) {
+        let message = format!("`{word}` is no choice; use `allow` or `refuse`");
+        reader.fault(fields.line_of("unkeyed"), path.as_str(), message);
+    }
+    if idempotent == Some(true) {
+        let message = "an idempotent call needs no key anyway; remove the field";
+        reader.fault(fields.line_of("unkeyed"), path, message);
+    }
+    word == "allow"
+}
+
+fn check_model(
+    reader: &mut Reader,
+    fields: &Fields<'_>,
+    model: &id::Model,
+    service: &id::Service,
+    text: &Text,
+) {
+    let Some(service) = text.services.get(service) else {
+        return;
+    };
+    if service.models.contains(model) || service.adapters.contains(model) {
+        return;
+    }
+    let message = format!("`{model}` is no model or adapter of the service; add it there");
+    reader.fault(
+        fields.line_of("model"),
+        format!("{}.model", fields.path()),
+        message,
+    );
+}
--- /dev/null
+++ b/lib/src/text/services.rs
@@ -0,0 +1,115 @@
+//! Reads the services of the operators' text.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    fields::{Fields, Reader},
+    id, size,
+    text::{Kind, Service, graph, wire::check_name},
+    tree::Node,
+};
+
+const MAX_WINDOW: u64 = 1_000_000_000;
+const DEFAULT_MODEL_WINDOW: u64 = 32_768;
+const DEFAULT_PLAIN_WINDOW: u64 = 16;
+
+/// Reads every service and checks what they depend on.
+pub(super) fn read(reader: &mut Reader, node: &Node) -> BTreeMap<id::Service, Service> {
+    let entries = reader.entries(node, "services");
+    let mut services = BTreeMap::new();
+    for (name, node) in entries.iter() {
+        let path = format!("services.{name}");
+        check_name(reader, node.line, &path, name);
+        let service = read_service(reader, node, &path);
+        services.insert(id::Service::from(name), service);
+    }
+    check_dependencies(reader, &entries, &services);
+    services
+}
+
+fn read_service(reader: &mut Reader, node: &Node, path: &str) -> Service {
+    let known = ["kind", "depends_on", "models", "adapters", "window"];
+    let fields = reader.fields(node, path, &known);
+    let models = reader.texts(&fields, "models", "model");
+    let adapters = reader.texts(&fields, "adapters", "adapter");
+    let depends_on = reader.texts(&fields, "depends_on", "service");
+    let kind = read_kind(reader, &fields);
+    let default = match kind {
+        Some(Kind::Plain) => DEFAULT_PLAIN_WINDOW,
+        _ => DEFAULT_MODEL_WINDOW,
+    };
+    let window = reader.integer(&fields, "window", (1, MAX_WINDOW), Some(default));
+    if let Some(kind) = kind {
+        check_models(reader, &fields, kind, models.len(), adapters.len());
+    }
+    // A faulty field is already recorded; the service stays declared, so that
+    // what refers to it is not reported as well.
+    Service {
+        kind: kind.unwrap_or(Kind::Plain),
+        depends_on: depends_on.into_iter().map(id::Service::from).collect(),
+        models: models.into_iter().map(id::Model::from).collect(),
+        adapters: adapters.into_iter().map(id::Model::from).collect(),
+        window: size::Tokens(window.unwrap_or(default)),
+    }
+}
+
+fn check_models(
+    reader: &mut Reader,
+    fields: &Fields<'_>,
+    kind: Kind,
+    models: usize,
+    adapters: usize,
+) {
+    let message = match kind {
+        Kind::Plain if models + adapters > 0 => {
+            "a plain service has no models; remove `models` and `adapters`"
+        }
+        Kind::Model if models == 0 => "a model service needs models; add `models: [NAME]`",
+        _ => return,
+    };
+    reader.fault(fields.line(), fields.path(), message);
+}
+
+fn read_kind(reader: &mut Reader, fields: &Fields<'_>) -> Option<Kind> {
+    let kind = reader.text(fields, "kind", "model")?;
+    match kind.as_str() {
+        "model" => Some(Kind::Model),
+        "plain" => Some(Kind::Plain),
+        other => {
+            let message = format!("`{other}` is no kind; use `model` or `plain`");
+            reader.fault(
+                fields.line_of("kind"),
+                format!("{}.kind", fields.path()),
+                message,
+            );
+            None
+        }
+    }
+}
+
+fn check_dependencies(
+    reader: &mut Reader,
+    entries: &Fields<'_>,
+    services: &BTreeMap<id::Service, Service>,
+) {
+    for (name, service) in services {
+        let line = entries.line_of(name.as_str());
+        let path = format!("services.{name}.depends_on");
+        for needed in &service.depends_on {
+            if entries.iter().all(|(entry, _)| entry != needed.as_str()) {
+                let message =
+                    format!("`{needed}` is no service; declare it under `services` or remove it");
+                reader.fault(line, path.as_str(), message);
+            }
+        }
+    }
+    for cycle in graph::cycles(services) {
+        let names: Vec<&str> = cycle.iter().map(id::Service::as_str).collect();
+        let line = entries.line_of(names[0]);
+        let message = format!(
+            "services depend on each other in a cycle: {}; remove one of the links",
+            names.join(", ")
+        );
+        reader.fault(line, format!("services.{}.depends_on", names[0]), message);
+    }
+}
--- /dev/null
+++ b/lib/src/text/wire.rs
@@ -0,0 +1,99 @@
+//! Reads the operators' text and checks it as a whole.
+
+use std::str::FromStr;
+
+use crate::{
+    fault,
+    fields::{Fields, Reader},
+    text::{Text, calls, services, workspaces},
+    tree::Node,
+};
+
+/// Number of tiers at the most.
+pub const MAX_TIERS: usize = 4;
+
+/// Length of a text in bytes at the most; the key-value service holds values
+/// up to a megabyte and the text is stored with its author and time.
+pub const MAX_BYTES: usize = 960_000;
+
+const MAX_NAME_BYTES: usize = 64;
+/// Reads a text and checks it as a whole.
+///
+/// # Errors
+///
+/// Fails with every fault of the text, each with its line and remedy.
+pub fn parse(document: &str) -> Result<Text, fault::List> {
+    let mut reader = Reader::default();
+    if document.len() > MAX_BYTES {
+        reader.fault(
+            1,
+            "document",
+            format!("longer than {MAX_BYTES} bytes; shorten names or remove workspaces"),
+        );
+        return reader.finish(Text::default());
+    }
+    let node = Node::parse(document)?;
+    let text = read(&mut reader, &node);
+    reader.finish(text)
+}
+
+impl FromStr for Text {
+    type Err = fault::List;
+
+    fn from_str(document: &str) -> Result<Self, fault::List> {
+        parse(document)
+    }
+}
+
+fn read(reader: &mut Reader, node: &Node) -> Text {
+    let known = ["generation", "tiers", "services", "calls", "workspaces"];
+    let fields = reader.fields(node, "", &known);
+    let tiers = read_tiers(reader, &fields);
+    let mut text = Text {
+        tiers,
+        ..Text::default()
+    };
+    reader.integer(&fields, "generation", (0, i64::MAX.unsigned_abs()), None);
+    if let Some(node) = reader.required(&fields, "services", "{...}") {
+        text.services = services::read(reader, node);
+    }
+    if let Some(node) = reader.required(&fields, "calls", "{...}") {
+        text.calls = calls::read(reader, node, &text);
+    }
+    if let Some(node) = reader.required(&fields, "workspaces", "{...}") {
+        text.workspaces = workspaces::read(reader, node);
+    }
+    text
+}
+
+fn read_tiers(reader: &mut Reader, fields: &Fields<'_>) -> Vec<String> {
+    reader.required(fields, "tiers", "[highest, lowest]");
+    let tiers = reader.texts(fields, "tiers", "highest, lowest");
+    let line = fields.line_of("tiers");
+    if tiers.is_empty() {
+        reader.fault(
+            line,
+            "tiers",
+            "no tier; name one to four, the highest first",
+        );
+    }
+    if tiers.len() > MAX_TIERS {
+        let message = format!(
+            "{} tiers; {MAX_TIERS} are the most, remove some",
+            tiers.len()
+        );
+        reader.fault(line, "tiers", message);
+    }
+    tiers
+}
+
+/// Checks a name that the text declares.
+pub(super) fn check_name(reader: &mut Reader, line: u64, path: &str, name: &str) {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    if !name.is_empty() && name.len() <= MAX_NAME_BYTES && name.bytes().all(allowed) {
+        return;
+    }
+    let message =
+        format!("unusable name; use 1 to {MAX_NAME_BYTES} letters, digits, `-`, `_` or `.`");
+    reader.fault(line, path, message);
+}
