--- /dev/null
+++ b/cli/src/command/check.rs
@@ -0,0 +1,39 @@
+//! `check`: reads a file and lists every fault, without the platform.
+
+use argh::FromArgs;
+use dottereltally_lib::text::Text;
+use serde_json::json;
+
+use crate::{command::Code, output::Printer, page};
+
+/// Check a file offline and list all its faults.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct Check {
+    /// the file
+    #[argh(positional)]
+    file: String,
+}
+
+impl Check {
+    /// Runs the command.
+    pub fn run(&self, printer: Printer) -> eyre::Result<Code> {
+        let page = page::Page::read(&self.file)?;
+        let text: Text = page.content.parse()?;
+        let summary = format!(
+            "{}: {} services, {} calls, {} workspaces, no faults",
+            self.file,
+            text.services.len(),
+            text.calls.len(),
+            text.workspaces.len()
+        );
+        let value = json!({
+            "file": self.file,
+            "services": text.services.len(),
+            "calls": text.calls.len(),
+            "workspaces": text.workspaces.len(),
+        });
+        printer.print(&summary, &value)?;
+        Ok(Code::Done)
+    }
+}
--- /dev/null
+++ b/cli/src/command/explain.rs
@@ -0,0 +1,91 @@
+//! `explain`: tells how a call would be treated, from the text in force.
+
+use argh::FromArgs;
+use dottereltally_lib::{
+    id,
+    text::{Text, graph},
+};
+use dottereltally_platform::proposal;
+use eyre::eyre;
+use serde_json::json;
+
+use crate::{command::Code, connection::Connection, output::Printer};
+
+/// Explain tier, deadline and service of a call.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct Explain {
+    /// method, such as POST
+    #[argh(positional)]
+    method: String,
+
+    /// path, such as /v1/chat/completions
+    #[argh(positional)]
+    path: String,
+
+    /// model that the request names
+    #[argh(option)]
+    model: Option<String>,
+
+    /// workspace of the caller
+    #[argh(option)]
+    workspace: Option<String>,
+}
+
+impl Explain {
+    /// Runs the command.
+    pub async fn run(&self, connection: &Connection, printer: Printer) -> eyre::Result<Code> {
+        let current = proposal::current(&connection.store()?).await?;
+        let current = current.ok_or_else(|| eyre!("no configuration is in force; `apply` one"))?;
+        let text: Text = current.text.parse()?;
+        let model = self.model.as_deref().map(id::Model::from);
+        let (name, call) = text
+            .call(&self.method, &self.path, model.as_ref())
+            .ok_or_else(|| {
+                eyre!("no call matches; such a request is answered 404, add it under `calls`")
+            })?;
+        let needed = graph::closure(&text.services, &call.service);
+        let mut lines = vec![
+            format!("call {name} of service {}", call.service),
+            format!(
+                "tier {} ({} of {})",
+                text.tier_name(call.tier),
+                call.tier.0 + 1,
+                text.tiers.len()
+            ),
+            format!("deadline {}", humantime::format_duration(call.deadline)),
+            format!("idempotent {}", call.idempotent),
+        ];
+        if !needed.is_empty() {
+            let names: Vec<&str> = needed.iter().map(id::Service::as_str).collect();
+            lines.push(format!("depends on {}", names.join(", ")));
+        }
+        if let Some(name) = &self.workspace {
+            lines.push(workspace(&text, name)?);
+        }
+        let value = json!({
+            "call": name,
+            "service": call.service,
+            "tier": text.tier_name(call.tier),
+            "deadline": humantime::format_duration(call.deadline).to_string(),
+            "idempotent": call.idempotent,
+            "depends_on": needed,
+        });
+        printer.print(&lines.join("\n"), &value)?;
+        Ok(Code::Done)
+    }
+}
+
+fn workspace(text: &Text, name: &str) -> eyre::Result<String> {
+    let workspace = text
+        .workspaces
+        .get(&id::Workspace::from(name))
+        .ok_or_else(|| eyre!("`{name}` is no workspace; declare it under `workspaces`"))?;
+    let limit = workspace
+        .limit
+        .map_or("no limit".to_owned(), |limit| format!("limit {limit}"));
+    Ok(format!(
+        "workspace {name}: share {}, {limit}",
+        workspace.share
+    ))
+}
--- /dev/null
+++ b/cli/src/hint.rs
@@ -0,0 +1,61 @@
+//! Errors with hints, and the exit code of each.
+
+use dottereltally_lib::{fault, id};
+use dottereltally_platform::{host, kv, layout::Audit, proposal};
+
+use crate::command::Code;
+
+/// Prints an error with a hint and returns its exit code.
+pub fn explain(report: &eyre::Report) -> Code {
+    eprintln!("error: {report}");
+    for cause in report.chain().skip(1) {
+        eprintln!("cause: {cause}");
+    }
+    let code = code(report);
+    if let Some(hint) = hint(report, code) {
+        eprintln!("hint: {hint}");
+    }
+    code
+}
+
+fn code(report: &eyre::Report) -> Code {
+    if report.is::<fault::List>() {
+        return Code::BadInput;
+    }
+    if report.is::<kv::Error>() || report.is::<host::Error>() {
+        return Code::PlatformAway;
+    }
+    match report.downcast_ref::<proposal::Error>() {
+        Some(proposal::Error::Conflict { .. }) => Code::Conflict,
+        Some(proposal::Error::Platform(_) | proposal::Error::Unsettled(..)) => Code::PlatformAway,
+        Some(proposal::Error::Text(_)) => Code::BadInput,
+        _ => Code::Failed,
+    }
+}
+
+fn hint(report: &eyre::Report, code: Code) -> Option<String> {
+    if let Some(proposal::Error::Conflict { base, since, .. }) = report.downcast_ref() {
+        return Some(rebase(*base, since));
+    }
+    match code {
+        Code::PlatformAway => Some(
+            "check --kv and --hosts, then the platform's service; nodes go on with what they have"
+                .to_owned(),
+        ),
+        _ => None,
+    }
+}
+
+fn rebase(base: id::Generation, since: &[Audit]) -> String {
+    let mut lines = vec![format!("since generation {base} others changed:")];
+    for audit in since {
+        let Audit {
+            generation, author, ..
+        } = audit;
+        for change in &audit.changes {
+            lines.push(format!("  generation {generation} by {author}: {change}"));
+        }
+    }
+    lines.push("save the text in force with `dottereltallyctl show > NEW`, make your edit there, and apply NEW".to_owned());
+    lines.join("\n")
+}
--- /dev/null
+++ b/lib/src/key.rs
@@ -0,0 +1,19 @@
+//! Callers' keys, of which the operators' text holds digests only.
+
+use std::fmt::Write;
+
+use sha2::{Digest, Sha256};
+
+/// Returns the SHA-256 digest of a key in lower-case hexadecimal.
+///
+/// # Panics
+///
+/// Never: writing to a string does not fail.
+#[must_use]
+pub fn digest(key: &str) -> String {
+    let mut digits = String::with_capacity(64);
+    for byte in Sha256::digest(key.as_bytes()) {
+        write!(digits, "{byte:02x}").expect("a string takes any text");
+    }
+    digits
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fault;
 pub mod fields;
 pub mod id;
+pub mod key;
 pub mod prefix;
 pub mod refusal;
 pub mod request;
