scheduler: admit, queue, refuse and probe

Cause: the daemon needs a core that decides. Ruled out: a window without other nodes' load, as eight nodes share each endpoint; queues by deadline alone, as a large workspace starves small ones. Change: tiered queue, fair between workspaces (start-time fair queueing), two random choices with own requests added to the report, window per endpoint, probe after a broken or refused connection, marks for requests in flight at a death, isolation of suspects. scheduler::Settings gains `policy`.

--- /dev/null
+++ b/lib/src/admission.rs
@@ -0,0 +1,368 @@
+//! Arrivals, waiting and admission.
+
+use std::{sync::Arc, time::Duration};
+
+use rand::Rng;
+
+use crate::{
+    balance::Candidate,
+    effect::Effect,
+    fleet::Slot,
+    flight::{Flight, Waiting},
+    id,
+    pool::{Lane, MAX_WAITING, Pool},
+    quarantine::Verdict,
+    refusal::{Reason, Refusal},
+    request::Profile,
+    scheduler::Scheduler,
+    text, time,
+};
+
+/// Time to come back after a refusal, at the least.
+const MIN_RETRY: Duration = Duration::from_secs(1);
+
+/// Time to come back after a refusal, at the most.
+const MAX_RETRY: Duration = Duration::from_mins(1);
+
+/// Part by which the time to come back is spread.
+const RETRY_JITTER: f64 = 0.25;
+
+/// Where a waiting request can go.
+enum Place {
+    /// To this endpoint.
+    At(Slot),
+    /// To none now.
+    Full,
+    /// To none at all.
+    Nowhere,
+}
+
+impl Scheduler {
+    /// Takes a request in: admits it, lets it wait or refuses it.
+    pub(crate) fn arrive(
+        &mut self,
+        now: time::Instant,
+        request: id::Request,
+        profile: Arc<Profile>,
+    ) {
+        let known = self.waiting.contains_key(&request) || self.flights.contains_key(&request);
+        assert!(!known, "request {request} arrived twice");
+        let Some(waiting) = self.classify(profile) else {
+            return self.refuse(request, Reason::NoEndpoint, MIN_RETRY);
+        };
+        match self.marks.verdict(now, waiting.profile.fingerprint) {
+            Verdict::Confirmed => self.refuse(request, Reason::Quarantine, MAX_RETRY),
+            Verdict::Suspect => self.isolate(now, request, waiting),
+            Verdict::Clear => self.enqueue(now, request, waiting),
+        }
+    }
+
+    /// Ends a request that waits, or takes back one that was just admitted.
+    pub(crate) fn withdraw(&mut self, now: time::Instant, request: id::Request) {
+        if let Some(flight) = self.land(request) {
+            return self.pump(now, &flight.waiting.profile.service);
+        }
+        if let Some(waiting) = self.forget(now, request) {
+            self.pump(now, &waiting.profile.service);
+        }
+    }
+
+    /// Puts an admitted request that was not handed over back to wait.
+    pub(crate) fn unsend(&mut self, now: time::Instant, request: id::Request) {
+        let Some(flight) = self.land(request) else {
+            return;
+        };
+        let mut waiting = flight.waiting;
+        if let Some(name) = self.avoid(now, flight.slot) {
+            waiting.avoided.push(name);
+        }
+        self.enqueue(now, request, waiting);
+    }
+
+    /// Returns the request with its cost, if a text is in force and an
+    /// endpoint can serve it.
+    fn classify(&mut self, profile: Arc<Profile>) -> Option<Waiting> {
+        let text = self.text.as_ref()?;
+        let service = text.services.get(&profile.service)?;
+        let kind = service.kind;
+        let workspace = text.workspaces.get(&profile.workspace);
+        let share = workspace.map_or(1, |workspace| workspace.share);
+        if !self.has_usable(&profile) {
+            return None;
+        }
+        let lane = self.lane(&profile);
+        let cost = match kind {
+            text::Kind::Model => profile.prompt.0 + lane.expected(profile.output.0),
+            text::Kind::Plain => 1,
+        };
+        Some(Waiting {
+            profile,
+            cost: cost.max(1),
+            share,
+            avoided: Vec::new(),
+        })
+    }
+
+    /// Lets a request wait, unless its deadline would pass meanwhile, and
+    /// admits what can be admitted.
+    fn enqueue(&mut self, now: time::Instant, request: id::Request, waiting: Waiting) {
+        let profile = Arc::clone(&waiting.profile);
+        let lane = self.lane(&profile);
+        let wait = lane.wait(profile.tier, &profile.workspace, waiting.share);
+        let service = lane.service(lane.expected(profile.output.0));
+        let remaining = profile.remaining(now);
+        if service > remaining || remaining.is_zero() {
+            return self.refuse(request, Reason::Deadline, MIN_RETRY);
+        }
+        if let Some(wait) = wait.filter(|wait| *wait + service > remaining) {
+            self.shed_below(now, &profile.service, profile.tier);
+            return self.refuse(request, Reason::Deadline, wait);
+        }
+        let waited = !lane.queue.is_empty();
+        lane.drained(now, 0, waited);
+        lane.arrived(now, profile.tier, waiting.cost);
+        lane.queue.push(profile.tier, waiting.item(request));
+        self.waiting.insert(request, waiting);
+        self.pump(now, &profile.service);
+        self.bound(now, &profile.service);
+        if self.draining && self.waiting.contains_key(&request) {
+            self.forget(now, request);
+            self.refuse(request, Reason::Shutdown, MIN_RETRY);
+        }
+    }
+
+    /// Admits waiting requests of a service as long as there is room.
+    pub(crate) fn pump(&mut self, now: time::Instant, service: &id::Service) {
+        self.pump_suspects(now, service);
+        let mut blocked = Vec::new();
+        loop {
+            let Some(pool) = self.pools.get(service) else {
+                return;
+            };
+            let Some((model, request)) = pool.next(&blocked) else {
+                return;
+            };
+            match self.place(now, request) {
+                Place::At(slot) => self.admit(now, request, slot),
+                Place::Full => blocked.push(model),
+                Place::Nowhere => {
+                    self.forget(now, request);
+                    self.refuse(request, Reason::NoEndpoint, MIN_RETRY);
+                }
+            }
+        }
+    }
+
+    /// Hands a request to an endpoint.
+    pub(crate) fn admit(&mut self, now: time::Instant, request: id::Request, slot: Slot) {
+        let Some(waiting) = self.dequeue(now, request) else {
+            return;
+        };
+        let Some(member) = self.fleet.get_mut(slot) else {
+            return;
+        };
+        let cost = waiting.cost;
+        member.own += cost;
+        member.requests += 1;
+        let name = member.record.id.clone();
+        let flight = Flight {
+            waiting,
+            slot,
+            cost,
+            admitted: now,
+            started: None,
+            received: 0,
+        };
+        let previous = self.flights.insert(request, flight);
+        assert!(previous.is_none(), "request {request} was admitted twice");
+        self.effects.push(Effect::Admit(request, name));
+    }
+
+    /// Takes a request out of flight.
+    pub(crate) fn land(&mut self, request: id::Request) -> Option<Flight> {
+        let flight = self.flights.remove(&request)?;
+        let slot = flight.slot;
+        let member = self.fleet.get_mut(slot)?;
+        assert!(member.own >= flight.cost, "tokens in flight add up");
+        assert!(member.requests > 0, "requests in flight add up");
+        member.own -= flight.cost;
+        member.requests -= 1;
+        if member.reserved == Some(request) {
+            member.reserved = None;
+        }
+        self.fleet.release(slot);
+        Some(flight)
+    }
+
+    /// Refuses a request that is known to nobody any more.
+    pub(crate) fn refuse(&mut self, request: id::Request, reason: Reason, after: Duration) {
+        let spread = self.rng.random_range(1.0..1.0 + RETRY_JITTER);
+        let retry_after = after.clamp(MIN_RETRY, MAX_RETRY).mul_f64(spread);
+        let refusal = Refusal {
+            reason,
+            retry_after,
+        };
+        self.effects.push(Effect::Refuse(request, refusal));
+    }
+
+    /// Refuses everything that waits for the service below this tier.
+    pub(crate) fn shed_below(&mut self, now: time::Instant, service: &id::Service, tier: id::Tier) {
+        while let Some((lowest, request)) = self.pools.get(service).and_then(Pool::victim) {
+            if lowest <= tier {
+                return;
+            }
+            self.evict(now, request);
+        }
+    }
+
+    /// Refuses the requests whose deadline can't be met any more.
+    pub(crate) fn expire(&mut self, now: time::Instant, service: &id::Service) {
+        let Some(pool) = self.pools.get(service) else {
+            return;
+        };
+        let mut late = Vec::new();
+        for lane in pool.lanes.values() {
+            let first = lane.service(0);
+            for (deadline, request) in lane.queue.by_deadline() {
+                if deadline > now + first {
+                    break;
+                }
+                late.push(request);
+            }
+        }
+        for request in late {
+            let Some(waiting) = self.forget(now, request) else {
+                continue;
+            };
+            self.shed_below(now, service, waiting.profile.tier);
+            let wait = self.wait(&waiting);
+            self.refuse(request, Reason::Deadline, wait);
+        }
+    }
+
+    /// Takes a request out of the queue, wherever it waits.
+    pub(crate) fn forget(&mut self, now: time::Instant, request: id::Request) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&request)?;
+        let lane = self.lane(&waiting.profile);
+        let waited = !lane.queue.is_empty();
+        lane.drained(now, 0, waited);
+        lane.queue.remove(request);
+        let service = &waiting.profile.service;
+        let reserved = self.isolation.remove(service, request);
+        if let Some(member) = reserved.and_then(|slot| self.fleet.get_mut(slot)) {
+            member.reserved = None;
+        }
+        Some(waiting)
+    }
+
+    /// Returns what is known of the waiting requests for a service and model.
+    pub(crate) fn lane(&mut self, profile: &Profile) -> &mut Lane {
+        let pool = self.pools.entry(profile.service.clone()).or_default();
+        pool.lanes.entry(profile.model.clone()).or_default()
+    }
+
+    /// Returns the candidates among a service's endpoints.
+    pub(crate) fn candidates(&self, now: time::Instant, waiting: &Waiting) -> Vec<Candidate> {
+        let profile = &waiting.profile;
+        let terms = self.settings.terms(now, self.members.len());
+        let mut candidates = Vec::new();
+        for &slot in self.fleet.of_service(&profile.service) {
+            let Some(member) = self.fleet.get(slot) else {
+                continue;
+            };
+            if !member.is_usable(profile.model.as_ref()) || !member.is_open(now) {
+                continue;
+            }
+            if waiting.avoided.contains(&member.record.id) {
+                continue;
+            }
+            candidates.push(terms.candidate(slot, member));
+        }
+        candidates
+    }
+
+    /// Returns where a waiting request can go.
+    fn place(&mut self, now: time::Instant, request: id::Request) -> Place {
+        let Some(waiting) = self.waiting.get(&request) else {
+            return Place::Full;
+        };
+        let mut fitting = self.candidates(now, waiting);
+        fitting.retain(|candidate| candidate.fits(waiting.cost));
+        if fitting.is_empty() {
+            return self.without_room(waiting);
+        }
+        let terms = self.settings.terms(now, self.members.len());
+        let chosen = terms.choose(&mut self.rng, &mut self.turn, &fitting);
+        chosen.map_or(Place::Full, |candidate| Place::At(candidate.slot))
+    }
+
+    /// Tells whether a request that fits nowhere now can ever be placed.
+    fn without_room(&self, waiting: &Waiting) -> Place {
+        let profile = &waiting.profile;
+        for &slot in self.fleet.of_service(&profile.service) {
+            let Some(member) = self.fleet.get(slot) else {
+                continue;
+            };
+            let usable = member.is_usable(profile.model.as_ref());
+            if usable && !waiting.avoided.contains(&member.record.id) {
+                return Place::Full;
+            }
+        }
+        Place::Nowhere
+    }
+
+    fn has_usable(&self, profile: &Profile) -> bool {
+        let slots = self.fleet.of_service(&profile.service);
+        let members = slots.iter().filter_map(|slot| self.fleet.get(*slot));
+        members
+            .into_iter()
+            .any(|member| member.is_usable(profile.model.as_ref()))
+    }
+
+    /// Takes a request that is being admitted out of the queue.
+    fn dequeue(&mut self, now: time::Instant, request: id::Request) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&request)?;
+        let lane = self.lane(&waiting.profile);
+        let waited = !lane.queue.is_empty();
+        if lane.queue.peek().is_some_and(|(_, next)| next == request) {
+            lane.queue.pop();
+            lane.drained(now, waiting.cost, waited);
+        }
+        Some(waiting)
+    }
+
+    /// Refuses waiting requests beyond the bound, lowest tier first.
+    fn bound(&mut self, now: time::Instant, service: &id::Service) {
+        while let Some(pool) = self.pools.get(service) {
+            if pool.len() <= MAX_WAITING {
+                return;
+            }
+            let Some((_, request)) = pool.victim() else {
+                return;
+            };
+            self.evict(now, request);
+        }
+    }
+
+    /// Refuses a waiting request of the lowest tier for overload.
+    fn evict(&mut self, now: time::Instant, request: id::Request) {
+        let Some(waiting) = self.forget(now, request) else {
+            return;
+        };
+        let profile = &waiting.profile;
+        let lowest = self.pools.get(&profile.service).and_then(Pool::victim);
+        assert!(
+            lowest.is_none_or(|(tier, _)| tier <= profile.tier),
+            "a lower tier waits while a higher one is refused"
+        );
+        let wait = self.wait(&waiting);
+        self.refuse(request, Reason::Overload, wait);
+    }
+
+    fn wait(&mut self, waiting: &Waiting) -> Duration {
+        let profile = &waiting.profile;
+        let lane = self.lane(profile);
+        let wait = lane.wait(profile.tier, &profile.workspace, waiting.share);
+        wait.unwrap_or(MIN_RETRY)
+    }
+}
--- /dev/null
+++ b/lib/src/fair.rs
@@ -0,0 +1,202 @@
+//! Weighted fair queueing between workspaces, by tokens.
+//!
+//! Start-time fair queueing: every workspace has a virtual start time that
+//! advances by the tokens it is served, divided by its share. The workspace
+//! with the earliest start time is served next; within a workspace the
+//! earliest deadline goes first. Every operation is logarithmic.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{id, time};
+
+/// Virtual time per token at a share of one.
+const SCALE: u64 = 1 << 20;
+
+/// What the queue needs to know of a waiting request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item {
+    /// The request.
+    pub id: id::Request,
+    /// Its workspace.
+    pub workspace: id::Workspace,
+    /// The workspace's share.
+    pub share: u32,
+    /// When its answer is of no more use.
+    pub deadline: time::Instant,
+    /// Its cost in tokens.
+    pub cost: u64,
+}
+
+/// Waiting requests of one workspace.
+#[derive(Clone, Debug, Default)]
+struct Flow {
+    share: u64,
+    start: u64,
+    tokens: u64,
+    items: BTreeMap<(time::Instant, id::Request), u64>,
+}
+
+impl Flow {
+    /// Returns the backlog relative to the share.
+    fn pressure(&self) -> u64 {
+        self.tokens.saturating_mul(SCALE) / self.share.max(1)
+    }
+}
+
+/// A queue that is fair between workspaces.
+#[derive(Clone, Debug, Default)]
+pub struct Fair {
+    now: u64,
+    tokens: u64,
+    shares: u64,
+    len: usize,
+    flows: BTreeMap<id::Workspace, Flow>,
+    waiting: BTreeSet<(u64, id::Workspace)>,
+    idle: BTreeSet<(u64, id::Workspace)>,
+    pressures: BTreeSet<(u64, id::Workspace)>,
+}
+
+impl Fair {
+    /// Returns the number of waiting requests.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns whether nothing waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Returns the waiting tokens.
+    #[must_use]
+    pub fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
+    /// Adds a request.
+    pub fn push(&mut self, item: &Item) {
+        let mut flow = self.detach(&item.workspace);
+        if flow.items.is_empty() {
+            flow.start = flow.start.max(self.now);
+        }
+        flow.share = u64::from(item.share.max(1));
+        flow.tokens += item.cost;
+        flow.items.insert((item.deadline, item.id), item.cost);
+        self.tokens += item.cost;
+        self.len += 1;
+        self.attach(item.workspace.clone(), flow);
+    }
+
+    /// Returns the request to be served next.
+    #[must_use]
+    pub fn peek(&self) -> Option<id::Request> {
+        let (_, workspace) = self.waiting.first()?;
+        let flow = self.flows.get(workspace)?;
+        flow.items.first_key_value().map(|(&(_, id), _)| id)
+    }
+
+    /// Takes the request to be served next and charges its workspace.
+    pub fn pop(&mut self) -> Option<id::Request> {
+        let (start, workspace) = self.waiting.first()?.clone();
+        let mut flow = self.detach(&workspace);
+        self.now = self.now.max(start);
+        let taken = flow.items.pop_first();
+        if let Some(((_, _), cost)) = taken {
+            flow.start += cost.saturating_mul(SCALE) / flow.share.max(1);
+            flow.tokens -= cost;
+            self.tokens -= cost;
+            self.len -= 1;
+        }
+        self.attach(workspace, flow);
+        self.forget();
+        taken.map(|((_, id), _)| id)
+    }
+
+    /// Removes a request without charging its workspace.
+    pub fn remove(&mut self, item: &Item) -> bool {
+        let mut flow = self.detach(&item.workspace);
+        let removed = flow.items.remove(&(item.deadline, item.id));
+        if let Some(cost) = removed {
+            flow.tokens -= cost;
+            self.tokens -= cost;
+            self.len -= 1;
+        }
+        self.attach(item.workspace.clone(), flow);
+        self.forget();
+        removed.is_some()
+    }
+
+    /// Returns the request to be given up first: the latest deadline of the
+    /// workspace with the largest backlog for its share.
+    #[must_use]
+    pub fn victim(&self) -> Option<id::Request> {
+        let (_, workspace) = self.pressures.last()?;
+        let flow = self.flows.get(workspace)?;
+        flow.items.last_key_value().map(|(&(_, id), _)| id)
+    }
+
+    /// Returns the tokens that are served before a new request of this
+    /// workspace, at the most.
+    #[must_use]
+    pub fn ahead(&self, workspace: &id::Workspace, share: u32) -> u64 {
+        let share = u64::from(share.max(1));
+        let (own, shares) = match self.flows.get(workspace) {
+            Some(flow) if !flow.items.is_empty() => (flow.tokens, self.shares),
+            _ => (0, self.shares + share),
+        };
+        let fair = u128::from(own) * u128::from(shares) / u128::from(share);
+        u64::try_from(fair).unwrap_or(u64::MAX).min(self.tokens)
+    }
+
+    /// Returns the number of workspaces that are remembered.
+    #[must_use]
+    pub fn workspaces(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Takes a workspace out of the indexes.
+    fn detach(&mut self, workspace: &id::Workspace) -> Flow {
+        let Some(flow) = self.flows.remove(workspace) else {
+            return Flow::default();
+        };
+        let key = (flow.start, workspace.clone());
+        if flow.items.is_empty() {
+            self.idle.remove(&key);
+        } else {
+            self.waiting.remove(&key);
+            self.pressures.remove(&(flow.pressure(), key.1));
+            self.shares -= flow.share;
+        }
+        flow
+    }
+
+    /// Puts a workspace back into the indexes.
+    fn attach(&mut self, workspace: id::Workspace, flow: Flow) {
+        if flow.items.is_empty() {
+            self.idle.insert((flow.start, workspace.clone()));
+        } else {
+            self.waiting.insert((flow.start, workspace.clone()));
+            self.pressures.insert((flow.pressure(), workspace.clone()));
+            self.shares += flow.share;
+        }
+        self.flows.insert(workspace, flow);
+    }
+
+    /// Forgets idle workspaces whose start time has passed.
+    fn forget(&mut self) {
+        if self.is_empty() {
+            *self = Self::default();
+            return;
+        }
+        while let Some((start, _)) = self.idle.first() {
+            if *start > self.now {
+                return;
+            }
+            if let Some((_, workspace)) = self.idle.pop_first() {
+                self.flows.remove(&workspace);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/flight.rs
@@ -0,0 +1,49 @@
+//! Requests that wait and requests that run.
+
+use std::sync::Arc;
+
+use crate::{fair, fleet, id, request, time};
+
+/// A request that waits for an endpoint.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    /// What is known of it.
+    pub profile: Arc<request::Profile>,
+    /// Its cost in tokens.
+    pub cost: u64,
+    /// Its workspace's share.
+    pub share: u32,
+    /// Endpoints that it was not handed to.
+    pub avoided: Vec<id::Endpoint>,
+}
+
+impl Waiting {
+    /// Returns the request as the queue sees it.
+    #[must_use]
+    pub fn item(&self, request: id::Request) -> fair::Item {
+        fair::Item {
+            id: request,
+            workspace: self.profile.workspace.clone(),
+            share: self.share,
+            deadline: self.profile.deadline,
+            cost: self.cost,
+        }
+    }
+}
+
+/// A request that was admitted to an endpoint.
+#[derive(Clone, Debug)]
+pub struct Flight {
+    /// What it was while it waited.
+    pub waiting: Waiting,
+    /// Its endpoint.
+    pub slot: fleet::Slot,
+    /// Its cost in tokens at the endpoint.
+    pub cost: u64,
+    /// When it was admitted.
+    pub admitted: time::Instant,
+    /// When the first byte came.
+    pub started: Option<time::Instant>,
+    /// Tokens that came.
+    pub received: u64,
+}
--- /dev/null
+++ b/lib/src/health.rs
@@ -0,0 +1,337 @@
+//! What endpoints deliver, and what follows for their standing.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{
+    effect::Effect,
+    endpoint::{Cache, Load, Record},
+    event::{Message, Outcome},
+    fleet::{AVOID_PERIOD, Health, Slot},
+    flight::{Flight, Waiting},
+    id,
+    refusal::Reason,
+    scheduler::Scheduler,
+    size, text, time,
+};
+
+/// Time between two probes of an endpoint that does not answer.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Time after which a probe counts as lost.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Span in which several deaths count as one fault of the network.
+const DEATH_SPAN: Duration = Duration::from_secs(5);
+
+/// Deaths of other endpoints in the span up to which a death speaks against
+/// the requests in flight.
+const MAX_OTHER_DEATHS: usize = 1;
+
+/// Time to come back for a suspect that does not fit.
+const SUSPECT_RETRY: Duration = Duration::from_secs(10);
+
+impl Scheduler {
+    /// Takes over an operators' text.
+    pub(crate) fn configure(&mut self, now: time::Instant, text: Arc<text::Text>) {
+        for slot in self.fleet.slots() {
+            let Some(member) = self.fleet.get_mut(slot) else {
+                continue;
+            };
+            if let Some(service) = text.services.get(&member.record.service) {
+                member.window.configure(service.window.0);
+            }
+        }
+        self.text = Some(text);
+        self.pump_all(now);
+    }
+
+    /// Takes over the host list.
+    pub(crate) fn list(&mut self, now: time::Instant, records: Vec<Record>) {
+        let text = self.text.clone();
+        self.fleet.replace(records, |service| {
+            let text = text.as_ref();
+            let service = text.and_then(|text| text.services.get(service));
+            service.map_or(1, |service| service.window.0)
+        });
+        self.pump_all(now);
+    }
+
+    /// Takes in what an endpoint says of its load.
+    pub(crate) fn report(&mut self, now: time::Instant, name: &id::Endpoint, load: Load) {
+        let Some(slot) = self.fleet.find(name) else {
+            return;
+        };
+        let Some(member) = self.fleet.get_mut(slot) else {
+            return;
+        };
+        member.others = load.tokens.0.saturating_sub(member.own);
+        member.load = Some(load);
+        let service = member.record.service.clone();
+        self.pump(now, &service);
+    }
+
+    /// Takes in a change of an endpoint's prefix cache.
+    pub(crate) fn cache(&mut self, name: &id::Endpoint, cache: &Cache) {
+        let _ = (&self.fleet, name, cache);
+    }
+
+    /// Takes in a peer's message of the admission protocol.
+    pub(crate) fn peer(&mut self, now: time::Instant, node: &id::Node, message: Message) {
+        let _ = (&self.fleet, now, node, message);
+    }
+
+    /// Records the first byte of an answer.
+    pub(crate) fn start(&mut self, now: time::Instant, request: id::Request) {
+        let Some(flight) = self.flights.get_mut(&request) else {
+            return;
+        };
+        if flight.started.is_some() {
+            return;
+        }
+        flight.started = Some(now);
+        let took = now.since(flight.admitted);
+        let (slot, cost) = (flight.slot, flight.cost);
+        let profile = Arc::clone(&flight.waiting.profile);
+        let lane = self.lane(&profile);
+        lane.first.record(took.as_secs_f64());
+        let limited = !lane.queue.is_empty();
+        if let Some(member) = self.fleet.get_mut(slot) {
+            let sample = (took, profile.prompt.0, cost);
+            member.window.first_token(now, sample, limited);
+        }
+    }
+
+    /// Records progress of an answer.
+    pub(crate) fn progress(
+        &mut self,
+        now: time::Instant,
+        request: id::Request,
+        more: size::Tokens,
+    ) {
+        let _ = now;
+        if let Some(flight) = self.flights.get_mut(&request) {
+            flight.received += more.0;
+        }
+    }
+
+    /// Records the end of a request that was admitted.
+    pub(crate) fn end(&mut self, now: time::Instant, request: id::Request, outcome: Outcome) {
+        let Some(flight) = self.land(request) else {
+            return;
+        };
+        match outcome {
+            Outcome::Answered { output, .. } => self.answered(now, &flight, output),
+            Outcome::Cancelled => {}
+            Outcome::Rejected => self.rejected(now, flight.slot),
+            Outcome::Broken | Outcome::Stalled => self.broken(now, &flight),
+        }
+        let service = &flight.waiting.profile.service;
+        self.pump(now, service);
+    }
+
+    /// Takes in the result of a probe on a new connection.
+    pub(crate) fn probed(&mut self, now: time::Instant, name: &id::Endpoint, answered: bool) {
+        let Some(slot) = self.fleet.find(name) else {
+            return;
+        };
+        let Some(member) = self.fleet.get_mut(slot) else {
+            return;
+        };
+        let died = !answered && matches!(member.health, Health::Probing(_));
+        if answered {
+            member.broken.clear();
+            if !matches!(member.health, Health::Aside(_)) {
+                member.health = Health::Sound;
+            }
+        } else {
+            member.health = Health::Dead(now + PROBE_PERIOD);
+        }
+        let service = member.record.service.clone();
+        if died {
+            self.died(now, slot);
+        }
+        self.pump(now, &service);
+    }
+
+    /// Takes over marks of suspects from a peer.
+    pub(crate) fn suspect(&mut self, now: time::Instant, marks: Vec<(id::Fingerprint, Duration)>) {
+        for (mark, valid) in marks {
+            self.marks.mark(now, mark, valid);
+        }
+    }
+
+    /// Lets a suspect wait for an endpoint of its own.
+    pub(crate) fn isolate(&mut self, now: time::Instant, request: id::Request, waiting: Waiting) {
+        let service = waiting.profile.service.clone();
+        if !self.isolation.push(&service, request) {
+            return self.refuse(request, Reason::Overload, SUSPECT_RETRY);
+        }
+        self.waiting.insert(request, waiting);
+        self.pump(now, &service);
+    }
+
+    /// Admits the suspect that waits longest once its endpoint is empty.
+    pub(crate) fn pump_suspects(&mut self, now: time::Instant, service: &id::Service) {
+        let Some(line) = self.isolation.lines.get(service) else {
+            return;
+        };
+        let Some(&request) = line.requests.front() else {
+            return;
+        };
+        let Some(slot) = line.slot.or_else(|| self.reserve(now, request)) else {
+            return;
+        };
+        if let Some(line) = self.isolation.lines.get_mut(service) {
+            line.slot = Some(slot);
+        }
+        let empty = |member: &&mut crate::fleet::Member| member.requests == 0;
+        let Some(member) = self.fleet.get_mut(slot).filter(empty) else {
+            return;
+        };
+        if member.health != Health::Sound {
+            member.reserved = None;
+            if let Some(line) = self.isolation.lines.get_mut(service) {
+                line.slot = None;
+            }
+            return;
+        }
+        self.isolation.remove(service, request);
+        self.admit(now, request, slot);
+    }
+
+    /// Does what is due by time.
+    pub(crate) fn tick(&mut self, now: time::Instant) {
+        self.marks.expire(now);
+        self.deaths.retain(|_, at| now.since(*at) <= DEATH_SPAN);
+        self.probe_due(now);
+        let services: Vec<id::Service> = self.pools.keys().cloned().collect();
+        for service in services {
+            self.expire(now, &service);
+            self.pump(now, &service);
+        }
+    }
+
+    /// Avoids an endpoint that could not be reached and returns its name.
+    pub(crate) fn avoid(&mut self, now: time::Instant, slot: Slot) -> Option<id::Endpoint> {
+        let member = self.fleet.get_mut(slot)?;
+        member.avoided_until = now + AVOID_PERIOD;
+        let name = member.record.id.clone();
+        self.check(now, slot);
+        Some(name)
+    }
+
+    /// Has an endpoint probed unless a probe is under way.
+    fn check(&mut self, now: time::Instant, slot: Slot) {
+        let Some(member) = self.fleet.get_mut(slot) else {
+            return;
+        };
+        if matches!(member.health, Health::Probing(_) | Health::Dead(_)) {
+            return;
+        }
+        member.health = Health::Probing(now);
+        let name = member.record.id.clone();
+        self.effects.push(Effect::Probe(name));
+    }
+
+    fn answered(&mut self, now: time::Instant, flight: &Flight, output: size::Tokens) {
+        let profile = &flight.waiting.profile;
+        self.marks.answered(now, profile.fingerprint);
+        let Some(started) = flight.started else {
+            return;
+        };
+        let took = now.since(started).as_secs_f64();
+        let lane = self.lane(profile);
+        #[expect(clippy::cast_precision_loss, reason = "rates and ratios")]
+        let (output, most) = (output.0 as f64, profile.output.0 as f64);
+        if most > 0.0 {
+            lane.length.record((output / most).min(1.0));
+        }
+        if took > 0.0 && output > 1.0 {
+            lane.speed.record(output / took);
+        }
+    }
+
+    fn rejected(&mut self, now: time::Instant, slot: Slot) {
+        let Some(member) = self.fleet.get_mut(slot) else {
+            return;
+        };
+        member.window.decrease(now);
+        member.avoided_until = now + AVOID_PERIOD;
+    }
+
+    fn broken(&mut self, now: time::Instant, flight: &Flight) {
+        let fingerprint = flight.waiting.profile.fingerprint;
+        if let Some(member) = self.fleet.get_mut(flight.slot) {
+            member.broken.insert(fingerprint);
+        }
+        self.check(now, flight.slot);
+    }
+
+    /// Marks the requests that were in flight at an endpoint's death, unless
+    /// so many die that the network must be at fault.
+    fn died(&mut self, now: time::Instant, slot: Slot) {
+        self.deaths.insert(slot, now);
+        let mut others = 0;
+        for (other, at) in &self.deaths {
+            if *other != slot && now.since(*at) <= DEATH_SPAN {
+                others += 1;
+            }
+        }
+        let Some(member) = self.fleet.get_mut(slot) else {
+            return;
+        };
+        let name = member.record.id.clone();
+        let mut suspects = std::mem::take(&mut member.broken);
+        if others > MAX_OTHER_DEATHS {
+            return;
+        }
+        for flight in self.flights.values().filter(|flight| flight.slot == slot) {
+            suspects.insert(flight.waiting.profile.fingerprint);
+        }
+        for fingerprint in suspects {
+            for mark in self.marks.death(now, fingerprint, &name) {
+                self.effects.push(Effect::Quarantine(mark));
+            }
+        }
+    }
+
+    /// Probes endpoints that are dead or whose probe was lost.
+    fn probe_due(&mut self, now: time::Instant) {
+        for slot in self.fleet.slots() {
+            let Some(member) = self.fleet.get_mut(slot) else {
+                continue;
+            };
+            let due = match member.health {
+                Health::Sound | Health::Aside(_) => false,
+                Health::Probing(since) => now.since(since) >= PROBE_TIMEOUT,
+                Health::Dead(next) => next <= now,
+            };
+            if !due {
+                continue;
+            }
+            match &mut member.health {
+                Health::Dead(next) => *next = now + PROBE_PERIOD,
+                health => *health = Health::Probing(now),
+            }
+            let name = member.record.id.clone();
+            self.effects.push(Effect::Probe(name));
+        }
+    }
+
+    /// Reserves the least used of the endpoints that could take a suspect.
+    fn reserve(&mut self, now: time::Instant, request: id::Request) -> Option<Slot> {
+        let waiting = self.waiting.get(&request)?;
+        let candidates = self.candidates(now, waiting);
+        let least = candidates.iter().min_by_key(|candidate| candidate.used)?;
+        let slot = least.slot;
+        self.fleet.get_mut(slot)?.reserved = Some(request);
+        Some(slot)
+    }
+
+    fn pump_all(&mut self, now: time::Instant) {
+        let services: Vec<id::Service> = self.pools.keys().cloned().collect();
+        for service in services {
+            self.pump(now, &service);
+        }
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,14 +4,27 @@
 //! numbers: every call takes the time and an event and returns effects. The
 //! daemon, the randomised runs and the experiments drive the same code.
 
+mod admission;
+pub mod balance;
 pub mod effect;
 pub mod endpoint;
+pub mod estimate;
 pub mod event;
+pub mod fair;
+pub mod fleet;
+pub mod flight;
+mod health;
 pub mod id;
+pub mod isolation;
+pub mod pool;
 pub mod prefix;
+pub mod quarantine;
+pub mod queue;
 pub mod refusal;
+pub mod rendezvous;
 pub mod request;
 pub mod scheduler;
 pub mod size;
 pub mod text;
 pub mod time;
+pub mod window;
--- /dev/null
+++ b/lib/src/quarantine.rs
@@ -0,0 +1,128 @@
+//! Requests that crash the endpoints they run on.
+//!
+//! A request in flight at the death of an endpoint is a suspect; one that was
+//! in flight at two deaths is refused. Nodes share both kinds of mark as plain
+//! fingerprints: the endpoint that died and a confirmation are marked by further
+//! fingerprints derived from the first, so that hearing of a mark again, or of
+//! the same death from two nodes, never confirms it.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use xxhash_rust::xxh3;
+
+use crate::{id, time};
+
+/// How long a mark holds.
+pub const MARK_TTL: Duration = Duration::from_mins(10);
+
+/// How long an answered suspect stays cleared.
+const CLEARED_TTL: Duration = Duration::from_mins(10);
+
+/// Marks that are kept at the most.
+const MAX_MARKS: usize = 4096;
+
+/// Seed that derives the mark of a confirmed fingerprint.
+const CONFIRMED_SEED: u64 = 1;
+
+/// What is known of a fingerprint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing speaks against it.
+    Clear,
+    /// It was in flight at one death.
+    Suspect,
+    /// It was in flight at two deaths.
+    Confirmed,
+}
+
+/// Marks of suspects.
+#[derive(Clone, Debug, Default)]
+pub struct Marks {
+    marks: BTreeMap<id::Fingerprint, time::Instant>,
+    cleared: BTreeMap<id::Fingerprint, time::Instant>,
+}
+
+/// Returns the mark of a confirmed fingerprint.
+#[must_use]
+pub fn confirmed(fingerprint: id::Fingerprint) -> id::Fingerprint {
+    let bytes = fingerprint.0.to_le_bytes();
+    id::Fingerprint(xxh3::xxh3_64_with_seed(&bytes, CONFIRMED_SEED))
+}
+
+/// Returns the mark of a fingerprint seen at the death of this endpoint.
+fn at(fingerprint: id::Fingerprint, endpoint: &id::Endpoint) -> id::Fingerprint {
+    let seed = fingerprint.0;
+    id::Fingerprint(xxh3::xxh3_64_with_seed(endpoint.as_str().as_bytes(), seed))
+}
+
+impl Marks {
+    /// Returns what is known of a fingerprint.
+    #[must_use]
+    pub fn verdict(&self, now: time::Instant, fingerprint: id::Fingerprint) -> Verdict {
+        if self.holds(now, confirmed(fingerprint)) {
+            return Verdict::Confirmed;
+        }
+        if self.holds(now, fingerprint) && !self.is_cleared(now, fingerprint) {
+            return Verdict::Suspect;
+        }
+        Verdict::Clear
+    }
+
+    /// Records that the request was in flight at the death of this endpoint
+    /// and returns the marks to be shared.
+    ///
+    /// Nodes that see the same death mark it alike, so that it counts once.
+    pub fn death(
+        &mut self,
+        now: time::Instant,
+        fingerprint: id::Fingerprint,
+        endpoint: &id::Endpoint,
+    ) -> Vec<id::Fingerprint> {
+        let place = at(fingerprint, endpoint);
+        let mut marks = vec![fingerprint, place];
+        let seen_elsewhere = self.verdict(now, fingerprint) != Verdict::Clear;
+        if seen_elsewhere && !self.holds(now, place) {
+            marks.push(confirmed(fingerprint));
+        }
+        self.cleared.remove(&fingerprint);
+        for mark in &marks {
+            self.mark(now, *mark, MARK_TTL);
+        }
+        marks
+    }
+
+    /// Takes over a peer's mark.
+    pub fn mark(&mut self, now: time::Instant, mark: id::Fingerprint, valid: Duration) {
+        let until = now + valid.min(MARK_TTL);
+        let held = self.marks.entry(mark).or_insert(until);
+        *held = until.max(*held);
+        if self.marks.len() > MAX_MARKS {
+            self.expire(now);
+        }
+        if self.marks.len() > MAX_MARKS {
+            self.marks.pop_first();
+        }
+    }
+
+    /// Records that the request was answered whole, which clears a suspect.
+    pub fn answered(&mut self, now: time::Instant, fingerprint: id::Fingerprint) {
+        if self.verdict(now, fingerprint) == Verdict::Suspect {
+            self.cleared.insert(fingerprint, now + CLEARED_TTL);
+        }
+    }
+
+    /// Drops marks that hold no more.
+    pub fn expire(&mut self, now: time::Instant) {
+        self.marks.retain(|_, until| *until > now);
+        self.cleared.retain(|_, until| *until > now);
+    }
+
+    fn holds(&self, now: time::Instant, mark: id::Fingerprint) -> bool {
+        self.marks.get(&mark).is_some_and(|until| *until > now)
+    }
+
+    fn is_cleared(&self, now: time::Instant, fingerprint: id::Fingerprint) -> bool {
+        let until = self.cleared.get(&fingerprint);
+        until.is_some_and(|until| *until > now)
+    }
+}
--- /dev/null
+++ b/lib/src/queue.rs
@@ -0,0 +1,114 @@
+//! Waiting requests of one service and model: tier, workspace, deadline.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    fair::{Fair, Item},
+    id, time,
+};
+
+/// Requests that wait, highest tier first, fair between workspaces.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    tiers: BTreeMap<id::Tier, Fair>,
+    items: BTreeMap<id::Request, (id::Tier, Item)>,
+    deadlines: BTreeSet<(time::Instant, id::Request)>,
+}
+
+impl Queue {
+    /// Returns the number of waiting requests.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    /// Returns whether nothing waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// Adds a request.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the request waits already.
+    pub fn push(&mut self, tier: id::Tier, item: Item) {
+        self.tiers.entry(tier).or_default().push(&item);
+        self.deadlines.insert((item.deadline, item.id));
+        let previous = self.items.insert(item.id, (tier, item));
+        assert!(previous.is_none(), "a request waits once");
+    }
+
+    /// Returns the request to be served next and its tier.
+    #[must_use]
+    pub fn peek(&self) -> Option<(id::Tier, id::Request)> {
+        let (&tier, fair) = self.tiers.first_key_value()?;
+        fair.peek().map(|request| (tier, request))
+    }
+
+    /// Takes the request to be served next.
+    pub fn pop(&mut self) -> Option<(id::Tier, Item)> {
+        let (&tier, fair) = self.tiers.iter_mut().next()?;
+        let request = fair.pop()?;
+        self.trim(tier);
+        self.unlink(request)
+    }
+
+    /// Removes a request wherever it waits.
+    pub fn remove(&mut self, request: id::Request) -> Option<(id::Tier, Item)> {
+        let (tier, item) = self.unlink(request)?;
+        if let Some(fair) = self.tiers.get_mut(&tier) {
+            fair.remove(&item);
+        }
+        self.trim(tier);
+        Some((tier, item))
+    }
+
+    /// Returns the request to be given up first, of the lowest tier.
+    #[must_use]
+    pub fn victim(&self) -> Option<(id::Tier, id::Request)> {
+        let (&tier, fair) = self.tiers.last_key_value()?;
+        fair.victim().map(|request| (tier, request))
+    }
+
+    /// Returns the waiting requests, earliest deadline first.
+    pub fn by_deadline(&self) -> impl Iterator<Item = (time::Instant, id::Request)> {
+        self.deadlines.iter().copied()
+    }
+
+    /// Returns the tokens that are served before a new request, at the most.
+    #[must_use]
+    pub fn ahead(&self, tier: id::Tier, workspace: &id::Workspace, share: u32) -> u64 {
+        let mut tokens = 0;
+        for fair in self.tiers.range(..tier).map(|(_, fair)| fair) {
+            tokens += fair.tokens();
+        }
+        let own = self.tiers.get(&tier);
+        tokens + own.map_or(0, |fair| fair.ahead(workspace, share))
+    }
+
+    /// Returns the waiting tokens and requests of every tier.
+    pub fn backlog(&self) -> impl Iterator<Item = (id::Tier, u64, usize)> {
+        let tiers = self.tiers.iter();
+        tiers.map(|(&tier, fair)| (tier, fair.tokens(), fair.len()))
+    }
+
+    /// Returns the identifiers of all waiting requests.
+    #[must_use]
+    pub fn requests(&self) -> Vec<id::Request> {
+        self.items.keys().copied().collect()
+    }
+
+    fn unlink(&mut self, request: id::Request) -> Option<(id::Tier, Item)> {
+        let (tier, item) = self.items.remove(&request)?;
+        self.deadlines.remove(&(item.deadline, request));
+        Some((tier, item))
+    }
+
+    fn trim(&mut self, tier: id::Tier) {
+        if self.tiers.get(&tier).is_some_and(Fair::is_empty) {
+            self.tiers.remove(&tier);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/rendezvous.rs
@@ -0,0 +1,22 @@
+//! Rendezvous hashing: the same choice at every node without agreement.
+
+use xxhash_rust::xxh3;
+
+use crate::id;
+
+/// Returns the weight of a node for a key.
+#[must_use]
+pub fn weight(key: &str, node: &id::Node) -> u64 {
+    xxh3::xxh3_64_with_seed(node.as_str().as_bytes(), xxh3::xxh3_64(key.as_bytes()))
+}
+
+/// Returns the node with the highest weight for the key.
+#[must_use]
+pub fn choose<'a>(
+    key: &str,
+    nodes: impl IntoIterator<Item = &'a id::Node>,
+) -> Option<&'a id::Node> {
+    nodes
+        .into_iter()
+        .max_by_key(|node| (weight(key, node), *node))
+}
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -1,11 +1,24 @@
 //! The decision core: events in, effects out.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
-use crate::{effect, event, id, text, time};
+use rand::{SeedableRng, rngs::SmallRng};
+
+use crate::{
+    balance::{Policy, Terms},
+    effect::Effect,
+    event::Event,
+    fleet::{Fleet, Slot},
+    flight::{Flight, Waiting},
+    id,
+    isolation::Isolation,
+    pool::Pool,
+    quarantine::Marks,
+    text, time,
+};
 
 /// What a core needs to know of its own node.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Settings {
     /// The node's own name.
     pub node: id::Node,
@@ -13,28 +26,102 @@
     pub data_centre: id::DataCentre,
     /// Seed of every random choice.
     pub seed: u64,
+    /// How the node decides what it may put on an endpoint.
+    pub policy: Policy,
+}
+
+impl Settings {
+    /// Returns what a choice among endpoints depends on.
+    pub(crate) fn terms(&self, now: time::Instant, nodes: usize) -> Terms<'_> {
+        Terms {
+            now,
+            policy: self.policy,
+            nodes: u64::try_from(nodes).unwrap_or(u64::MAX).max(1),
+            data_centre: &self.data_centre,
+        }
+    }
 }
 
 /// The decision core of one node.
 #[derive(Debug)]
 pub struct Scheduler {
-    settings: Settings,
-    text: Option<Arc<text::Text>>,
+    pub(crate) settings: Settings,
+    pub(crate) text: Option<Arc<text::Text>>,
+    pub(crate) fleet: Fleet,
+    pub(crate) pools: BTreeMap<id::Service, Pool>,
+    pub(crate) waiting: BTreeMap<id::Request, Waiting>,
+    pub(crate) flights: BTreeMap<id::Request, Flight>,
+    pub(crate) isolation: Isolation,
+    pub(crate) marks: Marks,
+    pub(crate) deaths: BTreeMap<Slot, time::Instant>,
+    pub(crate) members: Vec<(id::Node, id::DataCentre)>,
+    pub(crate) rng: SmallRng,
+    pub(crate) turn: u64,
+    pub(crate) draining: bool,
+    pub(crate) effects: Vec<Effect>,
 }
 
 impl Scheduler {
     /// Builds a core that knows nothing but its own node.
     #[must_use]
     pub fn new(settings: Settings) -> Self {
+        let rng = SmallRng::seed_from_u64(settings.seed);
         Self {
             settings,
             text: None,
+            fleet: Fleet::default(),
+            pools: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            flights: BTreeMap::new(),
+            isolation: Isolation::default(),
+            marks: Marks::default(),
+            deaths: BTreeMap::new(),
+            members: Vec::new(),
+            rng,
+            turn: 0,
+            draining: false,
+            effects: Vec::new(),
         }
     }
 
     /// Takes one event and returns what has to be done about it.
-    pub fn handle(&mut self, now: time::Instant, event: event::Event) -> Vec<effect::Effect> {
-        let _ = (now, &self.settings, &self.text, event);
-        Vec::new()
+    ///
+    /// # Panics
+    ///
+    /// Panics if an invariant is broken: a request identifier that is used
+    /// twice, tokens in flight that do not add up, or a refusal for overload
+    /// while a lower tier waits for the same service.
+    pub fn handle(&mut self, now: time::Instant, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Configured(text) => self.configure(now, text),
+            Event::Listed(records) => self.list(now, records),
+            Event::Reported(endpoint, load) => self.report(now, &endpoint, load),
+            Event::Cached(endpoint, cache) => self.cache(&endpoint, &cache),
+            Event::Arrived(request, profile) => self.arrive(now, request, profile),
+            Event::Withdrawn(request) => self.withdraw(now, request),
+            Event::Unsent(request) => self.unsend(now, request),
+            Event::Started(request) => self.start(now, request),
+            Event::Progressed(request, tokens) => self.progress(now, request, tokens),
+            Event::Ended(request, outcome) => self.end(now, request, outcome),
+            Event::Probed(endpoint, answered) => self.probed(now, &endpoint, answered),
+            Event::Suspected(marks) => self.suspect(now, marks),
+            Event::Peer(node, message) => self.peer(now, &node, message),
+            Event::Members(members) => self.members = members,
+            Event::Draining => self.draining = true,
+            Event::Tick => self.tick(now),
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Returns the number of requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns the number of requests that run.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.flights.len()
     }
 }
