node: request path from the caller's socket to an endpoint's and back

The daemon had only seams. This lays down the filter chain (authenticate, classify, limit, claim, admit, dispatch, answer), the dispatcher actor around the decision core, the endpoint connections, the streams and the pages for operators. The typestate of the request decides what a refusal may say: only a request that was not dispatched can be answered not-run, and a message that the HTTP library hands back is the only way to another endpoint.

Ruled out: hyper-util's pooled client, because it does not tell whether a request on a reused connection was handed over.

Seams: dispatcher::Handle gets readmit, which waits for another endpoint after Event::Unsent; settings::Settings gets log. The fingerprint covers the request target besides workspace, call and body, since one call can match many paths.

Not wired to a process yet.

--- /dev/null
+++ b/node/src/body.rs
@@ -0,0 +1,74 @@
+//! Bodies of answers to callers.
+
+use std::{
+    convert::Infallible,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http_body::{Frame, SizeHint};
+use http_body_util::Full;
+
+/// The answer was cut short; the connection ends so that the caller can tell.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("the endpoint's answer was cut short; send the request again if it is idempotent")]
+pub struct Cut;
+
+type Stream = Pin<Box<dyn http_body::Body<Data = Bytes, Error = Cut> + Send>>;
+
+/// Body of an answer.
+pub struct Body(Kind);
+
+enum Kind {
+    Full(Full<Bytes>),
+    Stream(Stream),
+}
+
+impl Body {
+    /// Builds a body that is known as a whole.
+    #[must_use]
+    pub fn full(bytes: Bytes) -> Self {
+        Self(Kind::Full(Full::new(bytes)))
+    }
+
+    /// Builds a body that is passed on as it comes.
+    #[must_use]
+    pub fn stream(
+        stream: impl http_body::Body<Data = Bytes, Error = Cut> + Send + 'static,
+    ) -> Self {
+        Self(Kind::Stream(Box::pin(stream)))
+    }
+}
+
+impl http_body::Body for Body {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        match &mut self.0 {
+            Kind::Full(full) => Pin::new(full)
+                .poll_frame(context)
+                .map_err(|error: Infallible| match error {}),
+            Kind::Stream(stream) => stream.as_mut().poll_frame(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.0 {
+            Kind::Full(full) => full.is_end_stream(),
+            Kind::Stream(stream) => stream.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.0 {
+            Kind::Full(full) => full.size_hint(),
+            Kind::Stream(stream) => stream.size_hint(),
+        }
+    }
+}
--- a/node/src/dispatcher.rs
+++ b/node/src/dispatcher.rs
@@ -1,11 +1,24 @@
 //! The actor that drives the decision core.
 
-use std::sync::Arc;
+use std::{collections::HashMap, future::Future, sync::Arc, time::Duration};
 
 use dottereltally_lib::{
-    event, id, refusal,
-    request::{Admitted, Claimed, NotRun, Request},
+    effect::Effect,
+    event::{self, Event, Outcome},
+    id, refusal,
+    request::{Admitted, Claimed, NotRun, Profile, Request},
+    scheduler::Scheduler,
 };
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use tokio::sync::oneshot;
+
+use crate::clock::Clock;
+
+/// Time between two ticks of the core.
+const TICK: Duration = Duration::from_millis(50);
+
+/// When to come back after the dispatcher has stopped.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A request that the core refused, with the proof that it did not run.
 #[derive(Debug)]
@@ -32,7 +45,239 @@
         &self,
         request: Request<Claimed>,
     ) -> impl Future<Output = Result<Request<Admitted>, Refused>> + Send;
+
+    /// Waits until the core has assigned another endpoint to an admitted
+    /// request that was not handed over.
+    ///
+    /// Dropping the future withdraws the request.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the core's refusal.
+    fn readmit(
+        &self,
+        request: Request<Claimed>,
+    ) -> impl Future<Output = Result<Request<Admitted>, Refused>> + Send;
 }
 
 /// Returns the address of an endpoint, if it is known.
 pub type Resolve = Arc<dyn Fn(&id::Endpoint) -> Option<String> + Send + Sync>;
+
+/// Receivers of the core's effects that concern no waiting request.
+pub trait Sink: Send + Sync + 'static {
+    /// Probes an endpoint on a new connection and reports the result.
+    fn probe(&self, endpoint: id::Endpoint);
+
+    /// Tells the peers of a request that crashed endpoints.
+    fn quarantine(&self, fingerprint: id::Fingerprint);
+
+    /// Sends a message of the admission protocol to a peer.
+    fn send(&self, node: id::Node, message: event::Message);
+}
+
+type Decision = Result<id::Endpoint, refusal::Refusal>;
+
+/// A request that waits for the core's decision.
+#[derive(Debug)]
+pub struct Arrival {
+    request: id::Request,
+    event: Event,
+    reply: oneshot::Sender<Decision>,
+}
+
+/// Message to the dispatcher.
+#[derive(Debug)]
+pub enum Message {
+    /// A request asks for an endpoint, for the first time or again.
+    Arrival(Arrival),
+    /// A request that may wait is not wanted any more.
+    Left(id::Request),
+    /// An event for the core.
+    Event(Event),
+}
+
+/// The actor.
+#[derive(Debug)]
+pub struct Dispatcher;
+
+/// What the actor starts from.
+pub struct Arguments {
+    /// The core.
+    pub core: Scheduler,
+    /// The clock that drives it.
+    pub clock: Clock,
+    /// Receiver of its effects.
+    pub sink: Box<dyn Sink>,
+}
+
+/// State of the actor.
+pub struct State {
+    core: Scheduler,
+    clock: Clock,
+    sink: Box<dyn Sink>,
+    waiting: HashMap<id::Request, oneshot::Sender<Decision>>,
+}
+
+impl Actor for Dispatcher {
+    type Msg = Message;
+    type State = State;
+    type Arguments = Arguments;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<Message>,
+        arguments: Arguments,
+    ) -> Result<State, ActorProcessingErr> {
+        myself.send_interval(TICK, || Message::Event(Event::Tick));
+        Ok(State {
+            core: arguments.core,
+            clock: arguments.clock,
+            sink: arguments.sink,
+            waiting: HashMap::new(),
+        })
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<Message>,
+        message: Message,
+        state: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            Message::Arrival(arrival) => {
+                state.waiting.insert(arrival.request, arrival.reply);
+                state.step(arrival.event);
+            }
+            Message::Left(request) => {
+                if state.waiting.remove(&request).is_some() {
+                    state.step(Event::Withdrawn(request));
+                }
+            }
+            Message::Event(event) => state.step(event),
+        }
+        Ok(())
+    }
+}
+
+impl State {
+    /// Hands an event to the core and carries out what it asks for.
+    fn step(&mut self, event: Event) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            let effects = self.core.handle(self.clock.now(), event);
+            for effect in effects {
+                events.extend(self.perform(effect));
+            }
+        }
+    }
+
+    /// Carries out one effect; returns an event if it came to nothing.
+    fn perform(&mut self, effect: Effect) -> Option<Event> {
+        match effect {
+            Effect::Admit(request, endpoint) => {
+                let reply = self.waiting.remove(&request);
+                let taken = reply.is_some_and(|reply| reply.send(Ok(endpoint)).is_ok());
+                if !taken {
+                    return Some(Event::Ended(request, Outcome::Cancelled));
+                }
+            }
+            Effect::Refuse(request, refusal) => {
+                if let Some(reply) = self.waiting.remove(&request) {
+                    let _ = reply.send(Err(refusal));
+                }
+            }
+            Effect::Probe(endpoint) => self.sink.probe(endpoint),
+            Effect::Quarantine(fingerprint) => self.sink.quarantine(fingerprint),
+            Effect::Send(node, message) => self.sink.send(node, message),
+        }
+        None
+    }
+}
+
+/// Handle of the running actor.
+#[derive(Clone, Debug)]
+pub struct Sender(ActorRef<Message>);
+
+impl Sender {
+    /// Wraps the actor's reference.
+    #[must_use]
+    pub fn new(actor: ActorRef<Message>) -> Self {
+        Self(actor)
+    }
+
+    async fn wait(
+        &self,
+        request: Request<Claimed>,
+        event: Event,
+    ) -> Result<Request<Admitted>, Refused> {
+        let (reply, receiver) = oneshot::channel();
+        let arrival = Arrival {
+            request: request.id(),
+            event,
+            reply,
+        };
+        let mut waiting = Waiting {
+            sender: self,
+            request: request.id(),
+            receiver,
+            decided: false,
+        };
+        let _ = self.0.cast(Message::Arrival(arrival));
+        let decision = (&mut waiting.receiver).await;
+        waiting.decided = true;
+        match decision {
+            Ok(Ok(endpoint)) => Ok(request.admit(endpoint)),
+            Ok(Err(refusal)) => Err(Refused {
+                refusal,
+                proof: request.abandon(),
+            }),
+            Err(_) => Err(Refused {
+                refusal: refusal::Refusal {
+                    reason: refusal::Reason::Shutdown,
+                    retry_after: RETRY_AFTER,
+                },
+                proof: request.abandon(),
+            }),
+        }
+    }
+}
+
+impl Handle for Sender {
+    fn tell(&self, event: Event) {
+        let _ = self.0.cast(Message::Event(event));
+    }
+
+    async fn admit(&self, request: Request<Claimed>) -> Result<Request<Admitted>, Refused> {
+        let profile: Arc<Profile> = Arc::clone(request.profile());
+        let event = Event::Arrived(request.id(), profile);
+        self.wait(request, event).await
+    }
+
+    async fn readmit(&self, request: Request<Claimed>) -> Result<Request<Admitted>, Refused> {
+        let event = Event::Unsent(request.id());
+        self.wait(request, event).await
+    }
+}
+
+/// Withdraws a request whose caller stops waiting.
+struct Waiting<'a> {
+    sender: &'a Sender,
+    request: id::Request,
+    receiver: oneshot::Receiver<Decision>,
+    decided: bool,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if self.decided {
+            return;
+        }
+        self.receiver.close();
+        let event = match self.receiver.try_recv() {
+            Ok(Ok(_)) => Message::Event(Event::Ended(self.request, Outcome::Cancelled)),
+            Ok(Err(_)) => return,
+            Err(_) => Message::Left(self.request),
+        };
+        let _ = self.sender.0.cast(event);
+    }
+}
--- /dev/null
+++ b/node/src/filter.rs
@@ -0,0 +1,318 @@
+//! The chain of filters that serves one request.
+//!
+//! Authenticate, classify, limit, claim, admit, dispatch, answer.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::{Bytes, BytesMut};
+use dottereltally_lib::{
+    id,
+    request::{Received, Request},
+    text,
+};
+use http::{HeaderValue, Response, StatusCode, header::HeaderMap, request::Parts};
+use http_body_util::BodyExt;
+use tokio::time::timeout;
+
+use crate::{
+    answer, authenticate,
+    body::Body,
+    classify::{self, Class},
+    clock::Clock,
+    dispatch::{self, Ended},
+    dispatcher::{Handle, Resolve},
+    exclusive::{self, Keeper},
+    limit::{Permit, Table},
+    metrics::Metrics,
+    problem::{Problem, Reason},
+    rules::{self, Rules},
+    settings::Limits,
+    upstream::Client,
+};
+
+/// When to come back to a node without a configuration.
+const CONFIGURATION_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What the filters work with.
+pub struct Chain<D, U, K> {
+    /// The node's name.
+    pub node: id::Node,
+    /// Limits towards callers.
+    pub limits: Limits,
+    /// The clock of the node.
+    pub clock: Clock,
+    /// The rules in force.
+    pub rules: rules::Receiver,
+    /// Places of the workspaces.
+    pub places: Table,
+    /// The decision core.
+    pub dispatcher: D,
+    /// Addresses of the endpoints.
+    pub resolve: Resolve,
+    /// Connections to the endpoints.
+    pub upstream: U,
+    /// The claims.
+    pub keeper: K,
+    /// The counters.
+    pub metrics: Metrics,
+    /// The number of the next attempt.
+    pub next: AtomicU64,
+}
+
+/// A refusal, with the tier as far as it is known.
+struct Refused {
+    tier: Option<id::Tier>,
+    problem: Problem,
+}
+
+impl From<Problem> for Refused {
+    fn from(problem: Problem) -> Self {
+        Self {
+            tier: None,
+            problem,
+        }
+    }
+}
+
+/// A request that passed the filters before the claim.
+struct Accepted {
+    request: Request<Received>,
+    class: Class,
+    parts: Parts,
+    body: Bytes,
+    permit: Arc<Permit>,
+}
+
+impl<D, U, K> Chain<D, U, K>
+where
+    D: Handle + Unpin,
+    U: Client,
+    K: Keeper,
+{
+    /// Serves one request.
+    pub async fn serve<B>(self: Arc<Self>, request: http::Request<B>) -> Response<Body>
+    where
+        B: http_body::Body<Data = Bytes> + Unpin + Send,
+    {
+        let id = id::Request(self.next.fetch_add(1, Ordering::Relaxed));
+        let outcome = match self.accept(id, request).await {
+            Ok(accepted) => Arc::clone(&self).run(accepted).await,
+            Err(refused) => Err(refused),
+        };
+        match outcome {
+            Ok(response) => response,
+            Err(refused) => {
+                self.metrics.refused(refused.tier, refused.problem.reason());
+                refused.problem.response(Some(id))
+            }
+        }
+    }
+
+    /// Reads a request and passes it through the filters before the claim.
+    async fn accept<B>(
+        &self,
+        id: id::Request,
+        request: http::Request<B>,
+    ) -> Result<Accepted, Refused>
+    where
+        B: http_body::Body<Data = Bytes> + Unpin,
+    {
+        let received = self.clock.now();
+        let (parts, body) = request.into_parts();
+        // Nothing is known yet of earlier attempts with the same key.
+        let unproved = |problem: Problem| {
+            if parts.headers.contains_key(exclusive::KEY) {
+                problem.unproved()
+            } else {
+                problem
+            }
+        };
+        check_head(&parts, self.limits.head).map_err(unproved)?;
+        let rules = self.rules().map_err(unproved)?;
+        let workspace = authenticate::workspace(&rules, &parts.headers).map_err(unproved)?;
+        let candidates =
+            classify::candidates(&rules, &parts.method, &parts.uri).map_err(unproved)?;
+        let unproved = |problem: Problem| {
+            if candidates.all_idempotent() {
+                problem
+            } else {
+                unproved(problem)
+            }
+        };
+        let body = self.read(body).await.map_err(unproved)?;
+        let limit = rules.text.workspaces.get(&workspace);
+        let limit = limit.and_then(|workspace| workspace.limit);
+        let class = candidates
+            .classify(&rules, workspace, &parts, &body, received)
+            .map_err(unproved)?;
+        let profile = Arc::clone(&class.profile);
+        let permit = self.places.enter(&profile.workspace, limit);
+        let permit = permit.map_err(|problem| Refused {
+            tier: Some(profile.tier),
+            problem: if profile.idempotent {
+                problem
+            } else {
+                unproved(problem)
+            },
+        })?;
+        Ok(Accepted {
+            request: Request::new(id, profile),
+            class,
+            parts,
+            body,
+            permit: Arc::new(permit),
+        })
+    }
+
+    /// Claims if need be, admits, dispatches and answers.
+    async fn run(self: Arc<Self>, accepted: Accepted) -> Result<Response<Body>, Refused> {
+        let Accepted {
+            request,
+            class,
+            parts,
+            body,
+            permit,
+        } = accepted;
+        let id = request.id();
+        let tier = Some(class.profile.tier);
+        let refuse = |problem| Refused { tier, problem };
+        let key = exclusive::key(&parts.headers).map_err(refuse)?;
+        let message = dispatch::message(parts, body, self.correlation(id));
+        if class.profile.idempotent || (key.is_none() && class.unkeyed) {
+            let running = dispatch::run(&self, request.claim(), message, &permit).await;
+            let running = running.map_err(|ended| refuse(problem(ended)))?;
+            if class.kind == text::Kind::Plain || is_streamed(&running.response) {
+                return Ok(answer::pass_on(running, id));
+            }
+            let whole = answer::read_whole(running, self.limits.body, id).await;
+            return whole
+                .map(|response| response.map(Body::full))
+                .map_err(refuse);
+        }
+        let Some(key) = key else {
+            let problem = Problem::not_run(
+                &request.abandon(),
+                StatusCode::BAD_REQUEST,
+                Reason::NoKey,
+                "the call is not idempotent; send it with an `idempotency-key` of its own",
+            );
+            return Err(refuse(problem));
+        };
+        // The call goes on when its caller leaves, so that its answer is kept.
+        let running = tokio::spawn(exclusive::run(self, request, key, message, permit));
+        match running.await {
+            Ok(outcome) => outcome.map_err(refuse),
+            Err(_) => Err(refuse(dispatch::lost(Reason::Broken))),
+        }
+    }
+
+    /// Reads a body within its limits.
+    async fn read<B>(&self, mut body: B) -> Result<Bytes, Problem>
+    where
+        B: http_body::Body<Data = Bytes> + Unpin,
+    {
+        let limit = self.limits.body;
+        if body.size_hint().lower() > limit as u64 {
+            return Err(too_large(limit));
+        }
+        let reading = collect(&mut body, limit);
+        match timeout(self.limits.body_timeout, reading).await {
+            Ok(outcome) => outcome,
+            Err(_) => Err(Problem::unread(
+                StatusCode::REQUEST_TIMEOUT,
+                Reason::SlowSender,
+                "the body did not arrive in time; send the request again",
+            )),
+        }
+    }
+
+    fn rules(&self) -> Result<Arc<Rules>, Problem> {
+        self.rules.borrow().clone().ok_or_else(|| {
+            Problem::unread(
+                StatusCode::SERVICE_UNAVAILABLE,
+                Reason::NoConfiguration,
+                "this node has no configuration yet; send the request again",
+            )
+            .retry_after(CONFIGURATION_RETRY_AFTER)
+        })
+    }
+
+    fn correlation(&self, id: id::Request) -> HeaderValue {
+        let value = format!("{}-{id}", self.node);
+        HeaderValue::try_from(value).unwrap_or_else(|_| HeaderValue::from(id.0))
+    }
+}
+
+fn problem(ended: Ended) -> Problem {
+    match ended {
+        Ended::Refused(refused) => Problem::refused(&refused.proof, refused.refusal),
+        Ended::Lost(problem) => problem,
+    }
+}
+
+fn is_streamed<B>(response: &Response<B>) -> bool {
+    answer::is_event_stream(response.headers())
+}
+
+async fn collect<B>(body: &mut B, limit: usize) -> Result<Bytes, Problem>
+where
+    B: http_body::Body<Data = Bytes> + Unpin,
+{
+    let mut content = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return Err(Problem::unread(
+                StatusCode::BAD_REQUEST,
+                Reason::Malformed,
+                "the body broke off; send the request again",
+            ));
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if content.len() + data.len() > limit {
+            return Err(too_large(limit));
+        }
+        content.extend_from_slice(&data);
+    }
+    Ok(content.freeze())
+}
+
+fn too_large(limit: usize) -> Problem {
+    Problem::unread(
+        StatusCode::PAYLOAD_TOO_LARGE,
+        Reason::TooLarge,
+        format!("the body is over {limit} bytes; send a smaller one"),
+    )
+}
+
+/// Checks the size of a request's head as HTTP/1.1 would write it.
+fn check_head(parts: &Parts, limit: usize) -> Result<(), Problem> {
+    let target = parts
+        .uri
+        .path_and_query()
+        .map_or(1, |target| target.as_str().len());
+    let size = parts.method.as_str().len() + target + headers_size(&parts.headers);
+    if size <= limit {
+        return Ok(());
+    }
+    Err(Problem::unread(
+        StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+        Reason::TooLarge,
+        format!("the head is over {limit} bytes; send fewer or shorter headers"),
+    ))
+}
+
+fn headers_size(headers: &HeaderMap) -> usize {
+    let mut size = 0;
+    for (name, value) in headers {
+        size += name.as_str().len() + value.len() + 4;
+    }
+    size
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -2,9 +2,28 @@
 //!
 //! A filter chain serves requests; controllers, each an actor, keep state.
 
+pub mod answer;
+pub mod authenticate;
+pub mod body;
 pub mod claim;
+pub mod classify;
 pub mod clock;
 pub mod configuration;
+pub mod dispatch;
 pub mod dispatcher;
+pub mod exclusive;
+pub mod filter;
+pub mod flight;
+pub mod limit;
+pub mod metrics;
+pub mod operations;
 pub mod peer;
+pub mod pool;
+pub mod problem;
+pub mod prompt;
+pub mod rules;
+pub mod server;
 pub mod settings;
+pub mod sse;
+pub mod stream;
+pub mod upstream;
--- /dev/null
+++ b/node/src/metrics.rs
@@ -0,0 +1,187 @@
+//! Counters of the request path.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use dottereltally_lib::{id, request::Profile, size::Tokens};
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::{Registry, Unit},
+};
+
+use crate::problem::Reason;
+
+/// Upper bounds of the buckets of the time to the first token, seconds.
+const FIRST_TOKEN_BUCKETS_SECONDS: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.66, 1.0, 2.5, 5.0, 10.0, 30.0,
+];
+
+/// What became of a dispatched request.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum Result {
+    /// The whole answer was passed on before the deadline.
+    #[display("whole")]
+    Whole,
+    /// The whole answer was passed on after the deadline.
+    #[display("late")]
+    Late,
+    /// The endpoint answered that it did not run it.
+    #[display("rejected")]
+    Rejected,
+    /// The endpoint answered with an error of its own.
+    #[display("failed")]
+    Failed,
+    /// The caller left.
+    #[display("cancelled")]
+    Cancelled,
+    /// The deadline passed.
+    #[display("expired")]
+    Expired,
+    /// The connection to the endpoint broke.
+    #[display("broken")]
+    Broken,
+    /// The endpoint fell silent.
+    #[display("stalled")]
+    Stalled,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AnswerLabels {
+    tier: u8,
+    result: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RefusalLabels {
+    tier: String,
+    reason: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TierLabels {
+    tier: u8,
+}
+
+/// The counters; clones share them.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    answers: Family<AnswerLabels, Counter>,
+    refusals: Family<RefusalLabels, Counter>,
+    wasted_prefill: Family<TierLabels, Counter>,
+    first_token: Family<TierLabels, Histogram, fn() -> Histogram>,
+    in_flight: Gauge,
+    unsent: Counter,
+    replays: Counter,
+}
+
+fn first_token_histogram() -> Histogram {
+    Histogram::new(FIRST_TOKEN_BUCKETS_SECONDS)
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self {
+            answers: Family::default(),
+            refusals: Family::default(),
+            wasted_prefill: Family::default(),
+            first_token: Family::new_with_constructor(first_token_histogram),
+            in_flight: Gauge::default(),
+            unsent: Counter::default(),
+            replays: Counter::default(),
+        }
+    }
+}
+
+impl Metrics {
+    /// Registers the counters.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "answers",
+            "Dispatched requests by tier and result; goodput is the result whole",
+            self.answers.clone(),
+        );
+        registry.register(
+            "refusals",
+            "Requests that were not dispatched, by tier and reason",
+            self.refusals.clone(),
+        );
+        registry.register(
+            "wasted_prefill_tokens",
+            "Prompt tokens computed for answers that were not delivered whole",
+            self.wasted_prefill.clone(),
+        );
+        registry.register_with_unit(
+            "first_token",
+            "Time from a request's receipt to its answer's first byte",
+            Unit::Seconds,
+            self.first_token.clone(),
+        );
+        registry.register(
+            "in_flight",
+            "Requests that are at an endpoint",
+            self.in_flight.clone(),
+        );
+        registry.register(
+            "unsent",
+            "Admitted requests that were not handed over and went to another endpoint",
+            self.unsent.clone(),
+        );
+        registry.register(
+            "replays",
+            "Calls sent again that were answered with the kept answer",
+            self.replays.clone(),
+        );
+    }
+
+    /// Counts a request that was not dispatched.
+    pub fn refused(&self, tier: Option<id::Tier>, reason: Reason) {
+        let labels = RefusalLabels {
+            tier: tier.map_or_else(|| "none".to_owned(), |tier| tier.to_string()),
+            reason: reason.to_string(),
+        };
+        self.refusals.get_or_create(&labels).inc();
+    }
+
+    /// Counts a request that is handed to an endpoint.
+    pub fn dispatched(&self) {
+        self.in_flight.inc();
+    }
+
+    /// Counts a request that was not handed over after all.
+    pub fn unsent(&self) {
+        self.in_flight.dec();
+        self.unsent.inc();
+    }
+
+    /// Counts an answer that was given again.
+    pub fn replayed(&self) {
+        self.replays.inc();
+    }
+
+    /// Records the time to the first byte of an answer.
+    pub fn started(&self, tier: id::Tier, delay: Duration) {
+        self.first_token
+            .get_or_create(&TierLabels { tier: tier.0 })
+            .observe(delay.as_secs_f64());
+    }
+
+    /// Counts the end of a dispatched request.
+    pub fn ended(&self, profile: &Profile, result: Result, cached: Tokens) {
+        self.in_flight.dec();
+        let labels = AnswerLabels {
+            tier: profile.tier.0,
+            result: result.to_string(),
+        };
+        self.answers.get_or_create(&labels).inc();
+        if matches!(result, Result::Whole | Result::Late | Result::Rejected) {
+            return;
+        }
+        let wasted = profile.prompt.saturating_sub(cached);
+        self.wasted_prefill
+            .get_or_create(&TierLabels {
+                tier: profile.tier.0,
+            })
+            .inc_by(wasted.0);
+    }
+}
--- /dev/null
+++ b/node/src/operations.rs
@@ -0,0 +1,115 @@
+//! Pages for operators: metrics, health and status.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use dottereltally_lib::id;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header::CONTENT_TYPE};
+use prometheus_client::{encoding::text, registry::Registry};
+use serde::Serialize;
+
+use crate::body::Body;
+
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+const JSON: &str = "application/json";
+const TEXT: &str = "text/plain; charset=utf-8";
+
+/// State of a node, as its status page tells it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Status {
+    /// Its name.
+    pub node: id::Node,
+    /// Its data centre.
+    pub data_centre: id::DataCentre,
+    /// The generation in force.
+    pub generation: id::Generation,
+    /// Whether it is shutting down.
+    pub draining: bool,
+    /// Whether the platform answers.
+    pub platform: bool,
+    /// Live peers.
+    pub peers: Vec<id::Node>,
+    /// Endpoints of the host list.
+    pub endpoints: Vec<id::Endpoint>,
+}
+
+/// Reads the state of the node.
+pub trait Source: Send + Sync + 'static {
+    /// Returns the state.
+    fn status(&self) -> Status;
+
+    /// Returns whether the node takes requests.
+    fn is_ready(&self) -> bool;
+}
+
+/// The pages; clones share them.
+#[derive(Clone)]
+pub struct Pages {
+    registry: Arc<Registry>,
+    source: Arc<dyn Source>,
+}
+
+impl Pages {
+    /// Builds the pages over a filled registry.
+    #[must_use]
+    pub fn new(registry: Registry, source: Arc<dyn Source>) -> Self {
+        Self {
+            registry: Arc::new(registry),
+            source,
+        }
+    }
+
+    /// Returns the page that a request asks for.
+    pub fn get<B>(&self, request: &Request<B>) -> Response<Body> {
+        if request.method() != Method::GET {
+            return page(StatusCode::METHOD_NOT_ALLOWED, TEXT, "use GET\n");
+        }
+        match request.uri().path() {
+            "/metrics" => self.metrics(),
+            "/livez" => page(StatusCode::OK, TEXT, "live\n"),
+            "/readyz" if self.source.is_ready() => page(StatusCode::OK, TEXT, "ready\n"),
+            "/readyz" => page(
+                StatusCode::SERVICE_UNAVAILABLE,
+                TEXT,
+                "not ready; see /status\n",
+            ),
+            "/status" => self.status(),
+            _ => page(
+                StatusCode::NOT_FOUND,
+                TEXT,
+                "use /metrics, /livez, /readyz or /status\n",
+            ),
+        }
+    }
+
+    fn metrics(&self) -> Response<Body> {
+        let mut content = String::new();
+        match text::encode(&mut content, &self.registry) {
+            Ok(()) => page(StatusCode::OK, OPEN_METRICS, content),
+            Err(error) => page(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                TEXT,
+                format!("the metrics can't be encoded: {error}; report this\n"),
+            ),
+        }
+    }
+
+    fn status(&self) -> Response<Body> {
+        match serde_json::to_vec(&self.source.status()) {
+            Ok(content) => page(StatusCode::OK, JSON, content),
+            Err(error) => page(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                TEXT,
+                format!("the status can't be encoded: {error}; report this\n"),
+            ),
+        }
+    }
+}
+
+fn page(status: StatusCode, kind: &'static str, content: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(Body::full(content.into()));
+    *response.status_mut() = status;
+    let kind = HeaderValue::from_static(kind);
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
--- /dev/null
+++ b/node/src/server.rs
@@ -0,0 +1,138 @@
+//! Accepts connections and serves HTTP/1.1 and HTTP/2 on them.
+
+use std::{
+    convert::Infallible,
+    future::Future,
+    pin::pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use http::{Request, Response};
+use hyper::{body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::conn::auto,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinSet,
+    time::sleep,
+};
+
+use crate::body::Body;
+
+/// Header that carries the attempt's number at its node.
+pub const REQUEST: &str = "dottereltally-request";
+
+/// Pause after a failure to accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time between two pings on an HTTP/2 connection.
+const PING_PERIOD: Duration = Duration::from_secs(20);
+/// Requests at a time on one HTTP/2 connection.
+const MAX_STREAMS: u32 = 256;
+
+/// Limits of a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Size of a request's head that gets a proper refusal, bytes; heads of
+    /// more than twice the size end the connection.
+    pub head: usize,
+    /// Time for a request's head to arrive.
+    pub head_timeout: Duration,
+}
+
+/// Serves until `draining` becomes true and every connection has ended.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    limits: Limits,
+    mut draining: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            biased;
+            () = drained(&mut draining) => break,
+            Some(_) = connections.join_next() => {}
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    let serving = connection(stream, limits, draining.clone(), handler.clone());
+                    connections.spawn(serving);
+                }
+                Err(_) => sleep(ACCEPT_PAUSE).await,
+            },
+        }
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+/// Waits until the node stops taking requests.
+async fn drained(draining: &mut watch::Receiver<bool>) {
+    let _ = draining.wait_for(|draining| *draining).await;
+}
+
+async fn connection<H, F>(
+    stream: TcpStream,
+    limits: Limits,
+    mut draining: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let builder = builder(limits);
+    let used = Arc::new(AtomicBool::new(false));
+    let marker = Arc::clone(&used);
+    let service = service_fn(move |request| {
+        marker.store(true, Ordering::Relaxed);
+        let answering = handler(request);
+        async move { Ok::<_, Infallible>(answering.await) }
+    });
+    let mut serving = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let mut first_request = pin!(sleep(limits.head_timeout));
+    let mut first_checked = false;
+    let mut closing = false;
+    loop {
+        tokio::select! {
+            _ = serving.as_mut() => return,
+            () = &mut first_request, if !first_checked => {
+                first_checked = true;
+                if !used.load(Ordering::Relaxed) {
+                    return;
+                }
+            }
+            () = drained(&mut draining), if !closing => {
+                closing = true;
+                serving.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
+
+fn builder(limits: Limits) -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    let max_head = limits.head.saturating_mul(2);
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_timeout)
+        .max_buf_size(max_head);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(u32::try_from(max_head).unwrap_or(u32::MAX))
+        .max_concurrent_streams(MAX_STREAMS)
+        .keep_alive_interval(PING_PERIOD)
+        .keep_alive_timeout(PING_PERIOD);
+    builder
+}
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
+use derive_more::{Display, FromStr};
 use dottereltally_lib::id;
 
+pub mod wire;
+
 /// Checked settings of a node.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -19,6 +22,8 @@
     pub limits: Limits,
     /// How it stops.
     pub shutdown: Shutdown,
+    /// What it logs.
+    pub log: Log,
 }
 
 /// Addresses to listen on; port 0 takes a free one.
@@ -66,3 +71,63 @@
     /// Time for running requests to end.
     pub grace: Duration,
 }
+
+/// What the node logs.
+#[derive(Clone, Copy, Debug)]
+pub struct Log {
+    /// Form of a line.
+    pub format: Format,
+    /// Least severe level that is logged.
+    pub level: tracing::Level,
+}
+
+/// Form of a log line.
+#[derive(Clone, Copy, Debug, Display, FromStr, PartialEq, Eq)]
+pub enum Format {
+    /// A JSON object a line.
+    #[display("json")]
+    Json,
+    /// Plain text.
+    #[display("text")]
+    Text,
+}
+
+impl Default for Platform {
+    fn default() -> Self {
+        Self {
+            kv: Vec::new(),
+            hosts: String::new(),
+            timeout: Duration::from_secs(1),
+        }
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head: 16 * 1024,
+            body: 4 * 1024 * 1024,
+            head_timeout: Duration::from_secs(5),
+            body_timeout: Duration::from_secs(30),
+            inactivity: Duration::from_secs(20),
+        }
+    }
+}
+
+impl Default for Shutdown {
+    fn default() -> Self {
+        Self {
+            notice: Duration::from_secs(1),
+            grace: Duration::from_mins(1),
+        }
+    }
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            format: Format::Json,
+            level: tracing::Level::INFO,
+        }
+    }
+}
--- /dev/null
+++ b/node/src/settings/wire.rs
@@ -0,0 +1,396 @@
+//! The settings as written in YAML, and their check as a whole.
+
+use std::{fmt, net::SocketAddr, path::Path, time::Duration};
+
+use bytesize::ByteSize;
+use dottereltally_lib::id;
+use serde::Deserialize;
+use serde_saphyr::Spanned;
+
+use super::{Format, Limits, Listen, Log, Platform, Settings, Shutdown};
+
+/// Smallest head limit that the HTTP library can keep, bytes.
+const MIN_HEAD_BYTES: usize = 8 * 1024;
+
+/// One fault of the settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// File that it is in.
+    pub file: String,
+    /// Line, where it is known.
+    pub line: Option<u64>,
+    /// What is wrong and what to do about it.
+    pub remedy: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:", self.file)?;
+        if let Some(line) = self.line {
+            write!(f, "{line}:")?;
+        }
+        write!(f, " {}", self.remedy)
+    }
+}
+
+type Scalar = Option<Spanned<String>>;
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct WireSettings {
+    node: Scalar,
+    data_centre: Scalar,
+    listen: WireListen,
+    platform: WirePlatform,
+    limits: WireLimits,
+    shutdown: WireShutdown,
+    log: WireLog,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct WireListen {
+    callers: Scalar,
+    peers: Scalar,
+    operations: Scalar,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct WirePlatform {
+    kv: Option<Vec<Spanned<String>>>,
+    hosts: Scalar,
+    timeout: Scalar,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct WireLimits {
+    head: Scalar,
+    body: Scalar,
+    head_timeout: Scalar,
+    body_timeout: Scalar,
+    inactivity: Scalar,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct WireShutdown {
+    notice: Scalar,
+    grace: Scalar,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct WireLog {
+    format: Scalar,
+    level: Scalar,
+}
+
+/// Reads one variable of the environment.
+pub type Environment<'a> = &'a dyn Fn(&str) -> Option<String>;
+
+/// Checks a settings file as a whole.
+///
+/// # Errors
+///
+/// Fails with every fault that was found, in the order of the file's sections.
+pub fn parse(
+    path: &Path,
+    content: &str,
+    environment: Environment<'_>,
+) -> Result<Settings, Vec<Fault>> {
+    let file = path.display().to_string();
+    let wire: WireSettings = serde_saphyr::from_str(content).map_err(|error| {
+        vec![Fault {
+            file: file.clone(),
+            line: error.location().map(|location| location.line()),
+            remedy: format!("{error}; see docs/settings.md for the fields"),
+        }]
+    })?;
+    let mut check = Check {
+        file,
+        faults: Vec::new(),
+    };
+    let settings = check.settings(wire, environment);
+    if check.faults.is_empty() {
+        Ok(settings)
+    } else {
+        Err(check.faults)
+    }
+}
+
+/// Collects faults while the values are converted.
+struct Check {
+    file: String,
+    faults: Vec<Fault>,
+}
+
+impl Check {
+    fn settings(&mut self, wire: WireSettings, environment: Environment<'_>) -> Settings {
+        Settings {
+            node: id::Node::from(self.name("node", wire.node)),
+            data_centre: id::DataCentre::from(self.name("data_centre", wire.data_centre)),
+            listen: self.listen(wire.listen, environment),
+            platform: self.platform(wire.platform, environment),
+            limits: self.limits(wire.limits),
+            shutdown: self.shutdown(wire.shutdown),
+            log: self.log(wire.log),
+        }
+    }
+
+    fn listen(&mut self, wire: WireListen, environment: Environment<'_>) -> Listen {
+        let callers = overridden(wire.callers, environment("DOTTERELTALLY_LISTEN_CALLERS"));
+        let peers = overridden(wire.peers, environment("DOTTERELTALLY_LISTEN_PEERS"));
+        let operations = overridden(
+            wire.operations,
+            environment("DOTTERELTALLY_LISTEN_OPERATIONS"),
+        );
+        Listen {
+            callers: self.address("listen.callers", callers),
+            peers: self.address("listen.peers", peers),
+            operations: self.address("listen.operations", operations),
+        }
+    }
+
+    fn platform(&mut self, wire: WirePlatform, environment: Environment<'_>) -> Platform {
+        let defaults = Platform::default();
+        let mut addresses = Vec::new();
+        if let Some(list) = environment("DOTTERELTALLY_KV") {
+            for address in list.split(',') {
+                addresses.push(Source::environment(address.trim().to_owned()));
+            }
+        } else {
+            for address in wire.kv.unwrap_or_default() {
+                addresses.push(Source::file(address));
+            }
+        }
+        if addresses.is_empty() {
+            self.fault(
+                None,
+                "`platform.kv` is missing; list the addresses of the key-value service, such as [\"10.0.0.1:2379\"]",
+            );
+        }
+        let mut kv = Vec::new();
+        for address in addresses {
+            kv.push(self.address("platform.kv", Some(address)));
+        }
+        let hosts = overridden(wire.hosts, environment("DOTTERELTALLY_HOSTS"));
+        Platform {
+            kv,
+            hosts: self.url("platform.hosts", hosts),
+            timeout: self.duration("platform.timeout", wire.timeout, defaults.timeout),
+        }
+    }
+
+    fn limits(&mut self, wire: WireLimits) -> Limits {
+        let defaults = Limits::default();
+        let line = wire.head.as_ref().map(line_of);
+        let head = self.size("limits.head", wire.head, defaults.head);
+        if head < MIN_HEAD_BYTES {
+            self.fault(line, "`limits.head` is below 8 KiB; write `8KiB` or more");
+        }
+        Limits {
+            head,
+            body: self.size("limits.body", wire.body, defaults.body),
+            head_timeout: self.duration(
+                "limits.head_timeout",
+                wire.head_timeout,
+                defaults.head_timeout,
+            ),
+            body_timeout: self.duration(
+                "limits.body_timeout",
+                wire.body_timeout,
+                defaults.body_timeout,
+            ),
+            inactivity: self.duration("limits.inactivity", wire.inactivity, defaults.inactivity),
+        }
+    }
+
+    fn shutdown(&mut self, wire: WireShutdown) -> Shutdown {
+        let defaults = Shutdown::default();
+        Shutdown {
+            notice: self.duration("shutdown.notice", wire.notice, defaults.notice),
+            grace: self.duration("shutdown.grace", wire.grace, defaults.grace),
+        }
+    }
+
+    fn log(&mut self, wire: WireLog) -> Log {
+        let mut log = Log::default();
+        if let Some(format) = wire.format {
+            match format.value.parse::<Format>() {
+                Ok(format) => log.format = format,
+                Err(_) => self.fault(
+                    Some(line_of(&format)),
+                    "`log.format` is unknown; write `json` or `text`",
+                ),
+            }
+        }
+        if let Some(level) = wire.level {
+            match level.value.parse::<tracing::Level>() {
+                Ok(level) => log.level = level,
+                Err(_) => self.fault(
+                    Some(line_of(&level)),
+                    "`log.level` is unknown; write `error`, `warn`, `info`, `debug` or `trace`",
+                ),
+            }
+        }
+        log
+    }
+
+    fn fault(&mut self, line: Option<u64>, remedy: impl Into<String>) {
+        self.faults.push(Fault {
+            file: self.file.clone(),
+            line,
+            remedy: remedy.into(),
+        });
+    }
+
+    fn name(&mut self, field: &str, scalar: Scalar) -> String {
+        let Some(scalar) = scalar else {
+            self.fault(None, format!("`{field}` is missing; write `{field}: NAME`"));
+            return String::new();
+        };
+        let usable = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+        if scalar.value.is_empty() || !scalar.value.chars().all(usable) {
+            self.fault(
+                Some(line_of(&scalar)),
+                format!("`{field}` is not a name; use letters, digits, `-`, `_` and `.`"),
+            );
+        }
+        scalar.value
+    }
+
+    fn address(&mut self, field: &str, source: Option<Source>) -> String {
+        let Some(source) = source else {
+            self.fault(
+                None,
+                format!("`{field}` is missing; write `{field}: \"IP:PORT\"`"),
+            );
+            return String::new();
+        };
+        if source.value.parse::<SocketAddr>().is_err() {
+            let place = source.place();
+            self.fault(
+                source.line,
+                format!(
+                    "`{field}`{place} is `{}`, which is no address; write it as `IP:PORT`",
+                    source.value
+                ),
+            );
+        }
+        source.value
+    }
+
+    fn url(&mut self, field: &str, source: Option<Source>) -> String {
+        let Some(source) = source else {
+            self.fault(
+                None,
+                format!("`{field}` is missing; write `{field}: \"http://IP:PORT/PATH\"`"),
+            );
+            return String::new();
+        };
+        let url = source.value.parse::<http::Uri>().ok();
+        let usable = url.is_some_and(|url| {
+            let address = url.authority().map(http::uri::Authority::as_str);
+            url.scheme_str() == Some("http")
+                && address.is_some_and(|address| address.parse::<SocketAddr>().is_ok())
+        });
+        if !usable {
+            let place = source.place();
+            self.fault(
+                source.line,
+                format!(
+                    "`{field}`{place} is `{}`; write it as `http://IP:PORT/PATH`",
+                    source.value
+                ),
+            );
+        }
+        source.value
+    }
+
+    fn duration(&mut self, field: &str, scalar: Scalar, default: Duration) -> Duration {
+        let Some(scalar) = scalar else {
+            return default;
+        };
+        match humantime::parse_duration(&scalar.value) {
+            Ok(value) if !value.is_zero() => value,
+            _ => {
+                self.fault(
+                    Some(line_of(&scalar)),
+                    format!(
+                        "`{field}` is `{}`; write a duration above zero with its unit, such as `2s` or `500ms`",
+                        scalar.value
+                    ),
+                );
+                default
+            }
+        }
+    }
+
+    fn size(&mut self, field: &str, scalar: Scalar, default: usize) -> usize {
+        let Some(scalar) = scalar else {
+            return default;
+        };
+        let parsed = scalar.value.parse::<ByteSize>().ok();
+        let bytes = parsed.and_then(|size| usize::try_from(size.as_u64()).ok());
+        let has_unit = scalar.value.ends_with(['B', 'b']);
+        match bytes {
+            Some(bytes) if bytes > 0 && has_unit => bytes,
+            _ => {
+                self.fault(
+                    Some(line_of(&scalar)),
+                    format!(
+                        "`{field}` is `{}`; write a size above zero with its unit, such as `16KiB` or `4MiB`",
+                        scalar.value
+                    ),
+                );
+                default
+            }
+        }
+    }
+}
+
+/// A value and where it came from.
+struct Source {
+    value: String,
+    line: Option<u64>,
+    from_environment: bool,
+}
+
+impl Source {
+    fn file(scalar: Spanned<String>) -> Self {
+        Self {
+            line: Some(line_of(&scalar)),
+            value: scalar.value,
+            from_environment: false,
+        }
+    }
+
+    fn environment(value: String) -> Self {
+        Self {
+            value,
+            line: None,
+            from_environment: true,
+        }
+    }
+
+    fn place(&self) -> &'static str {
+        if self.from_environment {
+            " (from the environment)"
+        } else {
+            ""
+        }
+    }
+}
+
+fn overridden(scalar: Scalar, variable: Option<String>) -> Option<Source> {
+    match variable {
+        Some(value) => Some(Source::environment(value)),
+        None => scalar.map(Source::file),
+    }
+}
+
+fn line_of(scalar: &Spanned<String>) -> u64 {
+    scalar.referenced.line()
+}
