membership: decide who is live from exchanges of beats

Cause: nodes need the live members, news of crashing requests and of higher generations without a leader and at a cost that does not grow with the fleet. Ruled out: every node calling every other each period (cost grows with the fleet); heartbeat counters of all nodes in each beat (bytes grow with the fleet). Change: a pure module in lib: random push-pull exchanges, suspicion with contradiction, leaving by a node's own word, news with a bounded number of sends, fingerprints with their validity.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod endpoint;
 pub mod event;
 pub mod id;
+pub mod membership;
 pub mod prefix;
 pub mod refusal;
 pub mod request;
--- /dev/null
+++ b/lib/src/membership.rs
@@ -0,0 +1,503 @@
+//! Which nodes are live, and the news that they pass on.
+//!
+//! Each period a node exchanges beats with a few random peers. A peer that
+//! does not answer is suspected; the suspicion travels as news, and the peer
+//! contradicts it with a higher version of itself or is dropped. The caller
+//! hands in the time and what arrives, and performs the effects.
+
+pub mod beat;
+mod rumour;
+mod table;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+
+use crate::{
+    endpoint, id,
+    membership::{
+        beat::{Beat, Member, State},
+        rumour::{Board, Topic},
+        table::Table,
+    },
+    time::Instant,
+};
+
+/// Fingerprints that hold on for less are not taken from a peer.
+const MIN_VALIDITY: Duration = Duration::from_secs(5);
+
+/// Periods after which an exchange without a result is forgotten.
+const PENDING_PERIODS: u32 = 20;
+/// Periods without a round after which this process counts as paused.
+const PAUSE_PERIODS: u32 = 4;
+
+/// How the exchanges are paced.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Time between two rounds.
+    pub period: Duration,
+    /// Peers per round.
+    pub fan_out: usize,
+    /// Time for a suspected node to contradict.
+    pub suspicion: Duration,
+    /// Time that a node which is not live is remembered.
+    pub retention: Duration,
+    /// News per beat.
+    pub news: usize,
+    /// Rounds, on average, between two attempts to reach a node that is
+    /// listed and not live.
+    pub reconnect: u32,
+    /// Expected number of nodes that try a newly suspected node themselves.
+    pub confirmations: usize,
+    /// Least time between two exchanges of everything that is known.
+    pub resync: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            period: Duration::from_millis(500),
+            fan_out: 2,
+            suspicion: Duration::from_secs(3),
+            retention: Duration::from_mins(10),
+            news: 12,
+            reconnect: 8,
+            confirmations: 3,
+            resync: Duration::from_secs(5),
+        }
+    }
+}
+
+/// One entry host of the host list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Host {
+    /// Name of its node.
+    pub node: id::Node,
+    /// Where peers reach it, `ip:port`.
+    pub address: String,
+    /// Whether it stays.
+    pub standing: endpoint::Standing,
+}
+
+/// One thing to be done by the caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Exchange beats with a node and hand in the answer or the failure.
+    Exchange {
+        /// The node.
+        node: id::Node,
+        /// Where it is reached.
+        address: String,
+        /// What to send.
+        beat: Beat,
+    },
+    /// These nodes are live now, this one included.
+    Members(Vec<Member>),
+    /// Fingerprints of crashing requests came from a peer.
+    Suspected(Vec<(id::Fingerprint, Duration)>),
+    /// A peer has a higher generation in force.
+    Outdated(id::Node, id::Generation),
+}
+
+/// The membership as one node sees it.
+#[derive(Debug)]
+pub struct Membership {
+    settings: Settings,
+    own: Member,
+    generation: id::Generation,
+    table: Table,
+    board: Board,
+    hosts: BTreeMap<id::Node, Host>,
+    fingerprints: BTreeMap<id::Fingerprint, Instant>,
+    confirm: BTreeSet<id::Node>,
+    pending: BTreeMap<id::Node, Instant>,
+    ticked: Instant,
+    resynced: Instant,
+    changed: bool,
+    rng: SmallRng,
+}
+
+impl Membership {
+    /// Starts with this node alone; `own` is its word on itself.
+    #[must_use]
+    pub fn new(settings: Settings, own: Member, now: Instant, seed: u64) -> Self {
+        Self {
+            settings,
+            own,
+            generation: id::Generation::default(),
+            table: Table::default(),
+            board: Board::default(),
+            hosts: BTreeMap::new(),
+            fingerprints: BTreeMap::new(),
+            confirm: BTreeSet::new(),
+            pending: BTreeMap::new(),
+            ticked: now,
+            resynced: now,
+            changed: true,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Replaces what the host list says.
+    pub fn listed(&mut self, hosts: Vec<Host>) -> Vec<Effect> {
+        self.hosts.clear();
+        for host in hosts {
+            self.hosts.insert(host.node.clone(), host);
+        }
+        self.changed = true;
+        self.settle(Vec::new())
+    }
+
+    /// Learns the generation that this node has in force.
+    pub fn set_generation(&mut self, generation: id::Generation) {
+        self.generation = generation;
+    }
+
+    /// Passes on a fingerprint of a crashing request.
+    pub fn quarantine(&mut self, now: Instant, fingerprint: id::Fingerprint, valid: Duration) {
+        self.fingerprints.insert(fingerprint, now + valid);
+        self.board.post(Topic::Fingerprint(fingerprint));
+    }
+
+    /// Tells the peers that this node shuts down.
+    pub fn leave(&mut self, now: Instant) -> Vec<Effect> {
+        if self.own.state != State::Left {
+            self.own.state = State::Left;
+            self.own.version += 1;
+            self.changed = true;
+        }
+        let mut effects = Vec::new();
+        for (node, address) in self.choose(2 * self.settings.fan_out) {
+            effects.push(self.exchange(now, node, address, false));
+        }
+        self.settle(effects)
+    }
+
+    /// Starts a round; called once a period.
+    pub fn tick(&mut self, now: Instant) -> Vec<Effect> {
+        self.notice_pause(now);
+        self.expire(now);
+        let mut effects = Vec::new();
+        let mut targets = self.choose(self.settings.fan_out);
+        for node in std::mem::take(&mut self.confirm) {
+            if let Some(record) = self.table.get(&node)
+                && record.is_live()
+            {
+                targets.insert(node, record.member.address.clone());
+            }
+        }
+        let alone = targets.is_empty();
+        for (node, address) in targets {
+            effects.push(self.exchange(now, node, address, false));
+        }
+        let extra = if alone {
+            self.settings.fan_out
+        } else {
+            usize::from(self.rng.random_ratio(1, self.settings.reconnect.max(1)))
+        };
+        for (node, address) in self.choose_lost(extra) {
+            effects.push(self.exchange(now, node, address, true));
+        }
+        self.settle(effects)
+    }
+
+    /// Takes a peer's beat and returns the answer.
+    pub fn request(&mut self, now: Instant, beat: &Beat) -> (Beat, Vec<Effect>) {
+        let known = self.is_live(&beat.sender.node);
+        let mut effects = Vec::new();
+        self.take(now, beat, &mut effects);
+        let astray = beat.digest != self.table.digest(&self.own)
+            && self.board.is_empty()
+            && now.since(self.resynced) >= self.settings.resync;
+        let whole = beat.whole || !known || astray;
+        let answer = self.beat(now, &beat.sender.node, whole);
+        (answer, self.settle(effects))
+    }
+
+    /// Takes a peer's answer.
+    pub fn answered(&mut self, now: Instant, beat: &Beat) -> Vec<Effect> {
+        self.pending.remove(&beat.sender.node);
+        let mut effects = Vec::new();
+        self.take(now, beat, &mut effects);
+        self.settle(effects)
+    }
+
+    /// Learns that a node did not answer.
+    pub fn failed(&mut self, now: Instant, node: &id::Node) -> Vec<Effect> {
+        if self.pending.remove(node).is_none() {
+            return Vec::new();
+        }
+        let Some(record) = self.table.get(node) else {
+            return Vec::new();
+        };
+        if record.member.state == State::Alive {
+            let mut member = record.member.clone();
+            member.state = State::Suspect;
+            self.merge(now, &member);
+        }
+        self.settle(Vec::new())
+    }
+
+    /// Returns where the nodes are reached that have not been dropped, those
+    /// that are leaving included.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<(id::Node, String)> {
+        let mut addresses = Vec::new();
+        for record in self.table.records() {
+            if record.dropped {
+                continue;
+            }
+            addresses.push((record.member.node.clone(), record.member.address.clone()));
+        }
+        addresses
+    }
+
+    /// Returns the nodes that are live, this one included unless it leaves.
+    #[must_use]
+    pub fn members(&self) -> Vec<Member> {
+        let mut members = Vec::new();
+        if self.own.state == State::Alive {
+            members.push(self.own.clone());
+        }
+        for record in self.table.records() {
+            if record.is_live() && !self.is_leaving(&record.member.node) {
+                members.push(record.member.clone());
+            }
+        }
+        members
+    }
+
+    /// Returns this node's word on itself.
+    #[must_use]
+    pub fn own(&self) -> &Member {
+        &self.own
+    }
+
+    fn is_live(&self, node: &id::Node) -> bool {
+        self.table.get(node).is_some_and(table::Record::is_live)
+    }
+
+    fn is_leaving(&self, node: &id::Node) -> bool {
+        self.hosts
+            .get(node)
+            .is_some_and(|host| host.standing == endpoint::Standing::Leaving)
+    }
+
+    /// Gives every running suspicion its full time again if this process was
+    /// stopped for a while, since it could not hear any contradiction.
+    fn notice_pause(&mut self, now: Instant) {
+        let gap = now.since(self.ticked);
+        self.ticked = now;
+        if gap >= self.settings.retention {
+            self.table.clear();
+            self.changed = true;
+        }
+        if gap > self.settings.period * PAUSE_PERIODS {
+            self.table.restart_suspicions(now);
+            self.pending.clear();
+        }
+    }
+
+    fn expire(&mut self, now: Instant) {
+        let dropped = self.table.drop_suspects(now, self.settings.suspicion);
+        self.changed |= dropped > 0;
+        self.table.forget(now, self.settings.retention);
+        let fingerprints = &mut self.fingerprints;
+        fingerprints.retain(|_, until| *until > now);
+        let limit = self.settings.period * PENDING_PERIODS;
+        self.pending
+            .retain(|_, started| now.since(*started) < limit);
+    }
+
+    /// Picks random live peers that no exchange is running with.
+    fn choose(&mut self, count: usize) -> BTreeMap<id::Node, String> {
+        let mut candidates = Vec::new();
+        for record in self.table.records() {
+            if record.is_live() && !self.pending.contains_key(&record.member.node) {
+                candidates.push((record.member.node.clone(), record.member.address.clone()));
+            }
+        }
+        let chosen = candidates.choose_multiple(&mut self.rng, count);
+        chosen.cloned().collect()
+    }
+
+    /// Picks random hosts of the host list that are not live.
+    fn choose_lost(&mut self, count: usize) -> BTreeMap<id::Node, String> {
+        let mut candidates = Vec::new();
+        for host in self.hosts.values() {
+            let busy = self.pending.contains_key(&host.node);
+            if host.node == self.own.node || busy || self.is_live(&host.node) {
+                continue;
+            }
+            candidates.push((host.node.clone(), host.address.clone()));
+        }
+        let chosen = candidates.choose_multiple(&mut self.rng, count);
+        chosen.cloned().collect()
+    }
+
+    fn exchange(&mut self, now: Instant, node: id::Node, address: String, whole: bool) -> Effect {
+        let beat = self.beat(now, &node, whole);
+        self.pending.insert(node.clone(), now);
+        Effect::Exchange {
+            node,
+            address,
+            beat,
+        }
+    }
+
+    /// Builds a beat for a node; `whole` puts everything in that is known.
+    fn beat(&mut self, now: Instant, to: &id::Node, whole: bool) -> Beat {
+        let nodes = self.table.records().count() + 1;
+        let topics = self.board.take(self.settings.news, nodes);
+        let mut members = Vec::new();
+        let mut suspects = Vec::new();
+        for topic in topics {
+            match topic {
+                Topic::Member(node) => members.extend(self.news(&node, to, whole)),
+                Topic::Fingerprint(fingerprint) if !whole => {
+                    suspects.extend(self.fingerprint(now, fingerprint));
+                }
+                Topic::Fingerprint(_) => {}
+            }
+        }
+        if whole {
+            self.resynced = now;
+            for record in self.table.records() {
+                members.push(record.member.clone());
+            }
+            for fingerprint in self.fingerprints.keys() {
+                suspects.extend(self.fingerprint(now, *fingerprint));
+            }
+        } else if let Some(record) = self.table.get(to)
+            && record.member.state == State::Suspect
+        {
+            members.push(record.member.clone());
+        }
+        Beat {
+            sender: self.own.clone(),
+            generation: self.generation,
+            digest: self.table.digest(&self.own),
+            whole,
+            members,
+            suspects,
+        }
+    }
+
+    /// Returns the news of a node for one beat, unless it goes in anyway.
+    fn news(&self, node: &id::Node, to: &id::Node, whole: bool) -> Option<Member> {
+        if whole || node == to {
+            return None;
+        }
+        Some(self.table.get(node)?.member.clone())
+    }
+
+    fn fingerprint(
+        &self,
+        now: Instant,
+        fingerprint: id::Fingerprint,
+    ) -> Option<(id::Fingerprint, Duration)> {
+        let until = self.fingerprints.get(&fingerprint)?;
+        Some((fingerprint, until.since(now)))
+    }
+
+    /// Takes in everything that a beat says.
+    fn take(&mut self, now: Instant, beat: &Beat, effects: &mut Vec<Effect>) {
+        self.merge(now, &beat.sender);
+        for member in &beat.members {
+            self.merge(now, member);
+        }
+        if beat.whole {
+            self.resynced = now;
+            self.correct(beat);
+        }
+        if beat.generation > self.generation {
+            effects.push(Effect::Outdated(beat.sender.node.clone(), beat.generation));
+        }
+        let news = self.take_fingerprints(now, &beat.suspects);
+        if !news.is_empty() {
+            effects.push(Effect::Suspected(news));
+        }
+    }
+
+    /// Passes on what this node knows better than a peer that told all.
+    fn correct(&mut self, beat: &Beat) {
+        let mut told = BTreeMap::new();
+        for member in &beat.members {
+            told.insert(&member.node, member);
+        }
+        told.insert(&beat.sender.node, &beat.sender);
+        for record in self.table.records() {
+            let node = &record.member.node;
+            if told
+                .get(node)
+                .is_none_or(|member| record.member.replaces(member))
+            {
+                self.board.post(Topic::Member(node.clone()));
+            }
+        }
+    }
+
+    fn take_fingerprints(
+        &mut self,
+        now: Instant,
+        suspects: &[(id::Fingerprint, Duration)],
+    ) -> Vec<(id::Fingerprint, Duration)> {
+        let mut news = Vec::new();
+        for (fingerprint, valid) in suspects {
+            let known = match self.fingerprints.get(fingerprint) {
+                Some(until) => until.since(now),
+                None => Duration::ZERO,
+            };
+            if *valid < known + MIN_VALIDITY {
+                continue;
+            }
+            self.quarantine(now, *fingerprint, *valid);
+            news.push((*fingerprint, *valid));
+        }
+        news
+    }
+
+    /// Takes in one statement on a node.
+    fn merge(&mut self, now: Instant, member: &Member) {
+        if member.node == self.own.node {
+            self.contradict(member);
+            return;
+        }
+        if !self.table.merge(now, member) {
+            return;
+        }
+        self.changed = true;
+        self.board.post(Topic::Member(member.node.clone()));
+        if member.state == State::Suspect {
+            let nodes = self.table.records().count().max(1);
+            let chance = self.settings.confirmations.min(nodes);
+            if self.rng.random_range(0..nodes) < chance {
+                self.confirm.insert(member.node.clone());
+            }
+        }
+    }
+
+    /// Raises this node's own statement above one that is not its own.
+    fn contradict(&mut self, member: &Member) {
+        if !member.replaces(&self.own) {
+            return;
+        }
+        if member.incarnation > self.own.incarnation {
+            self.own.incarnation = member.incarnation + 1;
+            self.own.version = 0;
+        } else {
+            self.own.version = member.version + 1;
+        }
+    }
+
+    /// Adds the members if they have changed.
+    fn settle(&mut self, mut effects: Vec<Effect>) -> Vec<Effect> {
+        if std::mem::take(&mut self.changed) {
+            effects.push(Effect::Members(self.members()));
+        }
+        effects
+    }
+}
--- /dev/null
+++ b/lib/src/membership/rumour.rs
@@ -0,0 +1,64 @@
+//! Which news are still to be passed on.
+
+use std::collections::BTreeMap;
+
+use crate::id;
+
+/// Times that a piece of news is sent, per doubling of the number of nodes.
+const SENDS_PER_DOUBLING: u32 = 3;
+
+/// What a piece of news is about.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Topic {
+    /// A node.
+    Member(id::Node),
+    /// A crashing request.
+    Fingerprint(id::Fingerprint),
+}
+
+/// News with the number of times that each was sent.
+#[derive(Clone, Debug, Default)]
+pub struct Board {
+    sent: BTreeMap<Topic, u32>,
+}
+
+impl Board {
+    /// Puts a piece of news up; one that is already up starts anew.
+    pub fn post(&mut self, topic: Topic) {
+        self.sent.insert(topic, 0);
+    }
+
+    /// Returns whether nothing is left to be passed on.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.sent.is_empty()
+    }
+
+    /// Returns up to `limit` pieces, those sent least often first, and counts
+    /// them as sent once more to one of `nodes` nodes.
+    pub fn take(&mut self, limit: usize, nodes: usize) -> Vec<Topic> {
+        let mut order = Vec::new();
+        for (topic, sent) in &self.sent {
+            order.push((*sent, topic.clone()));
+        }
+        order.sort();
+        order.truncate(limit);
+        let bound = bound(nodes);
+        let mut taken = Vec::new();
+        for (sent, topic) in order {
+            if sent + 1 >= bound {
+                self.sent.remove(&topic);
+            } else {
+                self.sent.insert(topic.clone(), sent + 1);
+            }
+            taken.push(topic);
+        }
+        taken
+    }
+}
+
+/// Returns how often a piece of news is sent among so many nodes.
+fn bound(nodes: usize) -> u32 {
+    let doublings = usize::BITS - nodes.leading_zeros();
+    SENDS_PER_DOUBLING * (doublings + 1)
+}
