peer, membership, observer: first versions

Cause: the daemon needs its peers, the live nodes and the endpoints' reports. Ruled out: RPC on the main runtime (capnp-rpc is bound to one thread); a retry of admission messages (a grant delivered twice would count twice). Change: peer::start serves and calls peers on a thread of its own, one connection per peer, a silent one replaced before the peer is reported as silent; hosts::spawn polls the host list; membership::spawn drives lib::membership; observer::spawn polls load pages and follows cache events, observer::probe asks on a new connection. Counters register by Metrics::register. Conclusion: ready to be wired; observer has no test yet.

--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -6,5 +6,8 @@
 pub mod clock;
 pub mod configuration;
 pub mod dispatcher;
+pub mod hosts;
+pub mod membership;
+pub mod observer;
 pub mod peer;
 pub mod settings;
--- /dev/null
+++ b/node/src/observer/load.rs
@@ -0,0 +1,149 @@
+//! Reads the load pages of endpoints.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use bytes::Bytes;
+use dottereltally_lib::{endpoint, id, size};
+use http::{Request, StatusCode, header::HOST};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use tokio::{net::TcpStream, time::timeout};
+
+/// Path of the load page.
+const PATH: &str = "/load";
+/// Time for a connection to be accepted.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for one poll, connecting included.
+const POLL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Bytes of the largest load page.
+const MAX_BYTES: usize = 64 * 1024;
+
+/// Why a load page could not be read.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No connection.
+    #[error(
+        "the endpoint can't be reached: {0}; check that it runs and its address in the host list"
+    )]
+    Unreachable(#[from] std::io::Error),
+    /// No answer in time.
+    #[error("the load page did not come in time; check the endpoint's load")]
+    Timeout,
+    /// HTTP failed.
+    #[error("the load page can't be read: {0}; check the endpoint's log")]
+    Http(#[from] hyper::Error),
+    /// The page does not end or is too large.
+    #[error("the load page breaks off or exceeds {MAX_BYTES} bytes; check the endpoint's version")]
+    Body,
+    /// Another status than 200.
+    #[error("the load page has status {0}; check the endpoint's version")]
+    Status(StatusCode),
+    /// The page is not what docs/design/interfaces.md says.
+    #[error("the load page is malformed: {0}; check the endpoint's version")]
+    Malformed(#[from] serde_json::Error),
+}
+
+/// A connection that is kept for the next poll.
+pub type Connection = SendRequest<Empty<Bytes>>;
+
+/// A load page on the wire.
+#[derive(Debug, Deserialize)]
+struct Page {
+    #[serde(default)]
+    running: u32,
+    #[serde(default)]
+    waiting: u32,
+    #[serde(default)]
+    tokens: u64,
+    #[serde(default)]
+    models: Vec<String>,
+    #[serde(default)]
+    state: endpoint::Standing,
+}
+
+impl From<Page> for endpoint::Load {
+    fn from(page: Page) -> Self {
+        let mut models = BTreeSet::new();
+        for model in page.models {
+            models.insert(id::Model::from(model));
+        }
+        Self {
+            running: page.running,
+            waiting: page.waiting,
+            tokens: size::Tokens(page.tokens),
+            models,
+            standing: page.state,
+        }
+    }
+}
+
+/// Reads the load page, on the given connection if it is still open; returns
+/// the load and the bytes of the page.
+///
+/// # Errors
+///
+/// Fails if the page does not come whole, in time and well-formed; the
+/// connection must not be used again then.
+pub async fn read(
+    address: &str,
+    connection: &mut Option<Connection>,
+) -> Result<(endpoint::Load, usize), Error> {
+    let page = timeout(POLL_TIMEOUT, fetch(address, connection))
+        .await
+        .map_err(|_| Error::Timeout)??;
+    let load: Page = serde_json::from_slice(&page)?;
+    Ok((load.into(), page.len()))
+}
+
+/// Returns whether an endpoint answers on a new connection.
+pub async fn probe(address: &str) -> bool {
+    read(address, &mut None).await.is_ok()
+}
+
+async fn fetch(address: &str, connection: &mut Option<Connection>) -> Result<Bytes, Error> {
+    let mut sender = match connection.take() {
+        Some(sender) if !sender.is_closed() => sender,
+        _ => open(address).await?,
+    };
+    sender.ready().await?;
+    let request = get(address, PATH);
+    let response = sender.send_request(request).await?;
+    if response.status() != StatusCode::OK {
+        return Err(Error::Status(response.status()));
+    }
+    let body = Limited::new(response.into_body(), MAX_BYTES);
+    let page = body.collect().await.map_err(|_| Error::Body)?.to_bytes();
+    *connection = Some(sender);
+    Ok(page)
+}
+
+/// Opens a connection to an endpoint.
+///
+/// # Errors
+///
+/// Fails if the endpoint does not accept it in time.
+pub(super) async fn open(address: &str) -> Result<Connection, Error> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|_| Error::Timeout)??;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(async move {
+        // The request in flight reports why the connection ended.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+/// Builds a GET request.
+pub(super) fn get(address: &str, path: &str) -> Request<Empty<Bytes>> {
+    let mut request = Request::new(Empty::new());
+    if let Ok(uri) = path.parse() {
+        *request.uri_mut() = uri;
+    }
+    if let Ok(host) = address.parse() {
+        request.headers_mut().insert(HOST, host);
+    }
+    request
+}
--- a/node/src/peer.rs
+++ b/node/src/peer.rs
@@ -1,10 +1,24 @@
 //! What the nodes ask of each other.
 
+mod connection;
+mod handle;
+mod metrics;
+mod pool;
+mod server;
+mod stream;
+pub mod wire;
+
 use std::future::Future;
 
 use dottereltally_lib::{event, id};
 use dottereltally_platform::layout;
 
+pub use self::{
+    handle::{Handle, start},
+    metrics::Metrics,
+    server::Exchange,
+};
+
 /// A whole answer that was kept to be given again.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Response {
--- /dev/null
+++ b/node/src/peer/connection.rs
@@ -0,0 +1,161 @@
+//! One connection to a peer.
+
+use std::{cell::Cell, time::Duration};
+
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side};
+use dottereltally_lib::{event, id, membership::beat::Beat};
+use dottereltally_platform::layout;
+use dottereltally_proto::peer_capnp::peer;
+use tokio::{
+    net::TcpStream,
+    task::{JoinHandle, spawn_local},
+    time::{Instant, timeout},
+};
+
+use crate::peer::{Answer, metrics::Metrics, stream, wire};
+
+/// Time for a connection to be accepted.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// One call of a peer.
+#[derive(Clone, Debug)]
+pub enum Call {
+    /// Exchanges beats.
+    Exchange(Beat),
+    /// Asks for a configuration above a generation.
+    Configuration(id::Generation),
+    /// Asks what became of an attempt.
+    Answer {
+        /// Key of the claim.
+        claim: String,
+        /// Identifies the attempt.
+        token: String,
+    },
+    /// Delivers a message of the admission protocol.
+    Admission {
+        /// The sending node.
+        sender: id::Node,
+        /// The message.
+        message: event::Message,
+    },
+}
+
+impl Call {
+    /// Returns the time for the reply.
+    #[must_use]
+    pub fn timeout(&self) -> Duration {
+        match self {
+            Self::Exchange(_) => Duration::from_millis(500),
+            Self::Admission { .. } => Duration::from_secs(1),
+            Self::Configuration(_) | Self::Answer { .. } => Duration::from_secs(2),
+        }
+    }
+}
+
+/// What a peer replied.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    /// Its beat.
+    Beat(Beat),
+    /// Its configuration, if it is above the generation.
+    Configuration(Option<layout::Configuration>),
+    /// What became of the attempt.
+    Answer(Answer),
+    /// The message was taken.
+    Taken,
+}
+
+/// One open connection to a peer; dropping it closes it.
+pub struct Connection {
+    client: peer::Client,
+    driver: JoinHandle<()>,
+    used: Cell<Instant>,
+    metrics: Metrics,
+}
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer does not accept it in time.
+    pub async fn open(address: &str, metrics: &Metrics) -> capnp::Result<Self> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+            .await
+            .map_err(|_| capnp::Error::overloaded("connect timed out".to_owned()))??;
+        let network = stream::network(stream, Side::Client, metrics)?;
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let client = system.bootstrap(Side::Server);
+        let driver = spawn_local(async move {
+            // The calls in flight report why the connection ended.
+            let _ = system.await;
+        });
+        metrics.opened.inc();
+        metrics.open.inc();
+        Ok(Self {
+            client,
+            driver,
+            used: Cell::new(Instant::now()),
+            metrics: metrics.clone(),
+        })
+    }
+
+    /// Returns the time since the last call.
+    #[must_use]
+    pub fn idle(&self) -> Duration {
+        self.used.get().elapsed()
+    }
+
+    /// Makes a call and waits for the reply for as long as the call allows.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks or the reply does not come in time.
+    pub async fn call(&self, call: &Call) -> capnp::Result<Reply> {
+        self.used.set(Instant::now());
+        timeout(call.timeout(), self.send(call))
+            .await
+            .map_err(|_| capnp::Error::overloaded("no reply in time".to_owned()))?
+    }
+
+    async fn send(&self, call: &Call) -> capnp::Result<Reply> {
+        match call {
+            Call::Exchange(beat) => {
+                let mut request = self.client.exchange_request();
+                wire::write_beat(beat, request.get().init_beat());
+                let response = request.send().promise.await?;
+                let beat = wire::read_beat(response.get()?.get_beat()?)?;
+                Ok(Reply::Beat(beat))
+            }
+            Call::Configuration(above) => {
+                let mut request = self.client.configuration_request();
+                request.get().set_above(above.0);
+                let response = request.send().promise.await?;
+                let record = wire::read_configuration(response.get()?.get_record()?)?;
+                Ok(Reply::Configuration(record))
+            }
+            Call::Answer { claim, token } => {
+                let mut request = self.client.answer_request();
+                request.get().set_claim(claim);
+                request.get().set_token(token);
+                let response = request.send().promise.await?;
+                let answer = wire::read_answer(response.get()?.get_answer()?)?;
+                Ok(Reply::Answer(answer))
+            }
+            Call::Admission { sender, message } => {
+                let mut request = self.client.admission_request();
+                request.get().set_sender(sender.as_str());
+                wire::write_admission(message, request.get().init_message());
+                request.send().promise.await?;
+                Ok(Reply::Taken)
+            }
+        }
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+        self.metrics.open.dec();
+    }
+}
--- /dev/null
+++ b/node/tests/common/mod.rs
@@ -0,0 +1,305 @@
+//! Nodes for tests: real peers and memberships on loopback, with fakes for
+//! the dispatcher, the configuration and the host list.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::TcpListener,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use dottereltally::{clock::Clock, dispatcher, hosts, membership, peer};
+use dottereltally_lib::{
+    endpoint::Standing,
+    event::{Event, Message},
+    id,
+    membership::Settings,
+    request::{Admitted, Claimed, Request},
+};
+use dottereltally_platform::{host, layout};
+use tokio::sync::{mpsc, watch};
+
+/// Events of one node, newest last.
+pub type Events = watch::Receiver<Vec<Event>>;
+
+/// Waits until an event that matches has arrived.
+pub async fn wait_for(events: &Events, matches: impl Fn(&Event) -> bool) {
+    let mut events = events.clone();
+    events
+        .wait_for(|events| events.iter().any(&matches))
+        .await
+        .expect("the node stopped");
+}
+
+/// A dispatcher that keeps its events.
+#[derive(Clone)]
+pub struct Dispatcher {
+    events: watch::Sender<Vec<Event>>,
+}
+
+impl Dispatcher {
+    /// Returns a dispatcher and its events.
+    pub fn new() -> (Self, Events) {
+        let (events, receiver) = watch::channel(Vec::new());
+        (Self { events }, receiver)
+    }
+}
+
+impl dispatcher::Handle for Dispatcher {
+    fn tell(&self, event: Event) {
+        self.events.send_modify(|events| events.push(event));
+    }
+
+    async fn admit(&self, _: Request<Claimed>) -> Result<Request<Admitted>, dispatcher::Refused> {
+        unreachable!("no requests in these tests")
+    }
+}
+
+/// A service of peers with settable answers.
+pub struct Service {
+    generation: watch::Sender<u64>,
+    peers: Mutex<Option<peer::Handle>>,
+    /// Answers by claim and token.
+    pub answers: Mutex<BTreeMap<(String, String), peer::Answer>>,
+    messages: mpsc::UnboundedSender<(id::Node, Message)>,
+}
+
+/// Admission messages that a service took.
+pub type Messages = mpsc::UnboundedReceiver<(id::Node, Message)>;
+
+impl Service {
+    /// Returns a service and the admission messages that it will take.
+    pub fn new() -> (Arc<Self>, Messages) {
+        let (messages, receiver) = mpsc::unbounded_channel();
+        let service = Self {
+            generation: watch::channel(0).0,
+            peers: Mutex::default(),
+            answers: Mutex::default(),
+            messages,
+        };
+        (Arc::new(service), receiver)
+    }
+
+    /// Puts a generation in force.
+    pub fn set_generation(&self, generation: u64) {
+        self.generation.send_replace(generation);
+    }
+
+    /// Waits until a generation is in force.
+    pub async fn wait_generation(&self, generation: u64) {
+        let mut receiver = self.generation.subscribe();
+        let reached = receiver.wait_for(|found| *found == generation).await;
+        reached.expect("the service stopped");
+    }
+}
+
+/// Returns a configuration record.
+pub fn record(generation: u64) -> layout::Configuration {
+    layout::Configuration {
+        generation: id::Generation(generation),
+        text: "services: {}".to_owned(),
+        author: "operator".to_owned(),
+        time: "2026-01-01T00:00:00Z".to_owned(),
+        token: "token".to_owned(),
+    }
+}
+
+impl peer::Service for Service {
+    fn answer(&self, claim: &str, token: &str) -> peer::Answer {
+        let key = (claim.to_owned(), token.to_owned());
+        let answers = self.answers.lock().unwrap();
+        answers.get(&key).cloned().unwrap_or(peer::Answer::Unknown)
+    }
+
+    fn configuration(&self, above: id::Generation) -> Option<layout::Configuration> {
+        let generation = *self.generation.borrow();
+        (generation > above.0).then(|| record(generation))
+    }
+
+    fn generation(&self) -> id::Generation {
+        id::Generation(*self.generation.borrow())
+    }
+
+    fn outdated(&self, above: id::Generation) {
+        let peers = self.peers.lock().unwrap().clone();
+        let generation = self.generation.clone();
+        let Some(peers) = peers else { return };
+        tokio::spawn(async move {
+            let below = id::Generation(above.0 - 1);
+            if let Some(record) = peer::Peers::configuration(&peers, below).await {
+                generation.send_replace(record.generation.0);
+            }
+        });
+    }
+
+    fn admission(&self, sender: id::Node, message: Message) {
+        // The test may have ended.
+        let _ = self.messages.send((sender, message));
+    }
+}
+
+/// A host list in memory.
+#[derive(Clone, Default)]
+pub struct List {
+    snapshot: Arc<Mutex<host::Snapshot>>,
+}
+
+impl host::List for List {
+    async fn read(&self) -> Result<host::Snapshot, host::Error> {
+        Ok(self.snapshot.lock().unwrap().clone())
+    }
+}
+
+/// One node.
+pub struct Node {
+    /// Its membership.
+    pub membership: membership::Handle,
+    /// Its peers.
+    pub peers: peer::Handle,
+    /// Its service.
+    pub service: Arc<Service>,
+    /// What its dispatcher was told.
+    pub events: Events,
+    /// Counters of its peers.
+    pub metrics: peer::Metrics,
+}
+
+impl Node {
+    /// Waits until exactly these nodes are live.
+    pub async fn wait_members(&self, names: &[&str]) {
+        let wanted: BTreeSet<id::Node> = names.iter().map(|name| id::Node::from(*name)).collect();
+        let mut events = self.events.clone();
+        let reached = events.wait_for(|events| members(events).as_ref() == Some(&wanted));
+        reached.await.expect("the node stopped");
+    }
+}
+
+/// Returns the live nodes as last told.
+fn members(events: &[Event]) -> Option<BTreeSet<id::Node>> {
+    for event in events.iter().rev() {
+        if let Event::Members(members) = event {
+            return Some(members.iter().map(|(node, _)| node.clone()).collect());
+        }
+    }
+    None
+}
+
+/// Returns settings with short spans, under which a suspicion never expires.
+pub fn patient() -> Settings {
+    Settings {
+        period: Duration::from_millis(50),
+        suspicion: Duration::from_hours(1),
+        ..Settings::default()
+    }
+}
+
+/// Returns settings with short spans.
+pub fn hasty() -> Settings {
+    Settings {
+        period: Duration::from_millis(50),
+        suspicion: Duration::from_millis(300),
+        ..Settings::default()
+    }
+}
+
+/// Nodes that share a host list.
+pub struct Fleet {
+    list: List,
+    nodes: BTreeMap<String, Node>,
+    addresses: BTreeMap<String, String>,
+    settings: Settings,
+}
+
+impl Fleet {
+    /// Starts nodes that never drop each other by suspicion.
+    pub async fn start(names: &[&str]) -> Self {
+        Self::start_with(names, patient()).await
+    }
+
+    /// Starts nodes.
+    pub async fn start_with(names: &[&str], settings: Settings) -> Self {
+        let mut fleet = Self {
+            list: List::default(),
+            nodes: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            settings,
+        };
+        for name in names {
+            fleet.add(name).await;
+        }
+        fleet
+    }
+
+    /// Returns all nodes.
+    pub fn nodes(&self) -> impl Iterator<Item = &Node> {
+        self.nodes.values()
+    }
+
+    /// Returns a node.
+    pub fn node(&self, name: &str) -> &Node {
+        &self.nodes[name]
+    }
+
+    /// Starts a node and lists it.
+    pub async fn add(&mut self, name: &str) {
+        let address = self.add_unlisted(name).await;
+        let entry = host::Entry {
+            node: name.into(),
+            address,
+            operations: String::new(),
+            data_centre: "plovdiv".into(),
+            standing: Standing::Live,
+        };
+        let mut snapshot = self.list.snapshot.lock().unwrap();
+        snapshot.entries.retain(|other| other.node != entry.node);
+        snapshot.entries.push(entry);
+    }
+
+    /// Starts a node that the host list does not name, and returns its
+    /// address.
+    pub async fn add_unlisted(&mut self, name: &str) -> String {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let (service, _) = Service::new();
+        let (dispatcher, events) = Dispatcher::new();
+        let metrics = peer::Metrics::default();
+        let (peers, exchanges) =
+            peer::start(name.into(), listener, service.clone(), metrics.clone()).unwrap();
+        *service.peers.lock().unwrap() = Some(peers.clone());
+        let arguments = membership::Arguments {
+            own: membership::Own {
+                node: name.into(),
+                data_centre: "plovdiv".into(),
+                address: address.clone(),
+            },
+            settings: self.settings.clone(),
+            clock: Clock::start(),
+            hosts: hosts::spawn(self.list.clone(), hosts::Metrics::default()),
+            peers: peers.clone(),
+            exchanges,
+            service: service.clone(),
+            dispatcher,
+            metrics: membership::Metrics::default(),
+        };
+        let node = Node {
+            membership: membership::spawn(arguments).await.unwrap(),
+            peers,
+            service,
+            events,
+            metrics,
+        };
+        self.nodes.insert(name.to_owned(), node);
+        self.addresses.insert(name.to_owned(), address.clone());
+        address
+    }
+
+    /// Stops a node without a word.
+    pub fn stop(&mut self, name: &str) {
+        let node = self.nodes.remove(name).unwrap();
+        node.membership.stop();
+        // The service holds the last handle of the node's peers.
+        node.service.peers.lock().unwrap().take();
+    }
+}
