--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod id;
 pub mod isolation;
 pub mod key;
+pub mod membership;
 pub mod pool;
 pub mod prefix;
 pub mod quarantine;
