testutils: add stand-ins of the outside systems and a process harness

Cause: the daemon's promises can only be tested against the formats of its surroundings and their faults. Ruled out: in-process mocks, which would not show closed connections, silent connections or lost answers. A control address of its own takes switches while the service address is down or silent.

--- /dev/null
+++ b/testutils/src/kv/store.rs
@@ -0,0 +1,404 @@
+//! Keys, leases and the history of changes.
+
+use std::{
+    cmp::Ordering,
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use serde_json::{Map, Value, json};
+
+use super::wire::{
+    Compare, Lease, Operation, Put, Range, Relation, Target, Transaction, WatchCreate, encode,
+    header,
+};
+
+/// Status code of the gateway for a lease or path that is not known.
+pub const NOT_FOUND: u32 = 5;
+/// Status code of the gateway for a request that is not valid.
+pub const INVALID_ARGUMENT: u32 = 3;
+/// Largest value in bytes.
+const MAX_VALUE_BYTES: usize = 1 << 20;
+
+/// Why a call is refused.
+#[derive(Clone, Copy, Debug)]
+pub struct Fault {
+    pub code: u32,
+    pub message: &'static str,
+}
+
+#[derive(Clone, Debug)]
+struct Item {
+    value: Vec<u8>,
+    created: i64,
+    modified: i64,
+    version: i64,
+    lease: i64,
+}
+
+#[derive(Debug)]
+struct Change {
+    revision: i64,
+    key: Vec<u8>,
+    /// The new item, or nothing if it was deleted.
+    item: Option<Item>,
+}
+
+#[derive(Debug)]
+struct Granted {
+    ttl: i64,
+    lapses: Instant,
+}
+
+/// The store; its first revision is 1 as in etcd.
+#[derive(Debug)]
+pub struct Store {
+    revision: i64,
+    items: BTreeMap<Vec<u8>, Item>,
+    history: Vec<Change>,
+    leases: BTreeMap<i64, Granted>,
+    last_lease: i64,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Self {
+            revision: 1,
+            items: BTreeMap::new(),
+            history: Vec::new(),
+            leases: BTreeMap::new(),
+            last_lease: 7_587_000_000_000_000,
+        }
+    }
+}
+
+impl Store {
+    /// Returns the revision of the last change.
+    pub const fn revision(&self) -> i64 {
+        self.revision
+    }
+
+    /// Reads a range; serializable reads may lie `stale_by` revisions behind.
+    pub fn range(&self, query: &Range, stale_by: i64) -> Value {
+        if !query.serializable || stale_by == 0 {
+            return answer(&self.items, self.revision, query);
+        }
+        let revision = (self.revision - stale_by).max(1);
+        answer(&self.items_at(revision), revision, query)
+    }
+
+    fn items_at(&self, revision: i64) -> BTreeMap<Vec<u8>, Item> {
+        let mut items = BTreeMap::new();
+        for change in &self.history {
+            if change.revision > revision {
+                break;
+            }
+            match &change.item {
+                Some(item) => items.insert(change.key.clone(), item.clone()),
+                None => items.remove(&change.key),
+            };
+        }
+        items
+    }
+
+    /// Writes one key.
+    pub fn put(&mut self, query: &Put) -> Result<Value, Fault> {
+        self.check(query)?;
+        self.revision += 1;
+        self.write(query);
+        Ok(json!({"header": header(self.revision)}))
+    }
+
+    /// Deletes a range.
+    pub fn delete(&mut self, query: &Range) -> Value {
+        let deleted = self.remove(query, self.revision + 1);
+        self.revision += i64::from(deleted > 0);
+        deletion(deleted, self.revision)
+    }
+
+    /// Runs a transaction under one revision.
+    pub fn transact(&mut self, transaction: &Transaction) -> Result<Value, Fault> {
+        let succeeded = transaction
+            .compare
+            .iter()
+            .all(|compare| self.holds(compare));
+        let operations = if succeeded {
+            &transaction.success
+        } else {
+            &transaction.failure
+        };
+        for operation in operations {
+            if let Operation::Put(put) = operation {
+                self.check(put)?;
+            }
+        }
+        let before = self.history.len();
+        let base = self.revision;
+        let mut responses = Vec::new();
+        for operation in operations {
+            responses.push(self.operate(operation, base + 1));
+        }
+        self.revision = base + i64::from(self.history.len() > before);
+        let mut result = json!({"header": header(self.revision)});
+        if succeeded {
+            result["succeeded"] = json!(true);
+        }
+        if !responses.is_empty() {
+            result["responses"] = Value::Array(responses);
+        }
+        Ok(result)
+    }
+
+    fn operate(&mut self, operation: &Operation, revision: i64) -> Value {
+        match operation {
+            Operation::Put(put) => {
+                self.revision = revision;
+                self.write(put);
+                json!({"response_put": {"header": header(revision)}})
+            }
+            Operation::Range(range) => json!({"response_range": self.range(range, 0)}),
+            Operation::Delete(range) => {
+                let deleted = self.remove(range, revision);
+                json!({"response_delete_range": deletion(deleted, revision)})
+            }
+        }
+    }
+
+    fn check(&self, put: &Put) -> Result<(), Fault> {
+        if put.key.0.is_empty() {
+            return Err(Fault {
+                code: INVALID_ARGUMENT,
+                message: "etcdserver: key is not provided",
+            });
+        }
+        if put.value.0.len() > MAX_VALUE_BYTES {
+            return Err(Fault {
+                code: INVALID_ARGUMENT,
+                message: "etcdserver: request is too large",
+            });
+        }
+        if put.lease.0 != 0 && !self.leases.contains_key(&put.lease.0) {
+            return Err(Fault {
+                code: NOT_FOUND,
+                message: "etcdserver: requested lease not found",
+            });
+        }
+        Ok(())
+    }
+
+    /// Writes a key under the present revision.
+    fn write(&mut self, put: &Put) {
+        let previous = self.items.get(&put.key.0);
+        let item = Item {
+            value: put.value.0.clone(),
+            created: previous.map_or(self.revision, |item| item.created),
+            modified: self.revision,
+            version: previous.map_or(1, |item| item.version + 1),
+            lease: put.lease.0,
+        };
+        self.items.insert(put.key.0.clone(), item.clone());
+        self.history.push(Change {
+            revision: self.revision,
+            key: put.key.0.clone(),
+            item: Some(item),
+        });
+    }
+
+    fn remove(&mut self, query: &Range, revision: i64) -> usize {
+        let mut keys = Vec::new();
+        for key in self.items.keys() {
+            if contains(&query.key.0, &query.end.0, key) {
+                keys.push(key.clone());
+            }
+        }
+        for key in &keys {
+            self.items.remove(key);
+            self.history.push(Change {
+                revision,
+                key: key.clone(),
+                item: None,
+            });
+        }
+        keys.len()
+    }
+
+    fn holds(&self, compare: &Compare) -> bool {
+        let item = self.items.get(&compare.key.0);
+        let number = |field: fn(&Item) -> i64| item.map_or(0, field);
+        let order = match compare.target {
+            Target::Version => number(|item| item.version).cmp(&compare.version.0),
+            Target::Create => number(|item| item.created).cmp(&compare.create_revision.0),
+            Target::Mod => number(|item| item.modified).cmp(&compare.mod_revision.0),
+            Target::Lease => number(|item| item.lease).cmp(&compare.lease.0),
+            // As in etcd, a comparison of values fails if there is no key.
+            Target::Value => match item {
+                Some(item) => item.value.cmp(&compare.value.0),
+                None => return false,
+            },
+        };
+        match compare.result {
+            Relation::Equal => order == Ordering::Equal,
+            Relation::Greater => order == Ordering::Greater,
+            Relation::Less => order == Ordering::Less,
+            Relation::NotEqual => order != Ordering::Equal,
+        }
+    }
+
+    /// Grants a lease.
+    pub fn grant(&mut self, query: &Lease) -> Value {
+        self.last_lease += 1;
+        let id = if query.id.0 == 0 {
+            self.last_lease
+        } else {
+            query.id.0
+        };
+        let ttl = query.ttl.0.max(1);
+        let lapses = Instant::now() + seconds(ttl);
+        self.leases.insert(id, Granted { ttl, lapses });
+        json!({"header": header(self.revision), "ID": id.to_string(), "TTL": ttl.to_string()})
+    }
+
+    /// Renews a lease; one that is not known has no time left.
+    pub fn renew(&mut self, query: &Lease) -> Value {
+        let id = query.id.0;
+        let mut result = json!({"header": header(self.revision), "ID": id.to_string()});
+        if let Some(lease) = self.leases.get_mut(&id) {
+            lease.lapses = Instant::now() + seconds(lease.ttl);
+            result["TTL"] = json!(lease.ttl.to_string());
+        }
+        json!({"result": result})
+    }
+
+    /// Revokes a lease and deletes its keys.
+    pub fn revoke(&mut self, query: &Lease) -> Result<Value, Fault> {
+        if !self.drop_lease(query.id.0) {
+            return Err(Fault {
+                code: NOT_FOUND,
+                message: "etcdserver: requested lease not found",
+            });
+        }
+        Ok(json!({"header": header(self.revision)}))
+    }
+
+    /// Drops the leases that have lapsed.
+    pub fn expire(&mut self) {
+        let now = Instant::now();
+        let mut lapsed = Vec::new();
+        for (id, lease) in &self.leases {
+            if lease.lapses <= now {
+                lapsed.push(*id);
+            }
+        }
+        for id in lapsed {
+            self.drop_lease(id);
+        }
+    }
+
+    fn drop_lease(&mut self, id: i64) -> bool {
+        if self.leases.remove(&id).is_none() {
+            return false;
+        }
+        let mut keys = Vec::new();
+        for (key, item) in &self.items {
+            if item.lease == id {
+                keys.push(key.clone());
+            }
+        }
+        self.revision += i64::from(!keys.is_empty());
+        for key in keys {
+            self.items.remove(&key);
+            self.history.push(Change {
+                revision: self.revision,
+                key,
+                item: None,
+            });
+        }
+        true
+    }
+
+    /// Returns the changes of the watched keys from a revision on.
+    pub fn events(&self, watch: &WatchCreate, from: i64) -> Vec<Value> {
+        let start = self
+            .history
+            .partition_point(|change| change.revision < from);
+        let mut events = Vec::new();
+        for change in &self.history[start..] {
+            if !contains(&watch.key.0, &watch.end.0, &change.key) {
+                continue;
+            }
+            events.push(match &change.item {
+                Some(item) => json!({"kv": pair(&change.key, item)}),
+                None => json!({"type": "DELETE", "kv": {
+                    "key": encode(&change.key),
+                    "mod_revision": change.revision.to_string(),
+                }}),
+            });
+        }
+        events
+    }
+}
+
+fn seconds(ttl: i64) -> Duration {
+    Duration::from_secs(ttl.unsigned_abs())
+}
+
+/// Returns whether a key lies in a range, by the rules of etcd.
+fn contains(start: &[u8], end: &[u8], key: &[u8]) -> bool {
+    match end {
+        [] => key == start,
+        [0] => key >= start,
+        _ => key >= start && key < end,
+    }
+}
+
+fn deletion(deleted: usize, revision: i64) -> Value {
+    let mut result = json!({"header": header(revision)});
+    if deleted > 0 {
+        result["deleted"] = json!(deleted.to_string());
+    }
+    result
+}
+
+/// Encodes a key with its value; the gateway leaves out zeros.
+fn pair(key: &[u8], item: &Item) -> Value {
+    let mut fields = Map::new();
+    fields.insert("key".to_owned(), json!(encode(key)));
+    if !item.value.is_empty() {
+        fields.insert("value".to_owned(), json!(encode(&item.value)));
+    }
+    for (name, number) in [
+        ("create_revision", item.created),
+        ("mod_revision", item.modified),
+        ("version", item.version),
+        ("lease", item.lease),
+    ] {
+        if number != 0 {
+            fields.insert(name.to_owned(), json!(number.to_string()));
+        }
+    }
+    Value::Object(fields)
+}
+
+fn answer(items: &BTreeMap<Vec<u8>, Item>, revision: i64, query: &Range) -> Value {
+    let limit = usize::try_from(query.limit.0).unwrap_or(0);
+    let mut pairs = Vec::new();
+    let mut count = 0_usize;
+    for (key, item) in items {
+        if !contains(&query.key.0, &query.end.0, key) {
+            continue;
+        }
+        count += 1;
+        if limit == 0 || pairs.len() < limit {
+            pairs.push(pair(key, item));
+        }
+    }
+    let mut result = json!({"header": header(revision)});
+    if count > pairs.len() {
+        result["more"] = json!(true);
+    }
+    if count > 0 {
+        result["kvs"] = Value::Array(pairs);
+        result["count"] = json!(count.to_string());
+    }
+    result
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,1 +1,12 @@
-//! Placeholder.
+//! Test support: stand-ins of the outside systems, and a harness that runs
+//! the real programs against them.
+
+pub mod client;
+pub mod deployment;
+pub mod engine;
+pub mod host_list;
+pub mod kv;
+pub mod ledger;
+pub mod process;
+pub mod server;
+pub mod wait;
--- /dev/null
+++ b/testutils/tests/test_engine.rs
@@ -0,0 +1,155 @@
+//! The stand-in of a model engine.
+
+use dottereltally_testutils::{
+    client::{Call, control, switch},
+    engine::{Engine, format},
+    server::{self, Addresses},
+    wait::eventually,
+};
+use eyre::Result;
+use http::Method;
+use rstest::rstest;
+use serde_json::{Value, json};
+
+async fn start() -> Result<Addresses> {
+    server::start(Engine::start(), "127.0.0.1:0".parse()?).await
+}
+
+fn chat(engine: &Addresses, prompt: &str, stream: bool) -> Call {
+    Call::new(
+        &engine.address.to_string(),
+        Method::POST,
+        "/v1/chat/completions",
+    )
+    .header("x-request-id", "n-1")
+    .json(&json!({
+        "model": "m", "stream": stream, "max_tokens": 5,
+        "messages": [{"role": "user", "content": prompt}],
+    }))
+}
+
+async fn counts(engine: &Addresses) -> Result<Value> {
+    Ok(control(&engine.control.to_string()).await?["counts"].clone())
+}
+
+async fn set(engine: &Addresses, change: &Value) -> Result<()> {
+    switch(&engine.control.to_string(), change).await
+}
+
+#[rstest]
+#[case(true)]
+#[case(false)]
+#[tokio::test]
+async fn answers_whole(#[case] stream: bool) -> Result<()> {
+    let engine = start().await?;
+    let answer = chat(&engine, "hello", stream).text().await?;
+    assert_eq!(answer.content(), format::text("hello", 5));
+    assert_eq!(answer.is_done(), stream);
+    assert_eq!(answer.headers["x-request-id"], "n-1");
+    let load = answer.headers["endpoint-load-metrics"].to_str()?;
+    assert!(load.starts_with("JSON {\"named_metrics\""), "{load}");
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_shared_prefix_is_computed_once() -> Result<()> {
+    let engine = start().await?;
+    let prompt = "x".repeat(1024);
+    chat(&engine, &prompt, false).text().await?;
+    let answer = chat(&engine, &prompt, false).text().await?;
+    let usage = &answer.json()["usage"];
+    assert_eq!(usage["prompt_tokens"], 256);
+    assert_eq!(usage["prompt_tokens_details"]["cached_tokens"], 256);
+    assert_eq!(counts(&engine).await?["prompt_tokens_computed"], 256);
+    let address = engine.address.to_string();
+    let mut events = Call::new(&address, Method::GET, "/cache/events?from=1")
+        .send()
+        .await?;
+    let text = events.piece().await?.unwrap_or_default();
+    assert!(text.starts_with("id: 1\ndata: {\"stored\":"), "{text}");
+    assert!(text.contains("id: 4\n"), "{text}");
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_cancels() -> Result<()> {
+    let engine = start().await?;
+    set(&engine, &json!({"decode_ms": 50.0})).await?;
+    let mut answer = chat(&engine, "hello", true).send().await?;
+    answer.piece().await?;
+    drop(answer);
+    eventually("the engine noticed", async || {
+        let counts = counts(&engine).await.ok()?;
+        (counts["cancelled"] == 1).then_some(())
+    })
+    .await?;
+    assert_eq!(counts(&engine).await?["finished"], 0);
+    Ok(())
+}
+
+#[rstest]
+#[case("before", 0)]
+#[case("during", 1)]
+#[case("after", 1)]
+#[tokio::test]
+async fn dies_when_told(#[case] point: &str, #[case] started: u64) -> Result<()> {
+    let engine = start().await?;
+    set(&engine, &json!({"die": point, "die_next": 1})).await?;
+    let answer = chat(&engine, "hello", true).text().await;
+    assert!(answer.is_err());
+    assert_eq!(counts(&engine).await?["started"], started);
+    let answer = chat(&engine, "hello", true).text().await?;
+    assert!(answer.is_done());
+    Ok(())
+}
+
+#[tokio::test]
+async fn cuts_a_stream_without_an_error() -> Result<()> {
+    let engine = start().await?;
+    set(&engine, &json!({"cut_next": 1})).await?;
+    let answer = chat(&engine, "hello", true).text().await?;
+    assert!(!answer.is_done());
+    assert!(!answer.content().is_empty());
+    Ok(())
+}
+
+#[tokio::test]
+async fn old_connections_fall_silent_while_new_ones_work() -> Result<()> {
+    let engine = start().await?;
+    set(&engine, &json!({"decode_ms": 20.0})).await?;
+    let mut old = chat(&engine, "hello", true).send().await?;
+    old.piece().await?;
+    set(&engine, &json!({"silent": "existing"})).await?;
+    assert!(chat(&engine, "new", true).text().await?.is_done());
+    tokio::select! {
+        biased;
+        rest = old.whole() => assert!(!rest?.is_done()),
+        answer = chat(&engine, "newer", true).text() => assert!(answer?.is_done()),
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn says_that_it_leaves() -> Result<()> {
+    let engine = start().await?;
+    set(&engine, &json!({"leaving": true, "models": ["m"]})).await?;
+    let address = engine.address.to_string();
+    let load = Call::new(&address, Method::GET, "/load").text().await?;
+    assert_eq!(load.json()["state"], "leaving");
+    assert_eq!(load.json()["models"], json!(["m"]));
+    Ok(())
+}
+
+#[tokio::test]
+async fn event_gaps_keep_their_numbers() -> Result<()> {
+    let engine = start().await?;
+    set(&engine, &json!({"event_gap_next": 2})).await?;
+    chat(&engine, &"x".repeat(1024), false).text().await?;
+    let address = engine.address.to_string();
+    let mut events = Call::new(&address, Method::GET, "/cache/events")
+        .send()
+        .await?;
+    let text = events.piece().await?.unwrap_or_default();
+    assert!(text.starts_with("id: 3\n"), "{text}");
+    Ok(())
+}
