testutils: add the sample texts and the demo

Cause: newcomers need one command that shows the whole path, and operators need texts to start from. Change: three sample texts, checked by the core's own parser in a test; a demo that runs stand-ins and three nodes as processes. Conclusion: the samples are valid; the demo awaits the daemon.

--- /dev/null
+++ b/testutils/examples/demo.rs
@@ -0,0 +1,137 @@
+//! Shows the whole system on one machine: three nodes in two data centres
+//! before stand-ins of the engines, the plain service and the platform.
+
+use dottereltally_testutils::{
+    client::{Call, Whole},
+    deployment::Deployment,
+};
+use eyre::{Result, ensure};
+use http::Method;
+use serde_json::json;
+use tokio::signal;
+
+/// The operators' text that is applied.
+const TEXT: &str = include_str!("../../examples/demo.yaml");
+/// Bearer key of the text's workspace.
+const KEY: &str = "demo-key";
+/// Idempotency key of the payment.
+const PAYMENT: &str = "release-1";
+
+/// Runs a request of every kind against a deployment on this machine.
+#[derive(argh::FromArgs)]
+struct Arguments {
+    /// go on running until interrupted
+    #[argh(switch)]
+    stay: bool,
+}
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let arguments: Arguments = argh::from_env();
+    let deployment = deploy().await?;
+    complete(&deployment).await?;
+    read_ticket(&deployment).await?;
+    pay_twice(&deployment).await?;
+    if arguments.stay {
+        print_addresses(&deployment)?;
+        signal::ctrl_c().await?;
+    }
+    println!("all as expected");
+    Ok(())
+}
+
+async fn deploy() -> Result<Deployment> {
+    let mut deployment = Deployment::start().await?;
+    let models = ["tally-7b", "disputes"];
+    for (name, data_centre) in [("tally-1", "plovdiv"), ("tally-2", "stara-zagora")] {
+        deployment
+            .add_engine(name, "tally-llm", data_centre, &models)
+            .await?;
+    }
+    deployment
+        .add_ledger("ledger-1", "yard-app", "plovdiv")
+        .await?;
+    for (name, data_centre) in [
+        ("entry-1", "plovdiv"),
+        ("entry-2", "plovdiv"),
+        ("entry-3", "stara-zagora"),
+    ] {
+        deployment.add_node(name, data_centre).await?;
+    }
+    print!("{}", deployment.apply_text(TEXT).await?);
+    deployment.ready().await?;
+    println!("3 nodes in 2 data centres are ready");
+    Ok(deployment)
+}
+
+/// Streams a completion through the first node.
+async fn complete(deployment: &Deployment) -> Result<()> {
+    let body = json!({
+        "model": "tally-7b",
+        "stream": true,
+        "max_tokens": 8,
+        "messages": [{"role": "user", "content": "Draft a quality dispute for ticket 17."}],
+    });
+    let call = call(deployment, "entry-1", Method::POST, "/v1/chat/completions")?;
+    let mut answer = call.json(&body).send().await?;
+    let status = answer.status;
+    let mut whole = String::new();
+    while let Some(piece) = answer.piece().await? {
+        print!("{piece}");
+        whole.push_str(&piece);
+    }
+    ensure!(
+        status.is_success() && whole.trim_end().ends_with("data: [DONE]"),
+        "the completion was not whole: {status}"
+    );
+    Ok(())
+}
+
+async fn read_ticket(deployment: &Deployment) -> Result<()> {
+    let answer = call(deployment, "entry-3", Method::GET, "/tickets/17")?;
+    let answer = answer.text().await?;
+    println!("GET /tickets/17: {} {}", answer.status, answer.text);
+    ensure!(answer.status.is_success(), "the ticket was not read");
+    Ok(())
+}
+
+/// Sends one payment through two nodes of different data centres.
+async fn pay_twice(deployment: &Deployment) -> Result<()> {
+    for node in ["entry-1", "entry-3"] {
+        let answer = pay(deployment, node).await?;
+        println!(
+            "POST /payments through {node}: {} {}",
+            answer.status, answer.text
+        );
+        ensure!(
+            answer.status.is_success(),
+            "{node} did not answer the payment"
+        );
+    }
+    let counts = deployment.counts("ledger-1").await?;
+    let runs = counts["by_key"][PAYMENT].as_u64().unwrap_or(0);
+    println!("the ledger ran the payment {runs} time(s)");
+    ensure!(runs == 1, "the payment ran {runs} times");
+    Ok(())
+}
+
+async fn pay(deployment: &Deployment, node: &str) -> Result<Whole> {
+    let call = call(deployment, node, Method::POST, "/payments")?;
+    call.header("idempotency-key", PAYMENT)
+        .json(&json!({"ticket": 17, "amount": 120}))
+        .text()
+        .await
+}
+
+fn call(deployment: &Deployment, node: &str, method: Method, path: &str) -> Result<Call> {
+    Ok(Call::new(&deployment.callers(node)?, method, path).key(KEY))
+}
+
+fn print_addresses(deployment: &Deployment) -> Result<()> {
+    for node in ["entry-1", "entry-2", "entry-3"] {
+        let (callers, operations) = (deployment.callers(node)?, deployment.operations(node)?);
+        println!("{node}: callers http://{callers}, operations http://{operations}");
+    }
+    println!("bearer key: {KEY}; interrupt to end");
+    Ok(())
+}
--- /dev/null
+++ b/testutils/tests/test_samples.rs
@@ -0,0 +1,18 @@
+//! The sample texts are valid.
+
+use dottereltally_lib::text::wire;
+use dottereltally_testutils::deployment;
+use rstest::rstest;
+
+#[rstest]
+#[case(include_str!("../../examples/balkan.yaml"), 5)]
+#[case(include_str!("../../examples/bulu-mata.yaml"), 5)]
+#[case(include_str!("../../examples/demo.yaml"), 1)]
+fn samples_are_valid(#[case] document: &str, #[case] workspaces: usize) {
+    let text = wire::parse(document).expect("a valid text");
+    assert_eq!(text.workspaces.len(), workspaces);
+    for name in text.workspaces.keys() {
+        let key = deployment::hash(&format!("{name}-key"));
+        assert!(document.contains(&key), "{name}: {key}");
+    }
+}
