--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -55,6 +55,10 @@
     async fn admit(&self, _: Request<Claimed>) -> Result<Request<Admitted>, dispatcher::Refused> {
         unreachable!("no requests in these tests")
     }
+
+    async fn readmit(&self, _: Request<Claimed>) -> Result<Request<Admitted>, dispatcher::Refused> {
+        unreachable!("no requests in these tests")
+    }
 }
 
 /// A service of peers with settable answers.
