claim, configuration: first keeper and controller

Cause: a non-idempotent call needs a claim before its dispatch, and a node needs the highest configuration from any source. Change: claim::Keeper, replay::Attempts (answers peer::Service::answer), configuration::{Handle, Controller}. sha2 and tokio's test-util (tests only) are added to the node's dependencies.

--- /dev/null
+++ b/node/src/claim/identity.rs
@@ -0,0 +1,87 @@
+//! Key, token and value of one attempt's claim.
+
+use dottereltally_lib::id;
+use dottereltally_platform::{kv, layout};
+use sha2::{Digest, Sha256};
+use uuid::Uuid;
+
+use crate::claim::Scope;
+
+/// Names one attempt's claim.
+#[derive(Debug)]
+pub(super) struct Identity {
+    pub(super) key: String,
+    pub(super) token: String,
+    pub(super) value: Vec<u8>,
+    pub(super) fingerprint: id::Fingerprint,
+}
+
+impl Identity {
+    /// Draws a new token for an attempt.
+    pub(super) fn new(node: &id::Node, scope: &Scope, fingerprint: id::Fingerprint) -> Self {
+        let token = Uuid::new_v4().simple().to_string();
+        let record = layout::Claim {
+            token: token.clone(),
+            node: node.clone(),
+            fingerprint,
+        };
+        Self {
+            key: key(scope),
+            token,
+            value: encode(&record),
+            fingerprint,
+        }
+    }
+
+    /// Returns the transaction that claims the key, either if it is absent or
+    /// in the place of a value that was given up.
+    pub(super) fn claim(&self, given_up: Option<&[u8]>, lease: kv::Lease) -> kv::Transaction {
+        let key = || self.key.clone();
+        let compare = match given_up {
+            None => kv::Compare::Absent(key()),
+            Some(value) => kv::Compare::Value(key(), value.to_vec()),
+        };
+        let put = kv::Operation::Put(key(), self.value.clone(), Some(lease));
+        kv::Transaction {
+            compares: vec![compare],
+            success: vec![put],
+            failure: vec![kv::Operation::Get(key())],
+        }
+    }
+
+    /// Returns the transaction that deletes the key if it has this value.
+    pub(super) fn release(&self) -> kv::Transaction {
+        let key = || self.key.clone();
+        kv::Transaction {
+            compares: vec![kv::Compare::Value(key(), self.value.clone())],
+            success: vec![kv::Operation::Delete(key())],
+            failure: vec![kv::Operation::Get(key())],
+        }
+    }
+}
+
+/// Returns the key of a claim: the workspace's prefix and a digest, so that
+/// its length is bounded whatever the caller sends.
+fn key(scope: &Scope) -> String {
+    let mut digest = Sha256::new();
+    digest.update(scope.workspace.as_str());
+    digest.update([0]);
+    digest.update(scope.service.as_str());
+    digest.update([0]);
+    digest.update(&scope.key);
+    format!(
+        "{}{}/{:x}",
+        layout::CLAIMS,
+        scope.workspace,
+        digest.finalize()
+    )
+}
+
+/// Encodes a record.
+///
+/// # Panics
+///
+/// Panics if a record of strings and numbers can't be written as JSON.
+fn encode(record: &layout::Claim) -> Vec<u8> {
+    serde_json::to_vec(record).expect("a record of strings and numbers is JSON")
+}
--- /dev/null
+++ b/node/src/configuration/controller.rs
@@ -0,0 +1,136 @@
+//! The actor that decides which configuration is in force.
+
+use std::{marker::PhantomData, sync::Arc};
+
+use dottereltally_lib::{id, text::Text};
+use dottereltally_platform::{kv, layout};
+use ractor::{Actor, ActorProcessingErr, ActorRef, SpawnErr};
+use tokio::task::{self, JoinHandle, JoinSet};
+
+use crate::{
+    configuration::{Counters, Current, Handle, source},
+    peer::Peers,
+};
+
+/// What the controller is told.
+#[derive(Debug)]
+pub enum Message {
+    /// A source has a configuration.
+    Offer(layout::Configuration),
+}
+
+/// The actor.
+pub struct Controller<S, P>(PhantomData<fn(S, P)>);
+
+/// What the actor starts with.
+pub struct Arguments<S, P> {
+    /// Where the configuration in force is published.
+    pub handle: Handle,
+    /// The key-value service.
+    pub store: S,
+    /// The peers.
+    pub peers: P,
+    /// The counters.
+    pub counters: Counters,
+}
+
+/// State of the actor.
+pub struct State {
+    handle: Handle,
+    counters: Counters,
+    /// Token of the invalid configuration that was logged last.
+    refused: String,
+    _sources: JoinSet<()>,
+}
+
+impl<S: kv::Store, P: Peers> Controller<S, P> {
+    /// Starts the controller and its sources on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the actor can't be started.
+    pub async fn start(
+        arguments: Arguments<S, P>,
+    ) -> Result<(ActorRef<Message>, JoinHandle<()>), SpawnErr> {
+        Actor::spawn(None, Self(PhantomData), arguments).await
+    }
+}
+
+impl<S: kv::Store, P: Peers> Actor for Controller<S, P> {
+    type Msg = Message;
+    type State = State;
+    type Arguments = Arguments<S, P>;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<Message>,
+        arguments: Arguments<S, P>,
+    ) -> Result<State, ActorProcessingErr> {
+        let handle = arguments.handle.clone();
+        let counters = arguments.counters.clone();
+        Ok(State {
+            handle,
+            counters,
+            refused: String::new(),
+            _sources: source::start(&myself, arguments),
+        })
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<Message>,
+        message: Message,
+        state: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        let Message::Offer(record) = message;
+        state.consider(record).await;
+        Ok(())
+    }
+}
+
+impl State {
+    /// Puts a configuration in force if its generation is higher than the one
+    /// in force and its text is valid.
+    async fn consider(&mut self, record: layout::Configuration) {
+        if record.generation <= self.handle.generation() {
+            self.counters.passed_over.inc();
+            return;
+        }
+        if record.token == self.refused {
+            self.counters.invalid.inc();
+            return;
+        }
+        let document = record.text.clone();
+        let parsed = task::spawn_blocking(move || document.parse::<Text>()).await;
+        let faults = match parsed {
+            Ok(Ok(text)) => {
+                self.publish(record, text);
+                return;
+            }
+            Ok(Err(faults)) => faults.to_string(),
+            Err(error) => error.to_string(),
+        };
+        self.counters.invalid.inc();
+        tracing::error!(
+            generation = %record.generation,
+            author = record.author,
+            faults,
+            "invalid configuration passed over; apply a corrected text"
+        );
+        self.refused = record.token;
+    }
+
+    fn publish(&self, record: layout::Configuration, text: Text) {
+        let generation = record.generation;
+        tracing::info!(%generation, author = record.author, "configuration in force");
+        let id::Generation(number) = generation;
+        self.counters.taken.inc();
+        self.counters
+            .generation
+            .set(i64::try_from(number).unwrap_or(i64::MAX));
+        self.handle.publish(Current {
+            record,
+            text: Arc::new(text),
+        });
+    }
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod configuration;
 pub mod dispatcher;
 pub mod peer;
+pub mod replay;
 pub mod settings;
