--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod pool;
 pub mod problem;
 pub mod prompt;
+pub mod replay;
 pub mod rules;
 pub mod server;
 pub mod settings;
