node: put the parts together and stop them on a signal

The parts had no process. node::run binds the sockets, starts the dispatcher, the request path and the pages for operators, prints the ready line and stops in order on SIGTERM: not ready, notice, drain, grace.

Interim: the configuration and the host list are polled here, claims are refused as the platform being away, until the controllers are merged.

--- /dev/null
+++ b/node/src/address.rs
@@ -0,0 +1,59 @@
+//! Addresses of the endpoints.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, PoisonError, RwLock},
+};
+
+use dottereltally_lib::{endpoint, id};
+
+use crate::dispatcher::Resolve;
+
+/// Addresses by endpoint; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    addresses: Arc<RwLock<HashMap<id::Endpoint, String>>>,
+}
+
+impl Book {
+    /// Replaces all addresses.
+    pub fn replace(&self, records: &[endpoint::Record]) {
+        let mut addresses = HashMap::with_capacity(records.len());
+        for record in records {
+            addresses.insert(record.id.clone(), record.address.clone());
+        }
+        *self
+            .addresses
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = addresses;
+    }
+
+    /// Returns the address of an endpoint.
+    #[must_use]
+    pub fn get(&self, endpoint: &id::Endpoint) -> Option<String> {
+        let addresses = self
+            .addresses
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        addresses.get(endpoint).cloned()
+    }
+
+    /// Returns the names of all endpoints, in order.
+    #[must_use]
+    pub fn names(&self) -> Vec<id::Endpoint> {
+        let addresses = self
+            .addresses
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        let mut names: Vec<_> = addresses.keys().cloned().collect();
+        names.sort();
+        names
+    }
+
+    /// Returns the book as a function.
+    #[must_use]
+    pub fn resolve(&self) -> Resolve {
+        let book = self.clone();
+        Arc::new(move |endpoint| book.get(endpoint))
+    }
+}
--- a/node/src/classify.rs
+++ b/node/src/classify.rs
@@ -23,10 +23,10 @@
 /// Tokens of an answer whose request names no limit.
 const DEFAULT_OUTPUT_TOKENS: u64 = 512;
 
-/// Calls that a request's method and path match.
+/// Calls that a request's method and path match, whatever model it names.
 #[derive(Debug)]
 pub struct Candidates<'a> {
-    calls: Vec<(&'a id::Call, &'a text::Call)>,
+    calls: Vec<&'a text::Call>,
 }
 
 /// A classified request.
@@ -52,15 +52,12 @@
 ) -> Result<Candidates<'a>, Problem> {
     let mut calls = Vec::new();
     let mut path_known = false;
-    for (name, call) in &rules.text.calls {
-        if !matches_path(&call.path, uri.path()) {
-            continue;
+    for call in rules.text.calls.values() {
+        let any_model = call.model.as_ref();
+        path_known |= call.matches(&call.method, uri.path(), any_model);
+        if call.matches(method.as_str(), uri.path(), any_model) {
+            calls.push(call);
         }
-        path_known = true;
-        if call.method != method.as_str() {
-            continue;
-        }
-        calls.push((name, call));
     }
     if !calls.is_empty() {
         return Ok(Candidates { calls });
@@ -81,7 +78,7 @@
     /// Returns whether every call that the request can still match is idempotent.
     #[must_use]
     pub fn all_idempotent(&self) -> bool {
-        self.calls.iter().all(|(_, call)| call.idempotent)
+        self.calls.iter().all(|call| call.idempotent)
     }
 
     /// Chooses the call and builds the profile.
@@ -99,9 +96,13 @@
     ) -> Result<Class, Problem> {
         let prompt = self.prompt(rules, body)?;
         let model = prompt.as_ref().and_then(|prompt| prompt.model.as_deref());
-        let (name, call) = self.choose(model)?;
+        let model_id = model.map(id::Model::from);
+        let (name, call) = rules
+            .text
+            .call(parts.method.as_str(), parts.uri.path(), model_id.as_ref())
+            .ok_or_else(|| unknown_model(model))?;
         let service = &rules.text.services[&call.service];
-        check_model(service, model)?;
+        check_model(service, model_id.as_ref())?;
         let tier = tier(&rules.text, call.tier, &parts.headers)?;
         let deadline = deadline(call.deadline, &parts.headers)?;
         let (tokens, output, prefixes) = match (service.kind, &prompt) {
@@ -111,7 +112,7 @@
         let profile = Profile {
             call: name.clone(),
             service: call.service.clone(),
-            model: model.map(id::Model::from),
+            model: model_id,
             fingerprint: fingerprint(&workspace, name, &parts.uri, body),
             workspace,
             tier,
@@ -138,7 +139,7 @@
         let wanted = self
             .calls
             .iter()
-            .any(|(_, call)| call.model.is_some() || is_model(call));
+            .any(|call| call.model.is_some() || is_model(call));
         if !wanted {
             return Ok(None);
         }
@@ -149,33 +150,19 @@
             ))),
         }
     }
-
-    /// Prefers the call that names the model to one that takes any.
-    fn choose(&self, model: Option<&str>) -> Result<(&id::Call, &text::Call), Problem> {
-        let mut any = None;
-        for (name, call) in &self.calls {
-            match &call.model {
-                Some(wanted) if Some(wanted.as_str()) == model => return Ok((name, call)),
-                Some(_) => {}
-                None => any = Some((*name, *call)),
-            }
-        }
-        any.ok_or_else(|| unknown_model(model))
-    }
 }
 
-fn check_model(service: &text::Service, model: Option<&str>) -> Result<(), Problem> {
-    let Some(name) = model else {
+fn check_model(service: &text::Service, model: Option<&id::Model>) -> Result<(), Problem> {
+    let Some(model) = model else {
         return Ok(());
     };
     if service.models.is_empty() && service.adapters.is_empty() {
         return Ok(());
     }
-    let name = id::Model::from(name);
-    if service.models.contains(&name) || service.adapters.contains(&name) {
+    if service.models.contains(model) || service.adapters.contains(model) {
         return Ok(());
     }
-    Err(unknown_model(model))
+    Err(unknown_model(Some(model.as_str())))
 }
 
 fn unknown_model(model: Option<&str>) -> Problem {
@@ -197,13 +184,9 @@
     let Some(value) = headers.get(TIER) else {
         return Ok(own);
     };
-    let position = text
-        .tiers
-        .iter()
-        .position(|name| name.as_bytes() == value.as_bytes());
-    let asked = position.and_then(|position| u8::try_from(position).ok());
+    let asked = value.to_str().ok().and_then(|name| text.tier(name));
     match asked {
-        Some(asked) if asked >= own.0 => Ok(id::Tier(asked)),
+        Some(asked) if asked >= own => Ok(asked),
         Some(_) => Err(malformed(format!(
             "`{TIER}` asks for a higher tier than the call has; ask for a lower one or leave it out"
         ))),
@@ -259,11 +242,3 @@
     hasher.update(body);
     id::Fingerprint(hasher.digest())
 }
-
-/// Returns whether a call's path matches; a last segment `*` matches any rest.
-fn matches_path(pattern: &str, path: &str) -> bool {
-    match pattern.strip_suffix('*') {
-        Some(stem) if stem.ends_with('/') => path.starts_with(stem),
-        _ => pattern == path,
-    }
-}
--- a/node/src/dispatcher.rs
+++ b/node/src/dispatcher.rs
@@ -66,7 +66,7 @@
 /// Receivers of the core's effects that concern no waiting request.
 pub trait Sink: Send + Sync + 'static {
     /// Probes an endpoint on a new connection and reports the result.
-    fn probe(&self, endpoint: id::Endpoint);
+    fn probe(&self, core: &Sender, endpoint: id::Endpoint);
 
     /// Tells the peers of a request that crashed endpoints.
     fn quarantine(&self, fingerprint: id::Fingerprint);
@@ -115,6 +115,7 @@
     core: Scheduler,
     clock: Clock,
     sink: Box<dyn Sink>,
+    own: Sender,
     waiting: HashMap<id::Request, oneshot::Sender<Decision>>,
 }
 
@@ -133,6 +134,7 @@
             core: arguments.core,
             clock: arguments.clock,
             sink: arguments.sink,
+            own: Sender(myself),
             waiting: HashMap::new(),
         })
     }
@@ -186,7 +188,7 @@
                     let _ = reply.send(Err(refusal));
                 }
             }
-            Effect::Probe(endpoint) => self.sink.probe(endpoint),
+            Effect::Probe(endpoint) => self.sink.probe(&self.own, endpoint),
             Effect::Quarantine(fingerprint) => self.sink.quarantine(fingerprint),
             Effect::Send(node, message) => self.sink.send(node, message),
         }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! A filter chain serves requests; controllers, each an actor, keep state.
 
+pub mod address;
 pub mod answer;
 pub mod authenticate;
 pub mod body;
@@ -16,6 +17,7 @@
 pub mod flight;
 pub mod limit;
 pub mod metrics;
+pub mod node;
 pub mod operations;
 pub mod peer;
 pub mod pool;
@@ -24,6 +26,7 @@
 pub mod rules;
 pub mod server;
 pub mod settings;
+pub mod shutdown;
 pub mod sse;
 pub mod stream;
 pub mod upstream;
--- a/node/src/operations.rs
+++ b/node/src/operations.rs
@@ -1,10 +1,10 @@
 //! Pages for operators: metrics, health and status.
 
-use std::sync::Arc;
+use std::future::Future;
 
 use bytes::Bytes;
 use dottereltally_lib::id;
-use http::{HeaderValue, Method, Request, Response, StatusCode, header::CONTENT_TYPE};
+use http::{HeaderValue, Method, Response, StatusCode, header::CONTENT_TYPE};
 use prometheus_client::{encoding::text, registry::Registry};
 use serde::Serialize;
 
@@ -36,35 +36,31 @@
 /// Reads the state of the node.
 pub trait Source: Send + Sync + 'static {
     /// Returns the state.
-    fn status(&self) -> Status;
+    fn status(&self) -> impl Future<Output = Status> + Send;
 
     /// Returns whether the node takes requests.
     fn is_ready(&self) -> bool;
 }
 
-/// The pages; clones share them.
-#[derive(Clone)]
-pub struct Pages {
-    registry: Arc<Registry>,
-    source: Arc<dyn Source>,
+/// The pages.
+pub struct Pages<S> {
+    registry: Registry,
+    source: S,
 }
 
-impl Pages {
+impl<S: Source> Pages<S> {
     /// Builds the pages over a filled registry.
     #[must_use]
-    pub fn new(registry: Registry, source: Arc<dyn Source>) -> Self {
-        Self {
-            registry: Arc::new(registry),
-            source,
-        }
+    pub fn new(registry: Registry, source: S) -> Self {
+        Self { registry, source }
     }
 
     /// Returns the page that a request asks for.
-    pub fn get<B>(&self, request: &Request<B>) -> Response<Body> {
-        if request.method() != Method::GET {
+    pub async fn get(&self, method: &Method, path: &str) -> Response<Body> {
+        if method != Method::GET {
             return page(StatusCode::METHOD_NOT_ALLOWED, TEXT, "use GET\n");
         }
-        match request.uri().path() {
+        match path {
             "/metrics" => self.metrics(),
             "/livez" => page(StatusCode::OK, TEXT, "live\n"),
             "/readyz" if self.source.is_ready() => page(StatusCode::OK, TEXT, "ready\n"),
@@ -73,7 +69,7 @@
                 TEXT,
                 "not ready; see /status\n",
             ),
-            "/status" => self.status(),
+            "/status" => self.status().await,
             _ => page(
                 StatusCode::NOT_FOUND,
                 TEXT,
@@ -94,8 +90,8 @@
         }
     }
 
-    fn status(&self) -> Response<Body> {
-        match serde_json::to_vec(&self.source.status()) {
+    async fn status(&self) -> Response<Body> {
+        match serde_json::to_vec(&self.source.status().await) {
             Ok(content) => page(StatusCode::OK, JSON, content),
             Err(error) => page(
                 StatusCode::INTERNAL_SERVER_ERROR,
