--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -19,6 +19,8 @@
 mod health;
 pub mod id;
 pub mod isolation;
+pub mod key;
+pub mod membership;
 pub mod pool;
 pub mod prefix;
 pub mod quarantine;
