--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! A filter chain serves requests; controllers, each an actor, keep state.
 
+pub mod address;
 pub mod answer;
 pub mod authenticate;
 pub mod body;
@@ -18,6 +19,7 @@
 pub mod limit;
 pub mod membership;
 pub mod metrics;
+pub mod node;
 pub mod observer;
 pub mod operations;
 pub mod peer;
@@ -28,6 +30,7 @@
 pub mod rules;
 pub mod server;
 pub mod settings;
+pub mod shutdown;
 pub mod sse;
 pub mod stream;
 pub mod upstream;
