testutils: add a fixture with known names for the end-to-end tests

Cause: every end-to-end test starts the same kinds of programs. Ruled out: one deployment shared by all tests of a file, as faults of one would reach others. Change: fixture::Fixture starts nodes, engines and ledgers, applies one text and waits until all know each other; requests by name of their kind. Conclusion: ready for the daemon's tests.

--- /dev/null
+++ b/node/tests/test_path.rs
@@ -0,0 +1,81 @@
+//! The whole path, with the real programs.
+
+use dottereltally_testutils::{
+    client::Version,
+    engine::format,
+    fixture::{Fixture, MODELS, chat_body},
+};
+use eyre::Result;
+use http::{Method, StatusCode};
+use rstest::rstest;
+use serde_json::json;
+
+#[rstest]
+#[case(Version::Http1)]
+#[case(Version::Http2)]
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_a_completion(#[case] version: Version) -> Result<()> {
+    let deployment = Fixture::default().start().await?;
+    let answer = deployment.chat("entry-1", "hello", 12)?;
+    let answer = answer.version(version).text().await?;
+    assert_eq!(answer.status, StatusCode::OK, "{}", answer.text);
+    assert!(answer.is_done(), "{}", answer.text);
+    assert_eq!(answer.content(), format::text("hello", 12));
+    assert!(answer.headers.contains_key("dottereltally-request"));
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_in_one_piece() -> Result<()> {
+    let deployment = Fixture::default().start().await?;
+    let mut body = chat_body("hello", 7);
+    body["stream"] = json!(false);
+    body["model"] = json!(MODELS[1]);
+    let call = deployment.call("entry-2", Method::POST, "/v1/chat/completions")?;
+    let answer = call.json(&body).text().await?;
+    assert_eq!(answer.status, StatusCode::OK, "{}", answer.text);
+    assert_eq!(answer.content(), format::text("hello", 7));
+    assert_eq!(answer.json()["usage"]["completion_tokens"], 7);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn passes_plain_calls_on() -> Result<()> {
+    let deployment = Fixture::default().start().await?;
+    let call = deployment.call("entry-2", Method::GET, "/tickets/17")?;
+    let answer = call.text().await?;
+    assert_eq!(answer.status, StatusCode::OK, "{}", answer.text);
+    assert_eq!(answer.json()["path"], "/tickets/17");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn runs_a_payment_once_through_two_nodes() -> Result<()> {
+    let deployment = Fixture::default().start().await?;
+    let first = deployment.pay("entry-1", "release-1")?.text().await?;
+    assert_eq!(first.status, StatusCode::OK, "{}", first.text);
+    let second = deployment.pay("entry-2", "release-1")?.text().await?;
+    assert_eq!(second.status, StatusCode::OK, "{}", second.text);
+    assert_eq!(first.text, second.text);
+    assert_eq!(deployment.payments("release-1").await?, 1);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_cancels_in_the_engine() -> Result<()> {
+    let fixture = Fixture {
+        engines: 1,
+        ..Fixture::default()
+    };
+    let deployment = fixture.start().await?;
+    let slow = json!({"decode_ms": 20.0});
+    deployment.switch("tally-1", &slow).await?;
+    let call = deployment.chat("entry-1", "hello", 1_000)?;
+    let mut answer = call.send().await?;
+    assert!(answer.piece().await?.is_some());
+    drop(answer);
+    deployment.reaches("tally-1", "cancelled", 1).await?;
+    let counts = deployment.counts("tally-1").await?;
+    assert_eq!(counts["finished"], 0);
+    Ok(())
+}
--- a/testutils/src/deployment.rs
+++ b/testutils/src/deployment.rs
@@ -260,7 +260,7 @@
         self.apply(&path).await
     }
 
-    /// Waits until every node is ready and knows this many live endpoints.
+    /// Waits until every node is ready.
     ///
     /// # Errors
     ///
@@ -322,6 +322,18 @@
         Ok(process.address("control"))
     }
 
+    /// Returns the names of the nodes.
+    #[must_use]
+    pub fn node_names(&self) -> Vec<String> {
+        self.nodes.keys().cloned().collect()
+    }
+
+    /// Returns the names of the endpoints.
+    #[must_use]
+    pub fn endpoint_names(&self) -> Vec<String> {
+        self.endpoints.keys().cloned().collect()
+    }
+
     /// Returns the process of a node.
     ///
     /// # Errors
--- /dev/null
+++ b/testutils/src/fixture.rs
@@ -0,0 +1,198 @@
+//! A small deployment with known names, and the requests that tests send.
+
+use eyre::Result;
+use http::Method;
+use serde_json::{Value, json};
+
+use crate::{
+    client::Call,
+    deployment::{self, Deployment},
+    wait::eventually,
+};
+
+/// Bearer key of the workspace `demo`, which has no limit.
+pub const KEY: &str = "demo-key";
+/// Bearer key of the workspace `small`, which may have one request at a time.
+pub const SMALL_KEY: &str = "small-key";
+/// Data centre of the first node and of the endpoints.
+pub const HOME: &str = "plovdiv";
+/// Data centre of the second node and of every other one after it.
+pub const AWAY: &str = "stara-zagora";
+/// Models of the engines.
+pub const MODELS: [&str; 2] = ["tally-7b", "disputes"];
+
+/// Numbers of the programs to start.
+///
+/// Nodes are `entry-1`, ..., engines `tally-1`, ..., ledgers `ledger-1`, ....
+#[derive(Clone, Debug)]
+pub struct Fixture {
+    /// Number of nodes.
+    pub nodes: usize,
+    /// Number of model engines.
+    pub engines: usize,
+    /// Number of plain services.
+    pub ledgers: usize,
+    /// Further lines of the nodes' settings.
+    pub settings: String,
+}
+
+impl Default for Fixture {
+    fn default() -> Self {
+        Self {
+            nodes: 2,
+            engines: 2,
+            ledgers: 1,
+            settings: String::new(),
+        }
+    }
+}
+
+/// Returns the operators' text of the fixture.
+#[must_use]
+pub fn text() -> String {
+    let (key, small) = (deployment::hash(KEY), deployment::hash(SMALL_KEY));
+    format!(
+        "tiers: [gate, dispute, summary, tag]
+services:
+  tally-llm: {{kind: model, models: [tally-7b], adapters: [disputes], window: 40000}}
+  yard-app: {{kind: plain, window: 64}}
+  empty-app: {{kind: plain, window: 64}}
+calls:
+  chat: {{service: tally-llm, method: POST, path: /v1/chat/completions, tier: dispute, deadline: 120s, idempotent: true}}
+  gate-chat: {{service: tally-llm, method: POST, path: /v1/chat/completions, model: disputes, tier: gate, deadline: 120s, idempotent: true}}
+  pay: {{service: yard-app, method: POST, path: /payments, tier: gate, deadline: 120s, idempotent: false}}
+  tickets: {{service: yard-app, method: GET, path: \"/tickets/*\", tier: summary, deadline: 120s, idempotent: true}}
+  nowhere: {{service: empty-app, method: GET, path: /nowhere, tier: tag, deadline: 2s, idempotent: true}}
+workspaces:
+  demo: {{keys: [\"{key}\"], share: 1}}
+  small: {{keys: [\"{small}\"], share: 1, limit: 1}}
+"
+    )
+}
+
+impl Fixture {
+    /// Starts everything, applies the text and waits until it is in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a program does not start or become ready.
+    pub async fn start(&self) -> Result<Deployment> {
+        let mut deployment = Deployment::start().await?;
+        deployment.add_settings(&self.settings);
+        for number in 1..=self.engines {
+            let name = format!("tally-{number}");
+            deployment
+                .add_engine(&name, "tally-llm", HOME, &MODELS)
+                .await?;
+        }
+        for number in 1..=self.ledgers {
+            let name = format!("ledger-{number}");
+            deployment.add_ledger(&name, "yard-app", HOME).await?;
+        }
+        for number in 1..=self.nodes {
+            let data_centre = if number % 2 == 1 { HOME } else { AWAY };
+            let name = format!("entry-{number}");
+            deployment.add_node(&name, data_centre).await?;
+        }
+        deployment.apply_text(&text()).await?;
+        deployment.settled(1).await?;
+        Ok(deployment)
+    }
+}
+
+impl Deployment {
+    /// Waits until every running node is ready, knows every other one and
+    /// every endpoint, and has this generation or a later one in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one does not get there.
+    pub async fn settled(&self, generation: u64) -> Result<()> {
+        self.ready().await?;
+        let names = self.node_names();
+        for name in &names {
+            let what = format!("{name} knows generation {generation} and the others");
+            eventually(&what, async || {
+                let status = self.status(name).await.ok()?;
+                let knows = |member: &str, number: usize| {
+                    status[member].as_array().map(Vec::len) == Some(number)
+                };
+                let current = status["generation"].as_u64()? >= generation;
+                let peers = knows("peers", names.len() - 1);
+                let endpoints = knows("endpoints", self.endpoint_names().len());
+                (current && peers && endpoints).then_some(())
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Prepares a request with the unlimited workspace's key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the node is not known.
+    pub fn call(&self, node: &str, method: Method, path: &str) -> Result<Call> {
+        Ok(Call::new(&self.callers(node)?, method, path).key(KEY))
+    }
+
+    /// Prepares a streamed completion.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the node is not known.
+    pub fn chat(&self, node: &str, prompt: &str, tokens: u64) -> Result<Call> {
+        let call = self.call(node, Method::POST, "/v1/chat/completions")?;
+        Ok(call.json(&chat_body(prompt, tokens)))
+    }
+
+    /// Prepares a payment.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the node is not known.
+    pub fn pay(&self, node: &str, key: &str) -> Result<Call> {
+        let call = self.call(node, Method::POST, "/payments")?;
+        let call = call.header("idempotency-key", key);
+        Ok(call.json(&json!({"payment": key})))
+    }
+
+    /// Returns how often the plain services ran a payment.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one does not answer.
+    pub async fn payments(&self, key: &str) -> Result<u64> {
+        let mut runs = 0;
+        for name in self.endpoint_names() {
+            let counts = self.counts(&name).await?;
+            runs += counts["by_key"][key].as_u64().unwrap_or(0);
+        }
+        Ok(runs)
+    }
+
+    /// Waits until a count of an endpoint reaches a number.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not.
+    pub async fn reaches(&self, endpoint: &str, count: &str, number: u64) -> Result<()> {
+        let what = format!("{count} of {endpoint} reaches {number}");
+        eventually(&what, async || {
+            let counts = self.counts(endpoint).await.ok()?;
+            (counts[count].as_u64()? >= number).then_some(())
+        })
+        .await
+    }
+}
+
+/// Builds the body of a streamed completion.
+#[must_use]
+pub fn chat_body(prompt: &str, tokens: u64) -> Value {
+    json!({
+        "model": MODELS[0],
+        "stream": true,
+        "max_tokens": tokens,
+        "messages": [{"role": "user", "content": prompt}],
+    })
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod deployment;
 pub mod engine;
+pub mod fixture;
 pub mod host_list;
 pub mod kv;
 pub mod ledger;
