testutils: apply texts as the tool takes them, name what was waited for

Cause: the tool takes its platform options before the command and needs the generation that a text was edited from. Change: apply_text passes the base generation and returns the accepted one; settled shows the node's status when it fails; conditions are async closures.

--- a/testutils/examples/demo.rs
+++ b/testutils/examples/demo.rs
@@ -58,9 +58,9 @@
     ] {
         deployment.add_node(name, data_centre).await?;
     }
-    print!("{}", deployment.apply_text(TEXT).await?);
-    deployment.ready().await?;
-    println!("3 nodes in 2 data centres are ready");
+    let generation = deployment.apply_text(TEXT).await?;
+    deployment.settled(generation).await?;
+    println!("generation {generation} is in force on 3 nodes in 2 data centres");
     Ok(deployment)
 }
 
--- a/testutils/src/deployment.rs
+++ b/testutils/src/deployment.rs
@@ -4,10 +4,11 @@
     collections::BTreeMap,
     fs,
     path::{Path, PathBuf},
+    sync::atomic::{AtomicU64, Ordering},
     thread,
 };
 
-use eyre::{Result, bail, eyre};
+use eyre::{Result, WrapErr, bail, eyre};
 use http::Method;
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
@@ -49,6 +50,7 @@
     endpoints: BTreeMap<String, Endpoint>,
     nodes: BTreeMap<String, Node>,
     overrides: String,
+    generation: AtomicU64,
 }
 
 impl Deployment {
@@ -69,6 +71,7 @@
             endpoints: BTreeMap::new(),
             nodes: BTreeMap::new(),
             overrides: String::new(),
+            generation: AtomicU64::new(0),
         })
     }
 
@@ -234,30 +237,28 @@
         client::switch(&self.hosts.address("control"), &json!({"groups": groups})).await
     }
 
-    /// Applies an operators' text.
+    /// Applies an operators' text and returns its generation.
     ///
     /// # Errors
     ///
     /// Fails if the tool refuses it.
-    pub async fn apply(&self, file: &Path) -> Result<String> {
+    pub async fn apply_text(&self, yaml: &str) -> Result<u64> {
+        let file = self.directory.path().join("text.yaml");
+        fs::write(&file, yaml)?;
         let (kv, hosts) = (self.kv_address(), self.hosts_url());
-        let arguments = ["apply", text(file)?, "--kv", &kv, "--hosts", &hosts];
+        let base = self.generation.load(Ordering::SeqCst).to_string();
+        let platform = ["--kv", &kv, "--hosts", &hosts, "--output", "json"];
+        let command = ["apply", "--author", "test", "--base", &base, text(&file)?];
+        let arguments = [&platform[..], &command[..]].concat();
         let (status, output) = process::run("dottereltallyctl", &arguments).await?;
         if !status.success() {
             bail!("dottereltallyctl apply ended with {status}: {output}");
         }
-        Ok(output)
-    }
-
-    /// Applies an operators' text that is given as such.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the tool refuses it.
-    pub async fn apply_text(&self, yaml: &str) -> Result<String> {
-        let path = self.directory.path().join("text.yaml");
-        fs::write(&path, yaml)?;
-        self.apply(&path).await
+        let accepted: Value = serde_json::from_str(&output)
+            .wrap_err_with(|| format!("dottereltallyctl printed {output}"))?;
+        let generation = accepted["generation"].as_u64().unwrap_or_default();
+        self.generation.store(generation, Ordering::SeqCst);
+        Ok(generation)
     }
 
     /// Waits until every node is ready.
--- a/testutils/src/fixture.rs
+++ b/testutils/src/fixture.rs
@@ -1,6 +1,6 @@
 //! A small deployment with known names, and the requests that tests send.
 
-use eyre::Result;
+use eyre::{Result, WrapErr};
 use http::Method;
 use serde_json::{Value, json};
 
@@ -122,7 +122,8 @@
                 let endpoints = knows("endpoints", self.endpoint_names().len());
                 (current && peers && endpoints).then_some(())
             })
-            .await?;
+            .await
+            .wrap_err(format!("its status: {:?}", self.status(name).await))?;
         }
         Ok(())
     }
--- a/testutils/src/wait.rs
+++ b/testutils/src/wait.rs
@@ -1,6 +1,6 @@
 //! Waits for conditions by polling them.
 
-use std::{future::Future, time::Duration};
+use std::time::Duration;
 
 use eyre::{Result, bail};
 use tokio::time::{Instant, sleep};
@@ -15,11 +15,7 @@
 /// # Errors
 ///
 /// Fails if it has not within [`BOUND`].
-pub async fn eventually<T, F, C>(what: &str, mut condition: C) -> Result<T>
-where
-    F: Future<Output = Option<T>>,
-    C: FnMut() -> F,
-{
+pub async fn eventually<T>(what: &str, mut condition: impl AsyncFnMut() -> Option<T>) -> Result<T> {
     let end = Instant::now() + BOUND;
     loop {
         if let Some(value) = condition().await {
