deployment: give the tool's options before its command

Cause: the tool takes the platform's addresses before the command, as they serve all commands; argh has no shared options after it.

--- a/testutils/src/deployment.rs
+++ b/testutils/src/deployment.rs
@@ -241,7 +241,7 @@
     /// Fails if the tool refuses it.
     pub async fn apply(&self, file: &Path) -> Result<String> {
         let (kv, hosts) = (self.kv_address(), self.hosts_url());
-        let arguments = ["apply", text(file)?, "--kv", &kv, "--hosts", &hosts];
+        let arguments = ["--kv", &kv, "--hosts", &hosts, "apply", text(file)?];
         let (status, output) = process::run("dottereltallyctl", &arguments).await?;
         if !status.success() {
             bail!("dottereltallyctl apply ended with {status}: {output}");
