--- /dev/null
+++ b/node/tests/test_dispatch.rs
@@ -0,0 +1,119 @@
+//! A request is dispatched at most once; the engines' own logs judge.
+
+use dottereltally_testutils::{deployment::Deployment, engine::format, fixture::Fixture};
+use eyre::Result;
+use http::StatusCode;
+use rstest::rstest;
+use serde_json::json;
+
+/// Number of requests that are sent one after another.
+const REQUESTS: usize = 12;
+
+/// Returns how often engines received a prompt.
+async fn received(deployment: &Deployment, prompt: &str) -> Result<usize> {
+    let digest = format::digest(prompt);
+    let mut times = 0;
+    for name in deployment.endpoint_names() {
+        let counts = deployment.counts(&name).await?;
+        let requests = counts["requests"].as_array().cloned().unwrap_or_default();
+        times += requests
+            .iter()
+            .filter(|request| request["prompt"] == digest.as_str())
+            .count();
+    }
+    Ok(times)
+}
+
+#[rstest]
+#[case("before")]
+#[case("during")]
+#[case("after")]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_connection_breaks(#[case] point: &str) -> Result<()> {
+    let deployment = Fixture::single().start().await?;
+    for name in ["tally-1", "tally-2"] {
+        let fault = json!({"die": point, "die_next": 1});
+        deployment.switch(name, &fault).await?;
+    }
+    let answer = deployment.chat("entry-1", "unlucky", 8)?.text().await;
+    match answer {
+        // The head was sent before the connection broke.
+        Ok(answer) if answer.status == StatusCode::OK => {
+            assert!(!answer.is_done(), "{}", answer.text);
+        }
+        Ok(answer) => assert_eq!(answer.run(), "may-have-run", "{}", answer.text),
+        Err(cause) => assert_eq!(point, "after", "{cause:?}"),
+    }
+    assert_eq!(received(&deployment, "unlucky").await?, 1);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_process_dies_while_it_runs() -> Result<()> {
+    let mut deployment = Fixture::single().start().await?;
+    for name in ["tally-1", "tally-2"] {
+        deployment.switch(name, &json!({"hold": true})).await?;
+    }
+    let call = tokio::spawn(deployment.chat("entry-1", "unlucky", 8)?.text());
+    let name = running_engine(&deployment).await?;
+    deployment.endpoint(&name)?.kill().await?;
+    let answer = call.await??;
+    assert_eq!(answer.run(), "may-have-run", "{}", answer.text);
+    deployment.restart_endpoint(&name).await?;
+    assert_eq!(received(&deployment, "unlucky").await?, 0);
+    Ok(())
+}
+
+async fn running_engine(deployment: &Deployment) -> Result<String> {
+    dottereltally_testutils::wait::eventually("an engine runs it", async || {
+        for name in ["tally-1", "tally-2"] {
+            let counts = deployment.counts(name).await.ok()?;
+            if counts["running"] == 1 {
+                return Some(name.to_owned());
+            }
+        }
+        None
+    })
+    .await
+}
+
+/// Nothing was handed over, so that another endpoint serves the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_connection_is_refused() -> Result<()> {
+    let deployment = Fixture::single().start().await?;
+    deployment.switch("tally-1", &json!({"down": true})).await?;
+    for number in 0..REQUESTS {
+        let prompt = format!("request {number}");
+        let answer = deployment.chat("entry-1", &prompt, 4)?.text().await?;
+        assert_eq!(answer.status, StatusCode::OK, "{}", answer.text);
+        assert_eq!(answer.content(), format::text(&prompt, 4));
+        assert_eq!(received(&deployment, &prompt).await?, 1);
+    }
+    Ok(())
+}
+
+/// Idle connections that the endpoint has closed carry nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_were_closed() -> Result<()> {
+    let fixture = Fixture {
+        engines: 1,
+        ..Fixture::single()
+    };
+    let deployment = fixture.start().await?;
+    for number in 0..REQUESTS {
+        let prompt = format!("request {number}");
+        let answer = deployment.chat("entry-1", &prompt, 4)?.text().await?;
+        if answer.status == StatusCode::OK {
+            assert_eq!(answer.content(), format::text(&prompt, 4));
+        }
+        if answer.run() == "not-run" {
+            assert_eq!(received(&deployment, &prompt).await?, 0);
+        }
+        assert!(received(&deployment, &prompt).await? <= 1);
+        deployment.switch("tally-1", &json!({"down": true})).await?;
+        deployment
+            .switch("tally-1", &json!({"down": false}))
+            .await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/node/tests/test_leaving.rs
@@ -0,0 +1,92 @@
+//! An endpoint that is leaving gets no new work after a few seconds.
+
+use dottereltally_testutils::{
+    deployment::Deployment, engine::format, fixture::Fixture, wait::eventually,
+};
+use eyre::Result;
+use http::StatusCode;
+use serde_json::json;
+
+/// Number of requests that are sent once the nodes know.
+const REQUESTS: usize = 20;
+
+async fn received(deployment: &Deployment, name: &str) -> Result<u64> {
+    let counts = deployment.counts(name).await?;
+    Ok(counts["received"].as_u64().unwrap_or(0))
+}
+
+/// Sends requests through both nodes; all must be served.
+async fn send(deployment: &Deployment, round: &str) -> Result<()> {
+    for number in 0..REQUESTS {
+        for node in ["entry-1", "entry-2"] {
+            let prompt = format!("{round} {node} {number}");
+            let answer = deployment.chat(node, &prompt, 2)?.text().await?;
+            assert_eq!(answer.status, StatusCode::OK, "{}", answer.text);
+            assert_eq!(answer.content(), format::text(&prompt, 2));
+        }
+    }
+    Ok(())
+}
+
+/// Sends until a whole round passes the leaving endpoint by.
+async fn until_unused(deployment: &Deployment, leaving: &str) -> Result<()> {
+    eventually("the leaving endpoint gets nothing new", async || {
+        let before = received(deployment, leaving).await.ok()?;
+        send(deployment, "probe").await.ok()?;
+        let after = received(deployment, leaving).await.ok()?;
+        (before == after).then_some(())
+    })
+    .await
+}
+
+async fn assert_unused(deployment: &Deployment, leaving: &str) -> Result<()> {
+    until_unused(deployment, leaving).await?;
+    let before = received(deployment, leaving).await?;
+    send(deployment, "after").await?;
+    assert_eq!(received(deployment, leaving).await?, before);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn said_by_the_host_list() -> Result<()> {
+    let mut deployment = Fixture::default().start().await?;
+    deployment.leave("tally-1").await?;
+    assert_unused(&deployment, "tally-1").await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn said_by_the_endpoint() -> Result<()> {
+    let deployment = Fixture::default().start().await?;
+    deployment
+        .switch("tally-1", &json!({"leaving": true}))
+        .await?;
+    assert_unused(&deployment, "tally-1").await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_it_runs_is_finished() -> Result<()> {
+    let fixture = Fixture {
+        engines: 1,
+        ..Fixture::default()
+    };
+    let mut deployment = fixture.start().await?;
+    deployment.switch("tally-1", &json!({"hold": true})).await?;
+    let running = tokio::spawn(deployment.chat("entry-1", "long", 200)?.text());
+    deployment.reaches("tally-1", "started", 1).await?;
+    deployment.leave("tally-1").await?;
+    let late = deployment.chat("entry-1", "late", 2)?;
+    let late = eventually("new work is refused", async || {
+        let answer = late.clone().header("dottereltally-deadline", "1s");
+        let answer = answer.text().await.ok()?;
+        (answer.run() == "not-run").then_some(answer)
+    })
+    .await?;
+    assert_eq!(late.status, StatusCode::SERVICE_UNAVAILABLE);
+    deployment
+        .switch("tally-1", &json!({"hold": false}))
+        .await?;
+    let answer = running.await??;
+    assert!(answer.is_done(), "{}", answer.text);
+    assert_eq!(answer.content(), format::text("long", 200));
+    Ok(())
+}
--- /dev/null
+++ b/node/tests/test_outage.rs
@@ -0,0 +1,133 @@
+//! The platform is away at the start, under load and at the shutdown.
+
+use dottereltally_testutils::{
+    deployment::Deployment, engine::format, fixture::Fixture, wait::eventually,
+};
+use eyre::Result;
+use http::StatusCode;
+use nix::sys::signal::Signal;
+use rstest::rstest;
+use serde_json::{Value, json};
+
+/// Number of requests per node while the platform is away.
+const REQUESTS: usize = 12;
+
+/// Parts of the platform that are away.
+#[derive(Clone, Copy, Debug)]
+enum Away {
+    Kv,
+    Hosts,
+    Both,
+}
+
+impl Away {
+    const fn names(self) -> &'static [&'static str] {
+        match self {
+            Self::Kv => &["kv"],
+            Self::Hosts => &["hosts"],
+            Self::Both => &["kv", "hosts"],
+        }
+    }
+
+    async fn set(self, deployment: &Deployment, change: &Value) -> Result<()> {
+        for name in self.names() {
+            deployment.switch(name, change).await?;
+        }
+        Ok(())
+    }
+}
+
+async fn assert_serves(deployment: &Deployment, nodes: &[&str]) -> Result<()> {
+    for number in 0..REQUESTS {
+        for node in nodes {
+            let prompt = format!("{node} {number}");
+            let answer = deployment.chat(node, &prompt, 4)?.text().await?;
+            assert_eq!(answer.status, StatusCode::OK, "{}", answer.text);
+            assert_eq!(answer.content(), format::text(&prompt, 4));
+        }
+    }
+    Ok(())
+}
+
+#[rstest]
+#[case(Away::Kv, json!({"down": true}))]
+#[case(Away::Hosts, json!({"down": true}))]
+#[case(Away::Both, json!({"down": true}))]
+#[case(Away::Both, json!({"silent": "all"}))]
+#[case(Away::Both, json!({"slow_ms": 5000}))]
+#[tokio::test(flavor = "multi_thread")]
+async fn under_load(#[case] away: Away, #[case] fault: Value) -> Result<()> {
+    let deployment = Fixture::default().start().await?;
+    assert_serves(&deployment, &["entry-1", "entry-2"]).await?;
+    away.set(&deployment, &fault).await?;
+    assert_serves(&deployment, &["entry-1", "entry-2"]).await?;
+    let back = json!({"down": false, "silent": "none", "slow_ms": 0});
+    away.set(&deployment, &back).await?;
+    eventually("payments are taken again", async || {
+        let answer = deployment.pay("entry-1", "after").ok()?.text().await.ok()?;
+        answer.status.is_success().then_some(())
+    })
+    .await?;
+    assert_eq!(deployment.payments("after").await?, 1);
+    Ok(())
+}
+
+/// A node that starts alone while the platform is away serves once it is back.
+#[tokio::test(flavor = "multi_thread")]
+async fn at_the_start() -> Result<()> {
+    let mut deployment = Fixture::default().start().await?;
+    Away::Both.set(&deployment, &json!({"down": true})).await?;
+    deployment.add_node("entry-3", "plovdiv").await?;
+    let early = deployment.chat("entry-3", "early", 2)?.text().await?;
+    if early.status != StatusCode::OK {
+        assert_eq!(early.run(), "not-run", "{}", early.text);
+    }
+    Away::Both.set(&deployment, &json!({"down": false})).await?;
+    deployment.settled(1).await?;
+    assert_serves(&deployment, &["entry-1", "entry-2", "entry-3"]).await
+}
+
+/// A node that starts while the key-value service is away gets the
+/// configuration from a peer.
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_from_a_peer() -> Result<()> {
+    let mut deployment = Fixture::default().start().await?;
+    Away::Kv.set(&deployment, &json!({"down": true})).await?;
+    deployment.add_node("entry-3", "plovdiv").await?;
+    deployment.settled(1).await?;
+    assert_serves(&deployment, &["entry-3"]).await
+}
+
+#[rstest]
+#[case(json!({"down": true}))]
+#[case(json!({"silent": "all"}))]
+#[tokio::test(flavor = "multi_thread")]
+async fn at_the_shutdown(#[case] fault: Value) -> Result<()> {
+    let fixture = Fixture {
+        settings: "shutdown: {notice: 200ms, grace: 30s}".to_owned(),
+        ..Fixture::default()
+    };
+    let mut deployment = fixture.start().await?;
+    for name in ["tally-1", "tally-2"] {
+        deployment.switch(name, &json!({"hold": true})).await?;
+    }
+    let running = tokio::spawn(deployment.chat("entry-1", "long", 50)?.text());
+    eventually("the stream runs", async || {
+        let mut running = 0;
+        for name in ["tally-1", "tally-2"] {
+            let counts = deployment.counts(name).await.ok()?;
+            running += counts["running"].as_u64()?;
+        }
+        (running == 1).then_some(())
+    })
+    .await?;
+    Away::Both.set(&deployment, &fault).await?;
+    deployment.node("entry-1")?.signal(Signal::SIGTERM)?;
+    for name in ["tally-1", "tally-2"] {
+        deployment.switch(name, &json!({"hold": false})).await?;
+    }
+    assert!(running.await??.is_done());
+    let status = deployment.node("entry-1")?.wait().await?;
+    assert!(status.success(), "{status}");
+    Ok(())
+}
--- /dev/null
+++ b/node/tests/test_shutdown.rs
@@ -0,0 +1,129 @@
+//! A graceful shutdown cuts no request.
+
+use dottereltally_testutils::{
+    client::Answer, deployment::Deployment, engine::format, fixture::Fixture, wait::eventually,
+};
+use eyre::Result;
+use http::{Method, StatusCode};
+use nix::sys::signal::Signal;
+use serde_json::json;
+
+/// Streams that are in flight when a node is told to stop.
+const STREAMS: usize = 8;
+/// Tokens of each of them.
+const TOKENS: u64 = 400;
+/// Time of a decoding step, so that the streams outlast the notice time.
+const DECODE_MS: f64 = 10.0;
+
+async fn start() -> Result<Deployment> {
+    let fixture = Fixture {
+        nodes: 3,
+        settings: "shutdown: {notice: 500ms, grace: 60s}".to_owned(),
+        ..Fixture::default()
+    };
+    let deployment = fixture.start().await?;
+    for name in ["tally-1", "tally-2"] {
+        let slow = json!({"decode_ms": DECODE_MS});
+        deployment.switch(name, &slow).await?;
+    }
+    Ok(deployment)
+}
+
+async fn stream(deployment: &Deployment, node: &str, prompt: &str) -> Result<Answer> {
+    let mut answer = deployment.chat(node, prompt, TOKENS)?.send().await?;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert!(answer.piece().await?.is_some());
+    Ok(answer)
+}
+
+/// Stops every node in turn; the streams of each go on to their end.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_outlast_the_signal() -> Result<()> {
+    let mut deployment = start().await?;
+    for node in ["entry-1", "entry-2", "entry-3"] {
+        let mut calls = Vec::new();
+        for number in 0..STREAMS {
+            let prompt = format!("{node} {number}");
+            let call = deployment.chat(node, &prompt, TOKENS)?;
+            calls.push((prompt, tokio::spawn(call.text())));
+        }
+        eventually("the streams run", async || {
+            let mut running = 0;
+            for name in ["tally-1", "tally-2"] {
+                let counts = deployment.counts(name).await.ok()?;
+                running += counts["running"].as_u64()?;
+            }
+            (running >= STREAMS as u64).then_some(())
+        })
+        .await?;
+        deployment.node(node)?.signal(Signal::SIGTERM)?;
+        for (prompt, call) in calls {
+            let answer = call.await??;
+            assert_eq!(answer.status, StatusCode::OK, "{}", answer.text);
+            assert!(answer.is_done(), "{node}: {prompt} was cut");
+            assert_eq!(answer.content(), format::text(&prompt, TOKENS));
+        }
+        let status = deployment.node(node)?.wait().await?;
+        assert!(status.success(), "{node} ended with {status}");
+    }
+    Ok(())
+}
+
+/// The node is not ready at once, and serves what still reaches it.
+#[tokio::test(flavor = "multi_thread")]
+async fn serves_during_the_notice() -> Result<()> {
+    let mut deployment = start().await?;
+    let running = stream(&deployment, "entry-1", "long").await?;
+    deployment.node("entry-1")?.signal(Signal::SIGTERM)?;
+    let operations = deployment.operations("entry-1")?;
+    eventually("the node is not ready", async || {
+        let call = dottereltally_testutils::client::Call::new(&operations, Method::GET, "/readyz");
+        let answer = call.text().await.ok()?;
+        (answer.status == StatusCode::SERVICE_UNAVAILABLE).then_some(())
+    })
+    .await?;
+    if let Ok(answer) = deployment.chat("entry-1", "late", 2)?.text().await {
+        if answer.status == StatusCode::OK {
+            assert_eq!(answer.content(), format::text("late", 2));
+        } else {
+            assert_eq!(answer.run(), "not-run", "{}", answer.text);
+        }
+    }
+    assert!(running.whole().await?.is_done());
+    let status = deployment.node("entry-1")?.wait().await?;
+    assert!(status.success(), "{status}");
+    Ok(())
+}
+
+/// A payment that runs when its node is told to stop is answered, and its
+/// answer is not needed a second time.
+#[tokio::test(flavor = "multi_thread")]
+async fn finishes_payments() -> Result<()> {
+    let mut deployment = start().await?;
+    deployment
+        .switch("ledger-1", &json!({"hold": true}))
+        .await?;
+    let payment = tokio::spawn(deployment.pay("entry-1", "release-1")?.text());
+    deployment.reaches("ledger-1", "running", 1).await?;
+    deployment.node("entry-1")?.signal(Signal::SIGTERM)?;
+    let operations = deployment.operations("entry-1")?;
+    eventually("the node is not ready", async || {
+        let call = dottereltally_testutils::client::Call::new(&operations, Method::GET, "/readyz");
+        let answer = call.text().await.ok()?;
+        (answer.status == StatusCode::SERVICE_UNAVAILABLE).then_some(())
+    })
+    .await?;
+    deployment
+        .switch("ledger-1", &json!({"hold": false}))
+        .await?;
+    let answer = payment.await??;
+    assert_eq!(answer.status, StatusCode::OK, "{}", answer.text);
+    let status = deployment.node("entry-1")?.wait().await?;
+    assert!(status.success(), "{status}");
+    let again = deployment.pay("entry-2", "release-1")?.text().await?;
+    if !again.status.is_success() {
+        assert_eq!(again.run(), "may-have-run", "{}", again.text);
+    }
+    assert_eq!(deployment.payments("release-1").await?, 1);
+    Ok(())
+}
--- /dev/null
+++ b/node/tests/test_silence.rs
@@ -0,0 +1,125 @@
+//! Connections that go silent for good while new ones work.
+
+use dottereltally_testutils::{
+    client::Whole, deployment::Deployment, engine::format, fixture::Fixture, wait::eventually,
+};
+use eyre::Result;
+use http::StatusCode;
+use rstest::rstest;
+use serde_json::json;
+
+/// Number of requests that are sent once the connections are silent.
+const REQUESTS: usize = 10;
+
+async fn start(engines: usize) -> Result<Deployment> {
+    let fixture = Fixture {
+        nodes: 2,
+        engines,
+        settings: "limits: {inactivity: 1s}".to_owned(),
+        ..Fixture::default()
+    };
+    fixture.start().await
+}
+
+async fn chat(deployment: &Deployment, prompt: &str) -> Result<Whole> {
+    deployment.chat("entry-1", prompt, 4)?.text().await
+}
+
+/// A stream whose connection falls silent is told as cut, and the engine goes
+/// on serving others on new connections.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_is_told_as_cut() -> Result<()> {
+    let deployment = start(1).await?;
+    let slow = json!({"decode_ms": 20.0});
+    deployment.switch("tally-1", &slow).await?;
+    let mut answer = deployment.chat("entry-1", "long", 1_000)?.send().await?;
+    answer.piece().await?;
+    let silent = json!({"silent": "existing", "decode_ms": 2.0});
+    deployment.switch("tally-1", &silent).await?;
+    let mut text = String::new();
+    while let Ok(Some(piece)) = answer.piece().await {
+        text.push_str(&piece);
+    }
+    assert!(!text.contains("[DONE]"));
+    assert!(text.contains("\"error\""), "{text}");
+    for number in 0..REQUESTS {
+        let prompt = format!("after {number}");
+        eventually("a request is served", async || {
+            let answer = chat(&deployment, &prompt).await.ok()?;
+            (answer.content() == format::text(&prompt, 4)).then_some(())
+        })
+        .await?;
+    }
+    Ok(())
+}
+
+/// Idle connections fall silent; what is sent on them fails truthfully and
+/// the endpoint stays in use.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections() -> Result<()> {
+    let deployment = start(1).await?;
+    for number in 0..REQUESTS {
+        chat(&deployment, &format!("before {number}")).await?;
+    }
+    deployment
+        .switch("tally-1", &json!({"silent": "existing"}))
+        .await?;
+    let mut served = 0;
+    for number in 0..REQUESTS {
+        let prompt = format!("after {number}");
+        let answer = chat(&deployment, &prompt).await?;
+        if answer.status == StatusCode::OK {
+            assert_eq!(answer.content(), format::text(&prompt, 4));
+            served += 1;
+            continue;
+        }
+        let refused = answer.run() == "not-run";
+        let counts = deployment.counts("tally-1").await?.to_string();
+        let ran = counts.contains(&format::digest(&prompt));
+        assert!(!(refused && ran), "{}", answer.text);
+    }
+    assert!(served > 0, "no request was served after the silence");
+    Ok(())
+}
+
+/// An endpoint whose new connections are silent too is passed by.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_whole_endpoint() -> Result<()> {
+    let deployment = start(2).await?;
+    deployment
+        .switch("tally-1", &json!({"silent": "all"}))
+        .await?;
+    eventually("requests pass the silent endpoint by", async || {
+        for number in 0..REQUESTS {
+            let prompt = format!("probe {number}");
+            let answer = chat(&deployment, &prompt).await.ok()?;
+            if answer.content() != format::text(&prompt, 4) {
+                return None;
+            }
+        }
+        Some(())
+    })
+    .await
+}
+
+/// A payment on a connection that falls silent is not sent again.
+#[rstest]
+#[case("existing")]
+#[case("all")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_payment(#[case] silence: &str) -> Result<()> {
+    let deployment = start(1).await?;
+    deployment
+        .switch("ledger-1", &json!({"hold": true}))
+        .await?;
+    let first = tokio::spawn(deployment.pay("entry-1", "release-1")?.text());
+    deployment.reaches("ledger-1", "running", 1).await?;
+    let silent = json!({"silent": silence, "hold": false});
+    deployment.switch("ledger-1", &silent).await?;
+    let first = first.await??;
+    assert_eq!(first.run(), "may-have-run", "{}", first.text);
+    let second = deployment.pay("entry-2", "release-1")?.text().await?;
+    assert_eq!(second.run(), "may-have-run", "{}", second.text);
+    assert_eq!(deployment.payments("release-1").await?, 1);
+    Ok(())
+}
--- /dev/null
+++ b/node/tests/test_whole.rs
@@ -0,0 +1,99 @@
+//! A caller gets the whole answer to its own request, or is told.
+
+use dottereltally_testutils::{
+    deployment::Deployment,
+    engine::format,
+    fixture::{Fixture, chat_body},
+};
+use eyre::Result;
+use http::{Method, StatusCode};
+use serde_json::json;
+
+/// Number of callers at a time.
+const CALLERS: usize = 24;
+
+async fn single_engine() -> Result<Deployment> {
+    let fixture = Fixture {
+        nodes: 1,
+        engines: 1,
+        ..Fixture::default()
+    };
+    fixture.start().await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_ends_early_is_told_as_such() -> Result<()> {
+    let deployment = single_engine().await?;
+    deployment
+        .switch("tally-1", &json!({"cut_next": 1}))
+        .await?;
+    let mut answer = deployment.chat("entry-1", "hello", 8)?.send().await?;
+    let mut text = String::new();
+    let end = loop {
+        match answer.piece().await {
+            Ok(Some(piece)) => text.push_str(&piece),
+            end => break end,
+        }
+    };
+    assert!(!text.contains("[DONE]"), "{text}");
+    assert!(text.contains("\"error\""), "{text}");
+    assert!(end.is_err(), "the connection ended as if all were well");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_document_that_breaks_off_is_not_passed_on() -> Result<()> {
+    let deployment = single_engine().await?;
+    let fault = json!({"die": "after", "die_next": 1});
+    deployment.switch("tally-1", &fault).await?;
+    let mut body = chat_body("hello", 8);
+    body["stream"] = json!(false);
+    let call = deployment.call("entry-1", Method::POST, "/v1/chat/completions")?;
+    let answer = call.json(&body).text().await?;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{}", answer.text);
+    assert_eq!(answer.run(), "may-have-run");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_to_another_request_is_discarded() -> Result<()> {
+    let deployment = single_engine().await?;
+    deployment
+        .switch("tally-1", &json!({"wrong_echo": true}))
+        .await?;
+    let answer = deployment.chat("entry-1", "hello", 8)?.text().await?;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{}", answer.text);
+    assert_eq!(answer.run(), "may-have-run");
+    assert!(!answer.text.contains(&format::digest("hello")));
+    Ok(())
+}
+
+/// Connections whose streams were cancelled are never used again, so that
+/// nobody gets the rest of another caller's answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn nobody_gets_the_rest_of_a_cancelled_stream() -> Result<()> {
+    let deployment = single_engine().await?;
+    for round in 0..4 {
+        let mut left = Vec::new();
+        for number in 0..CALLERS {
+            let prompt = format!("left {round} {number}");
+            let mut answer = deployment.chat("entry-1", &prompt, 500)?.send().await?;
+            answer.piece().await?;
+            left.push(answer);
+        }
+        let mut calls = Vec::new();
+        for number in 0..CALLERS {
+            let prompt = format!("stayed {round} {number}");
+            let call = deployment.chat("entry-1", &prompt, 16)?;
+            calls.push((prompt, tokio::spawn(call.text())));
+            left.pop();
+        }
+        for (prompt, call) in calls {
+            let answer = call.await??;
+            assert_eq!(answer.status, StatusCode::OK, "{}", answer.text);
+            assert!(answer.is_done());
+            assert_eq!(answer.content(), format::text(&prompt, 16));
+        }
+    }
+    Ok(())
+}
--- a/testutils/src/fixture.rs
+++ b/testutils/src/fixture.rs
@@ -71,6 +71,15 @@
 }
 
 impl Fixture {
+    /// Returns a fixture with one node.
+    #[must_use]
+    pub fn single() -> Self {
+        Self {
+            nodes: 1,
+            ..Self::default()
+        }
+    }
+
     /// Starts everything, applies the text and waits until it is in force.
     ///
     /// # Errors
