--- a/node/src/address.rs
+++ b/node/src/address.rs
@@ -7,7 +7,9 @@
 
 use dottereltally_lib::{endpoint, id};
 
-use crate::dispatcher::Resolve;
+use tokio::sync::watch;
+
+use crate::{dispatcher::Resolve, hosts};
 
 /// Addresses by endpoint; clones share them.
 #[derive(Clone, Debug, Default)]
@@ -28,6 +30,30 @@
             .unwrap_or_else(PoisonError::into_inner) = addresses;
     }
 
+    /// Follows the host list; returns it as far as the book has it, so that
+    /// no endpoint is known elsewhere before its address is.
+    #[must_use]
+    pub fn follow(&self, mut hosts: hosts::Receiver) -> hosts::Receiver {
+        let (sender, receiver) = watch::channel(None);
+        let book = self.clone();
+        tokio::spawn(async move {
+            loop {
+                let snapshot = hosts.borrow_and_update().clone();
+                if let Some(snapshot) = snapshot {
+                    book.replace(&snapshot.endpoints);
+                    sender.send_replace(Some(snapshot));
+                }
+                tokio::select! {
+                    changed = hosts.changed() => if changed.is_err() {
+                        break;
+                    },
+                    () = sender.closed() => break,
+                }
+            }
+        });
+        receiver
+    }
+
     /// Returns the address of an endpoint.
     #[must_use]
     pub fn get(&self, endpoint: &id::Endpoint) -> Option<String> {
--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use dottereltally_lib::{
+    event::{Event, Outcome},
     id,
     request::{Admitted, Claimed, Request},
 };
@@ -20,7 +21,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    classify,
+    claim, classify,
     dispatcher::{Handle, Refused},
     filter::Chain,
     flight::Flight,
@@ -69,11 +70,52 @@
     pub limits: Limits,
 }
 
+/// The right to run a call, which every hand-over spends.
+pub trait Right: Send {
+    /// The right after it was spent.
+    type Spent: Send;
+
+    /// Spends the right; none if it may have lapsed.
+    fn spend(self) -> Option<Self::Spent>;
+
+    /// Restores the right, because nothing was handed over.
+    fn restore(spent: Self::Spent, unsent: &Message) -> Self;
+}
+
+/// The right to run a call that needs no claim.
+#[derive(Clone, Copy, Debug)]
+pub struct Free;
+
+impl Right for Free {
+    type Spent = Self;
+
+    fn spend(self) -> Option<Self> {
+        Some(self)
+    }
+
+    fn restore(spent: Self, _unsent: &Message) -> Self {
+        spent
+    }
+}
+
+impl Right for claim::Held {
+    type Spent = claim::Dispatched;
+
+    fn spend(self) -> Option<claim::Dispatched> {
+        self.dispatch().ok()
+    }
+
+    fn restore(spent: claim::Dispatched, unsent: &Message) -> Self {
+        spent.undo(unsent)
+    }
+}
+
 /// Why there is no answer.
-#[derive(Debug)]
-pub enum Ended {
+pub enum Ended<R> {
     /// The core refused; nothing was handed over.
-    Refused(Refused),
+    Refused(Refused, R),
+    /// The right may have lapsed; nothing was handed over.
+    Lapsed,
     /// An endpoint may have run the request.
     Lost(Problem),
 }
@@ -112,40 +154,57 @@
 ///
 /// # Errors
 ///
-/// Fails if the core refuses or the endpoint gives no answer.
-pub async fn run<D: Handle, U: Client, K>(
+/// Fails if the core refuses, the right has lapsed or the endpoint gives no
+/// answer.
+pub async fn run<D: Handle, U: Client, K, R: Right>(
     chain: &Chain<D, U, K>,
     request: Request<Claimed>,
+    mut right: R,
     mut message: Message,
     permit: &Arc<Permit>,
-) -> Result<Running<U::Body, D>, Ended> {
+) -> Result<(Running<U::Body, D>, R::Spent), Ended<R>> {
     let mut admission = chain.dispatcher.admit(request).await;
     loop {
-        let admitted = admission.map_err(Ended::Refused)?;
-        match attempt(chain, admitted, message, permit).await? {
-            Attempt::Running(running) => return Ok(running),
-            Attempt::Unsent(request, returned) => {
-                message = returned;
-                admission = chain.dispatcher.readmit(request).await;
-            }
-        }
+        let admitted = match admission {
+            Ok(admitted) => admitted,
+            Err(refused) => return Err(Ended::Refused(refused, right)),
+        };
+        let unsent = match attempt(chain, admitted, right, message, permit).await? {
+            Attempt::Running(running, spent) => return Ok((running, spent)),
+            Attempt::Unsent(unsent) => unsent,
+        };
+        right = unsent.right;
+        message = unsent.message;
+        admission = chain.dispatcher.readmit(unsent.request).await;
     }
 }
 
-enum Attempt<B, D: Handle> {
-    Running(Running<B, D>),
-    Unsent(Request<Claimed>, Message),
+enum Attempt<B, D: Handle, R: Right> {
+    Running(Running<B, D>, R::Spent),
+    Unsent(Unsent<R>),
+}
+
+/// A request of which nothing was handed over.
+struct Unsent<R> {
+    request: Request<Claimed>,
+    right: R,
+    message: Message,
 }
 
 /// Makes the one attempt that the admission allows.
-async fn attempt<D: Handle, U: Client, K>(
+async fn attempt<D: Handle, U: Client, K, R: Right>(
     chain: &Chain<D, U, K>,
     admitted: Request<Admitted>,
+    right: R,
     mut message: Message,
     permit: &Arc<Permit>,
-) -> Result<Attempt<U::Body, D>, Ended> {
+) -> Result<Attempt<U::Body, D, R>, Ended<R>> {
     let Some(address) = (chain.resolve)(admitted.endpoint()) else {
-        return Ok(Attempt::Unsent(admitted.requeue(), message));
+        return Ok(Attempt::Unsent(Unsent {
+            request: admitted.requeue(),
+            right,
+            message,
+        }));
     };
     if let Ok(host) = HeaderValue::from_str(&address) {
         message.headers_mut().insert(HOST, host);
@@ -156,6 +215,12 @@
     } else {
         Reuse::Never
     };
+    let Some(spent) = right.spend() else {
+        chain
+            .dispatcher
+            .tell(Event::Ended(admitted.id(), Outcome::Cancelled));
+        return Err(Ended::Lapsed);
+    };
     let dispatched = admitted.dispatch();
     let mut flight = Flight::new(
         &dispatched,
@@ -173,7 +238,11 @@
         Ok(Ok(response)) => response,
         Ok(Err(Failure::Unsent { message, .. })) => {
             flight.unsent();
-            return Ok(Attempt::Unsent(dispatched.undo(&*message), *message));
+            return Ok(Attempt::Unsent(Unsent {
+                request: dispatched.undo(&*message),
+                right: R::restore(spent, &message),
+                message: *message,
+            }));
         }
         Ok(Err(Failure::Broken(_))) => return Err(broken(flight)),
         Err(_) => return Err(silent(flight, &limits)),
@@ -190,20 +259,21 @@
         Err(_) => return Err(silent(flight, &limits)),
     };
     flight.start();
-    Ok(Attempt::Running(Running {
+    let running = Running {
         response: Response::from_parts(parts, body),
         first,
         flight,
         limits,
-    }))
+    };
+    Ok(Attempt::Running(running, spent))
 }
 
-fn broken<D: Handle>(flight: Flight<D>) -> Ended {
+fn broken<D: Handle, R>(flight: Flight<D>) -> Ended<R> {
     flight.broken();
     Ended::Lost(lost(Reason::Broken))
 }
 
-fn silent<D: Handle>(flight: Flight<D>, limits: &Limits) -> Ended {
+fn silent<D: Handle, R>(flight: Flight<D>, limits: &Limits) -> Ended<R> {
     let reason = limits.reason(Instant::now());
     match reason {
         Reason::DeadlinePassed => flight.expired(),
@@ -214,7 +284,7 @@
 
 /// Discards the answer to another request; the connection is at fault, which
 /// a probe on a new one settles.
-fn crossed<D: Handle>(flight: Flight<D>, request: id::Request) -> Ended {
+fn crossed<D: Handle, R>(flight: Flight<D>, request: id::Request) -> Ended<R> {
     flight.stalled();
     tracing::warn!(%request, "an endpoint answered another request");
     Ended::Lost(lost(Reason::Crossed))
--- a/node/src/filter.rs
+++ b/node/src/filter.rs
@@ -25,7 +25,7 @@
     body::Body,
     classify::{self, Class},
     clock::Clock,
-    dispatch::{self, Ended},
+    dispatch::{self, Ended, Free},
     dispatcher::{Handle, Resolve},
     exclusive::{self, Keeper},
     limit::{Permit, Table},
@@ -185,8 +185,9 @@
         let key = exclusive::key(&parts.headers).map_err(refuse)?;
         let message = dispatch::message(parts, body, self.correlation(id));
         if class.profile.idempotent || (key.is_none() && class.unkeyed) {
-            let running = dispatch::run(&self, request.claim(), message, &permit).await;
-            let running = running.map_err(|ended| refuse(problem(ended)))?;
+            let claimed = request.claim();
+            let running = dispatch::run(&self, claimed, Free, message, &permit).await;
+            let (running, _) = running.map_err(|ended| refuse(problem(ended)))?;
             if class.kind == text::Kind::Plain || is_streamed(&running.response) {
                 return Ok(answer::pass_on(running, id));
             }
@@ -249,9 +250,10 @@
     }
 }
 
-fn problem(ended: Ended) -> Problem {
+fn problem(ended: Ended<Free>) -> Problem {
     match ended {
-        Ended::Refused(refused) => Problem::refused(&refused.proof, refused.refusal),
+        Ended::Refused(refused, _) => Problem::refused(&refused.proof, refused.refusal),
+        Ended::Lapsed => dispatch::lost(Reason::Claimed),
         Ended::Lost(problem) => problem,
     }
 }
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -72,7 +72,6 @@
     first_token: Family<TierLabels, Histogram, fn() -> Histogram>,
     in_flight: Gauge,
     unsent: Counter,
-    replays: Counter,
 }
 
 fn first_token_histogram() -> Histogram {
@@ -88,7 +87,6 @@
             first_token: Family::new_with_constructor(first_token_histogram),
             in_flight: Gauge::default(),
             unsent: Counter::default(),
-            replays: Counter::default(),
         }
     }
 }
@@ -127,11 +125,6 @@
             "Admitted requests that were not handed over and went to another endpoint",
             self.unsent.clone(),
         );
-        registry.register(
-            "replays",
-            "Calls sent again that were answered with the kept answer",
-            self.replays.clone(),
-        );
     }
 
     /// Counts a request that was not dispatched.
@@ -154,11 +147,6 @@
         self.unsent.inc();
     }
 
-    /// Counts an answer that was given again.
-    pub fn replayed(&self) {
-        self.replays.inc();
-    }
-
     /// Records the time to the first byte of an answer.
     pub fn started(&self, tier: id::Tier, delay: Duration) {
         self.first_token
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -2,47 +2,55 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, atomic::AtomicU64},
-    time::Duration,
+    sync::{Arc, OnceLock, atomic::AtomicU64},
 };
 
 use dottereltally_lib::{
-    event::{self, Event},
-    id,
+    event::Event,
+    id, membership as members,
     scheduler::{self, Scheduler},
 };
-use dottereltally_platform::{etcd, host::List, hosts, kv::Store, layout};
+use dottereltally_platform::{etcd, hosts as host_list};
 use eyre::WrapErr;
 use prometheus_client::registry::Registry;
 use ractor::Actor;
 use serde::Serialize;
 use tokio::{
     net::TcpListener,
-    sync::watch,
+    sync::{mpsc, watch},
+    task::JoinHandle,
     time::{sleep, timeout},
 };
 
 use crate::{
     address::Book,
+    claim,
     clock::Clock,
-    configuration,
+    configuration::{self, Controller},
     dispatcher::{self, Dispatcher, Handle, Sender},
-    exclusive::{self, Lost, Scope},
     filter::Chain,
+    hosts,
     limit::Table,
+    membership,
     metrics::Metrics,
-    operations::{Pages, Source, Status},
+    observer,
+    operations::Pages,
+    outlet::Outlet,
     peer,
     pool::Pool,
-    rules, server,
+    replay, rules, server,
+    service::Service,
     settings::Settings,
     shutdown::{self, Phase},
-    upstream::Client,
+    state::State,
 };
 
 /// Prefix of every metric's name.
 const METRICS_PREFIX: &str = "dottereltally";
 
+/// Keeper of the claims over the real platform and peers.
+type Keeper = claim::Keeper<etcd::Store, peer::Handle>;
+
 /// Line that a node prints once it listens.
 #[derive(Serialize)]
 struct Ready {
@@ -68,14 +76,13 @@
         })
     }
 
-    fn ready(&self, node: id::Node) -> eyre::Result<String> {
-        let ready = Ready {
+    fn ready(&self, node: id::Node) -> eyre::Result<Ready> {
+        Ok(Ready {
             node,
             callers: self.callers.local_addr()?,
             peers: self.peers.local_addr()?,
             operations: self.operations.local_addr()?,
-        };
-        Ok(serde_json::to_string(&ready)?)
+        })
     }
 }
 
@@ -85,215 +92,312 @@
         .wrap_err_with(|| format!("can't listen on {address}; change `listen.{field}`"))
 }
 
-/// State that the operations pages tell.
-struct State {
-    settings: Settings,
-    rules: rules::Receiver,
+/// Controllers of the node's state.
+struct Controllers {
     book: Book,
-    phase: Phase,
+    dispatcher: Sender,
+    dispatching: JoinHandle<()>,
+    keeper: Keeper,
+    membership: membership::Handle,
+    rules: rules::Receiver,
 }
 
-impl Source for State {
-    async fn status(&self) -> Status {
-        let generation = self.rules.borrow().as_ref().map(|rules| rules.generation);
-        Status {
-            node: self.settings.node.clone(),
-            data_centre: self.settings.data_centre.clone(),
-            generation: generation.unwrap_or_default(),
-            draining: self.phase.is_announced(),
-            platform: generation.is_some(),
-            peers: Vec::new(),
-            endpoints: self.book.names(),
-        }
+/// The parts that the controllers are started from.
+struct Base {
+    settings: Settings,
+    clock: Clock,
+    store: etcd::Store,
+    configuration: configuration::Handle,
+    attempts: replay::Attempts,
+    service: Arc<Service>,
+    peers: peer::Handle,
+    exchanges: mpsc::Receiver<peer::Exchange>,
+    address: SocketAddr,
+}
+
+impl Base {
+    fn start(
+        settings: &Settings,
+        clock: Clock,
+        listener: TcpListener,
+        registry: &mut Registry,
+    ) -> eyre::Result<Self> {
+        let configuration = configuration::Handle::default();
+        let attempts = replay::Attempts::default();
+        let service = Arc::new(Service::new(configuration.clone(), attempts.clone()));
+        let metrics = peer::Metrics::default();
+        metrics.register(registry);
+        let address = listener.local_addr()?;
+        let listener = listener.into_std()?;
+        let (peers, exchanges) =
+            peer::start(settings.node.clone(), listener, service.clone(), metrics)
+                .wrap_err("the thread of the peers can't be started; check the host's limits")?;
+        Ok(Self {
+            store: etcd::Store::new(settings.platform.kv.clone(), settings.platform.timeout),
+            settings: settings.clone(),
+            clock,
+            configuration,
+            attempts,
+            service,
+            peers,
+            exchanges,
+            address,
+        })
     }
+}
 
-    fn is_ready(&self) -> bool {
-        !self.phase.is_announced() && self.rules.borrow().is_some()
+impl Controllers {
+    async fn start(base: Base, registry: &mut Registry) -> eyre::Result<Self> {
+        let book = Book::default();
+        let joined = Arc::new(OnceLock::new());
+        let outlet = Outlet {
+            book: book.clone(),
+            peers: base.peers.clone(),
+            membership: Arc::clone(&joined),
+        };
+        let (dispatcher, dispatching) = start_dispatcher(&base, outlet).await?;
+        base.service.connect(dispatcher.clone());
+        let rules = start_configuration(&base, &dispatcher, registry).await?;
+        let keeper = start_keeper(&base, registry);
+        let hosts = book.follow(start_hosts(&base.settings, registry)?);
+        start_observer(&base.settings, &hosts, &dispatcher, registry);
+        let membership = start_membership(base, hosts, &dispatcher, registry).await?;
+        // There is one membership a process.
+        let _ = joined.set(membership.clone());
+        Ok(Self {
+            book,
+            dispatcher,
+            dispatching,
+            keeper,
+            membership,
+            rules,
+        })
     }
 }
 
-/// Carries out the core's effects that concern no waiting request.
-struct Effects {
-    pool: Pool,
-    book: Book,
+async fn start_dispatcher(base: &Base, outlet: Outlet) -> eyre::Result<(Sender, JoinHandle<()>)> {
+    let arguments = dispatcher::Arguments {
+        core: Scheduler::new(scheduler::Settings {
+            node: base.settings.node.clone(),
+            data_centre: base.settings.data_centre.clone(),
+            seed: rand::random(),
+            ..scheduler::Settings::default()
+        }),
+        clock: base.clock,
+        sink: Box::new(outlet),
+    };
+    let (actor, task) = Actor::spawn(None, Dispatcher, arguments).await?;
+    Ok((Sender::new(actor), task))
 }
 
-impl dispatcher::Sink for Effects {
-    fn probe(&self, core: &Sender, endpoint: id::Endpoint) {
-        let address = self.book.get(&endpoint);
-        let pool = self.pool.clone();
-        let core = core.clone();
-        tokio::spawn(async move {
-            let answers = match address {
-                Some(address) => pool.probe(&address).await,
-                None => false,
-            };
-            core.tell(Event::Probed(endpoint, answers));
-        });
+async fn start_configuration(
+    base: &Base,
+    dispatcher: &Sender,
+    registry: &mut Registry,
+) -> eyre::Result<rules::Receiver> {
+    let counters = configuration::Counters::default();
+    counters.register(registry);
+    let arguments = configuration::Arguments {
+        handle: base.configuration.clone(),
+        store: base.store.clone(),
+        peers: base.peers.clone(),
+        counters,
+    };
+    Controller::start(arguments).await?;
+    let rules = rules::follow(base.configuration.receiver());
+    tokio::spawn(configure(rules.clone(), dispatcher.clone()));
+    Ok(rules)
+}
+
+/// Tells the core every text that comes into force.
+async fn configure(mut rules: rules::Receiver, dispatcher: Sender) {
+    loop {
+        let current = rules.borrow_and_update().clone();
+        if let Some(current) = current {
+            dispatcher.tell(Event::Configured(Arc::clone(&current.text)));
+        }
+        if rules.changed().await.is_err() {
+            return;
+        }
     }
+}
 
-    fn quarantine(&self, _fingerprint: id::Fingerprint) {}
+fn start_keeper(base: &Base, registry: &mut Registry) -> Keeper {
+    let keeper = claim::Keeper::start(
+        base.settings.node.clone(),
+        base.store.clone(),
+        base.peers.clone(),
+        base.attempts.clone(),
+        claim::Limits::default(),
+    );
+    keeper.register(registry);
+    keeper
+}
 
-    fn send(&self, _node: id::Node, _message: event::Message) {}
+fn start_hosts(settings: &Settings, registry: &mut Registry) -> eyre::Result<hosts::Receiver> {
+    let metrics = hosts::Metrics::default();
+    metrics.register(registry);
+    let list = host_list::List::new(&settings.platform.hosts, settings.platform.timeout)?;
+    Ok(hosts::spawn(list, metrics))
 }
 
-#[derive(Clone)]
-struct Stub;
-impl exclusive::Keeper for Stub {
-    type Held = Stub;
-    async fn acquire(
-        &self,
-        _: Scope,
-        _: id::Fingerprint,
-        _: dottereltally_lib::time::Instant,
-    ) -> Result<Stub, Lost> {
-        Err(Lost::Away)
-    }
+fn start_observer(
+    settings: &Settings,
+    hosts: &hosts::Receiver,
+    dispatcher: &Sender,
+    registry: &mut Registry,
+) {
+    let metrics = observer::Metrics::default();
+    metrics.register(registry);
+    observer::spawn(
+        settings.data_centre.clone(),
+        hosts.clone(),
+        dispatcher.clone(),
+        metrics,
+    );
+}
+
+async fn start_membership(
+    base: Base,
+    hosts: hosts::Receiver,
+    dispatcher: &Sender,
+    registry: &mut Registry,
+) -> eyre::Result<membership::Handle> {
+    let metrics = membership::Metrics::default();
+    metrics.register(registry);
+    let arguments = membership::Arguments {
+        own: membership::Own {
+            node: base.settings.node,
+            data_centre: base.settings.data_centre,
+            address: base.address.to_string(),
+        },
+        settings: members::Settings::default(),
+        clock: base.clock,
+        hosts,
+        peers: base.peers,
+        exchanges: base.exchanges,
+        service: base.service,
+        dispatcher: dispatcher.clone(),
+        metrics,
+    };
+    Ok(membership::spawn(arguments).await?)
+}
+
+/// Servers of callers and operators.
+struct Servers {
+    callers: JoinHandle<()>,
+    operations: JoinHandle<()>,
+    places: Table,
+    stop: watch::Sender<bool>,
 }
-impl exclusive::Held for Stub {
-    async fn release(self) -> bool {
-        false
+
+impl Servers {
+    fn start(
+        settings: &Settings,
+        clock: Clock,
+        controllers: &Controllers,
+        listeners: (TcpListener, TcpListener),
+        mut registry: Registry,
+        phase: &Phase,
+    ) -> Self {
+        let (callers, operations) = listeners;
+        let limits = server::Limits {
+            head: settings.limits.head,
+            head_timeout: settings.limits.head_timeout,
+        };
+        let places = Table::default();
+        let metrics = Metrics::default();
+        metrics.register(&mut registry);
+        let chain = Arc::new(Chain {
+            node: settings.node.clone(),
+            limits: settings.limits.clone(),
+            clock,
+            rules: controllers.rules.clone(),
+            places: places.clone(),
+            dispatcher: controllers.dispatcher.clone(),
+            resolve: controllers.book.resolve(),
+            upstream: Pool::default(),
+            keeper: controllers.keeper.clone(),
+            metrics,
+            next: AtomicU64::new(0),
+        });
+        let handler = move |request| Arc::clone(&chain).serve(request);
+        let callers = server::serve(callers, limits, phase.draining(), handler);
+        let keeper = controllers.keeper.clone();
+        let state = State {
+            settings: settings.clone(),
+            rules: controllers.rules.clone(),
+            book: controllers.book.clone(),
+            membership: controllers.membership.clone(),
+            platform: Arc::new(move || keeper.is_available()),
+            phase: phase.clone(),
+        };
+        let pages = Arc::new(Pages::new(registry, state));
+        let handler = move |request: http::Request<_>| {
+            let pages = Arc::clone(&pages);
+            async move { pages.get(request.method(), request.uri().path()).await }
+        };
+        let stop = watch::Sender::new(false);
+        let operations = server::serve(operations, limits, stop.subscribe(), handler);
+        Self {
+            callers: tokio::spawn(callers),
+            operations: tokio::spawn(operations),
+            places,
+            stop,
+        }
     }
-    fn complete(self, _: peer::Response) {}
-    fn lose(self) {}
 }
 
 /// Runs a node until it is told to stop.
 ///
 /// # Errors
 ///
-/// Fails if it can't listen or a part of it stops unasked.
+/// Fails if it can't listen or its dispatcher stops unasked.
 pub async fn run(settings: Settings) -> eyre::Result<()> {
     let listeners = Listeners::bind(&settings).await?;
     let ready = listeners.ready(settings.node.clone())?;
+    let ready = serde_json::to_string(&ready)?;
     let phase = Phase::default();
     let clock = Clock::start();
     let mut registry = Registry::with_prefix(METRICS_PREFIX);
-    let metrics = Metrics::default();
-    metrics.register(&mut registry);
-    let pool = Pool::default();
-    let book = Book::default();
-    let arguments = dispatcher::Arguments {
-        core: Scheduler::new(scheduler::Settings {
-            node: settings.node.clone(),
-            data_centre: settings.data_centre.clone(),
-            seed: rand::random(),
-            ..scheduler::Settings::default()
-        }),
-        clock,
-        sink: Box::new(Effects {
-            pool: pool.clone(),
-            book: book.clone(),
-        }),
-    };
-    let (actor, mut core) = Actor::spawn(None, Dispatcher, arguments).await?;
-    let dispatcher = Sender::new(actor);
-    let store = etcd::Store::new(settings.platform.kv.clone(), settings.platform.timeout);
-    let list = hosts::List::new(&settings.platform.hosts, settings.platform.timeout)?;
-    let (sender, configuration) = watch::channel(None);
-    tokio::spawn(poll_configuration(store, sender));
-    tokio::spawn(poll_hosts(list, dispatcher.clone(), book.clone()));
-    let rules = rules::follow(configuration);
-    tokio::spawn(configure(rules.clone(), dispatcher.clone()));
-    let places = Table::default();
-    let chain = Arc::new(Chain {
-        node: settings.node.clone(),
-        limits: settings.limits.clone(),
+    let base = Base::start(&settings, clock, listeners.peers, &mut registry)?;
+    let mut controllers = Controllers::start(base, &mut registry).await?;
+    let servers = Servers::start(
+        &settings,
         clock,
-        rules: rules.clone(),
-        places: places.clone(),
-        dispatcher: dispatcher.clone(),
-        resolve: book.resolve(),
-        upstream: pool,
-        keeper: Stub,
-        metrics,
-        next: AtomicU64::new(0),
-    });
-    let limits = server::Limits {
-        head: settings.limits.head,
-        head_timeout: settings.limits.head_timeout,
-    };
-    let pages = Arc::new(Pages::new(
+        &controllers,
+        (listeners.callers, listeners.operations),
         registry,
-        State {
-            settings: settings.clone(),
-            rules,
-            book,
-            phase: phase.clone(),
-        },
-    ));
-    let stop = watch::Sender::new(false);
-    let operations = tokio::spawn(server::serve(
-        listeners.operations,
-        limits,
-        stop.subscribe(),
-        move |request| {
-            let pages = Arc::clone(&pages);
-            async move { pages.get(request.method(), request.uri().path()).await }
-        },
-    ));
-    let mut callers = tokio::spawn(server::serve(
-        listeners.callers,
-        limits,
-        phase.draining(),
-        move |request| Arc::clone(&chain).serve(request),
-    ));
+        &phase,
+    );
     println!("{ready}");
     tokio::select! {
         requested = shutdown::requested() => requested?,
-        _ = &mut core => eyre::bail!("the dispatcher stopped; report the panic above"),
+        _ = &mut controllers.dispatching => {
+            eyre::bail!("the dispatcher stopped; report the panic above");
+        }
     }
+    stop(&settings, &phase, &controllers, servers).await;
+    Ok(())
+}
+
+/// Stops in an order that cuts no request.
+async fn stop(settings: &Settings, phase: &Phase, controllers: &Controllers, mut servers: Servers) {
     phase.announce();
-    tracing::info!("shutting down");
+    tracing::info!("shutting down: not ready any more");
     sleep(settings.shutdown.notice).await;
     phase.drain();
-    dispatcher.tell(Event::Draining);
+    controllers.dispatcher.tell(Event::Draining);
+    tracing::info!("shutting down: no new requests");
     let finishing = async {
-        let _ = (&mut callers).await;
-        places.idle().await;
+        let _ = (&mut servers.callers).await;
+        servers.places.idle().await;
     };
     if timeout(settings.shutdown.grace, finishing).await.is_err() {
-        tracing::warn!(requests = places.total(), "the grace period is over");
-    }
-    stop.send_replace(true);
-    let _ = operations.await;
-    Ok(())
-}
-
-async fn configure(mut rules: rules::Receiver, dispatcher: impl Handle) {
-    loop {
-        let current = rules.borrow_and_update().clone();
-        if let Some(current) = current {
-            dispatcher.tell(Event::Configured(Arc::clone(&current.text)));
-        }
-        if rules.changed().await.is_err() {
-            return;
-        }
-    }
-}
-
-async fn poll_hosts(list: impl List, dispatcher: impl Handle, book: Book) {
-    loop {
-        if let Ok(snapshot) = list.read().await {
-            book.replace(&snapshot.endpoints);
-            dispatcher.tell(Event::Listed(snapshot.endpoints));
-        }
-        sleep(Duration::from_secs(1)).await;
-    }
-}
-
-async fn poll_configuration(
-    store: impl Store,
-    sender: watch::Sender<Option<Arc<configuration::Current>>>,
-) {
-    loop {
-        if let Ok(Some(entry)) = store.get(layout::CONFIGURATION).await
-            && let Ok(record) = serde_json::from_slice::<layout::Configuration>(&entry.value)
-            && let Ok(text) = dottereltally_lib::text::wire::parse(&record.text)
-        {
-            let text = Arc::new(text);
-            sender.send_replace(Some(Arc::new(configuration::Current { record, text })));
-        }
-        sleep(Duration::from_millis(500)).await;
+        let requests = servers.places.total();
+        tracing::warn!(requests, "shutting down: the grace period is over");
     }
+    controllers.membership.leave().await;
+    servers.stop.send_replace(true);
+    servers.operations.abort();
 }
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use http::{Method, Request, Response, header::HOST};
+use http::Response;
 use http_body::{Frame, SizeHint};
 use http_body_util::Full;
 use hyper::{
@@ -24,16 +24,12 @@
 
 /// Time for a connection to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time for an endpoint to answer a probe.
-const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for a returned connection to become ready for the next request.
 const READY_TIMEOUT: Duration = Duration::from_millis(10);
 /// Time after which an idle connection is not used any more.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Idle connections kept for one endpoint.
 const MAX_IDLE: usize = 64;
-/// Page that a probe asks for.
-const PROBE_PATH: &str = "/load";
 
 /// Client with a pool of idle connections by address.
 #[derive(Clone, Debug, Default)]
@@ -165,20 +161,6 @@
             lease: Some((self.clone(), address.to_owned(), connection)),
         }))
     }
-
-    async fn probe(&self, address: &str) -> bool {
-        let attempt = async {
-            let mut connection = Connection::open(address).await.ok()?;
-            let request = Request::builder()
-                .method(Method::GET)
-                .uri(PROBE_PATH)
-                .header(HOST, address)
-                .body(Full::default())
-                .ok()?;
-            connection.sender.send_request(request).await.ok()
-        };
-        matches!(timeout(PROBE_TIMEOUT, attempt).await, Ok(Some(_)))
-    }
 }
 
 /// Body of an answer; returns its connection to the pool at its end.
