node: bound every wait towards callers and endpoints

Five waits had no end or a wrong one: a caller that does not read its answer held the endpoint for good; an admitted request without a decision waited for ever; an answer in one piece longer than the inactivity limit was taken for a stalled one; a connection that the network had lost track of was noticed only by the inactivity limit; a stream that kept flowing was not held to its deadline.

Change: writes to callers time out, the wait for the core ends after the deadline, answers in one piece get an allowance per token asked for, endpoint connections use TCP keepalive and a user timeout (socket2, which tokio brings already), each frame is checked against the deadline. Attempts are numbered from the time of the start, so that a restarted node repeats no correlation value. A node is ready once it has read a host list, too. max_tokens is bounded, as costs are added up.

Ruled out: probing the endpoint on silence before the limit, which can't tell a slow answer from a lost connection.

--- a/node/src/address.rs
+++ b/node/src/address.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, PoisonError, RwLock},
+    sync::{
+        Arc, PoisonError, RwLock,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use dottereltally_lib::{endpoint, id};
@@ -15,6 +18,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Book {
     addresses: Arc<RwLock<HashMap<id::Endpoint, String>>>,
+    read: Arc<AtomicBool>,
 }
 
 impl Book {
@@ -28,6 +32,13 @@
             .addresses
             .write()
             .unwrap_or_else(PoisonError::into_inner) = addresses;
+        self.read.store(true, Ordering::Release);
+    }
+
+    /// Returns whether a host list has been read.
+    #[must_use]
+    pub fn is_read(&self) -> bool {
+        self.read.load(Ordering::Acquire)
     }
 
     /// Follows the host list; returns it as far as the book has it, so that
--- a/node/src/classify.rs
+++ b/node/src/classify.rs
@@ -20,6 +20,10 @@
 
 /// Bytes of a prompt that count as one token.
 const BYTES_PER_TOKEN: u64 = 4;
+/// Time that an engine may take for a token of an answer in one piece.
+const TOKEN_TIME: Duration = Duration::from_millis(100);
+/// Most tokens that a request may ask for.
+const MAX_OUTPUT_TOKENS: u64 = 1 << 20;
 /// Tokens of an answer whose request names no limit.
 const DEFAULT_OUTPUT_TOKENS: u64 = 512;
 
@@ -38,6 +42,9 @@
     pub kind: text::Kind,
     /// Whether a non-idempotent call is served without a key.
     pub unkeyed: bool,
+    /// Time that the answer may take before its first byte, because it comes
+    /// in one piece.
+    pub allowance: Duration,
 }
 
 /// Finds the calls that match a method and path.
@@ -109,6 +116,8 @@
             (text::Kind::Model, Some(prompt)) => measure(prompt),
             _ => (Tokens(1), Tokens(0), Vec::new()),
         };
+        let streamed = prompt.as_ref().is_some_and(|prompt| prompt.stream);
+        let allowance = allowance(streamed, output);
         let profile = Profile {
             call: name.clone(),
             service: call.service.clone(),
@@ -127,6 +136,7 @@
             profile: Arc::new(profile),
             kind: service.kind,
             unkeyed: call.unkeyed,
+            allowance,
         })
     }
 
@@ -144,6 +154,9 @@
             return Ok(None);
         }
         match Prompt::parse(body) {
+            Ok(prompt) if prompt.max_tokens > Some(MAX_OUTPUT_TOKENS) => Err(malformed(format!(
+                "the request asks for more than {MAX_OUTPUT_TOKENS} tokens; lower `max_tokens`"
+            ))),
             Ok(prompt) => Ok(Some(prompt)),
             Err(error) => Err(malformed(format!(
                 "the body is no OpenAI-style JSON: {error}; correct it"
@@ -227,6 +240,14 @@
     (Tokens(tokens), Tokens(output), prefixes)
 }
 
+/// Returns the time that an answer may take before its first byte.
+fn allowance(streamed: bool, output: Tokens) -> Duration {
+    if streamed {
+        return Duration::ZERO;
+    }
+    TOKEN_TIME.saturating_mul(u32::try_from(output.0).unwrap_or(u32::MAX))
+}
+
 fn fingerprint(
     workspace: &id::Workspace,
     call: &id::Call,
--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -1,11 +1,10 @@
 //! Filter: hands an admitted request to its endpoint, at most once.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use dottereltally_lib::{
     event::{Event, Outcome},
-    id,
     request::{Admitted, Claimed, Request},
 };
 use http::{
@@ -70,6 +69,16 @@
     pub limits: Limits,
 }
 
+/// What stays the same over the attempts to hand a request over.
+#[derive(Debug)]
+pub struct Job {
+    /// The request's place in this node.
+    pub permit: Arc<Permit>,
+    /// Time that the endpoint may be silent beyond the inactivity limit,
+    /// because it sends nothing before its whole answer is computed.
+    pub allowance: Duration,
+}
+
 /// The right to run a call, which every hand-over spends.
 pub trait Right: Send {
     /// The right after it was spent.
@@ -161,7 +170,7 @@
     request: Request<Claimed>,
     mut right: R,
     mut message: Message,
-    permit: &Arc<Permit>,
+    job: &Job,
 ) -> Result<(Running<U::Body, D>, R::Spent), Ended<R>> {
     let mut admission = chain.dispatcher.admit(request).await;
     loop {
@@ -169,7 +178,7 @@
             Ok(admitted) => admitted,
             Err(refused) => return Err(Ended::Refused(refused, right)),
         };
-        let unsent = match attempt(chain, admitted, right, message, permit).await? {
+        let unsent = match attempt(chain, admitted, right, message, job).await? {
             Attempt::Running(running, spent) => return Ok((running, spent)),
             Attempt::Unsent(unsent) => unsent,
         };
@@ -197,7 +206,7 @@
     admitted: Request<Admitted>,
     right: R,
     mut message: Message,
-    permit: &Arc<Permit>,
+    job: &Job,
 ) -> Result<Attempt<U::Body, D, R>, Ended<R>> {
     let Some(address) = (chain.resolve)(admitted.endpoint()) else {
         return Ok(Attempt::Unsent(Unsent {
@@ -227,10 +236,10 @@
         chain.dispatcher.clone(),
         chain.metrics.clone(),
         chain.clock,
-        Arc::clone(permit),
+        Arc::clone(&job.permit),
     );
     let limits = Limits {
-        inactivity: chain.limits.inactivity,
+        inactivity: chain.limits.inactivity + job.allowance,
         deadline: Instant::now() + flight.remaining(),
     };
     let sending = chain.upstream.send(&address, message, reuse);
@@ -249,7 +258,7 @@
     };
     let echo = response.headers().get(CORRELATION);
     if echo.is_some() && echo != correlation.as_ref() {
-        return Err(crossed(flight, dispatched.id()));
+        return Err(crossed(flight));
     }
     let (parts, mut body) = response.into_parts();
     let first = match timeout_at(limits.next(Instant::now()), body.frame()).await {
@@ -282,11 +291,9 @@
     Ended::Lost(lost(reason))
 }
 
-/// Discards the answer to another request; the connection is at fault, which
-/// a probe on a new one settles.
-fn crossed<D: Handle, R>(flight: Flight<D>, request: id::Request) -> Ended<R> {
-    flight.stalled();
-    tracing::warn!(%request, "an endpoint answered another request");
+/// Discards the answer to another request.
+fn crossed<D: Handle, R>(flight: Flight<D>) -> Ended<R> {
+    flight.crossed();
     Ended::Lost(lost(Reason::Crossed))
 }
 
--- a/node/src/dispatcher.rs
+++ b/node/src/dispatcher.rs
@@ -10,14 +10,21 @@
     scheduler::Scheduler,
 };
 use ractor::{Actor, ActorProcessingErr, ActorRef};
-use tokio::sync::oneshot;
+use tokio::{
+    sync::oneshot,
+    time::{Instant, timeout_at},
+};
 
 use crate::clock::Clock;
 
 /// Time between two ticks of the core.
 const TICK: Duration = Duration::from_millis(50);
 
-/// When to come back after the dispatcher has stopped.
+/// Time beyond a request's deadline after which its wait ends without the
+/// core's decision.
+const DECISION_SLACK: Duration = Duration::from_secs(1);
+
+/// When to come back after a wait without a decision.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A request that the core refused, with the proof that it did not run.
@@ -134,7 +141,7 @@
             core: arguments.core,
             clock: arguments.clock,
             sink: arguments.sink,
-            own: Sender(myself),
+            own: Sender::new(myself, arguments.clock),
             waiting: HashMap::new(),
         })
     }
@@ -198,13 +205,29 @@
 
 /// Handle of the running actor.
 #[derive(Clone, Debug)]
-pub struct Sender(ActorRef<Message>);
+pub struct Sender {
+    actor: ActorRef<Message>,
+    clock: Clock,
+}
+
+/// Returns the refusal of a request that the core did not decide on.
+fn undecided(reason: refusal::Reason) -> refusal::Refusal {
+    refusal::Refusal {
+        reason,
+        retry_after: RETRY_AFTER,
+    }
+}
 
 impl Sender {
     /// Wraps the actor's reference.
     #[must_use]
-    pub fn new(actor: ActorRef<Message>) -> Self {
-        Self(actor)
+    pub fn new(actor: ActorRef<Message>, clock: Clock) -> Self {
+        Self { actor, clock }
+    }
+
+    fn cast(&self, message: Message) {
+        // A stopped actor takes nothing more; the process is ending.
+        let _ = self.actor.cast(message);
     }
 
     async fn wait(
@@ -213,6 +236,8 @@
         event: Event,
     ) -> Result<Request<Admitted>, Refused> {
         let (reply, receiver) = oneshot::channel();
+        let remaining = request.profile().remaining(self.clock.now());
+        let limit = Instant::now() + remaining + DECISION_SLACK;
         let arrival = Arrival {
             request: request.id(),
             event,
@@ -224,29 +249,29 @@
             receiver,
             decided: false,
         };
-        let _ = self.0.cast(Message::Arrival(arrival));
-        let decision = (&mut waiting.receiver).await;
-        waiting.decided = true;
-        match decision {
-            Ok(Ok(endpoint)) => Ok(request.admit(endpoint)),
-            Ok(Err(refusal)) => Err(Refused {
-                refusal,
-                proof: request.abandon(),
-            }),
-            Err(_) => Err(Refused {
-                refusal: refusal::Refusal {
-                    reason: refusal::Reason::Shutdown,
-                    retry_after: RETRY_AFTER,
-                },
-                proof: request.abandon(),
-            }),
-        }
+        self.cast(Message::Arrival(arrival));
+        let refusal = match timeout_at(limit, &mut waiting.receiver).await {
+            Ok(Ok(Ok(endpoint))) => {
+                waiting.decided = true;
+                return Ok(request.admit(endpoint));
+            }
+            Ok(Ok(Err(refusal))) => {
+                waiting.decided = true;
+                refusal
+            }
+            Ok(Err(_)) => undecided(refusal::Reason::Shutdown),
+            Err(_) => undecided(refusal::Reason::Deadline),
+        };
+        Err(Refused {
+            refusal,
+            proof: request.abandon(),
+        })
     }
 }
 
 impl Handle for Sender {
     fn tell(&self, event: Event) {
-        let _ = self.0.cast(Message::Event(event));
+        self.cast(Message::Event(event));
     }
 
     async fn admit(&self, request: Request<Claimed>) -> Result<Request<Admitted>, Refused> {
@@ -280,6 +305,6 @@
             Ok(Err(_)) => return,
             Err(_) => Message::Left(self.request),
         };
-        let _ = self.sender.0.cast(event);
+        self.sender.cast(event);
     }
 }
--- a/node/src/exclusive.rs
+++ b/node/src/exclusive.rs
@@ -15,10 +15,9 @@
     answer,
     body::Body,
     claim::{self, Held, Lost, Scope},
-    dispatch::{self, Ended},
+    dispatch::{self, Ended, Job},
     dispatcher::Handle,
     filter::Chain,
-    limit::Permit,
     peer::{self, Peers},
     problem::{Problem, Reason},
     server::REQUEST,
@@ -88,7 +87,7 @@
     request: Request<Received>,
     key: String,
     message: Message,
-    permit: Arc<Permit>,
+    job: Job,
 ) -> Result<Response<Body>, Problem> {
     let id = request.id();
     let profile = Arc::clone(request.profile());
@@ -104,7 +103,7 @@
         Err(Lost::Replay(response)) => return Ok(replay(response, id)),
         Err(lost) => return Err(explain(&lost)),
     };
-    let running = dispatch::run(&chain, request.claim(), held, message, &permit).await;
+    let running = dispatch::run(&chain, request.claim(), held, message, &job).await;
     let (running, spent) = match running {
         Ok(running) => running,
         Err(Ended::Refused(refused, held)) => {
--- a/node/src/filter.rs
+++ b/node/src/filter.rs
@@ -25,7 +25,7 @@
     body::Body,
     classify::{self, Class},
     clock::Clock,
-    dispatch::{self, Ended, Free},
+    dispatch::{self, Ended, Free, Job},
     dispatcher::{Handle, Resolve},
     exclusive::{self, Keeper},
     limit::{Permit, Table},
@@ -180,13 +180,17 @@
             permit,
         } = accepted;
         let id = request.id();
+        let job = Job {
+            permit,
+            allowance: class.allowance,
+        };
         let tier = Some(class.profile.tier);
         let refuse = |problem| Refused { tier, problem };
         let key = exclusive::key(&parts.headers).map_err(refuse)?;
         let message = dispatch::message(parts, body, self.correlation(id));
         if class.profile.idempotent || (key.is_none() && class.unkeyed) {
             let claimed = request.claim();
-            let running = dispatch::run(&self, claimed, Free, message, &permit).await;
+            let running = dispatch::run(&self, claimed, Free, message, &job).await;
             let (running, _) = running.map_err(|ended| refuse(problem(ended)))?;
             if class.kind == text::Kind::Plain || is_streamed(&running.response) {
                 return Ok(answer::pass_on(running, id));
@@ -206,7 +210,7 @@
             return Err(refuse(problem));
         };
         // The call goes on when its caller leaves, so that its answer is kept.
-        let running = tokio::spawn(exclusive::run(self, request, key, message, permit));
+        let running = tokio::spawn(exclusive::run(self, request, key, message, job));
         match running.await {
             Ok(outcome) => outcome.map_err(refuse),
             Err(_) => Err(refuse(dispatch::lost(Reason::Broken))),
--- a/node/src/flight.rs
+++ b/node/src/flight.rs
@@ -150,6 +150,12 @@
         self.metrics.unsent();
     }
 
+    /// Reports that the endpoint answered another request; the connection is
+    /// at fault, which a probe on a new one settles.
+    pub fn crossed(self) {
+        self.end(Outcome::Stalled, Result::Crossed);
+    }
+
     fn end(mut self, outcome: Outcome, result: Result) {
         self.report(outcome, result);
     }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -37,3 +37,4 @@
 pub mod state;
 pub mod stream;
 pub mod upstream;
+pub mod write_timeout;
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -44,6 +44,9 @@
     /// The endpoint fell silent.
     #[display("stalled")]
     Stalled,
+    /// The endpoint answered another request.
+    #[display("crossed")]
+    Crossed,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -3,6 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, OnceLock, atomic::AtomicU64},
+    time::{SystemTime, UNIX_EPOCH},
 };
 
 use dottereltally_lib::{
@@ -187,7 +188,7 @@
         sink: Box::new(outlet),
     };
     let (actor, task) = Actor::spawn(None, Dispatcher, arguments).await?;
-    Ok((Sender::new(actor), task))
+    Ok((Sender::new(actor, base.clock), task))
 }
 
 async fn start_configuration(
@@ -283,6 +284,13 @@
     Ok(membership::spawn(arguments).await?)
 }
 
+/// Returns the first attempt's number, above those of earlier processes of
+/// the node.
+fn first_number() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(since.unwrap_or_default().as_micros()).unwrap_or_default()
+}
+
 /// Servers of callers and operators.
 struct Servers {
     callers: JoinHandle<()>,
@@ -304,6 +312,7 @@
         let limits = server::Limits {
             head: settings.limits.head,
             head_timeout: settings.limits.head_timeout,
+            write_timeout: settings.limits.inactivity,
         };
         let places = Table::default();
         let metrics = Metrics::default();
@@ -319,7 +328,7 @@
             upstream: Pool::default(),
             keeper: controllers.keeper.clone(),
             metrics,
-            next: AtomicU64::new(0),
+            next: AtomicU64::new(first_number()),
         });
         let handler = move |request| Arc::clone(&chain).serve(request);
         let callers = server::serve(callers, limits, phase.draining(), handler);
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -18,12 +18,21 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
 use crate::upstream::{Broken, Client, Failure, Message, Reuse};
 
 /// Time for a connection to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which a connection without traffic is probed by the host.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(5);
+/// Time between two such probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
+/// Unanswered probes that end a connection.
+const KEEPALIVE_RETRIES: u32 = 3;
+/// Time of unacknowledged data that ends a connection.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for a returned connection to become ready for the next request.
 const READY_TIMEOUT: Duration = Duration::from_millis(10);
 /// Time after which an idle connection is not used any more.
@@ -61,6 +70,7 @@
         let connect = TcpStream::connect(address);
         let stream = timeout(CONNECT_TIMEOUT, connect).await??;
         stream.set_nodelay(true)?;
+        watch(&stream)?;
         let handshake = http1::handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
@@ -77,6 +87,17 @@
     }
 }
 
+/// Lets the host end a connection that the network has lost track of.
+fn watch(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_TIME)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_RETRIES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+}
+
 impl Pool {
     /// Takes the idle connection that was used last.
     async fn take(&self, address: &str) -> Option<Connection> {
--- a/node/src/prompt.rs
+++ b/node/src/prompt.rs
@@ -13,6 +13,8 @@
     pub text: String,
     /// Tokens that it wants at the most.
     pub max_tokens: Option<u64>,
+    /// Whether the answer is to come token by token.
+    pub stream: bool,
 }
 
 #[derive(Deserialize)]
@@ -25,6 +27,7 @@
     prompt: Option<WireText<'a>>,
     max_tokens: Option<u64>,
     max_completion_tokens: Option<u64>,
+    stream: Option<bool>,
 }
 
 #[derive(Deserialize)]
@@ -71,6 +74,7 @@
         Ok(Self {
             model: wire.model.map(Cow::into_owned),
             text,
+            stream: wire.stream.unwrap_or_default(),
             max_tokens: wire.max_completion_tokens.or(wire.max_tokens),
         })
     }
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -24,7 +24,7 @@
     time::sleep,
 };
 
-use crate::body::Body;
+use crate::{body::Body, write_timeout::WriteTimeout};
 
 /// Header that carries the attempt's number at its node.
 pub const REQUEST: &str = "dottereltally-request";
@@ -44,6 +44,9 @@
     pub head: usize,
     /// Time for a request's head to arrive.
     pub head_timeout: Duration,
+    /// Time without progress after which a caller that does not read its
+    /// answer is cut off.
+    pub write_timeout: Duration,
 }
 
 /// Serves until `draining` becomes true and every connection has ended.
@@ -98,7 +101,8 @@
         let answering = handler(request);
         async move { Ok::<_, Infallible>(answering.await) }
     });
-    let mut serving = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let stream = TokioIo::new(WriteTimeout::new(stream, limits.write_timeout));
+    let mut serving = pin!(builder.serve_connection(stream, service));
     let mut first_request = pin!(sleep(limits.head_timeout));
     let mut first_checked = false;
     let mut closing = false;
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -51,6 +51,7 @@
     }
 
     fn is_ready(&self) -> bool {
-        !self.phase.is_announced() && self.rules.borrow().is_some()
+        let configured = self.rules.borrow().is_some();
+        configured && self.book.is_read() && !self.phase.is_announced()
     }
 }
--- a/node/src/stream.rs
+++ b/node/src/stream.rs
@@ -100,6 +100,9 @@
         };
         if let Poll::Ready(frame) = Pin::new(body).poll_frame(context) {
             return Poll::Ready(match frame {
+                Some(Ok(_)) if Instant::now() >= self.limits.deadline => {
+                    Err(Reason::DeadlinePassed)
+                }
                 Some(Ok(frame)) => Ok(Some(frame)),
                 Some(Err(_)) => Err(Reason::Broken),
                 None => Ok(None),
