--- a/node/src/configuration.rs
+++ b/node/src/configuration.rs
@@ -14,7 +14,7 @@
 use dottereltally_platform::layout;
 use tokio::sync::watch;
 
-pub use controller::{Controller, Message};
+pub use controller::{Arguments, Controller, Message};
 pub use counters::Counters;
 
 /// A configuration in force.
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -61,7 +61,4 @@
         message: Message,
         reuse: Reuse,
     ) -> impl Future<Output = Result<Response<Self::Body>, Failure>> + Send;
-
-    /// Returns whether the endpoint answers on a new connection.
-    fn probe(&self, address: &str) -> impl Future<Output = bool> + Send;
 }
