--- /dev/null
+++ b/lib/examples/experiment/scenario.rs
@@ -0,0 +1,163 @@
+//! Workloads and faults of the experiment.
+
+use dottereltally_lib::id;
+use rand::{Rng, rngs::SmallRng};
+
+use crate::fake::{BLOCK_TOKENS, PREFILL_FACTOR};
+
+/// One kind of request.
+pub struct Kind {
+    pub service: &'static str,
+    pub tier: u8,
+    /// Tokens of the prompt's part that the workspace shares.
+    pub shared: u64,
+    /// Tokens of the prompt's own part, on average.
+    pub own: u64,
+    /// Tokens of the answer, on average.
+    pub output: u64,
+    /// Seconds for the answer.
+    pub deadline: u64,
+    /// Part of the offered work of its service.
+    pub work: f64,
+}
+
+/// The kinds of both deployments; answers are a hundredfold apart.
+pub const KINDS: [Kind; 6] = [
+    kind("llm", 0, (1024, 128, 60), 8, 0.2),
+    kind("llm", 1, (2048, 640, 2000), 120, 0.3),
+    kind("llm", 2, (1536, 512, 250), 20, 0.25),
+    kind("llm", 3, (512, 64, 20), 30, 0.25),
+    kind("app", 0, (0, 0, 1), 2, 0.5),
+    kind("app", 2, (0, 0, 1), 2, 0.5),
+];
+
+const fn kind(
+    service: &'static str,
+    tier: u8,
+    (shared, own, output): (u64, u64, u64),
+    deadline: u64,
+    work: f64,
+) -> Kind {
+    Kind {
+        service,
+        tier,
+        shared,
+        own,
+        output,
+        deadline,
+        work,
+    }
+}
+
+impl Kind {
+    /// Work in tokens of decoding, the shared prefix being cached.
+    pub fn weight(&self) -> f64 {
+        weight(self.own, self.output)
+    }
+}
+
+/// Work in tokens of decoding of an uncached prompt and an answer.
+pub fn weight(prompt: u64, output: u64) -> f64 {
+    prompt as f64 / PREFILL_FACTOR + output as f64
+}
+
+/// Parts of the requests that come from each of the five workspaces.
+const WORKSPACES: [f64; 5] = [0.45, 0.3, 0.15, 0.07, 0.03];
+
+/// Draws a workspace.
+pub fn workspace(rng: &mut SmallRng) -> usize {
+    let mut rest: f64 = rng.random();
+    for (number, part) in WORKSPACES.iter().enumerate() {
+        rest -= part;
+        if rest < 0.0 {
+            return number;
+        }
+    }
+    0
+}
+
+/// Draws a length around a mean, between half and twice of it.
+pub fn length(rng: &mut SmallRng, mean: u64) -> u64 {
+    let factor: f64 = 2f64.powf(rng.random_range(-1.0..1.0)) / 1.082;
+    (mean as f64 * factor).round().max(1.0) as u64
+}
+
+/// Draws the hashes of a prompt's blocks.
+pub fn prefixes(rng: &mut SmallRng, kind: usize, workspace: usize, own: u64) -> Vec<id::Prefix> {
+    let group = (kind as u64 * 8 + workspace as u64 + 1) << 32;
+    let mut prefixes = Vec::new();
+    for block in 0..KINDS[kind].shared / BLOCK_TOKENS {
+        prefixes.push(id::Prefix(group + block));
+    }
+    for _ in 0..own / BLOCK_TOKENS {
+        prefixes.push(id::Prefix(rng.random()));
+    }
+    prefixes
+}
+
+/// A fault.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    None,
+    Straggler,
+    NodeKilled,
+    DataCentreCut,
+    EngineCrash,
+}
+
+/// A workload with its fault.
+#[derive(Clone, Copy, Debug)]
+pub struct Scenario {
+    pub name: &'static str,
+    pub nodes: usize,
+    pub data_centres: usize,
+    pub engines: usize,
+    pub load: f64,
+    /// Load between `FAULT_AT` and `BURST_END`.
+    pub burst: f64,
+    pub fault: Fault,
+}
+
+/// Second at which the fault or the burst begins.
+pub const FAULT_AT: f64 = 45.0;
+
+/// Second at which the burst ends.
+pub const BURST_END: f64 = 60.0;
+
+/// All scenarios, in the order of their worth.
+pub const SCENARIOS: [Scenario; 10] = [
+    small("steady 0.7", 0.7, 0.7, Fault::None),
+    small("steady 1.0", 1.0, 1.0, Fault::None),
+    small("steady 2.0", 2.0, 2.0, Fault::None),
+    small("burst 0.7 to 3", 0.7, 3.0, Fault::None),
+    small("straggler 0.7", 0.7, 0.7, Fault::Straggler),
+    small("node killed 0.7", 0.7, 0.7, Fault::NodeKilled),
+    small("data centre cut 0.7", 0.7, 0.7, Fault::DataCentreCut),
+    small("engine crash 0.7", 0.7, 0.7, Fault::EngineCrash),
+    large("large 1.0", 1.0),
+    large("large 2.0", 2.0),
+];
+
+const fn small(name: &'static str, load: f64, burst: f64, fault: Fault) -> Scenario {
+    Scenario {
+        name,
+        nodes: 8,
+        data_centres: 3,
+        engines: 20,
+        load,
+        burst,
+        fault,
+    }
+}
+
+const fn large(name: &'static str, load: f64) -> Scenario {
+    Scenario {
+        name,
+        nodes: 50,
+        data_centres: 1,
+        engines: 86,
+        load,
+        burst: load,
+        fault: Fault::None,
+    }
+}
