--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -1,10 +1,10 @@
 //! Filter: hands an admitted request to its endpoint, at most once.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use dottereltally_lib::{
-    id,
+    event::{Event, Outcome},
     request::{Admitted, Claimed, Request},
 };
 use http::{
@@ -20,7 +20,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    classify,
+    claim, classify,
     dispatcher::{Handle, Refused},
     filter::Chain,
     flight::Flight,
@@ -69,11 +69,62 @@
     pub limits: Limits,
 }
 
-/// Why there is no answer.
+/// What stays the same over the attempts to hand a request over.
 #[derive(Debug)]
-pub enum Ended {
+pub struct Job {
+    /// The request's place in this node.
+    pub permit: Arc<Permit>,
+    /// Time that the endpoint may be silent beyond the inactivity limit,
+    /// because it sends nothing before its whole answer is computed.
+    pub allowance: Duration,
+}
+
+/// The right to run a call, which every hand-over spends.
+pub trait Right: Send {
+    /// The right after it was spent.
+    type Spent: Send;
+
+    /// Spends the right; none if it may have lapsed.
+    fn spend(self) -> Option<Self::Spent>;
+
+    /// Restores the right, because nothing was handed over.
+    fn restore(spent: Self::Spent, unsent: &Message) -> Self;
+}
+
+/// The right to run a call that needs no claim.
+#[derive(Clone, Copy, Debug)]
+pub struct Free;
+
+impl Right for Free {
+    type Spent = Self;
+
+    fn spend(self) -> Option<Self> {
+        Some(self)
+    }
+
+    fn restore(spent: Self, _unsent: &Message) -> Self {
+        spent
+    }
+}
+
+impl Right for claim::Held {
+    type Spent = claim::Dispatched;
+
+    fn spend(self) -> Option<claim::Dispatched> {
+        self.dispatch().ok()
+    }
+
+    fn restore(spent: claim::Dispatched, unsent: &Message) -> Self {
+        spent.undo(unsent)
+    }
+}
+
+/// Why there is no answer.
+pub enum Ended<R> {
     /// The core refused; nothing was handed over.
-    Refused(Refused),
+    Refused(Refused, R),
+    /// The right may have lapsed; nothing was handed over.
+    Lapsed,
     /// An endpoint may have run the request.
     Lost(Problem),
 }
@@ -112,40 +163,57 @@
 ///
 /// # Errors
 ///
-/// Fails if the core refuses or the endpoint gives no answer.
-pub async fn run<D: Handle, U: Client, K>(
+/// Fails if the core refuses, the right has lapsed or the endpoint gives no
+/// answer.
+pub async fn run<D: Handle, U: Client, K, R: Right>(
     chain: &Chain<D, U, K>,
     request: Request<Claimed>,
+    mut right: R,
     mut message: Message,
-    permit: &Arc<Permit>,
-) -> Result<Running<U::Body, D>, Ended> {
+    job: &Job,
+) -> Result<(Running<U::Body, D>, R::Spent), Ended<R>> {
     let mut admission = chain.dispatcher.admit(request).await;
     loop {
-        let admitted = admission.map_err(Ended::Refused)?;
-        match attempt(chain, admitted, message, permit).await? {
-            Attempt::Running(running) => return Ok(running),
-            Attempt::Unsent(request, returned) => {
-                message = returned;
-                admission = chain.dispatcher.readmit(request).await;
-            }
-        }
+        let admitted = match admission {
+            Ok(admitted) => admitted,
+            Err(refused) => return Err(Ended::Refused(refused, right)),
+        };
+        let unsent = match attempt(chain, admitted, right, message, job).await? {
+            Attempt::Running(running, spent) => return Ok((running, spent)),
+            Attempt::Unsent(unsent) => unsent,
+        };
+        right = unsent.right;
+        message = unsent.message;
+        admission = chain.dispatcher.readmit(unsent.request).await;
     }
 }
 
-enum Attempt<B, D: Handle> {
-    Running(Running<B, D>),
-    Unsent(Request<Claimed>, Message),
+enum Attempt<B, D: Handle, R: Right> {
+    Running(Running<B, D>, R::Spent),
+    Unsent(Unsent<R>),
+}
+
+/// A request of which nothing was handed over.
+struct Unsent<R> {
+    request: Request<Claimed>,
+    right: R,
+    message: Message,
 }
 
 /// Makes the one attempt that the admission allows.
-async fn attempt<D: Handle, U: Client, K>(
+async fn attempt<D: Handle, U: Client, K, R: Right>(
     chain: &Chain<D, U, K>,
     admitted: Request<Admitted>,
+    right: R,
     mut message: Message,
-    permit: &Arc<Permit>,
-) -> Result<Attempt<U::Body, D>, Ended> {
+    job: &Job,
+) -> Result<Attempt<U::Body, D, R>, Ended<R>> {
     let Some(address) = (chain.resolve)(admitted.endpoint()) else {
-        return Ok(Attempt::Unsent(admitted.requeue(), message));
+        return Ok(Attempt::Unsent(Unsent {
+            request: admitted.requeue(),
+            right,
+            message,
+        }));
     };
     if let Ok(host) = HeaderValue::from_str(&address) {
         message.headers_mut().insert(HOST, host);
@@ -156,16 +224,22 @@
     } else {
         Reuse::Never
     };
+    let Some(spent) = right.spend() else {
+        chain
+            .dispatcher
+            .tell(Event::Ended(admitted.id(), Outcome::Cancelled));
+        return Err(Ended::Lapsed);
+    };
     let dispatched = admitted.dispatch();
     let mut flight = Flight::new(
         &dispatched,
         chain.dispatcher.clone(),
         chain.metrics.clone(),
         chain.clock,
-        Arc::clone(permit),
+        Arc::clone(&job.permit),
     );
     let limits = Limits {
-        inactivity: chain.limits.inactivity,
+        inactivity: chain.limits.inactivity + job.allowance,
         deadline: Instant::now() + flight.remaining(),
     };
     let sending = chain.upstream.send(&address, message, reuse);
@@ -173,14 +247,18 @@
         Ok(Ok(response)) => response,
         Ok(Err(Failure::Unsent { message, .. })) => {
             flight.unsent();
-            return Ok(Attempt::Unsent(dispatched.undo(&*message), *message));
+            return Ok(Attempt::Unsent(Unsent {
+                request: dispatched.undo(&*message),
+                right: R::restore(spent, &message),
+                message: *message,
+            }));
         }
         Ok(Err(Failure::Broken(_))) => return Err(broken(flight)),
         Err(_) => return Err(silent(flight, &limits)),
     };
     let echo = response.headers().get(CORRELATION);
     if echo.is_some() && echo != correlation.as_ref() {
-        return Err(crossed(flight, dispatched.id()));
+        return Err(crossed(flight));
     }
     let (parts, mut body) = response.into_parts();
     let first = match timeout_at(limits.next(Instant::now()), body.frame()).await {
@@ -190,20 +268,21 @@
         Err(_) => return Err(silent(flight, &limits)),
     };
     flight.start();
-    Ok(Attempt::Running(Running {
+    let running = Running {
         response: Response::from_parts(parts, body),
         first,
         flight,
         limits,
-    }))
+    };
+    Ok(Attempt::Running(running, spent))
 }
 
-fn broken<D: Handle>(flight: Flight<D>) -> Ended {
+fn broken<D: Handle, R>(flight: Flight<D>) -> Ended<R> {
     flight.broken();
     Ended::Lost(lost(Reason::Broken))
 }
 
-fn silent<D: Handle>(flight: Flight<D>, limits: &Limits) -> Ended {
+fn silent<D: Handle, R>(flight: Flight<D>, limits: &Limits) -> Ended<R> {
     let reason = limits.reason(Instant::now());
     match reason {
         Reason::DeadlinePassed => flight.expired(),
@@ -212,11 +291,9 @@
     Ended::Lost(lost(reason))
 }
 
-/// Discards the answer to another request; the connection is at fault, which
-/// a probe on a new one settles.
-fn crossed<D: Handle>(flight: Flight<D>, request: id::Request) -> Ended {
-    flight.stalled();
-    tracing::warn!(%request, "an endpoint answered another request");
+/// Discards the answer to another request.
+fn crossed<D: Handle, R>(flight: Flight<D>) -> Ended<R> {
+    flight.crossed();
     Ended::Lost(lost(Reason::Crossed))
 }
 
--- a/node/src/exclusive.rs
+++ b/node/src/exclusive.rs
@@ -6,18 +6,19 @@
 use dottereltally_lib::{
     id,
     request::{Received, Request},
-    time,
 };
+use dottereltally_platform::kv::Store;
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header::CONTENT_TYPE};
+use tokio::time::Instant;
 
 use crate::{
     answer,
     body::Body,
-    dispatch::{self, Ended},
+    claim::{self, Held, Lost, Scope},
+    dispatch::{self, Ended, Job},
     dispatcher::Handle,
     filter::Chain,
-    limit::Permit,
-    peer,
+    peer::{self, Peers},
     problem::{Problem, Reason},
     server::REQUEST,
     upstream::{Client, Message},
@@ -30,58 +31,31 @@
 /// When to ask again for the answer of an attempt that runs.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// What a claim is for.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Scope {
-    /// The caller's workspace.
-    pub workspace: id::Workspace,
-    /// The service.
-    pub service: id::Service,
-    /// The caller's idempotency key.
-    pub key: String,
-}
-
-/// Why the right to run a call was not acquired.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Lost {
-    /// An earlier attempt has ended with this answer.
-    Kept(peer::Response),
-    /// Another attempt runs, or it may have run and its answer is lost.
-    Busy,
-    /// The key was used for another request.
-    Mismatch,
-    /// The key-value service can't be asked.
-    Away,
-}
-
-/// Grants the right to run a call.
+/// Takes claims.
 pub trait Keeper: Clone + Send + Sync + 'static {
-    /// The right to run one call.
-    type Held: Held;
-
-    /// Acquires the right to run a call.
+    /// Takes the claim of a call, or returns what became of the attempt that
+    /// holds it.
     ///
     /// # Errors
     ///
-    /// Fails if another attempt had it or that is not known.
+    /// Fails if another attempt holds or held it or that is not known.
     fn acquire(
         &self,
         scope: Scope,
         fingerprint: id::Fingerprint,
-        deadline: time::Instant,
-    ) -> impl Future<Output = Result<Self::Held, Lost>> + Send;
+        deadline: Instant,
+    ) -> impl Future<Output = Result<Held, Lost>> + Send;
 }
 
-/// The right to run one call.
-pub trait Held: Send + 'static {
-    /// Gives the right back; returns whether that is certain.
-    fn release(self) -> impl Future<Output = bool> + Send;
-
-    /// Keeps the answer for attempts with the same key.
-    fn complete(self, response: peer::Response);
-
-    /// Notes that the call may have run and its answer is lost.
-    fn lose(self);
+impl<S: Store, P: Peers> Keeper for claim::Keeper<S, P> {
+    async fn acquire(
+        &self,
+        scope: Scope,
+        fingerprint: id::Fingerprint,
+        deadline: Instant,
+    ) -> Result<Held, Lost> {
+        claim::Keeper::acquire(self, scope, fingerprint, deadline).await
+    }
 }
 
 /// Returns the idempotency key of a request.
@@ -113,7 +87,7 @@
     request: Request<Received>,
     key: String,
     message: Message,
-    permit: Arc<Permit>,
+    job: Job,
 ) -> Result<Response<Body>, Problem> {
     let id = request.id();
     let profile = Arc::clone(request.profile());
@@ -122,42 +96,38 @@
         service: profile.service.clone(),
         key,
     };
-    let acquiring = chain
-        .keeper
-        .acquire(scope, profile.fingerprint, profile.deadline);
+    let deadline = Instant::now() + profile.remaining(chain.clock.now());
+    let acquiring = chain.keeper.acquire(scope, profile.fingerprint, deadline);
     let held = match acquiring.await {
         Ok(held) => held,
-        Err(Lost::Kept(response)) => {
-            chain.metrics.replayed();
-            return Ok(replay(response, id));
-        }
+        Err(Lost::Replay(response)) => return Ok(replay(response, id)),
         Err(lost) => return Err(explain(&lost)),
     };
-    let running = match dispatch::run(&chain, request.claim(), message, &permit).await {
+    let running = dispatch::run(&chain, request.claim(), held, message, &job).await;
+    let (running, spent) = match running {
         Ok(running) => running,
-        Err(Ended::Refused(refused)) => {
+        Err(Ended::Refused(refused, held)) => {
             let problem = Problem::refused(&refused.proof, refused.refusal);
-            return Err(if held.release().await {
-                problem
-            } else {
-                problem.unproved()
+            return Err(match held.release().await {
+                Ok(()) => problem,
+                Err(_) => problem.unproved(),
             });
         }
-        Err(Ended::Lost(problem)) => {
-            held.lose();
-            return Err(problem);
-        }
+        Err(Ended::Lapsed) => return Err(lapsed()),
+        Err(Ended::Lost(problem)) => return Err(problem),
     };
-    match answer::read_whole(running, chain.limits.body, id).await {
-        Ok(response) => {
-            held.complete(keep(&response));
-            Ok(response.map(Body::full))
-        }
-        Err(problem) => {
-            held.lose();
-            Err(problem)
-        }
-    }
+    let response = answer::read_whole(running, chain.limits.body, id).await?;
+    spent.complete(keep(&response));
+    Ok(response.map(Body::full))
+}
+
+fn lapsed() -> Problem {
+    Problem::may_have_run(
+        StatusCode::CONFLICT,
+        Reason::Claimed,
+        "the claim was held for too long to rely on it; send the call again with the same key",
+    )
+    .retry_after(RETRY_AFTER)
 }
 
 fn keep(response: &Response<Bytes>) -> peer::Response {
@@ -183,24 +153,24 @@
     response
 }
 
+/// Returns the refusal of a call whose claim was lost.
 fn explain(lost: &Lost) -> Problem {
-    match lost {
-        Lost::Mismatch => Problem::may_have_run(
-            StatusCode::UNPROCESSABLE_ENTITY,
-            Reason::KeyMismatch,
-            "the idempotency key was used for another request; use a new key for a new request",
-        ),
-        Lost::Away => Problem::may_have_run(
+    let (status, reason, delay) = match lost {
+        Lost::Mismatch => (StatusCode::UNPROCESSABLE_ENTITY, Reason::KeyMismatch, None),
+        Lost::Away { retry_after } => (
             StatusCode::SERVICE_UNAVAILABLE,
             Reason::Platform,
-            "the key-value service can't be asked whether the call ran; send it again with the same key",
-        )
-        .retry_after(RETRY_AFTER),
-        Lost::Kept(_) | Lost::Busy => Problem::may_have_run(
-            StatusCode::CONFLICT,
-            Reason::Claimed,
-            "another attempt with the key runs or its answer is lost; send the call again with the same key, or ask the service whether it ran",
-        )
-        .retry_after(RETRY_AFTER),
+            Some(*retry_after),
+        ),
+        Lost::Running { retry_after } => {
+            (StatusCode::CONFLICT, Reason::Claimed, Some(*retry_after))
+        }
+        Lost::Unknown { retry_after } => (StatusCode::CONFLICT, Reason::Claimed, *retry_after),
+        Lost::Replay(_) => (StatusCode::CONFLICT, Reason::Claimed, Some(RETRY_AFTER)),
+    };
+    let problem = Problem::may_have_run(status, reason, lost.to_string());
+    match delay {
+        Some(delay) => problem.retry_after(delay),
+        None => problem,
     }
 }
--- /dev/null
+++ b/node/src/outlet.rs
@@ -0,0 +1,51 @@
+//! Carries out the effects of the decision core that concern no waiting
+//! request.
+
+use std::sync::{Arc, OnceLock};
+
+use dottereltally_lib::{
+    event::{self, Event},
+    id, quarantine,
+};
+
+use crate::{
+    address::Book,
+    dispatcher::{Handle, Sender, Sink},
+    membership, observer,
+    peer::{self, Peers},
+};
+
+/// Where the effects go.
+pub struct Outlet {
+    /// Addresses of the endpoints to probe.
+    pub book: Book,
+    /// The peers.
+    pub peers: peer::Handle,
+    /// The membership, which spreads fingerprints; set once it runs.
+    pub membership: Arc<OnceLock<membership::Handle>>,
+}
+
+impl Sink for Outlet {
+    fn probe(&self, core: &Sender, endpoint: id::Endpoint) {
+        let address = self.book.get(&endpoint);
+        let core = core.clone();
+        tokio::spawn(async move {
+            let answers = match address {
+                Some(address) => observer::probe(&address).await,
+                None => false,
+            };
+            core.tell(Event::Probed(endpoint, answers));
+        });
+    }
+
+    fn quarantine(&self, fingerprint: id::Fingerprint) {
+        tracing::warn!(%fingerprint, "a request that crashed endpoints is refused");
+        if let Some(membership) = self.membership.get() {
+            membership.quarantine(fingerprint, quarantine::MARK_TTL);
+        }
+    }
+
+    fn send(&self, node: id::Node, message: event::Message) {
+        self.peers.send(&node, message);
+    }
+}
