filter: read on past the limit of a body before refusing it

Cause: a caller over HTTP/1.1 that still sends a body over the limit got a reset in place of the 413, as the connection was closed with unread bytes. Ruled out: closing late without reading, which still resets. Change: up to four times the limit is read and discarded, within the body's time limit; a declared size above that is refused at once. Conclusion: the refusal reaches the caller.

--- a/node/src/filter.rs
+++ b/node/src/filter.rs
@@ -36,6 +36,9 @@
     upstream::Client,
 };
 
+/// Multiple of the limit up to which a body is read and discarded, so that a
+/// caller that still sends it gets the refusal in place of a reset.
+const DISCARD_FACTOR: usize = 4;
 /// When to come back to a node without a configuration.
 const CONFIGURATION_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -223,7 +226,7 @@
         B: http_body::Body<Data = Bytes> + Unpin,
     {
         let limit = self.limits.body;
-        if body.size_hint().lower() > limit as u64 {
+        if body.size_hint().lower() > (limit * DISCARD_FACTOR) as u64 {
             return Err(too_large(limit));
         }
         let reading = collect(&mut body, limit);
@@ -271,6 +274,7 @@
     B: http_body::Body<Data = Bytes> + Unpin,
 {
     let mut content = BytesMut::new();
+    let mut size = 0;
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else {
             return Err(Problem::unread(
@@ -282,10 +286,16 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if content.len() + data.len() > limit {
-            return Err(too_large(limit));
+        size += data.len();
+        if size > limit * DISCARD_FACTOR {
+            break;
         }
-        content.extend_from_slice(&data);
+        if size <= limit {
+            content.extend_from_slice(&data);
+        }
+    }
+    if size > limit {
+        return Err(too_large(limit));
     }
     Ok(content.freeze())
 }
