--- /dev/null
+++ b/node/examples/claim_runs/simulation/network.rs
@@ -0,0 +1,101 @@
+//! Peers that ask each other through memory.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use dottereltally::{
+    peer::{self, Answer, Peers},
+    replay::Attempts,
+};
+use dottereltally_lib::{event, id};
+use dottereltally_platform::layout;
+use rand::{Rng, rngs::SmallRng};
+use tokio::time;
+
+/// Time after which a silent peer is given up.
+const SILENCE: Duration = Duration::from_millis(300);
+
+struct Inner {
+    nodes: BTreeMap<id::Node, Attempts>,
+    random: SmallRng,
+    loss: f64,
+}
+
+/// The network between the nodes; clones share it.
+#[derive(Clone)]
+pub struct Network(Arc<Mutex<Inner>>);
+
+impl Network {
+    /// Builds a network that loses messages with a probability.
+    pub fn new(random: SmallRng, loss: f64) -> Self {
+        Self(Arc::new(Mutex::new(Inner {
+            nodes: BTreeMap::new(),
+            random,
+            loss,
+        })))
+    }
+
+    /// Routes a node's name to a process.
+    pub fn route(&self, node: &id::Node, attempts: Attempts) {
+        self.lock().nodes.insert(node.clone(), attempts);
+    }
+
+    /// Routes a node's name nowhere.
+    pub fn cut(&self, node: &id::Node) {
+        self.lock().nodes.remove(node);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Draws whether a message is lost, and its delay.
+    fn draw(&self) -> (bool, Duration) {
+        let mut inner = self.lock();
+        let rate = inner.loss;
+        let lost = inner.random.random_bool(rate);
+        let delay = Duration::from_micros(inner.random.random_range(100..20_000));
+        (lost, delay)
+    }
+}
+
+impl Peers for Network {
+    async fn answer(
+        &self,
+        node: &id::Node,
+        claim: &str,
+        token: &str,
+    ) -> Result<Answer, peer::Error> {
+        let silent = || peer::Error::Silent {
+            node: node.clone(),
+            cause: "lost".to_owned(),
+        };
+        let (lost, delay) = self.draw();
+        if lost {
+            time::sleep(SILENCE).await;
+            return Err(silent());
+        }
+        time::sleep(delay).await;
+        let attempts = self.lock().nodes.get(node).cloned();
+        let Some(attempts) = attempts else {
+            return Err(peer::Error::NotLive(node.clone()));
+        };
+        let answer = attempts.answer(claim, token);
+        let (lost, delay) = self.draw();
+        if lost {
+            time::sleep(SILENCE).await;
+            return Err(silent());
+        }
+        time::sleep(delay).await;
+        Ok(answer)
+    }
+
+    async fn configuration(&self, _above: id::Generation) -> Option<layout::Configuration> {
+        None
+    }
+
+    fn send(&self, _node: &id::Node, _message: event::Message) {}
+}
--- a/node/src/claim/lease.rs
+++ b/node/src/claim/lease.rs
@@ -4,10 +4,14 @@
 //! Leases are therefore never renewed: a new one is granted each period, and
 //! the old one runs out with the claims that are bound to it.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    pin::pin,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use dottereltally_platform::kv;
-use tokio::{sync::watch, time};
+use tokio::{sync::Notify, time};
 
 use crate::claim::breaker::Breaker;
 
@@ -34,46 +38,69 @@
 /// The lease in use; clones share it.
 #[derive(Clone, Default)]
 pub(super) struct Keeper {
-    current: Arc<watch::Sender<Option<Granted>>>,
+    current: Arc<Mutex<Option<Granted>>>,
+    changed: Arc<Notify>,
 }
 
 impl Keeper {
     /// Waits for a lease until `deadline`.
     pub(super) async fn get(&self, deadline: time::Instant) -> Option<kv::Lease> {
-        self.current.send_if_modified(|current| {
-            let old = current.is_some_and(|granted| granted.asked.elapsed() > AGE_LIMIT);
-            if old {
-                *current = None;
+        loop {
+            let mut changed = pin!(self.changed.notified());
+            changed.as_mut().enable();
+            if let Some(lease) = self.current() {
+                return Some(lease);
             }
-            old
-        });
-        let mut receiver = self.current.subscribe();
-        let granted = time::timeout_at(deadline, receiver.wait_for(Option::is_some)).await;
-        let granted = granted.ok()?.ok()?;
-        granted.as_ref().map(|granted| granted.lease)
+            time::timeout_at(deadline, changed).await.ok()?;
+        }
     }
 
     /// Records that the service does not know a lease.
     pub(super) fn forget(&self, lease: kv::Lease) {
-        self.current.send_if_modified(|current| {
-            let same = current.is_some_and(|granted| granted.lease == lease);
-            if same {
-                *current = None;
+        let mut current = self.lock();
+        if current.is_some_and(|granted| granted.lease == lease) {
+            *current = None;
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Returns the lease if it is young enough.
+    fn current(&self) -> Option<kv::Lease> {
+        let mut current = self.lock();
+        let granted = (*current)?;
+        if granted.asked.elapsed() > AGE_LIMIT {
+            *current = None;
+            self.changed.notify_waiters();
+            return None;
+        }
+        Some(granted.lease)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Granted>> {
+        self.current.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until there is no lease.
+    async fn gone(&self) {
+        loop {
+            let mut changed = pin!(self.changed.notified());
+            changed.as_mut().enable();
+            if self.lock().is_none() {
+                return;
             }
-            same
-        });
+            changed.await;
+        }
     }
 
     /// Grants leases, for ever.
     pub(super) async fn run<S: kv::Store>(self, store: S, breaker: Breaker) {
-        let mut receiver = self.current.subscribe();
         loop {
             let asked = time::Instant::now();
             match store.grant(RETENTION).await {
                 Ok(lease) => {
-                    self.current.send_replace(Some(Granted { lease, asked }));
-                    let forgotten = receiver.wait_for(Option::is_none);
-                    let _due = time::timeout(GRANT_PERIOD, forgotten).await;
+                    *self.lock() = Some(Granted { lease, asked });
+                    self.changed.notify_waiters();
+                    let _due = time::timeout(GRANT_PERIOD, self.gone()).await;
                 }
                 Err(error) => {
                     if !matches!(error, kv::Error::Refused(_)) {
