testutils: let every read outside transactions lie behind

Cause: the fault for stale reads touched serializable reads only, which no client of the project sends, so that the test of it proved nothing. Change: the switch concerns all reads outside transactions, as of a store that was restored or of a lagging replica. Conclusion: never_goes_back now has a store that does go back.

--- a/testutils/src/kv.rs
+++ b/testutils/src/kv.rs
@@ -38,7 +38,7 @@
     pub hold_after: bool,
     /// Keeps watches open but reports nothing.
     pub watch_silent: bool,
-    /// Number of revisions by which serializable reads lie behind.
+    /// Number of revisions by which reads outside transactions lie behind.
     pub stale_by: i64,
 }
 
--- a/testutils/src/kv/store.rs
+++ b/testutils/src/kv/store.rs
@@ -78,9 +78,9 @@
         self.revision
     }
 
-    /// Reads a range; serializable reads may lie `stale_by` revisions behind.
+    /// Reads a range as it was `stale_by` revisions ago.
     pub fn range(&self, query: &Range, stale_by: i64) -> Value {
-        if !query.serializable || stale_by == 0 {
+        if stale_by == 0 {
             return answer(&self.items, self.revision, query);
         }
         let revision = (self.revision - stale_by).max(1);
--- a/testutils/src/kv/wire.rs
+++ b/testutils/src/kv/wire.rs
@@ -52,7 +52,6 @@
     #[serde(rename = "range_end", alias = "rangeEnd")]
     pub end: Blob,
     pub limit: Int,
-    pub serializable: bool,
 }
 
 /// A write.
