membership, stream: let news of a crash outrun the caller

Cause: a caller that sends a crashing request again through another node was faster than the next round of beats, so that 3 or 4 engines died before it was refused, where two are the most. Ruled out: a shorter period, which costs on every node all the time. Conclusion: two nodes are covered; at hundreds of nodes the news takes a few more hops, which is not measured here.

--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -169,6 +169,11 @@
             self.own.version += 1;
             self.changed = true;
         }
+        self.spread(now)
+    }
+
+    /// Passes news on ahead of the next round.
+    pub fn spread(&mut self, now: Instant) -> Vec<Effect> {
         let mut effects = Vec::new();
         for (node, address) in self.choose(2 * self.settings.fan_out) {
             effects.push(self.exchange(now, node, address, false));
--- a/node/src/membership.rs
+++ b/node/src/membership.rs
@@ -34,6 +34,10 @@
     peer::{Exchange, Handle as Peers, Service},
 };
 
+/// Time in which fingerprints of crashing requests are gathered before they
+/// are passed on ahead of the next round.
+const SPREAD_DELAY: Duration = Duration::from_millis(5);
+
 /// Counters of the membership.
 #[derive(Clone, Debug, Default)]
 pub struct Metrics {
@@ -109,6 +113,8 @@
     Failed(id::Node),
     /// Pass on a fingerprint of a crashing request.
     Quarantine(id::Fingerprint, Duration),
+    /// Pass the news on ahead of the next round.
+    Spread,
     /// Tell the peers that this node shuts down.
     Leave(oneshot::Sender<()>),
     /// Report the live nodes.
@@ -178,6 +184,7 @@
     service: Arc<dyn Service>,
     dispatcher: H,
     metrics: Metrics,
+    is_spreading: bool,
 }
 
 impl<H: dispatcher::Handle> Actor for Controller<H> {
@@ -211,6 +218,7 @@
             service: arguments.service,
             dispatcher: arguments.dispatcher,
             metrics: arguments.metrics,
+            is_spreading: false,
         })
     }
 
@@ -246,8 +254,13 @@
             Message::Failed(node) => self.membership.failed(now, &node),
             Message::Quarantine(fingerprint, valid) => {
                 self.membership.quarantine(now, fingerprint, valid);
+                self.spread_soon(myself);
                 Vec::new()
             }
+            Message::Spread => {
+                self.is_spreading = false;
+                self.membership.spread(now)
+            }
             Message::Leave(done) => {
                 self.leave(myself, done);
                 return;
@@ -282,6 +295,7 @@
             Effect::Suspected(fingerprints) => {
                 self.metrics.fingerprints.inc_by(fingerprints.len() as u64);
                 self.dispatcher.tell(Event::Suspected(fingerprints));
+                self.spread_soon(myself);
             }
             Effect::Outdated(node, generation) => {
                 self.peers.prefer(node);
@@ -290,6 +304,20 @@
         }
     }
 
+    /// Passes on the fingerprints that have come together.
+    fn spread_soon(&mut self, myself: &ActorRef<Message>) {
+        if self.is_spreading {
+            return;
+        }
+        self.is_spreading = true;
+        let myself = myself.clone();
+        tokio::spawn(async move {
+            sleep(SPREAD_DELAY).await;
+            // A stopped actor takes nothing more.
+            let _ = myself.cast(Message::Spread);
+        });
+    }
+
     fn publish(&mut self, members: &[Member]) {
         self.peers.update(self.membership.addresses());
         self.metrics.changes.inc();
--- a/node/src/stream.rs
+++ b/node/src/stream.rs
@@ -13,7 +13,12 @@
 use tokio::time::{Instant, Sleep, sleep, sleep_until};
 
 use crate::{
-    body::Cut, dispatcher::Handle, flight::Flight, problem::Reason, sse, upstream::Broken,
+    body::Cut,
+    dispatcher::Handle,
+    flight::{Flight, NEWS_DELAY},
+    problem::Reason,
+    sse,
+    upstream::Broken,
 };
 
 /// Time for the last event of a cut stream to leave before the connection is
@@ -59,6 +64,7 @@
 
 enum State<B, D: Handle> {
     Open { body: B, flight: Flight<D> },
+    Held(Reason),
     Aborting,
     Ended,
 }
@@ -135,13 +141,13 @@
     }
 
     /// Ends the answer where the endpoint ended it.
-    fn finish(&mut self) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+    fn finish(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         if self
             .scanner
             .as_ref()
             .is_some_and(|scanner| !scanner.is_done())
         {
-            return self.cut(Reason::Broken);
+            return self.cut(Reason::Broken, context);
         }
         let state = std::mem::replace(&mut self.state, State::Ended);
         if let State::Open { flight, .. } = state {
@@ -157,8 +163,12 @@
     }
 
     /// Ends the answer before its end, in a way that the caller can tell.
-    fn cut(&mut self, reason: Reason) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        let state = std::mem::replace(&mut self.state, State::Aborting);
+    fn cut(
+        &mut self,
+        reason: Reason,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        let state = std::mem::replace(&mut self.state, State::Held(reason));
         if let State::Open { body, flight } = state {
             drop(body);
             match reason {
@@ -167,10 +177,26 @@
                 _ => flight.broken(),
             }
         }
+        let delay = match reason {
+            Reason::Broken => NEWS_DELAY,
+            _ => Duration::ZERO,
+        };
+        self.timer = Box::pin(sleep(delay));
+        self.poll_held(reason, context)
+    }
+
+    /// Tells the caller that the answer was cut once the delay is over.
+    fn poll_held(
+        &mut self,
+        reason: Reason,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        ready!(self.timer.as_mut().poll(context));
         if self.scanner.is_none() {
             self.state = State::Ended;
             return Poll::Ready(Some(Err(Cut)));
         }
+        self.state = State::Aborting;
         self.timer = Box::pin(sleep(ABORT_DELAY));
         Poll::Ready(Some(Ok(Frame::data(error_event(reason)))))
     }
@@ -191,6 +217,7 @@
         let this = self.get_mut();
         match this.state {
             State::Open { .. } => {}
+            State::Held(reason) => return this.poll_held(reason, context),
             State::Aborting => {
                 ready!(this.timer.as_mut().poll(context));
                 this.state = State::Ended;
@@ -203,8 +230,8 @@
                 this.observe(&frame);
                 Poll::Ready(Some(Ok(frame)))
             }
-            Ok(None) => this.finish(),
-            Err(reason) => this.cut(reason),
+            Ok(None) => this.finish(context),
+            Err(reason) => this.cut(reason, context),
         }
     }
 
