--- a/node/src/exclusive.rs
+++ b/node/src/exclusive.rs
@@ -64,15 +64,20 @@
 ///
 /// Fails with 400 if it is unusable.
 pub fn key(headers: &HeaderMap) -> Result<Option<String>, Problem> {
-    let Some(value) = headers.get(KEY) else {
+    let mut values = headers.get_all(KEY).iter();
+    let Some(value) = values.next() else {
         return Ok(None);
     };
     match value.to_str() {
-        Ok(key) if !key.is_empty() && key.len() <= MAX_KEY_BYTES => Ok(Some(key.to_owned())),
-        _ => Err(Problem::unread(
+        Ok(key) if (1..=MAX_KEY_BYTES).contains(&key.len()) && values.next().is_none() => {
+            Ok(Some(key.to_owned()))
+        }
+        _ => Err(Problem::may_have_run(
             StatusCode::BAD_REQUEST,
             Reason::Malformed,
-            format!("`{KEY}` must be 1 to {MAX_KEY_BYTES} visible ASCII characters; correct it"),
+            format!(
+                "`{KEY}` must be sent once, with 1 to {MAX_KEY_BYTES} visible ASCII characters; correct it"
+            ),
         )),
     }
 }
--- a/node/src/settings/wire.rs
+++ b/node/src/settings/wire.rs
@@ -105,7 +105,10 @@
         vec![Fault {
             file: file.clone(),
             line: error.location().map(|location| location.line()),
-            remedy: format!("{error}; see docs/settings.md for the fields"),
+            remedy: format!(
+                "{}; see docs/settings.md for the fields",
+                first_line(&error)
+            ),
         }]
     })?;
     let mut check = Check {
@@ -120,6 +123,12 @@
     }
 }
 
+/// Returns the message without the excerpt that the library adds.
+fn first_line(error: &serde_saphyr::Error) -> String {
+    let message = error.without_snippet().to_string();
+    message.lines().next().unwrap_or_default().to_owned()
+}
+
 /// Collects faults while the values are converted.
 struct Check {
     file: String,
--- /dev/null
+++ b/node/tests/test_dispatcher.rs
@@ -0,0 +1,212 @@
+//! The dispatcher around the real decision core.
+
+mod chain;
+
+use std::{
+    sync::{Arc, Mutex},
+    task::Poll,
+    time::Duration,
+};
+
+use dottereltally::{
+    clock::Clock,
+    dispatcher::{Arguments, Dispatcher, Handle, Sender, Sink},
+};
+use dottereltally_lib::{
+    endpoint::{Record, Standing},
+    event::{self, Event, Outcome},
+    id, refusal,
+    request::{Claimed, Profile, Request},
+    scheduler::{Scheduler, Settings},
+    size::Tokens,
+};
+use ractor::Actor;
+use tokio::sync::watch;
+
+/// Seed of the core's choices.
+const SEED: u64 = 7;
+
+/// Collects the probes that the core asks for.
+#[derive(Clone)]
+struct Probes(Arc<watch::Sender<Vec<id::Endpoint>>>);
+
+impl Sink for Probes {
+    fn probe(&self, core: &Sender, endpoint: id::Endpoint) {
+        self.0.send_modify(|probes| probes.push(endpoint.clone()));
+        core.tell(Event::Probed(endpoint, true));
+    }
+
+    fn quarantine(&self, _: id::Fingerprint) {}
+
+    fn send(&self, _: id::Node, _: event::Message) {}
+}
+
+struct Bench {
+    sender: Sender,
+    clock: Clock,
+    probes: Probes,
+    next: Mutex<u64>,
+}
+
+impl Bench {
+    /// Starts a dispatcher that knows one plain endpoint with one place.
+    async fn start() -> Self {
+        let probes = Probes(Arc::new(watch::Sender::new(Vec::new())));
+        let clock = Clock::start();
+        let arguments = Arguments {
+            core: Scheduler::new(Settings {
+                node: id::Node::from("entry-1"),
+                data_centre: id::DataCentre::from("plovdiv"),
+                seed: SEED,
+                ..Settings::default()
+            }),
+            clock,
+            sink: Box::new(probes.clone()),
+        };
+        let (actor, _) = Actor::spawn(None, Dispatcher, arguments)
+            .await
+            .expect("the actor starts");
+        let sender = Sender::new(actor, clock);
+        let mut text = chain::text();
+        for service in text.services.values_mut() {
+            service.window = Tokens(1);
+        }
+        sender.tell(Event::Configured(Arc::new(text)));
+        sender.tell(Event::Members(vec![(
+            id::Node::from("entry-1"),
+            id::DataCentre::from("plovdiv"),
+        )]));
+        sender.tell(Event::Listed(vec![Record {
+            id: id::Endpoint::from("ledger-1"),
+            address: "127.0.0.1:1".to_owned(),
+            service: id::Service::from("yard-app"),
+            data_centre: id::DataCentre::from("plovdiv"),
+            standing: Standing::Live,
+        }]));
+        Self {
+            sender,
+            clock,
+            probes,
+            next: Mutex::new(0),
+        }
+    }
+
+    fn request(&self, service: &str) -> Request<Claimed> {
+        let mut next = self.next.lock().expect("unpoisoned");
+        *next += 1;
+        let now = self.clock.now();
+        let profile = Profile {
+            call: id::Call::from("tickets"),
+            service: id::Service::from(service),
+            model: None,
+            workspace: id::Workspace::from("demo"),
+            tier: id::Tier(1),
+            received: now,
+            deadline: now + Duration::from_mins(1),
+            prompt: Tokens(1),
+            output: Tokens(0),
+            prefixes: Vec::new(),
+            fingerprint: id::Fingerprint(*next),
+            idempotent: true,
+        };
+        Request::new(id::Request(*next), Arc::new(profile)).claim()
+    }
+
+    fn end(&self, request: id::Request, outcome: Outcome) {
+        self.sender.tell(Event::Ended(request, outcome));
+    }
+}
+
+const ANSWERED: Outcome = Outcome::Answered {
+    cached: Tokens(0),
+    output: Tokens(1),
+};
+
+#[tokio::test]
+async fn admits_when_the_place_is_free() {
+    let bench = Bench::start().await;
+    let first = bench.sender.admit(bench.request("yard-app")).await;
+    let first = first.expect("an endpoint");
+    assert_eq!(first.endpoint().as_str(), "ledger-1");
+    let second = bench.sender.admit(bench.request("yard-app"));
+    tokio::pin!(second);
+    let early = tokio::time::timeout(Duration::from_millis(20), &mut second).await;
+    assert!(early.is_err());
+    bench.end(first.id(), ANSWERED);
+    assert!(second.await.is_ok());
+}
+
+#[tokio::test]
+async fn a_dropped_wait_is_withdrawn() {
+    let bench = Bench::start().await;
+    let first = bench.sender.admit(bench.request("yard-app")).await;
+    let first = first.expect("an endpoint");
+    let waiting = bench.sender.admit(bench.request("yard-app"));
+    let dropped = tokio::time::timeout(Duration::from_millis(20), waiting).await;
+    assert!(dropped.is_err());
+    bench.end(first.id(), ANSWERED);
+    let third = bench.sender.admit(bench.request("yard-app")).await;
+    assert!(third.is_ok());
+}
+
+/// The place comes back whether the drop meets the decision or not.
+#[tokio::test]
+async fn a_wait_dropped_at_any_moment_keeps_no_place() {
+    let bench = Bench::start().await;
+    for round in 0..200 {
+        let admission = bench.sender.admit(bench.request("yard-app"));
+        let mut admission = Box::pin(admission);
+        for _ in 0..round % 4 {
+            if let Poll::Ready(admitted) = futures_util::poll!(&mut admission) {
+                let request = admitted.expect("an endpoint").id();
+                bench.end(request, ANSWERED);
+                break;
+            }
+            tokio::task::yield_now().await;
+        }
+        drop(admission);
+    }
+    let last = bench.sender.admit(bench.request("yard-app")).await;
+    assert!(last.is_ok());
+}
+
+#[tokio::test]
+async fn refuses_a_service_without_endpoints() {
+    let bench = Bench::start().await;
+    let refused = bench.sender.admit(bench.request("tally-llm")).await;
+    let refused = refused.expect_err("no endpoint");
+    assert_eq!(refused.refusal.reason, refusal::Reason::NoEndpoint);
+}
+
+#[tokio::test]
+async fn an_unsent_request_gets_a_decision_again() {
+    let bench = Bench::start().await;
+    let admitted = bench.sender.admit(bench.request("yard-app")).await;
+    let request = admitted.expect("an endpoint").requeue();
+    let again = bench.sender.readmit(request).await;
+    let refused = again.expect_err("the only endpoint is avoided");
+    assert_eq!(refused.refusal.reason, refusal::Reason::NoEndpoint);
+}
+
+#[tokio::test]
+async fn a_stalled_answer_makes_the_core_probe() {
+    let bench = Bench::start().await;
+    let mut probes = bench.probes.0.subscribe();
+    let admitted = bench.sender.admit(bench.request("yard-app")).await;
+    bench.end(admitted.expect("an endpoint").id(), Outcome::Stalled);
+    let asked = probes.wait_for(|probes| !probes.is_empty()).await;
+    assert_eq!(asked.expect("the core stays")[0].as_str(), "ledger-1");
+    let next = bench.sender.admit(bench.request("yard-app")).await;
+    assert!(next.is_ok());
+}
+
+#[tokio::test]
+async fn a_node_that_drains_refuses_what_would_wait() {
+    let bench = Bench::start().await;
+    let first = bench.sender.admit(bench.request("yard-app")).await;
+    assert!(first.is_ok());
+    bench.sender.tell(Event::Draining);
+    let refused = bench.sender.admit(bench.request("yard-app")).await;
+    let refused = refused.expect_err("it would wait");
+    assert_eq!(refused.refusal.reason, refusal::Reason::Shutdown);
+}
--- /dev/null
+++ b/node/tests/test_operations.rs
@@ -0,0 +1,83 @@
+//! The pages for operators.
+
+use dottereltally::operations::{Pages, Source, Status};
+use dottereltally_lib::id;
+use http::{Method, StatusCode};
+use http_body_util::BodyExt;
+use prometheus_client::{metrics::counter::Counter, registry::Registry};
+use rstest::rstest;
+use serde_json::{Value, json};
+
+struct Fixed {
+    ready: bool,
+}
+
+impl Source for Fixed {
+    async fn status(&self) -> Status {
+        Status {
+            node: id::Node::from("entry-1"),
+            data_centre: id::DataCentre::from("plovdiv"),
+            generation: id::Generation(4),
+            draining: false,
+            platform: true,
+            peers: vec![id::Node::from("entry-2")],
+            endpoints: vec![id::Endpoint::from("tally-1")],
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        self.ready
+    }
+}
+
+async fn get(ready: bool, method: Method, path: &str) -> (StatusCode, String) {
+    let mut registry = Registry::default();
+    registry.register("things", "Things", Counter::<u64>::default());
+    let pages = Pages::new(registry, Fixed { ready });
+    let response = pages.get(&method, path).await;
+    let status = response.status();
+    let body = response.into_body().collect().await.expect("whole");
+    let text = String::from_utf8(body.to_bytes().to_vec()).expect("text");
+    (status, text)
+}
+
+#[rstest]
+#[case(true, "/livez", 200)]
+#[case(false, "/livez", 200)]
+#[case(true, "/readyz", 200)]
+#[case(false, "/readyz", 503)]
+#[case(true, "/other", 404)]
+#[tokio::test]
+async fn tells_health(#[case] ready: bool, #[case] path: &str, #[case] expected: u16) {
+    let (status, _) = get(ready, Method::GET, path).await;
+    assert_eq!(status, expected);
+}
+
+#[tokio::test]
+async fn only_reads() {
+    let (status, _) = get(true, Method::POST, "/metrics").await;
+    assert_eq!(status, StatusCode::METHOD_NOT_ALLOWED);
+}
+
+#[tokio::test]
+async fn encodes_metrics() {
+    let (_, text) = get(true, Method::GET, "/metrics").await;
+    assert!(text.contains("things_total 0"), "{text}");
+    assert!(text.ends_with("# EOF\n"), "{text}");
+}
+
+#[tokio::test]
+async fn tells_the_state() {
+    let (_, text) = get(true, Method::GET, "/status").await;
+    let status: Value = serde_json::from_str(&text).expect("JSON");
+    let expected = json!({
+        "node": "entry-1",
+        "data_centre": "plovdiv",
+        "generation": 4,
+        "draining": false,
+        "platform": true,
+        "peers": ["entry-2"],
+        "endpoints": ["tally-1"],
+    });
+    assert_eq!(status, expected);
+}
--- /dev/null
+++ b/node/tests/test_server.rs
@@ -0,0 +1,219 @@
+//! The server towards callers: limits, cut answers and the end of serving.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use dottereltally::{
+    body::{Body, Cut},
+    server::{self, Limits},
+};
+use futures_util::stream::{self, StreamExt};
+use http::{Request, Response, StatusCode};
+use http_body::Frame;
+use http_body_util::{BodyExt, Empty, StreamBody};
+use hyper::{
+    body::Incoming,
+    client::conn::{http1, http2},
+};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use rstest::rstest;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::{Notify, mpsc, watch},
+    task::JoinHandle,
+};
+
+const LIMITS: Limits = Limits {
+    head: 16 * 1024,
+    head_timeout: Duration::from_millis(100),
+    write_timeout: Duration::from_millis(100),
+};
+
+/// Bytes of one frame of an endless answer.
+const FRAME_BYTES: usize = 64 * 1024;
+
+/// A server and what ends it.
+struct Bench {
+    address: SocketAddr,
+    drain: watch::Sender<bool>,
+    serving: JoinHandle<()>,
+    entered: mpsc::UnboundedReceiver<()>,
+    gate: std::sync::Arc<Notify>,
+    dropped: mpsc::UnboundedReceiver<()>,
+}
+
+/// Reports its own end.
+struct Guard(mpsc::UnboundedSender<()>);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        let _ = self.0.send(());
+    }
+}
+
+fn answer(path: &str, guard: Guard) -> Response<Body> {
+    let frame = Bytes::from(vec![b'x'; FRAME_BYTES]);
+    match path {
+        "/endless" => {
+            let frames = stream::repeat(frame).map(move |frame| {
+                let _ = &guard;
+                Ok::<_, Cut>(Frame::data(frame))
+            });
+            Response::new(Body::stream(StreamBody::new(frames)))
+        }
+        "/cut" => {
+            let frames = [Ok(Frame::data(Bytes::from_static(b"part"))), Err(Cut)];
+            Response::new(Body::stream(StreamBody::new(stream::iter(frames))))
+        }
+        _ => Response::new(Body::full(Bytes::from_static(b"whole"))),
+    }
+}
+
+impl Bench {
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let drain = watch::Sender::new(false);
+        let (entering, entered) = mpsc::unbounded_channel();
+        let (dropping, dropped) = mpsc::unbounded_channel();
+        let gate = std::sync::Arc::new(Notify::new());
+        let opening = gate.clone();
+        let handler = move |request: Request<Incoming>| {
+            let (entering, gate) = (entering.clone(), opening.clone());
+            let guard = Guard(dropping.clone());
+            async move {
+                let _ = entering.send(());
+                if request.uri().path() == "/gated" {
+                    gate.notified().await;
+                }
+                answer(request.uri().path(), guard)
+            }
+        };
+        let serving = server::serve(listener, LIMITS, drain.subscribe(), handler);
+        Self {
+            address,
+            serving: tokio::spawn(serving),
+            drain,
+            entered,
+            gate,
+            dropped,
+        }
+    }
+
+    async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.address)
+            .await
+            .expect("a connection")
+    }
+}
+
+fn request(path: &str) -> Request<Empty<Bytes>> {
+    Request::get(format!("http://node{path}"))
+        .header("host", "node")
+        .body(Empty::new())
+        .expect("a request")
+}
+
+/// Sends a request on a connection of its own.
+async fn send(stream: TcpStream, version: u8, path: &str) -> hyper::Result<Response<Incoming>> {
+    let stream = TokioIo::new(stream);
+    if version == 1 {
+        let (mut sender, connection) = http1::handshake(stream).await?;
+        tokio::spawn(connection);
+        return sender.send_request(request(path)).await;
+    }
+    let (mut sender, connection) = http2::handshake(TokioExecutor::new(), stream).await?;
+    tokio::spawn(connection);
+    sender.send_request(request(path)).await
+}
+
+#[rstest]
+#[tokio::test]
+async fn serves_both_versions(#[values(1, 2)] version: u8) {
+    let bench = Bench::start().await;
+    let response = send(bench.connect().await, version, "/").await;
+    let response = response.expect("an answer");
+    assert_eq!(response.status(), StatusCode::OK);
+    let body = response.into_body().collect().await.expect("whole");
+    assert_eq!(body.to_bytes(), "whole");
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_cut_answer_can_t_be_taken_as_whole(#[values(1, 2)] version: u8) {
+    let bench = Bench::start().await;
+    let response = send(bench.connect().await, version, "/cut").await;
+    // The connection may end before the head has left.
+    let Ok(response) = response else {
+        return;
+    };
+    assert!(response.into_body().collect().await.is_err());
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_request_in_flight_is_finished(#[values(1, 2)] version: u8) {
+    let mut bench = Bench::start().await;
+    let sending = tokio::spawn(send(bench.connect().await, version, "/gated"));
+    bench.entered.recv().await.expect("the request came");
+    bench.drain.send_replace(true);
+    while TcpStream::connect(bench.address).await.is_ok() {
+        tokio::task::yield_now().await;
+    }
+    assert!(!bench.serving.is_finished());
+    bench.gate.notify_one();
+    let response = sending.await.expect("no panic").expect("an answer");
+    let body = response.into_body().collect().await.expect("whole");
+    assert_eq!(body.to_bytes(), "whole");
+    bench.serving.await.expect("serving ends");
+}
+
+#[tokio::test]
+async fn a_draining_server_closes_idle_connections() {
+    let bench = Bench::start().await;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(bench.connect().await))
+        .await
+        .expect("a connection");
+    let connection = tokio::spawn(connection);
+    let response = sender.send_request(request("/")).await.expect("an answer");
+    response.into_body().collect().await.expect("whole");
+    bench.drain.send_replace(true);
+    bench.serving.await.expect("serving ends");
+    let _ = connection.await.expect("no panic");
+    assert!(sender.is_closed());
+}
+
+#[rstest]
+#[case::nothing("")]
+#[case::half_a_preface("PRI * HT")]
+#[case::half_a_head("GET / HTTP/1.1\r\nhost: no")]
+#[tokio::test]
+async fn a_slow_sender_is_cut_off(#[case] start: &str) {
+    let bench = Bench::start().await;
+    let mut stream = bench.connect().await;
+    stream.write_all(start.as_bytes()).await.expect("room");
+    let mut rest = Vec::new();
+    let _ = stream.read_to_end(&mut rest).await;
+    assert!(!rest.starts_with(b"HTTP/1.1 200"));
+}
+
+#[tokio::test]
+async fn a_head_without_end_is_refused() {
+    let bench = Bench::start().await;
+    let mut stream = bench.connect().await;
+    let head = format!("GET / HTTP/1.1\r\nx: {}\r\n\r\n", "x".repeat(64 * 1024));
+    let _ = stream.write_all(head.as_bytes()).await;
+    let mut start = [0; 12];
+    stream.read_exact(&mut start).await.expect("an answer");
+    assert_eq!(&start, b"HTTP/1.1 431");
+}
+
+#[tokio::test]
+async fn a_caller_that_does_not_read_is_cut_off() {
+    let mut bench = Bench::start().await;
+    let mut stream = bench.connect().await;
+    let head = "GET /endless HTTP/1.1\r\nhost: node\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.expect("room");
+    bench.dropped.recv().await.expect("the answer is dropped");
+}
--- /dev/null
+++ b/node/tests/test_sse.rs
@@ -0,0 +1,55 @@
+//! The scanner of event streams, however the stream is cut into frames.
+
+use dottereltally::sse::{Scanner, Usage};
+use rstest::rstest;
+
+const STREAM: &str = "data: {\"a\": 1}\r\n\r\n: comment\nevent: x\ndata:{\"a\": 2}\n\ndata: {\"usage\": {\"completion_tokens\": 2, \"prompt_tokens_details\": {\"cached_tokens\": 7}}}\n\ndata: [DONE]\n\n";
+
+#[test]
+fn finds_the_same_in_any_two_frames() {
+    for cut in 0..=STREAM.len() {
+        let (head, tail) = STREAM.split_at(cut);
+        let mut scanner = Scanner::default();
+        let events = scanner.feed(head.as_bytes()) + scanner.feed(tail.as_bytes());
+        assert_eq!(events, 3, "cut at {cut}");
+        assert!(scanner.is_done(), "cut at {cut}");
+        let usage = Usage {
+            cached: 7,
+            output: 2,
+        };
+        assert_eq!(scanner.usage(), Some(usage), "cut at {cut}");
+    }
+}
+
+#[test]
+fn finds_the_same_byte_by_byte() {
+    let mut scanner = Scanner::default();
+    for byte in STREAM.bytes() {
+        scanner.feed(&[byte]);
+    }
+    assert_eq!(scanner.events(), 3);
+    assert!(scanner.is_done());
+}
+
+#[rstest]
+#[case::no_line_feed("data: 1\n\ndata: [DONE]")]
+#[case::inside_data("data: \"data: [DONE]\"\n\n")]
+#[case::other_field("event: [DONE]\n\n")]
+#[case::not_at_the_start(" data: [DONE]\n\n")]
+fn is_not_done_without_the_last_event(#[case] stream: &str) {
+    let mut scanner = Scanner::default();
+    scanner.feed(stream.as_bytes());
+    assert!(!scanner.is_done());
+    assert_eq!(scanner.usage(), None);
+}
+
+#[test]
+fn passes_over_a_line_without_bounds() {
+    let mut scanner = Scanner::default();
+    scanner.feed(b"data: ");
+    for _ in 0..100 {
+        scanner.feed(&[b'x'; 4096]);
+    }
+    scanner.feed(b"\ndata: [DONE]\n\n");
+    assert!(scanner.is_done());
+}
