claim: judge "not run" at the time of the answer, send again after hours

Cause: trials without the limits of a release and without the long lease broke no promise: the ledger judged "not run" at the time it was asked for, and no caller sent a key again after a lease had lapsed.

--- a/node/examples/claim_runs/simulation/ledger.rs
+++ b/node/examples/claim_runs/simulation/ledger.rs
@@ -56,10 +56,10 @@
             .push(Run { at: now, answer });
     }
 
-    /// Records a refusal that says "not run" and was asked for at `asked`.
-    pub fn not_run(&mut self, key: Key, asked: Instant) {
+    /// Records a refusal that says "not run" of the time before `moment`.
+    pub fn not_run(&mut self, key: Key, moment: Instant) {
         self.count("not run");
-        if self.last(key, asked).is_some() {
+        if self.last(key, moment).is_some() {
             self.violations
                 .push(format!("key {key} had run where \"not run\" was said"));
         }
--- a/node/examples/claim_runs/simulation/mod.rs
+++ b/node/examples/claim_runs/simulation/mod.rs
@@ -34,6 +34,13 @@
 const SENDS: usize = 6;
 const DISTURBANCES: usize = 25;
 
+/// Delay of a call that is answered, at the most.
+const CALL_DELAY: Duration = Duration::from_millis(20);
+
+/// Time from a call's effect to its answer at the most, with the clock's
+/// resolution of a millisecond.
+const ANSWER_DELAY: Duration = Duration::from_millis(11);
+
 /// Probabilities of the faults of one seed.
 #[derive(Clone, Copy, Debug)]
 struct Rates {
@@ -41,7 +48,8 @@
     call: f64,
     /// Of a lost message between nodes.
     message: f64,
-    /// Of a pause of hours between the claim and the dispatch.
+    /// Of a pause of hours between the claim and the dispatch, and between
+    /// two sends of a caller.
     pause: f64,
 }
 
@@ -54,7 +62,7 @@
         Self {
             call: pick(random, &[0.0, 0.02, 0.1, 0.2, 0.28]),
             message: pick(random, &[0.0, 0.0, 0.05, 0.3]),
-            pause: pick(random, &[0.0, 0.0, 0.05]),
+            pause: pick(random, &[0.0, 0.0, 0.0, 0.1]),
         }
     }
 }
@@ -88,6 +96,10 @@
     Duration::from_millis(random.random_range(from..to))
 }
 
+fn hours(random: &mut SmallRng) -> Duration {
+    Duration::from_mins(random.random_range(1..2_000))
+}
+
 fn name(index: usize) -> id::Node {
     id::Node::from(format!("entry-{index}"))
 }
@@ -106,7 +118,7 @@
         if kind < 3.0 {
             return Some(Fault::CallLost);
         }
-        Some(Fault::Slow(millis(&mut random, 0, 20)))
+        Some(Fault::Slow(random.random_range(Duration::ZERO..CALL_DELAY)))
     }
 }
 
@@ -204,7 +216,9 @@
 /// Sends one key several times through any nodes.
 async fn call(world: Arc<World>, key: ledger::Key, mut random: SmallRng) {
     for _ in 0..SENDS {
-        let wait = if random.random_bool(0.3) {
+        let wait = if random.random_bool(world.rates.pause) {
+            hours(&mut random)
+        } else if random.random_bool(0.3) {
             millis(&mut random, 0, 5)
         } else {
             millis(&mut random, 0, 8_000)
@@ -250,7 +264,7 @@
         }
     };
     let queued = if random.random_bool(world.rates.pause) {
-        Duration::from_mins(random.random_range(1..3_000))
+        hours(random)
     } else {
         millis(random, 0, 2_000)
     };
@@ -307,11 +321,10 @@
 }
 
 async fn refuse(world: &World, key: ledger::Key, held: Held) {
-    let asked = Instant::now();
     let result = held.release().await;
     let mut ledger = lock(&world.ledger);
     match result {
-        Ok(()) => ledger.not_run(key, asked),
+        Ok(()) => ledger.not_run(key, Instant::now() - ANSWER_DELAY),
         Err(Error::Taken) => ledger.count("taken"),
         Err(Error::Expired) => ledger.count("expired"),
         Err(Error::Unconfirmed | Error::Refused(_)) => ledger.count("unconfirmed"),
