stream: hold an answer to its deadline though nobody reads it

A caller that stops reading keeps the body from being polled, and with it the deadline; on HTTP/2 the write timeout does not see it either, so that the engine's place was held for good. A task per streamed answer now cancels it at the deadline.

Besides: a path with dot segments is refused, since a plain service could take it for another call than the one it matched; marks of suspects are counted in place of a misleading log line; node and settings::wire are split; samples of settings, which docs/configuration.md names.

--- a/node/src/classify.rs
+++ b/node/src/classify.rs
@@ -51,12 +51,18 @@
 ///
 /// # Errors
 ///
-/// Fails with 404 if no call has the path, with 405 if none has the method.
+/// Fails with 404 if no call has the path, with 405 if none has the method,
+/// with 400 if the path could be taken for another one.
 pub fn candidates<'a>(
     rules: &'a Rules,
     method: &Method,
     uri: &Uri,
 ) -> Result<Candidates<'a>, Problem> {
+    if has_dot_segment(uri.path()) {
+        return Err(malformed(
+            "the path has a `.` or `..` segment; send it without".to_owned(),
+        ));
+    }
     let mut calls = Vec::new();
     let mut path_known = false;
     for call in rules.text.calls.values() {
@@ -165,6 +171,22 @@
     }
 }
 
+/// Returns whether a plain service could take the path for another one than
+/// the call that it matches.
+fn has_dot_segment(path: &str) -> bool {
+    let decoded = path
+        .to_ascii_lowercase()
+        .replace("%2e", ".")
+        .replace("%2f", "/")
+        .replace("%5c", "\\");
+    for segment in decoded.split(['/', '\\']) {
+        if segment == "." || segment == ".." {
+            return true;
+        }
+    }
+    false
+}
+
 fn check_model(service: &text::Service, model: Option<&id::Model>) -> Result<(), Problem> {
     let Some(model) = model else {
         return Ok(());
--- /dev/null
+++ b/node/src/controllers.rs
@@ -0,0 +1,243 @@
+//! Starts the controllers of a node's state.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+};
+
+use dottereltally_lib::{
+    event::Event,
+    membership as members,
+    scheduler::{self, Scheduler},
+};
+use dottereltally_platform::{etcd, hosts as host_list};
+use eyre::WrapErr;
+use prometheus_client::{metrics::counter::Counter, registry::Registry};
+use ractor::Actor;
+use tokio::{net::TcpListener, sync::mpsc, task::JoinHandle};
+
+use crate::{
+    address::Book,
+    claim,
+    clock::Clock,
+    configuration::{self, Controller},
+    dispatcher::{self, Dispatcher, Handle, Sender},
+    hosts, membership, observer,
+    outlet::Outlet,
+    peer, replay, rules,
+    service::Service,
+    settings::Settings,
+};
+
+/// Keeper of the claims over the real platform and peers.
+pub type Keeper = claim::Keeper<etcd::Store, peer::Handle>;
+
+/// Controllers of the node's state.
+pub struct Controllers {
+    /// Addresses of the endpoints.
+    pub book: Book,
+    /// The decision core.
+    pub dispatcher: Sender,
+    /// Ends if the dispatcher stops.
+    pub dispatching: JoinHandle<()>,
+    /// The claims.
+    pub keeper: Keeper,
+    /// The live nodes.
+    pub membership: membership::Handle,
+    /// The rules in force.
+    pub rules: rules::Receiver,
+}
+
+/// The parts that the controllers are started from.
+pub struct Base {
+    settings: Settings,
+    clock: Clock,
+    store: etcd::Store,
+    configuration: configuration::Handle,
+    attempts: replay::Attempts,
+    service: Arc<Service>,
+    peers: peer::Handle,
+    exchanges: mpsc::Receiver<peer::Exchange>,
+    address: SocketAddr,
+}
+
+impl Base {
+    /// Starts the peers and builds what needs no task of its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the thread of the peers can't be started.
+    pub fn start(
+        settings: &Settings,
+        clock: Clock,
+        listener: TcpListener,
+        registry: &mut Registry,
+    ) -> eyre::Result<Self> {
+        let configuration = configuration::Handle::default();
+        let attempts = replay::Attempts::default();
+        let service = Arc::new(Service::new(configuration.clone(), attempts.clone()));
+        let metrics = peer::Metrics::default();
+        metrics.register(registry);
+        let address = listener.local_addr()?;
+        let listener = listener.into_std()?;
+        let (peers, exchanges) =
+            peer::start(settings.node.clone(), listener, service.clone(), metrics)
+                .wrap_err("the thread of the peers can't be started; check the host's limits")?;
+        Ok(Self {
+            store: etcd::Store::new(settings.platform.kv.clone(), settings.platform.timeout),
+            settings: settings.clone(),
+            clock,
+            configuration,
+            attempts,
+            service,
+            peers,
+            exchanges,
+            address,
+        })
+    }
+}
+
+impl Controllers {
+    /// Starts the controllers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an actor can't be started or the host list's address is
+    /// unusable.
+    pub async fn start(base: Base, registry: &mut Registry) -> eyre::Result<Self> {
+        let book = Book::default();
+        let joined = Arc::new(OnceLock::new());
+        let outlet = Outlet {
+            book: book.clone(),
+            peers: base.peers.clone(),
+            membership: Arc::clone(&joined),
+            marks: Counter::default(),
+        };
+        outlet.register(registry);
+        let (dispatcher, dispatching) = start_dispatcher(&base, outlet).await?;
+        base.service.connect(dispatcher.clone());
+        let rules = start_configuration(&base, &dispatcher, registry).await?;
+        let keeper = start_keeper(&base, registry);
+        let hosts = book.follow(start_hosts(&base.settings, registry)?);
+        start_observer(&base.settings, &hosts, &dispatcher, registry);
+        let membership = start_membership(base, hosts, &dispatcher, registry).await?;
+        // There is one membership a process.
+        let _ = joined.set(membership.clone());
+        Ok(Self {
+            book,
+            dispatcher,
+            dispatching,
+            keeper,
+            membership,
+            rules,
+        })
+    }
+}
+
+async fn start_dispatcher(base: &Base, outlet: Outlet) -> eyre::Result<(Sender, JoinHandle<()>)> {
+    let arguments = dispatcher::Arguments {
+        core: Scheduler::new(scheduler::Settings {
+            node: base.settings.node.clone(),
+            data_centre: base.settings.data_centre.clone(),
+            seed: rand::random(),
+            ..scheduler::Settings::default()
+        }),
+        clock: base.clock,
+        sink: Box::new(outlet),
+    };
+    let (actor, task) = Actor::spawn(None, Dispatcher, arguments).await?;
+    Ok((Sender::new(actor, base.clock), task))
+}
+
+async fn start_configuration(
+    base: &Base,
+    dispatcher: &Sender,
+    registry: &mut Registry,
+) -> eyre::Result<rules::Receiver> {
+    let counters = configuration::Counters::default();
+    counters.register(registry);
+    let arguments = configuration::Arguments {
+        handle: base.configuration.clone(),
+        store: base.store.clone(),
+        peers: base.peers.clone(),
+        counters,
+    };
+    Controller::start(arguments).await?;
+    let rules = rules::follow(base.configuration.receiver());
+    tokio::spawn(configure(rules.clone(), dispatcher.clone()));
+    Ok(rules)
+}
+
+/// Tells the core every text that comes into force.
+async fn configure(mut rules: rules::Receiver, dispatcher: Sender) {
+    loop {
+        let current = rules.borrow_and_update().clone();
+        if let Some(current) = current {
+            dispatcher.tell(Event::Configured(Arc::clone(&current.text)));
+        }
+        if rules.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+fn start_keeper(base: &Base, registry: &mut Registry) -> Keeper {
+    let keeper = claim::Keeper::start(
+        base.settings.node.clone(),
+        base.store.clone(),
+        base.peers.clone(),
+        base.attempts.clone(),
+        claim::Limits::default(),
+    );
+    keeper.register(registry);
+    keeper
+}
+
+fn start_hosts(settings: &Settings, registry: &mut Registry) -> eyre::Result<hosts::Receiver> {
+    let metrics = hosts::Metrics::default();
+    metrics.register(registry);
+    let list = host_list::List::new(&settings.platform.hosts, settings.platform.timeout)?;
+    Ok(hosts::spawn(list, metrics))
+}
+
+fn start_observer(
+    settings: &Settings,
+    hosts: &hosts::Receiver,
+    dispatcher: &Sender,
+    registry: &mut Registry,
+) {
+    let metrics = observer::Metrics::default();
+    metrics.register(registry);
+    observer::spawn(
+        settings.data_centre.clone(),
+        hosts.clone(),
+        dispatcher.clone(),
+        metrics,
+    );
+}
+
+async fn start_membership(
+    base: Base,
+    hosts: hosts::Receiver,
+    dispatcher: &Sender,
+    registry: &mut Registry,
+) -> eyre::Result<membership::Handle> {
+    let metrics = membership::Metrics::default();
+    metrics.register(registry);
+    let arguments = membership::Arguments {
+        own: membership::Own {
+            node: base.settings.node,
+            data_centre: base.settings.data_centre,
+            address: base.address.to_string(),
+        },
+        settings: members::Settings::default(),
+        clock: base.clock,
+        hosts,
+        peers: base.peers,
+        exchanges: base.exchanges,
+        service: base.service,
+        dispatcher: dispatcher.clone(),
+        metrics,
+    };
+    Ok(membership::spawn(arguments).await?)
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod classify;
 pub mod clock;
 pub mod configuration;
+pub mod controllers;
 pub mod dispatch;
 pub mod dispatcher;
 pub mod exclusive;
--- a/node/src/outlet.rs
+++ b/node/src/outlet.rs
@@ -8,6 +8,8 @@
     id, quarantine,
 };
 
+use prometheus_client::{metrics::counter::Counter, registry::Registry};
+
 use crate::{
     address::Book,
     dispatcher::{Handle, Sender, Sink},
@@ -23,6 +25,19 @@
     pub peers: peer::Handle,
     /// The membership, which spreads fingerprints; set once it runs.
     pub membership: Arc<OnceLock<membership::Handle>>,
+    /// Marks of suspected requests that the core asked to spread.
+    pub marks: Counter,
+}
+
+impl Outlet {
+    /// Registers the counter.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "quarantine_marks",
+            "Marks of requests in flight at an endpoint's death that were spread",
+            self.marks.clone(),
+        );
+    }
 }
 
 impl Sink for Outlet {
@@ -39,7 +54,7 @@
     }
 
     fn quarantine(&self, fingerprint: id::Fingerprint) {
-        tracing::warn!(%fingerprint, "a request that crashed endpoints is refused");
+        self.marks.inc();
         if let Some(membership) = self.membership.get() {
             membership.quarantine(fingerprint, quarantine::MARK_TTL);
         }
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -5,6 +5,7 @@
 use derive_more::{Display, FromStr};
 use dottereltally_lib::id;
 
+mod check;
 pub mod wire;
 
 /// Checked settings of a node.
--- /dev/null
+++ b/node/src/settings/check.rs
@@ -0,0 +1,198 @@
+//! Checks single values of the settings.
+
+use std::{fmt, net::SocketAddr, time::Duration};
+
+use bytesize::ByteSize;
+use serde_saphyr::Spanned;
+
+/// A value as written, if it is there.
+pub(super) type Scalar = Option<Spanned<String>>;
+
+/// One fault of the settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// File that it is in.
+    pub file: String,
+    /// Line, where it is known.
+    pub line: Option<u64>,
+    /// What is wrong and what to do about it.
+    pub remedy: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:", self.file)?;
+        if let Some(line) = self.line {
+            write!(f, "{line}:")?;
+        }
+        write!(f, " {}", self.remedy)
+    }
+}
+
+/// Collects faults while the values are converted.
+pub(super) struct Check {
+    /// File that is checked.
+    pub(super) file: String,
+    /// Faults that were found.
+    pub(super) faults: Vec<Fault>,
+}
+
+impl Check {
+    pub(super) fn fault(&mut self, line: Option<u64>, remedy: impl Into<String>) {
+        self.faults.push(Fault {
+            file: self.file.clone(),
+            line,
+            remedy: remedy.into(),
+        });
+    }
+
+    pub(super) fn name(&mut self, field: &str, scalar: Scalar) -> String {
+        let Some(scalar) = scalar else {
+            self.fault(None, format!("`{field}` is missing; write `{field}: NAME`"));
+            return String::new();
+        };
+        let usable = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+        if scalar.value.is_empty() || !scalar.value.chars().all(usable) {
+            self.fault(
+                Some(line_of(&scalar)),
+                format!("`{field}` is not a name; use letters, digits, `-`, `_` and `.`"),
+            );
+        }
+        scalar.value
+    }
+
+    pub(super) fn address(&mut self, field: &str, source: Option<Source>) -> String {
+        let Some(source) = source else {
+            self.fault(
+                None,
+                format!("`{field}` is missing; write `{field}: \"IP:PORT\"`"),
+            );
+            return String::new();
+        };
+        if source.value.parse::<SocketAddr>().is_err() {
+            let place = source.place();
+            self.fault(
+                source.line,
+                format!(
+                    "`{field}`{place} is `{}`, which is no address; write it as `IP:PORT`",
+                    source.value
+                ),
+            );
+        }
+        source.value
+    }
+
+    pub(super) fn url(&mut self, field: &str, source: Option<Source>) -> String {
+        let Some(source) = source else {
+            self.fault(
+                None,
+                format!("`{field}` is missing; write `{field}: \"http://IP:PORT/PATH\"`"),
+            );
+            return String::new();
+        };
+        let url = source.value.parse::<http::Uri>().ok();
+        let usable = url.is_some_and(|url| {
+            let address = url.authority().map(http::uri::Authority::as_str);
+            url.scheme_str() == Some("http")
+                && address.is_some_and(|address| address.parse::<SocketAddr>().is_ok())
+        });
+        if !usable {
+            let place = source.place();
+            self.fault(
+                source.line,
+                format!(
+                    "`{field}`{place} is `{}`; write it as `http://IP:PORT/PATH`",
+                    source.value
+                ),
+            );
+        }
+        source.value
+    }
+
+    pub(super) fn duration(&mut self, field: &str, scalar: Scalar, default: Duration) -> Duration {
+        let Some(scalar) = scalar else {
+            return default;
+        };
+        match humantime::parse_duration(&scalar.value) {
+            Ok(value) if !value.is_zero() => value,
+            _ => {
+                self.fault(
+                    Some(line_of(&scalar)),
+                    format!(
+                        "`{field}` is `{}`; write a duration above zero with its unit, such as `2s` or `500ms`",
+                        scalar.value
+                    ),
+                );
+                default
+            }
+        }
+    }
+
+    pub(super) fn size(&mut self, field: &str, scalar: Scalar, default: usize) -> usize {
+        let Some(scalar) = scalar else {
+            return default;
+        };
+        let parsed = scalar.value.parse::<ByteSize>().ok();
+        let bytes = parsed.and_then(|size| usize::try_from(size.as_u64()).ok());
+        let has_unit = scalar.value.ends_with(['B', 'b']);
+        match bytes {
+            Some(bytes) if bytes > 0 && has_unit => bytes,
+            _ => {
+                self.fault(
+                    Some(line_of(&scalar)),
+                    format!(
+                        "`{field}` is `{}`; write a size above zero with its unit, such as `16KiB` or `4MiB`",
+                        scalar.value
+                    ),
+                );
+                default
+            }
+        }
+    }
+}
+
+/// A value and where it came from.
+pub(super) struct Source {
+    value: String,
+    line: Option<u64>,
+    from_environment: bool,
+}
+
+impl Source {
+    pub(super) fn file(scalar: Spanned<String>) -> Self {
+        Self {
+            line: Some(line_of(&scalar)),
+            value: scalar.value,
+            from_environment: false,
+        }
+    }
+
+    pub(super) fn environment(value: String) -> Self {
+        Self {
+            value,
+            line: None,
+            from_environment: true,
+        }
+    }
+
+    fn place(&self) -> &'static str {
+        if self.from_environment {
+            " (from the environment)"
+        } else {
+            ""
+        }
+    }
+}
+
+/// Returns the variable of the environment or else the value of the file.
+pub(super) fn overridden(scalar: Scalar, variable: Option<String>) -> Option<Source> {
+    match variable {
+        Some(value) => Some(Source::environment(value)),
+        None => scalar.map(Source::file),
+    }
+}
+
+/// Returns the line that a value stands on.
+pub(super) fn line_of(scalar: &Spanned<String>) -> u64 {
+    scalar.referenced.line()
+}
--- a/node/src/settings/wire.rs
+++ b/node/src/settings/wire.rs
@@ -1,40 +1,21 @@
 //! The settings as written in YAML, and their check as a whole.
 
-use std::{fmt, net::SocketAddr, path::Path, time::Duration};
+use std::path::Path;
 
-use bytesize::ByteSize;
 use dottereltally_lib::id;
 use serde::Deserialize;
 use serde_saphyr::Spanned;
 
-use super::{Format, Limits, Listen, Log, Platform, Settings, Shutdown};
+use super::{
+    Format, Limits, Listen, Log, Platform, Settings, Shutdown,
+    check::{Check, Scalar, Source, line_of, overridden},
+};
+
+pub use super::check::Fault;
 
 /// Smallest head limit that the HTTP library can keep, bytes.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
 
-/// One fault of the settings.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Fault {
-    /// File that it is in.
-    pub file: String,
-    /// Line, where it is known.
-    pub line: Option<u64>,
-    /// What is wrong and what to do about it.
-    pub remedy: String,
-}
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:", self.file)?;
-        if let Some(line) = self.line {
-            write!(f, "{line}:")?;
-        }
-        write!(f, " {}", self.remedy)
-    }
-}
-
-type Scalar = Option<Spanned<String>>;
-
 #[derive(Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 struct WireSettings {
@@ -106,7 +87,7 @@
             file: file.clone(),
             line: error.location().map(|location| location.line()),
             remedy: format!(
-                "{}; see docs/settings.md for the fields",
+                "{}; see docs/configuration.md for the fields",
                 first_line(&error)
             ),
         }]
@@ -129,12 +110,6 @@
     message.lines().next().unwrap_or_default().to_owned()
 }
 
-/// Collects faults while the values are converted.
-struct Check {
-    file: String,
-    faults: Vec<Fault>,
-}
-
 impl Check {
     fn settings(&mut self, wire: WireSettings, environment: Environment<'_>) -> Settings {
         Settings {
@@ -246,160 +221,4 @@
         }
         log
     }
-
-    fn fault(&mut self, line: Option<u64>, remedy: impl Into<String>) {
-        self.faults.push(Fault {
-            file: self.file.clone(),
-            line,
-            remedy: remedy.into(),
-        });
-    }
-
-    fn name(&mut self, field: &str, scalar: Scalar) -> String {
-        let Some(scalar) = scalar else {
-            self.fault(None, format!("`{field}` is missing; write `{field}: NAME`"));
-            return String::new();
-        };
-        let usable = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-        if scalar.value.is_empty() || !scalar.value.chars().all(usable) {
-            self.fault(
-                Some(line_of(&scalar)),
-                format!("`{field}` is not a name; use letters, digits, `-`, `_` and `.`"),
-            );
-        }
-        scalar.value
-    }
-
-    fn address(&mut self, field: &str, source: Option<Source>) -> String {
-        let Some(source) = source else {
-            self.fault(
-                None,
-                format!("`{field}` is missing; write `{field}: \"IP:PORT\"`"),
-            );
-            return String::new();
-        };
-        if source.value.parse::<SocketAddr>().is_err() {
-            let place = source.place();
-            self.fault(
-                source.line,
-                format!(
-                    "`{field}`{place} is `{}`, which is no address; write it as `IP:PORT`",
-                    source.value
-                ),
-            );
-        }
-        source.value
-    }
-
-    fn url(&mut self, field: &str, source: Option<Source>) -> String {
-        let Some(source) = source else {
-            self.fault(
-                None,
-                format!("`{field}` is missing; write `{field}: \"http://IP:PORT/PATH\"`"),
-            );
-            return String::new();
-        };
-        let url = source.value.parse::<http::Uri>().ok();
-        let usable = url.is_some_and(|url| {
-            let address = url.authority().map(http::uri::Authority::as_str);
-            url.scheme_str() == Some("http")
-                && address.is_some_and(|address| address.parse::<SocketAddr>().is_ok())
-        });
-        if !usable {
-            let place = source.place();
-            self.fault(
-                source.line,
-                format!(
-                    "`{field}`{place} is `{}`; write it as `http://IP:PORT/PATH`",
-                    source.value
-                ),
-            );
-        }
-        source.value
-    }
-
-    fn duration(&mut self, field: &str, scalar: Scalar, default: Duration) -> Duration {
-        let Some(scalar) = scalar else {
-            return default;
-        };
-        match humantime::parse_duration(&scalar.value) {
-            Ok(value) if !value.is_zero() => value,
-            _ => {
-                self.fault(
-                    Some(line_of(&scalar)),
-                    format!(
-                        "`{field}` is `{}`; write a duration above zero with its unit, such as `2s` or `500ms`",
-                        scalar.value
-                    ),
-                );
-                default
-            }
-        }
-    }
-
-    fn size(&mut self, field: &str, scalar: Scalar, default: usize) -> usize {
-        let Some(scalar) = scalar else {
-            return default;
-        };
-        let parsed = scalar.value.parse::<ByteSize>().ok();
-        let bytes = parsed.and_then(|size| usize::try_from(size.as_u64()).ok());
-        let has_unit = scalar.value.ends_with(['B', 'b']);
-        match bytes {
-            Some(bytes) if bytes > 0 && has_unit => bytes,
-            _ => {
-                self.fault(
-                    Some(line_of(&scalar)),
-                    format!(
-                        "`{field}` is `{}`; write a size above zero with its unit, such as `16KiB` or `4MiB`",
-                        scalar.value
-                    ),
-                );
-                default
-            }
-        }
-    }
-}
-
-/// A value and where it came from.
-struct Source {
-    value: String,
-    line: Option<u64>,
-    from_environment: bool,
-}
-
-impl Source {
-    fn file(scalar: Spanned<String>) -> Self {
-        Self {
-            line: Some(line_of(&scalar)),
-            value: scalar.value,
-            from_environment: false,
-        }
-    }
-
-    fn environment(value: String) -> Self {
-        Self {
-            value,
-            line: None,
-            from_environment: true,
-        }
-    }
-
-    fn place(&self) -> &'static str {
-        if self.from_environment {
-            " (from the environment)"
-        } else {
-            ""
-        }
-    }
-}
-
-fn overridden(scalar: Scalar, variable: Option<String>) -> Option<Source> {
-    match variable {
-        Some(value) => Some(Source::environment(value)),
-        None => scalar.map(Source::file),
-    }
-}
-
-fn line_of(scalar: &Spanned<String>) -> u64 {
-    scalar.referenced.line()
 }
--- a/node/src/stream.rs
+++ b/node/src/stream.rs
@@ -3,6 +3,7 @@
 use std::{
     future::Future,
     pin::Pin,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -10,7 +11,10 @@
 use bytes::Bytes;
 use dottereltally_lib::size::Tokens;
 use http_body::{Body, Frame, SizeHint};
-use tokio::time::{Instant, Sleep, sleep, sleep_until};
+use tokio::{
+    task::AbortHandle,
+    time::{Instant, Sleep, sleep, sleep_until},
+};
 
 use crate::{
     body::Cut, dispatcher::Handle, flight::Flight, problem::Reason, sse, upstream::Broken,
@@ -48,8 +52,13 @@
 }
 
 /// An answer on its way from an endpoint to the caller.
+///
+/// A task of its own cancels it at the deadline, because this body is not
+/// polled while the caller does not read.
 pub struct Forward<B, D: Handle> {
-    state: State<B, D>,
+    state: State,
+    source: Source<B, D>,
+    watchdog: AbortHandle,
     first: Option<Frame<Bytes>>,
     scanner: Option<sse::Scanner>,
     limits: Limits,
@@ -57,15 +66,35 @@
     timer: Pin<Box<Sleep>>,
 }
 
-enum State<B, D: Handle> {
-    Open { body: B, flight: Flight<D> },
+/// Where the answer comes from; empty once it has ended or was cancelled.
+struct Source<B, D: Handle>(Arc<Mutex<Option<Open<B, D>>>>);
+
+struct Open<B, D: Handle> {
+    body: B,
+    flight: Flight<D>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum State {
+    Open,
     Aborting,
     Ended,
 }
 
+impl<B, D: Handle> Source<B, D> {
+    fn lock(&self) -> MutexGuard<'_, Option<Open<B, D>>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes what is open, so that nobody else ends it.
+    fn take(&self) -> Option<Open<B, D>> {
+        self.lock().take()
+    }
+}
+
 impl<B, D> Forward<B, D>
 where
-    B: Body<Data = Bytes, Error = Broken> + Unpin,
+    B: Body<Data = Bytes, Error = Broken> + Send + Unpin + 'static,
     D: Handle,
 {
     /// Starts with the first frame, if it was already read; `events` tells
@@ -78,8 +107,19 @@
         limits: Limits,
     ) -> Self {
         let last = Instant::now();
+        let open = Some(Open { body, flight });
+        let source = Source(Arc::new(Mutex::new(open)));
+        let watched = Source(Arc::clone(&source.0));
+        let watchdog = tokio::spawn(async move {
+            sleep_until(limits.deadline).await;
+            if let Some(open) = watched.take() {
+                open.flight.expired();
+            }
+        });
         Self {
-            state: State::Open { body, flight },
+            state: State::Open,
+            source,
+            watchdog: watchdog.abort_handle(),
             first,
             scanner: events.then(sse::Scanner::default),
             limits,
@@ -95,14 +135,12 @@
         if let Some(frame) = self.first.take() {
             return Poll::Ready(Ok(Some(frame)));
         }
-        let State::Open { body, .. } = &mut self.state else {
-            return Poll::Ready(Ok(None));
+        let polled = match self.source.lock().as_mut() {
+            Some(open) => Pin::new(&mut open.body).poll_frame(context),
+            None => return Poll::Ready(Err(Reason::DeadlinePassed)),
         };
-        if let Poll::Ready(frame) = Pin::new(body).poll_frame(context) {
+        if let Poll::Ready(frame) = polled {
             return Poll::Ready(match frame {
-                Some(Ok(_)) if Instant::now() >= self.limits.deadline => {
-                    Err(Reason::DeadlinePassed)
-                }
                 Some(Ok(frame)) => Ok(Some(frame)),
                 Some(Err(_)) => Err(Reason::Broken),
                 None => Ok(None),
@@ -121,64 +159,69 @@
 
     /// Notes a frame that is passed on.
     fn observe(&mut self, frame: &Frame<Bytes>) {
-        let State::Open { flight, .. } = &mut self.state else {
-            return;
-        };
         let Some(data) = frame.data_ref() else {
             return;
         };
         self.last = Instant::now();
-        flight.start();
-        if let Some(scanner) = &mut self.scanner {
-            flight.progress(scanner.feed(data));
-        }
+        let tokens = self.scanner.as_mut().map(|scanner| scanner.feed(data));
+        let mut source = self.source.lock();
+        let Some(open) = source.as_mut() else {
+            return;
+        };
+        open.flight.start();
+        open.flight.progress(tokens.unwrap_or_default());
     }
 
     /// Ends the answer where the endpoint ended it.
     fn finish(&mut self) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        if self
-            .scanner
-            .as_ref()
-            .is_some_and(|scanner| !scanner.is_done())
-        {
+        let scanner = self.scanner.as_ref();
+        if scanner.is_some_and(|scanner| !scanner.is_done()) {
             return self.cut(Reason::Broken);
         }
-        let state = std::mem::replace(&mut self.state, State::Ended);
-        if let State::Open { flight, .. } = state {
-            let events = self.scanner.as_ref().map_or(0, sse::Scanner::events);
-            let usage = self.scanner.as_ref().and_then(sse::Scanner::usage);
-            let usage = usage.unwrap_or(sse::Usage {
-                cached: 0,
-                output: events,
-            });
-            flight.answered(Tokens(usage.cached), Tokens(usage.output));
-        }
+        let usage = scanner.and_then(sse::Scanner::usage);
+        let usage = usage.unwrap_or(sse::Usage {
+            cached: 0,
+            output: scanner.map_or(0, sse::Scanner::events),
+        });
+        let Some(open) = self.source.take() else {
+            return self.cut(Reason::DeadlinePassed);
+        };
+        open.flight
+            .answered(Tokens(usage.cached), Tokens(usage.output));
+        self.state = State::Ended;
         Poll::Ready(None)
     }
 
     /// Ends the answer before its end, in a way that the caller can tell.
     fn cut(&mut self, reason: Reason) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        let state = std::mem::replace(&mut self.state, State::Aborting);
-        if let State::Open { body, flight } = state {
-            drop(body);
+        if let Some(open) = self.source.take() {
+            drop(open.body);
             match reason {
-                Reason::DeadlinePassed => flight.expired(),
-                Reason::Stalled => flight.stalled(),
-                _ => flight.broken(),
+                Reason::DeadlinePassed => open.flight.expired(),
+                Reason::Stalled => open.flight.stalled(),
+                _ => open.flight.broken(),
             }
         }
         if self.scanner.is_none() {
             self.state = State::Ended;
             return Poll::Ready(Some(Err(Cut)));
         }
+        self.state = State::Aborting;
         self.timer = Box::pin(sleep(ABORT_DELAY));
         Poll::Ready(Some(Ok(Frame::data(error_event(reason)))))
     }
 }
 
+impl<B, D: Handle> Drop for Forward<B, D> {
+    fn drop(&mut self) {
+        self.watchdog.abort();
+        drop(self.source.take());
+    }
+}
+
 impl<B, D> Body for Forward<B, D>
 where
-    B: Body<Data = Bytes, Error = Broken> + Unpin,
+    B: Body<Data = Bytes, Error = Broken> + Send + Unpin + 'static,
     D: Handle + Unpin,
 {
     type Data = Bytes;
@@ -190,7 +233,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         let this = self.get_mut();
         match this.state {
-            State::Open { .. } => {}
+            State::Open => {}
             State::Aborting => {
                 ready!(this.timer.as_mut().poll(context));
                 this.state = State::Ended;
--- a/node/tests/test_filter.rs
+++ b/node/tests/test_filter.rs
@@ -104,6 +104,8 @@
 #[case::unknown_tier(with(chat(), "dottereltally-tier", "none"), 400, "malformed")]
 #[case::longer_deadline(with(chat(), "dottereltally-deadline", "61s"), 400, "malformed")]
 #[case::no_duration(with(chat(), "dottereltally-deadline", "soon"), 400, "malformed")]
+#[case::dot_segment(request("GET", "/tickets/../payments", ""), 400, "malformed")]
+#[case::hidden_dot_segment(request("GET", "/tickets/%2E%2e%2fpayments", ""), 400, "malformed")]
 #[case::no_idempotency_key(request("POST", "/payments", "{}"), 400, "no-key")]
 #[case::large_body(request("POST", "/log", &"x".repeat(4097)), 413, "too-large")]
 #[case::large_head(with(chat(), "x-large", &"x".repeat(17_000)), 431, "too-large")]
@@ -273,6 +275,19 @@
     assert_eq!(bench.outcomes(), [Outcome::Cancelled]);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_deadline_that_passes_cancels_what_nobody_reads() {
+    let steps = vec![Step::Data("data: 1\n\n"), Step::Data("data: 2\n\n")];
+    let bench = Bench::new(vec![], vec![Script::Answer(Head::events(), steps)]);
+    let request = with(chat(), "dottereltally-deadline", "5s");
+    let response = Arc::clone(&bench.chain).serve(request).await;
+    bench.endpoints.cancelled.notified().await;
+    assert_eq!(bench.outcomes(), [Outcome::Cancelled]);
+    let seen = read(response).await;
+    assert!(!seen.whole);
+    assert!(seen.text.contains("deadline-passed"), "{}", seen.text);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_deadline_that_passes_before_the_first_byte_is_a_504() {
     let bench = Bench::new(vec![], vec![Script::Silent]);
--- a/node/tests/test_settings.rs
+++ b/node/tests/test_settings.rs
@@ -52,6 +52,13 @@
     assert_eq!(settings.log.level, tracing::Level::WARN);
 }
 
+#[rstest]
+#[case(include_str!("../../examples/settings-balkan.yaml"))]
+#[case(include_str!("../../examples/settings-bulu-mata.yaml"))]
+fn reads_the_samples(#[case] content: &str) {
+    assert!(parse(content).is_ok(), "{:?}", parse(content));
+}
+
 #[test]
 fn fills_in_defaults() {
     let settings = parse(LEAST).expect("valid settings");
