claim: focused tests of lost answers, outages, pauses and restarts

Ruled out: none. Change: test_claim, one behaviour a test, on tokio's paused clock. Conclusion: a claim takes one transaction, its return another.

--- /dev/null
+++ b/node/tests/test_claim.rs
@@ -0,0 +1,550 @@
+//! Claims under lost answers, outages, pauses, restarts and races.
+
+#[path = "../examples/claim_runs/simulation/network.rs"]
+mod network;
+
+use std::time::Duration;
+
+use dottereltally::{
+    claim::{Error, Held, Keeper, Limits, Lost, Scope},
+    peer::{Answer, Response},
+    replay::{self, Attempts},
+};
+use dottereltally_lib::id;
+use dottereltally_platform::{
+    kv::{Entry, Lease, Store as _},
+    layout,
+    memory::{Call, Fault, Store},
+};
+use network::Network;
+use rand::{SeedableRng, rngs::SmallRng};
+use rstest::rstest;
+use tokio::time::{self, Instant};
+
+const FINGERPRINT: id::Fingerprint = id::Fingerprint(7);
+const OTHER_FINGERPRINT: id::Fingerprint = id::Fingerprint(8);
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// One node over the common service.
+struct Node {
+    name: id::Node,
+    store: Store,
+    attempts: Attempts,
+    keeper: Keeper<Store, Network>,
+}
+
+/// The service and the network of a test.
+struct World {
+    service: Store,
+    network: Network,
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            service: Store::default(),
+            network: Network::new(SmallRng::seed_from_u64(1), 0.0),
+        }
+    }
+
+    fn node(&self, name: &str) -> Node {
+        self.node_with(name, Attempts::default())
+    }
+
+    fn node_with(&self, name: &str, attempts: Attempts) -> Node {
+        let name = id::Node::from(name);
+        let store = self.service.connect();
+        self.network.route(&name, attempts.clone());
+        let keeper = Keeper::start(
+            name.clone(),
+            store.clone(),
+            self.network.clone(),
+            attempts.clone(),
+            Limits::default(),
+        );
+        Node {
+            name,
+            store,
+            attempts,
+            keeper,
+        }
+    }
+
+    /// Returns the only claim that the service holds.
+    async fn claim(&self) -> Option<Entry> {
+        let mut entries = self.service.list(layout::CLAIMS, 10).await.unwrap();
+        assert!(entries.len() <= 1, "{entries:?}");
+        entries.pop()
+    }
+
+    async fn token(&self) -> Option<String> {
+        let entry = self.claim().await?;
+        let record: layout::Claim = serde_json::from_slice(&entry.value).unwrap();
+        Some(record.token)
+    }
+}
+
+impl Node {
+    async fn acquire(&self) -> Result<Held, Lost> {
+        self.acquire_as(FINGERPRINT).await
+    }
+
+    async fn acquire_as(&self, fingerprint: id::Fingerprint) -> Result<Held, Lost> {
+        let deadline = Instant::now() + PATIENCE;
+        self.keeper
+            .acquire(scope("pay-1"), fingerprint, deadline)
+            .await
+    }
+
+    fn transactions(&self) -> u64 {
+        self.store.count().transactions
+    }
+}
+
+fn scope(key: &str) -> Scope {
+    Scope {
+        workspace: id::Workspace::from("yard"),
+        service: id::Service::from("ledger"),
+        key: key.to_owned(),
+    }
+}
+
+fn response(body: &str) -> Response {
+    Response {
+        status: 200,
+        content_type: "text/plain".to_owned(),
+        body: body.as_bytes().to_vec(),
+    }
+}
+
+/// Loses every transaction on its way.
+fn lose_transactions(call: Call) -> Option<Fault> {
+    (call == Call::Transact).then_some(Fault::CallLost)
+}
+
+/// Returns why an attempt got no claim.
+fn lost(result: Result<Held, Lost>) -> Lost {
+    match result {
+        Ok(_) => panic!("the claim was given twice"),
+        Err(lost) => lost,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_claim_takes_one_transaction_and_its_return_another() {
+    let world = World::new();
+    let node = world.node("a");
+    let held = node.acquire().await.unwrap();
+    assert_eq!(node.transactions(), 1);
+    assert_eq!(world.token().await.as_deref(), Some(held.token()));
+    held.release().await.unwrap();
+    assert_eq!(node.transactions(), 2);
+    assert_eq!(world.claim().await, None);
+}
+
+#[rstest]
+#[case::call_lost(&[Fault::CallLost])]
+#[case::answer_lost(&[Fault::AnswerLost])]
+#[case::two_answers_lost(&[Fault::AnswerLost, Fault::AnswerLost])]
+#[case::call_then_answer_lost(&[Fault::CallLost, Fault::AnswerLost])]
+#[case::late(&[Fault::Delayed(Duration::from_millis(700))])]
+#[case::unreachable_after_loss(&[Fault::AnswerLost, Fault::Unreachable])]
+#[tokio::test(start_paused = true)]
+async fn a_lost_answer_is_settled_with_the_same_token(#[case] faults: &[Fault]) {
+    let world = World::new();
+    let node = world.node("a");
+    for fault in faults {
+        node.store.inject(Call::Transact, *fault);
+    }
+    let held = node.acquire().await.unwrap();
+    assert_eq!(node.transactions(), faults.len() as u64 + 1);
+    assert_eq!(world.token().await.as_deref(), Some(held.token()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn of_two_nodes_at_the_same_instant_one_wins_and_the_other_gets_its_answer() {
+    let world = World::new();
+    let (a, b) = (world.node("a"), world.node("b"));
+    let run = |node: Node| async move {
+        match node.acquire().await {
+            Ok(held) => {
+                let dispatched = held.dispatch().unwrap();
+                time::sleep(Duration::from_secs(1)).await;
+                dispatched.complete(response(&node.name.to_string()));
+                Ok(node.name.to_string())
+            }
+            Err(lost) => Err(lost),
+        }
+    };
+    let results = tokio::join!(run(a), run(b));
+    let (winner, loser) = match results {
+        (Ok(winner), Err(loser)) | (Err(loser), Ok(winner)) => (winner, loser),
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(loser, Lost::Replay(response(&winner)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_call_that_goes_on_is_reported_as_running() {
+    let world = World::new();
+    let (a, b) = (world.node("a"), world.node("b"));
+    let _running = a.acquire().await.unwrap().dispatch().unwrap();
+    let lost = lost(b.acquire().await);
+    assert!(matches!(lost, Lost::Running { .. }), "{lost:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_is_given_again_by_the_same_node_and_by_others() {
+    let world = World::new();
+    let (a, b) = (world.node("a"), world.node("b"));
+    let dispatched = a.acquire().await.unwrap().dispatch().unwrap();
+    dispatched.complete(response("paid"));
+    assert_eq!(lost(a.acquire().await), Lost::Replay(response("paid")));
+    assert_eq!(lost(b.acquire().await), Lost::Replay(response("paid")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_key_used_for_another_request_is_a_mismatch() {
+    let world = World::new();
+    let (a, b) = (world.node("a"), world.node("b"));
+    let held = a.acquire().await.unwrap();
+    assert_eq!(lost(b.acquire_as(OTHER_FINGERPRINT).await), Lost::Mismatch);
+    held.dispatch().unwrap().complete(response("paid"));
+    assert_eq!(lost(b.acquire_as(OTHER_FINGERPRINT).await), Lost::Mismatch);
+}
+
+#[rstest]
+#[case::answer_lost(&[Fault::AnswerLost])]
+#[case::call_lost(&[Fault::CallLost])]
+#[case::both(&[Fault::AnswerLost, Fault::CallLost])]
+#[tokio::test(start_paused = true)]
+async fn a_release_with_a_lost_answer_is_settled(#[case] faults: &[Fault]) {
+    let world = World::new();
+    let node = world.node("a");
+    let held = node.acquire().await.unwrap();
+    for fault in faults {
+        node.store.inject(Call::Transact, *fault);
+    }
+    held.release().await.unwrap();
+    assert_eq!(world.claim().await, None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_release_does_not_delete_the_claim_of_another_attempt() {
+    let world = World::new();
+    let (a, b) = (world.node("a"), world.node("b"));
+    let held = a.acquire().await.unwrap();
+    // The first deletion takes effect unseen; the second meets b's claim.
+    a.store.inject(Call::Transact, Fault::AnswerLost);
+    let release = tokio::spawn(held.release());
+    time::sleep(Duration::from_millis(100)).await;
+    let other = b.acquire().await.unwrap();
+    assert_eq!(release.await.unwrap(), Err(Error::Taken));
+    assert_eq!(world.token().await.as_deref(), Some(other.token()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_release_during_an_outage_is_unconfirmed_and_made_up_for() {
+    let world = World::new();
+    let node = world.node("a");
+    let held = node.acquire().await.unwrap();
+    node.store.set_down(true);
+    assert_eq!(held.release().await, Err(Error::Unconfirmed));
+    assert!(world.claim().await.is_some());
+    node.store.set_down(false);
+    time::sleep(Duration::from_secs(5)).await;
+    assert_eq!(world.claim().await, None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn during_an_outage_calls_are_refused_at_once_without_a_call() {
+    let world = World::new();
+    let node = world.node("a");
+    drop(node.acquire().await.unwrap());
+    time::sleep(Duration::from_secs(1)).await;
+    node.store.script(|_| Some(Fault::CallLost));
+    let first = lost(node.acquire().await);
+    assert!(matches!(first, Lost::Away { .. }), "{first:?}");
+    time::sleep(Duration::from_secs(10)).await;
+    let (before, start) = (node.transactions(), Instant::now());
+    for _ in 0..100 {
+        let lost = lost(node.acquire().await);
+        assert!(matches!(lost, Lost::Away { .. }), "{lost:?}");
+    }
+    assert_eq!(start.elapsed(), Duration::ZERO);
+    assert_eq!(node.transactions(), before);
+    assert!(!node.keeper.is_available());
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_read_at_a_time_tries_a_service_that_is_away() {
+    let world = World::new();
+    let node = world.node("a");
+    drop(node.acquire().await.unwrap());
+    node.store.set_down(true);
+    let _away = lost(node.acquire().await);
+    let before = node.store.count();
+    time::sleep(Duration::from_secs(10)).await;
+    let after = node.store.count();
+    assert!(after.reads - before.reads <= 20, "{before:?} {after:?}");
+    node.store.set_down(false);
+    time::sleep(Duration::from_secs(1)).await;
+    assert!(node.keeper.is_available());
+    let _held = node.acquire().await.unwrap();
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_node_that_starts_during_an_outage_claims_after_it() {
+    let world = World::new();
+    let node = world.node("a");
+    node.store.set_down(true);
+    let lost = lost(node.acquire().await);
+    assert!(matches!(lost, Lost::Away { .. }), "{lost:?}");
+    node.store.set_down(false);
+    time::sleep(Duration::from_secs(2)).await;
+    let _held = node.acquire().await.unwrap();
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_outage_after_the_claim_does_not_stop_the_call() {
+    let world = World::new();
+    let (a, b) = (world.node("a"), world.node("b"));
+    let held = a.acquire().await.unwrap();
+    a.store.set_down(true);
+    held.dispatch().unwrap().complete(response("paid"));
+    assert_eq!(lost(b.acquire().await), Lost::Replay(response("paid")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_claim_that_an_outage_left_behind_is_given_back() {
+    let world = World::new();
+    let (a, b) = (world.node("a"), world.node("b"));
+    // The write takes effect, and no later call of this node arrives.
+    a.store.inject(Call::Transact, Fault::AnswerLost);
+    a.store.script(lose_transactions);
+    let refused = lost(a.acquire().await);
+    assert!(matches!(refused, Lost::Away { .. }), "{refused:?}");
+    assert!(world.claim().await.is_some());
+    let held = b.acquire().await.unwrap();
+    assert_eq!(b.keeper.counters().taken_over.get(), 1);
+    assert_eq!(world.token().await.as_deref(), Some(held.token()));
+    // The late deletion by the first node spares the new claim.
+    a.store.script(|_| None);
+    time::sleep(Duration::from_mins(2)).await;
+    assert_eq!(world.token().await.as_deref(), Some(held.token()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_write_that_lands_late_neither_runs_nor_blocks_the_call() {
+    let world = World::new();
+    let (a, b) = (world.node("a"), world.node("b"));
+    let delay = Duration::from_mins(10);
+    a.store.inject(Call::Transact, Fault::Delayed(delay));
+    let held = a.acquire().await.unwrap();
+    held.release().await.unwrap();
+    assert_eq!(world.claim().await, None);
+    time::sleep(delay).await;
+    // The first transaction has written the released token again.
+    assert!(world.claim().await.is_some());
+    let held = b.acquire().await.unwrap();
+    held.dispatch().unwrap().complete(response("paid"));
+    assert_eq!(lost(a.acquire().await), Lost::Replay(response("paid")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_write_that_lands_after_a_run_changes_nothing() {
+    let world = World::new();
+    let (a, b) = (world.node("a"), world.node("b"));
+    let delay = Duration::from_mins(1);
+    for _ in 0..10 {
+        a.store.inject(Call::Transact, Fault::Delayed(delay));
+    }
+    let refused = lost(a.acquire().await);
+    assert!(matches!(refused, Lost::Away { .. }), "{refused:?}");
+    let held = b.acquire().await.unwrap();
+    let token = held.token().to_owned();
+    held.dispatch().unwrap().complete(response("paid"));
+    time::sleep(delay * 2).await;
+    assert_eq!(world.token().await, Some(token));
+}
+
+#[tokio::test(start_paused = true)]
+async fn of_two_takeovers_one_wins() {
+    let world = World::new();
+    let (a, b, c) = (world.node("a"), world.node("b"), world.node("c"));
+    a.store.inject(Call::Transact, Fault::AnswerLost);
+    a.store.script(lose_transactions);
+    let _away = lost(a.acquire().await);
+    let (first, second) = tokio::join!(b.acquire(), c.acquire());
+    let results = [first, second];
+    let winners = results.iter().filter(|result| result.is_ok()).count();
+    assert_eq!(winners, 1);
+    let taken_over = |node: &Node| node.keeper.counters().taken_over.get();
+    assert_eq!(taken_over(&b) + taken_over(&c), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_claim_of_a_restarted_node_is_never_taken_over() {
+    let world = World::new();
+    let (a, b) = (world.node("a"), world.node("b"));
+    let _dispatched = a.acquire().await.unwrap().dispatch().unwrap();
+    let token = world.token().await;
+    let restarted = world.node("a");
+    for node in [&b, &restarted] {
+        let lost = lost(node.acquire().await);
+        assert_eq!(lost, Lost::Unknown { retry_after: None });
+    }
+    assert_eq!(world.token().await, token);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_claim_of_a_silent_node_is_never_taken_over() {
+    let world = World::new();
+    let (a, b) = (world.node("a"), world.node("b"));
+    let held = a.acquire().await.unwrap();
+    world.network.cut(&a.name);
+    let lost = lost(b.acquire().await);
+    assert!(
+        matches!(
+            lost,
+            Lost::Unknown {
+                retry_after: Some(_)
+            }
+        ),
+        "{lost:?}"
+    );
+    assert_eq!(world.token().await.as_deref(), Some(held.token()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_holder_that_was_paused_past_its_lease_does_not_dispatch() {
+    let world = World::new();
+    let (a, b) = (world.node("a"), world.node("b"));
+    let held = a.acquire().await.unwrap();
+    time::sleep(Duration::from_hours(25)).await;
+    assert_eq!(world.claim().await, None);
+    let other = b.acquire().await.unwrap().dispatch().unwrap();
+    assert_eq!(held.dispatch().err(), Some(Error::Expired));
+    other.complete(response("paid"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_holder_that_was_paused_past_its_lease_does_not_say_not_run() {
+    let world = World::new();
+    let a = world.node("a");
+    let held = a.acquire().await.unwrap();
+    time::sleep(Duration::from_hours(50)).await;
+    assert_eq!(held.release().await, Err(Error::Expired));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_caller_who_leaves_gives_the_claim_back() {
+    let world = World::new();
+    let node = world.node("a");
+    drop(node.acquire().await.unwrap());
+    time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(world.claim().await, None);
+    // The write takes effect half-way through the call that is dropped.
+    let slow = Fault::Slow(Duration::from_secs(2));
+    node.store.inject(Call::Transact, slow);
+    let patience = Duration::from_millis(1500);
+    assert!(time::timeout(patience, node.acquire()).await.is_err());
+    assert!(world.claim().await.is_some());
+    time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(world.claim().await, None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_dispatched_call_without_an_answer_may_have_run() {
+    let world = World::new();
+    let (a, b) = (world.node("a"), world.node("b"));
+    drop(a.acquire().await.unwrap().dispatch().unwrap());
+    for node in [&a, &b] {
+        let lost = lost(node.acquire().await);
+        assert_eq!(lost, Lost::Unknown { retry_after: None });
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_dispatch_that_handed_nothing_over_is_taken_back() {
+    let world = World::new();
+    let (a, b) = (world.node("a"), world.node("b"));
+    let held = a.acquire().await.unwrap().dispatch().unwrap().undo(&());
+    held.release().await.unwrap();
+    let _held = b.acquire().await.unwrap();
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lease_that_the_service_forgot_is_replaced() {
+    let world = World::new();
+    let node = world.node("a");
+    node.acquire().await.unwrap().release().await.unwrap();
+    world.service.revoke(Lease(1)).await.unwrap();
+    let held = node.acquire().await.unwrap();
+    assert_eq!(world.token().await.as_deref(), Some(held.token()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_claim_outlives_its_node_and_vanishes_after_its_retention() {
+    let world = World::new();
+    let node = world.node("a");
+    time::sleep(Duration::from_mins(59)).await;
+    let dispatched = node.acquire().await.unwrap().dispatch().unwrap();
+    dispatched.complete(response("paid"));
+    drop(node);
+    time::sleep(Duration::from_hours(12)).await;
+    assert!(world.claim().await.is_some());
+    time::sleep(Duration::from_hours(12)).await;
+    assert_eq!(world.claim().await, None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_key_of_a_claim_is_short_whatever_the_caller_sends() {
+    let world = World::new();
+    let node = world.node("a");
+    let deadline = Instant::now() + PATIENCE;
+    let long = scope(&"k".repeat(100_000));
+    let _held = node.keeper.acquire(long, FINGERPRINT, deadline).await;
+    let entry = world.claim().await.unwrap();
+    assert!(entry.key.len() < 128, "{}", entry.key);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_too_large_to_keep_counts_as_lost() {
+    let world = World::new();
+    let limits = replay::Limits {
+        answer: 3,
+        ..replay::Limits::default()
+    };
+    let node = world.node_with("a", Attempts::new(limits));
+    let dispatched = node.acquire().await.unwrap().dispatch().unwrap();
+    dispatched.complete(response("paid"));
+    let lost = lost(node.acquire().await);
+    assert_eq!(lost, Lost::Unknown { retry_after: None });
+}
+
+#[tokio::test(start_paused = true)]
+async fn kept_answers_are_bounded_and_running_attempts_are_not_dropped() {
+    let world = World::new();
+    let limits = replay::Limits {
+        total: 0,
+        ..replay::Limits::default()
+    };
+    let node = world.node_with("a", Attempts::new(limits));
+    let dispatched = node.acquire().await.unwrap().dispatch().unwrap();
+    let entry = world.claim().await.unwrap();
+    let token = world.token().await.unwrap();
+    let answer = || node.attempts.answer(&entry.key, &token);
+    assert_eq!(answer(), Answer::Running);
+    dispatched.complete(response("paid"));
+    assert_eq!(answer(), Answer::Unknown);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_attempt_is_not_known_under_another_key() {
+    let world = World::new();
+    let node = world.node("a");
+    let held = node.acquire().await.unwrap();
+    let answer = node.attempts.answer("another", held.token());
+    assert_eq!(answer, Answer::Unknown);
+}
