membership: randomised runs on a virtual clock; dropped elsewhere is not dead here

Ruled out: believing a drop that another node has concluded (revived suspicions after each partition); a whole table in every beat (bytes). Change: a node tells what it dropped as dropped; who holds the node alive tries it itself and tells it, at most four a round; up to 64 news a beat; sent twice per doubling of the nodes; members are announced only if they changed; the digest is kept as news come. lib/tests/fleet: memberships on a virtual clock with lost, late, doubled and crossed beats, pauses, restarts, cuts; lib/examples/membership_run.rs for long runs.

--- /dev/null
+++ b/lib/examples/membership_run.rs
@@ -0,0 +1,44 @@
+//! Runs memberships through random faults, a run per seed:
+//! `cargo run --release -p dottereltally-lib --example membership_run -- --seeds 1000 --first 0`.
+
+#[path = "../tests/fleet/mod.rs"]
+mod fleet;
+
+use std::{env, process::ExitCode};
+
+use dottereltally_lib::membership::Settings;
+use fleet::scenario;
+
+/// Returns the number that follows a switch.
+fn number(switch: &str, default: u64) -> u64 {
+    let mut arguments = env::args().skip_while(|argument| argument != switch);
+    let value = arguments.nth(1);
+    value.map_or(default, |value| {
+        value.parse().expect("a switch takes a whole number")
+    })
+}
+
+fn main() -> ExitCode {
+    let first = number("--first", 0);
+    let seeds = number("--seeds", 100);
+    let mut failures = 0;
+    let mut worst = scenario::Report::default();
+    for seed in first..first + seeds {
+        let report = match scenario::run(Settings::default(), seed) {
+            Ok(report) => report,
+            Err(what) => {
+                println!("seed {seed}: {what}");
+                failures += 1;
+                continue;
+            }
+        };
+        worst.nodes = worst.nodes.max(report.nodes);
+        worst.agreed = worst.agreed.max(report.agreed);
+        worst.dropped = worst.dropped.max(report.dropped);
+        worst.joined = worst.joined.max(report.joined);
+        worst.configured = worst.configured.max(report.configured);
+        worst.false_drops += report.false_drops;
+    }
+    println!("{seeds} seeds from {first}, {failures} failed; worst of the others: {worst:?}");
+    ExitCode::from(u8::from(failures > 0))
+}
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -29,6 +29,8 @@
 /// Fingerprints that hold on for less are not taken from a peer.
 const MIN_VALIDITY: Duration = Duration::from_secs(5);
 
+/// Doubted nodes that one node tries per round.
+const MAX_CONFIRMATIONS: usize = 4;
 /// Periods after which an exchange without a result is forgotten.
 const PENDING_PERIODS: u32 = 20;
 /// Periods without a round after which this process counts as paused.
@@ -63,7 +65,7 @@
             fan_out: 2,
             suspicion: Duration::from_secs(3),
             retention: Duration::from_mins(10),
-            news: 12,
+            news: 64,
             reconnect: 8,
             confirmations: 3,
             resync: Duration::from_secs(5),
@@ -113,6 +115,8 @@
     hosts: BTreeMap<id::Node, Host>,
     fingerprints: BTreeMap<id::Fingerprint, Instant>,
     confirm: BTreeSet<id::Node>,
+    hearsay: BTreeMap<id::Node, Member>,
+    announced: Option<Vec<Member>>,
     pending: BTreeMap<id::Node, Instant>,
     ticked: Instant,
     resynced: Instant,
@@ -133,6 +137,8 @@
             hosts: BTreeMap::new(),
             fingerprints: BTreeMap::new(),
             confirm: BTreeSet::new(),
+            hearsay: BTreeMap::new(),
+            announced: None,
             pending: BTreeMap::new(),
             ticked: now,
             resynced: now,
@@ -182,13 +188,7 @@
         self.expire(now);
         let mut effects = Vec::new();
         let mut targets = self.choose(self.settings.fan_out);
-        for node in std::mem::take(&mut self.confirm) {
-            if let Some(record) = self.table.get(&node)
-                && record.is_live()
-            {
-                targets.insert(node, record.member.address.clone());
-            }
-        }
+        targets.extend(self.choose_doubted());
         let alone = targets.is_empty();
         for (node, address) in targets {
             effects.push(self.exchange(now, node, address, false));
@@ -247,7 +247,7 @@
     pub fn addresses(&self) -> Vec<(id::Node, String)> {
         let mut addresses = Vec::new();
         for record in self.table.records() {
-            if record.dropped {
+            if record.member.state == State::Dropped {
                 continue;
             }
             addresses.push((record.member.node.clone(), record.member.address.clone()));
@@ -263,7 +263,7 @@
             members.push(self.own.clone());
         }
         for record in self.table.records() {
-            if record.is_live() && !self.is_leaving(&record.member.node) {
+            if record.member.is_live() && !self.is_leaving(&record.member.node) {
                 members.push(record.member.clone());
             }
         }
@@ -276,8 +276,16 @@
         &self.own
     }
 
+    /// Returns what is known of another node.
+    #[must_use]
+    pub fn known(&self, node: &id::Node) -> Option<&Member> {
+        Some(&self.table.get(node)?.member)
+    }
+
     fn is_live(&self, node: &id::Node) -> bool {
-        self.table.get(node).is_some_and(table::Record::is_live)
+        self.table
+            .get(node)
+            .is_some_and(|record| record.member.is_live())
     }
 
     fn is_leaving(&self, node: &id::Node) -> bool {
@@ -316,12 +324,30 @@
     fn choose(&mut self, count: usize) -> BTreeMap<id::Node, String> {
         let mut candidates = Vec::new();
         for record in self.table.records() {
-            if record.is_live() && !self.pending.contains_key(&record.member.node) {
-                candidates.push((record.member.node.clone(), record.member.address.clone()));
+            let member = &record.member;
+            if member.is_live() && !self.pending.contains_key(&member.node) {
+                candidates.push((&member.node, &member.address));
+            }
+        }
+        draw(&candidates, &mut self.rng, count)
+    }
+
+    /// Picks random nodes that this node has to try itself.
+    fn choose_doubted(&mut self) -> BTreeMap<id::Node, String> {
+        let mut candidates = Vec::new();
+        for node in &self.confirm {
+            let Some(record) = self.table.get(node) else {
+                continue;
+            };
+            if record.member.is_live() && !self.pending.contains_key(node) {
+                candidates.push((node, &record.member.address));
             }
         }
-        let chosen = candidates.choose_multiple(&mut self.rng, count);
-        chosen.cloned().collect()
+        let drawn = draw(&candidates, &mut self.rng, MAX_CONFIRMATIONS);
+        for node in drawn.keys() {
+            self.confirm.remove(node);
+        }
+        drawn
     }
 
     /// Picks random hosts of the host list that are not live.
@@ -332,10 +358,9 @@
             if host.node == self.own.node || busy || self.is_live(&host.node) {
                 continue;
             }
-            candidates.push((host.node.clone(), host.address.clone()));
+            candidates.push((&host.node, &host.address));
         }
-        let chosen = candidates.choose_multiple(&mut self.rng, count);
-        chosen.cloned().collect()
+        draw(&candidates, &mut self.rng, count)
     }
 
     fn exchange(&mut self, now: Instant, node: id::Node, address: String, whole: bool) -> Effect {
@@ -350,7 +375,7 @@
 
     /// Builds a beat for a node; `whole` puts everything in that is known.
     fn beat(&mut self, now: Instant, to: &id::Node, whole: bool) -> Beat {
-        let nodes = self.table.records().count() + 1;
+        let nodes = self.table.len() + 1;
         let topics = self.board.take(self.settings.news, nodes);
         let mut members = Vec::new();
         let mut suspects = Vec::new();
@@ -372,10 +397,11 @@
                 suspects.extend(self.fingerprint(now, *fingerprint));
             }
         } else if let Some(record) = self.table.get(to)
-            && record.member.state == State::Suspect
+            && record.member.state != State::Alive
         {
             members.push(record.member.clone());
         }
+        members.extend(self.hearsay.remove(to));
         Beat {
             sender: self.own.clone(),
             generation: self.generation,
@@ -466,17 +492,54 @@
             self.contradict(member);
             return;
         }
+        if member.state == State::Dropped
+            && let Some(record) = self.table.get(&member.node)
+            && record.member.state == State::Alive
+        {
+            self.doubt(now, member);
+            return;
+        }
         if !self.table.merge(now, member) {
             return;
         }
         self.changed = true;
+        self.hearsay.remove(&member.node);
+        self.confirm.remove(&member.node);
         self.board.post(Topic::Member(member.node.clone()));
         if member.state == State::Suspect {
-            let nodes = self.table.records().count().max(1);
-            let chance = self.settings.confirmations.min(nodes);
-            if self.rng.random_range(0..nodes) < chance {
-                self.confirm.insert(member.node.clone());
-            }
+            self.draw_confirmation(&member.node);
+        }
+    }
+
+    /// Handles the word that a node was dropped elsewhere which is alive for
+    /// all that is known here, such as after a partition: the node is told,
+    /// so that it can contradict, and is suspected only if it can't be reached
+    /// from here either.
+    fn doubt(&mut self, now: Instant, member: &Member) {
+        let Some(record) = self.table.get(&member.node) else {
+            return;
+        };
+        if !member.replaces(&record.member) {
+            return;
+        }
+        let (known, told) = (&record.member, member);
+        if (told.incarnation, told.version) > (known.incarnation, known.version) {
+            let mut suspect = member.clone();
+            suspect.state = State::Suspect;
+            self.merge(now, &suspect);
+            return;
+        }
+        self.hearsay.insert(member.node.clone(), member.clone());
+        self.confirm.insert(member.node.clone());
+    }
+
+    /// Decides at random whether this node is among the few that try a node
+    /// themselves in the next round.
+    fn draw_confirmation(&mut self, node: &id::Node) {
+        let nodes = self.table.len().max(1);
+        let chance = self.settings.confirmations.min(nodes);
+        if self.rng.random_range(0..nodes) < chance {
+            self.confirm.insert(node.clone());
         }
     }
 
@@ -493,11 +556,35 @@
         }
     }
 
-    /// Adds the members if they have changed.
+    /// Adds the members if they have changed since they were last announced.
     fn settle(&mut self, mut effects: Vec<Effect>) -> Vec<Effect> {
-        if std::mem::take(&mut self.changed) {
-            effects.push(Effect::Members(self.members()));
+        if !std::mem::take(&mut self.changed) {
+            return effects;
+        }
+        let members = self.members();
+        let mut announced = members.clone();
+        for member in &mut announced {
+            // Neither a suspicion nor its contradiction changes who is live.
+            member.state = State::Alive;
+            member.version = 0;
+        }
+        if self.announced.as_ref() != Some(&announced) {
+            self.announced = Some(announced);
+            effects.push(Effect::Members(members));
         }
         effects
     }
 }
+
+/// Draws up to `count` of the candidates.
+fn draw(
+    candidates: &[(&id::Node, &String)],
+    rng: &mut SmallRng,
+    count: usize,
+) -> BTreeMap<id::Node, String> {
+    let mut drawn = BTreeMap::new();
+    for (node, address) in candidates.choose_multiple(rng, count) {
+        drawn.insert((*node).clone(), (*address).clone());
+    }
+    drawn
+}
--- a/lib/src/membership/beat.rs
+++ b/lib/src/membership/beat.rs
@@ -15,6 +15,9 @@
     /// It did not answer; it is dropped unless it contradicts in time.
     #[display("suspect")]
     Suspect,
+    /// It did not contradict in time.
+    #[display("dropped")]
+    Dropped,
     /// It has said that it is shutting down.
     #[display("left")]
     Left,
@@ -48,6 +51,12 @@
         self.rank() > other.rank()
     }
 
+    /// Returns whether the node counts as live.
+    #[must_use]
+    pub const fn is_live(&self) -> bool {
+        matches!(self.state, State::Alive | State::Suspect)
+    }
+
     fn rank(&self) -> (u64, u32, State) {
         (self.incarnation, self.version, self.state)
     }
--- a/lib/src/membership/rumour.rs
+++ b/lib/src/membership/rumour.rs
@@ -5,7 +5,7 @@
 use crate::id;
 
 /// Times that a piece of news is sent, per doubling of the number of nodes.
-const SENDS_PER_DOUBLING: u32 = 3;
+const SENDS_PER_DOUBLING: u32 = 2;
 
 /// What a piece of news is about.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -39,19 +39,23 @@
     pub fn take(&mut self, limit: usize, nodes: usize) -> Vec<Topic> {
         let mut order = Vec::new();
         for (topic, sent) in &self.sent {
-            order.push((*sent, topic.clone()));
+            order.push((*sent, topic));
         }
-        order.sort();
+        order.sort_unstable();
         order.truncate(limit);
-        let bound = bound(nodes);
         let mut taken = Vec::new();
-        for (sent, topic) in order {
-            if sent + 1 >= bound {
-                self.sent.remove(&topic);
-            } else {
-                self.sent.insert(topic.clone(), sent + 1);
+        for (_, topic) in order {
+            taken.push(topic.clone());
+        }
+        let bound = bound(nodes);
+        for topic in &taken {
+            let Some(sent) = self.sent.get_mut(topic) else {
+                continue;
+            };
+            *sent += 1;
+            if *sent >= bound {
+                self.sent.remove(topic);
             }
-            taken.push(topic);
         }
         taken
     }
--- a/lib/src/membership/table.rs
+++ b/lib/src/membership/table.rs
@@ -21,22 +21,14 @@
     pub member: Member,
     /// Since when it holds.
     pub since: Instant,
-    /// Whether a suspicion was not contradicted in time.
-    pub dropped: bool,
-}
-
-impl Record {
-    /// Returns whether the node counts as live.
-    #[must_use]
-    pub fn is_live(&self) -> bool {
-        !self.dropped && self.member.state != State::Left
-    }
 }
 
 /// Records by node.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     records: BTreeMap<id::Node, Record>,
+    /// Hash over the nodes said to be alive.
+    alive: u64,
 }
 
 impl Table {
@@ -46,6 +38,12 @@
         self.records.get(node)
     }
 
+    /// Returns the number of records.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
     /// Returns all records, ordered by node.
     pub fn records(&self) -> impl Iterator<Item = &Record> {
         self.records.values()
@@ -62,9 +60,12 @@
         let record = Record {
             member: member.clone(),
             since: now,
-            dropped: false,
         };
-        self.records.insert(member.node.clone(), record);
+        let before = self.records.insert(member.node.clone(), record);
+        if let Some(before) = before {
+            self.alive ^= share(&before.member);
+        }
+        self.alive ^= share(member);
         true
     }
 
@@ -73,11 +74,11 @@
     pub fn drop_suspects(&mut self, now: Instant, span: Duration) -> usize {
         let mut dropped = 0;
         for record in self.records.values_mut() {
-            let suspected = record.member.state == State::Suspect && !record.dropped;
-            if !suspected || now.since(record.since) < span {
+            if record.member.state != State::Suspect || now.since(record.since) < span {
                 continue;
             }
-            record.dropped = true;
+            record.member.state = State::Dropped;
+            record.since = now;
             dropped += 1;
         }
         dropped
@@ -86,7 +87,7 @@
     /// Starts the time of every suspicion anew.
     pub fn restart_suspicions(&mut self, now: Instant) {
         for record in self.records.values_mut() {
-            if record.member.state == State::Suspect && !record.dropped {
+            if record.member.state == State::Suspect {
                 record.since = now;
             }
         }
@@ -95,25 +96,28 @@
     /// Forgets the nodes that have not been live for `span`.
     pub fn forget(&mut self, now: Instant, span: Duration) {
         self.records
-            .retain(|_, record| record.is_live() || now.since(record.since) < span);
+            .retain(|_, record| record.member.is_live() || now.since(record.since) < span);
     }
 
     /// Forgets everything.
     pub fn clear(&mut self) {
         self.records.clear();
+        self.alive = 0;
     }
 
     /// Returns a hash over the nodes said to be alive, `own` included, that
     /// does not depend on their order.
     #[must_use]
     pub fn digest(&self, own: &Member) -> u64 {
-        let mut digest = hash(own);
-        for record in self.records.values() {
-            if record.member.state == State::Alive {
-                digest ^= hash(&record.member);
-            }
-        }
-        digest
+        hash(own) ^ self.alive
+    }
+}
+
+/// Returns what a statement adds to the hash over the nodes said to be alive.
+fn share(member: &Member) -> u64 {
+    match member.state {
+        State::Alive => hash(member),
+        State::Suspect | State::Dropped | State::Left => 0,
     }
 }
 
--- /dev/null
+++ b/lib/tests/fleet/mod.rs
@@ -0,0 +1,627 @@
+//! Memberships on a virtual clock and a network that loses, delays,
+//! duplicates and reorders beats, all drawn from one seed.
+
+#![allow(dead_code, reason = "each program uses a part")]
+
+pub mod scenario;
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+    ops::Range,
+    time::Duration,
+};
+
+use dottereltally_lib::{
+    endpoint::Standing,
+    id,
+    membership::{
+        Effect, Host, Membership, Settings,
+        beat::{Beat, Member, State},
+    },
+    time::Instant,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+/// Time after which an exchange without an answer has failed: a silent
+/// connection, then a new one.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time to fetch a configuration.
+const FETCH_TIME: Duration = Duration::from_millis(20);
+/// Longest delay of a late beat.
+const LATE: Duration = Duration::from_secs(3);
+/// Time between two looks at whether all nodes agree.
+const STEP: Duration = Duration::from_millis(100);
+/// Start of the virtual clock.
+const ORIGIN: Duration = Duration::from_hours(1);
+
+/// How the network treats a beat.
+#[derive(Clone, Debug)]
+pub struct Network {
+    /// Chance that it is lost.
+    pub loss: f64,
+    /// Chance that it arrives twice.
+    pub duplicate: f64,
+    /// Chance that it is late by up to three seconds.
+    pub late: f64,
+    /// Ordinary delay, milliseconds.
+    pub delay: Range<u64>,
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Self {
+            loss: 0.0,
+            duplicate: 0.0,
+            late: 0.0,
+            delay: 1..10,
+        }
+    }
+}
+
+/// What has been counted.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    /// Exchanges begun.
+    pub exchanges: u64,
+    /// Bytes of beats, as the meter counts them.
+    pub bytes: u64,
+    /// Times that a node dropped a process that was running.
+    pub false_drops: u64,
+}
+
+/// Something that happens at a moment.
+#[derive(Clone, Debug)]
+enum Event {
+    Tick,
+    Request {
+        exchange: u64,
+        from: usize,
+        from_epoch: u64,
+        beat: Beat,
+    },
+    Answer {
+        exchange: u64,
+        beat: Beat,
+    },
+    Timeout {
+        exchange: u64,
+        peer: id::Node,
+    },
+    Fetched(id::Generation),
+}
+
+/// A moment, its order among equals, the process concerned and the event.
+struct Entry {
+    at: Instant,
+    order: u64,
+    node: usize,
+    epoch: u64,
+    event: Event,
+}
+
+impl PartialEq for Entry {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+
+impl Eq for Entry {}
+
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Entry {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+/// One running process.
+struct Process {
+    membership: Membership,
+    address: String,
+    generation: id::Generation,
+    listing: u64,
+    paused: bool,
+    leaving: bool,
+    backlog: Vec<Event>,
+    open: BTreeSet<u64>,
+    live: BTreeMap<id::Node, u64>,
+    left: BTreeSet<(id::Node, u64)>,
+    fingerprints: Vec<(id::Fingerprint, Duration)>,
+}
+
+/// One host and the process on it.
+struct Node {
+    name: id::Node,
+    data_centre: id::DataCentre,
+    epoch: u64,
+    process: Option<Process>,
+}
+
+/// Nodes on a virtual clock.
+pub struct Fleet {
+    /// Treatment of beats.
+    pub network: Network,
+    /// What has been counted.
+    pub counts: Counts,
+    settings: Settings,
+    meter: fn(&Beat) -> usize,
+    now: Instant,
+    order: u64,
+    exchange: u64,
+    queue: BinaryHeap<Reverse<Entry>>,
+    nodes: Vec<Node>,
+    names: BTreeMap<id::Node, usize>,
+    addresses: BTreeMap<String, usize>,
+    hosts: Vec<Host>,
+    listing: u64,
+    cut: BTreeSet<id::DataCentre>,
+    rng: SmallRng,
+}
+
+impl Fleet {
+    /// Starts `count` nodes in three data centres.
+    pub fn start(count: usize, settings: Settings, seed: u64) -> Self {
+        let mut fleet = Self::empty(settings, seed, |_| 0);
+        for index in 0..count {
+            fleet.add(index);
+        }
+        fleet
+    }
+
+    /// Builds a fleet without nodes; `meter` returns the bytes of a beat.
+    pub fn empty(settings: Settings, seed: u64, meter: fn(&Beat) -> usize) -> Self {
+        Self {
+            network: Network::default(),
+            counts: Counts::default(),
+            settings,
+            meter,
+            now: Instant::default() + ORIGIN,
+            order: 0,
+            exchange: 0,
+            queue: BinaryHeap::new(),
+            nodes: Vec::new(),
+            names: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            hosts: Vec::new(),
+            listing: 0,
+            cut: BTreeSet::new(),
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Adds a host with a running process.
+    pub fn add(&mut self, index: usize) {
+        self.nodes.push(Node {
+            name: format!("entry-{index:03}").as_str().into(),
+            data_centre: ["plovdiv", "stara-zagora", "haskovo"][index % 3].into(),
+            epoch: 0,
+            process: None,
+        });
+        self.restart(self.nodes.len() - 1, true);
+    }
+
+    /// Starts a process on a host, in place of the one that runs; the host
+    /// list names it if `listed`.
+    pub fn restart(&mut self, node: usize, listed: bool) {
+        let host = &mut self.nodes[node];
+        host.epoch += 1;
+        let incarnation = self.now.as_micros() / 1000;
+        let address = format!("{}#{}", host.name, host.epoch);
+        let own = Member {
+            node: host.name.clone(),
+            data_centre: host.data_centre.clone(),
+            address: address.clone(),
+            incarnation,
+            version: 0,
+            state: State::Alive,
+        };
+        let seed = self.rng.random();
+        host.process = Some(Process {
+            membership: Membership::new(self.settings.clone(), own, self.now, seed),
+            address: address.clone(),
+            generation: id::Generation::default(),
+            listing: 0,
+            paused: false,
+            leaving: false,
+            backlog: Vec::new(),
+            open: BTreeSet::new(),
+            live: BTreeMap::new(),
+            left: BTreeSet::new(),
+            fingerprints: Vec::new(),
+        });
+        self.addresses.retain(|_, other| *other != node);
+        self.addresses.insert(address.clone(), node);
+        self.names.insert(self.nodes[node].name.clone(), node);
+        if listed {
+            self.list(node, address);
+        }
+        let delay = self.jitter();
+        self.schedule(delay, node, Event::Tick);
+    }
+
+    /// Kills a process without a word.
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node].process = None;
+        self.nodes[node].epoch += 1;
+    }
+
+    /// Lets a process say that it shuts down; kill it later.
+    pub fn leave(&mut self, node: usize) {
+        let now = self.now;
+        let Some(process) = &mut self.nodes[node].process else {
+            return;
+        };
+        process.leaving = true;
+        let effects = process.membership.leave(now);
+        self.perform(node, effects);
+    }
+
+    /// Stops a process without ending it.
+    pub fn pause(&mut self, node: usize) {
+        if let Some(process) = &mut self.nodes[node].process {
+            process.paused = true;
+        }
+    }
+
+    /// Lets a stopped process go on with what has arrived.
+    pub fn resume(&mut self, node: usize) {
+        let Some(process) = &mut self.nodes[node].process else {
+            return;
+        };
+        process.paused = false;
+        for event in std::mem::take(&mut process.backlog) {
+            self.schedule(Duration::ZERO, node, event);
+        }
+    }
+
+    /// Cuts data centres off from the others.
+    pub fn cut(&mut self, data_centres: &[&str]) {
+        self.cut = data_centres.iter().map(|name| (*name).into()).collect();
+    }
+
+    /// Puts a generation in force at one node.
+    pub fn configure(&mut self, node: usize, generation: u64) {
+        if let Some(process) = &mut self.nodes[node].process {
+            process.generation = id::Generation(generation);
+            process.membership.set_generation(process.generation);
+        }
+    }
+
+    /// Passes on a fingerprint from one node.
+    pub fn quarantine(&mut self, node: usize, fingerprint: u64, valid: Duration) {
+        let now = self.now;
+        if let Some(process) = &mut self.nodes[node].process {
+            let fingerprint = id::Fingerprint(fingerprint);
+            process.membership.quarantine(now, fingerprint, valid);
+        }
+    }
+
+    /// Returns how many hosts there are.
+    pub fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Returns whether a process runs on a host and is not leaving.
+    pub fn is_up(&self, node: usize) -> bool {
+        let process = self.nodes[node].process.as_ref();
+        process.is_some_and(|process| !process.leaving)
+    }
+
+    /// Returns whether the process on a host is stopped.
+    pub fn is_paused(&self, node: usize) -> bool {
+        let process = self.nodes[node].process.as_ref();
+        process.is_some_and(|process| process.paused)
+    }
+
+    /// Returns a random number below `bound`.
+    pub fn random(&mut self, bound: usize) -> usize {
+        self.rng.random_range(0..bound)
+    }
+
+    /// Lets time go on.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self
+            .queue
+            .peek()
+            .is_some_and(|Reverse(entry)| entry.at <= end)
+        {
+            let Some(Reverse(entry)) = self.queue.pop() else {
+                break;
+            };
+            self.now = entry.at;
+            if self.nodes[entry.node].epoch == entry.epoch {
+                self.handle(entry.node, entry.event);
+            }
+        }
+        self.now = end;
+    }
+
+    /// Lets time go on until `reached`, and returns how long it took; none
+    /// if it took longer than `limit`.
+    pub fn run_until(
+        &mut self,
+        limit: Duration,
+        reached: impl Fn(&Self) -> bool,
+    ) -> Option<Duration> {
+        let start = self.now;
+        while !reached(self) {
+            if self.now.since(start) >= limit {
+                return None;
+            }
+            self.run(STEP);
+        }
+        Some(self.now.since(start))
+    }
+
+    /// Returns whether every running node sees exactly those live that run
+    /// on its side of the cut.
+    pub fn agrees(&self) -> bool {
+        (0..self.nodes.len()).all(|node| self.disagreement(node).is_none())
+    }
+
+    /// Describes what a node sees wrongly.
+    pub fn disagreement(&self, node: usize) -> Option<String> {
+        let host = &self.nodes[node];
+        let process = host.process.as_ref()?;
+        if process.paused || process.leaving {
+            return None;
+        }
+        let mut expected = BTreeSet::new();
+        for other in &self.nodes {
+            let up = other.process.as_ref().is_some_and(|other| !other.leaving);
+            if up && self.connected(&host.data_centre, &other.data_centre) {
+                expected.insert(&other.name);
+            }
+        }
+        let seen: BTreeSet<_> = process.live.keys().collect();
+        if seen == expected {
+            return None;
+        }
+        let missing: Vec<_> = expected.difference(&seen).collect();
+        let excess: Vec<_> = seen.difference(&expected).collect();
+        Some(format!(
+            "{}: missing {missing:?}, excess {excess:?}",
+            host.name
+        ))
+    }
+
+    /// Returns whether no running node sees this one live.
+    pub fn is_dropped(&self, node: usize) -> bool {
+        let name = &self.nodes[node].name;
+        for other in &self.nodes {
+            let Some(process) = &other.process else {
+                continue;
+            };
+            let watching = !process.paused && !process.leaving && other.name != *name;
+            if watching && process.live.contains_key(name) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Returns whether every running node has a generation in force.
+    pub fn is_configured(&self, generation: u64) -> bool {
+        for node in &self.nodes {
+            let Some(process) = &node.process else {
+                continue;
+            };
+            if !process.paused && process.generation.0 < generation {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Returns whether every running node but the source knows a fingerprint.
+    pub fn is_quarantined(&self, source: usize, fingerprint: u64) -> bool {
+        for (index, node) in self.nodes.iter().enumerate() {
+            let Some(process) = &node.process else {
+                continue;
+            };
+            let mut known = process.fingerprints.iter();
+            if index != source && !known.any(|(found, _)| found.0 == fingerprint) {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn connected(&self, from: &id::DataCentre, to: &id::DataCentre) -> bool {
+        self.cut.contains(from) == self.cut.contains(to)
+    }
+
+    fn list(&mut self, node: usize, address: String) {
+        let name = self.nodes[node].name.clone();
+        self.hosts.retain(|host| host.node != name);
+        self.hosts.push(Host {
+            node: name,
+            address,
+            standing: Standing::Live,
+        });
+        self.listing += 1;
+    }
+
+    fn jitter(&mut self) -> Duration {
+        let jitter = self.rng.random_range(0.8..1.2);
+        self.settings.period.mul_f64(jitter)
+    }
+
+    fn schedule(&mut self, delay: Duration, node: usize, event: Event) {
+        self.order += 1;
+        self.queue.push(Reverse(Entry {
+            at: self.now + delay,
+            order: self.order,
+            node,
+            epoch: self.nodes[node].epoch,
+            event,
+        }));
+    }
+
+    /// Sends an event over the network, to the process that runs now.
+    fn send(&mut self, from: usize, to: usize, event: &Event) {
+        let from = self.nodes[from].data_centre.clone();
+        let to_centre = self.nodes[to].data_centre.clone();
+        if !self.connected(&from, &to_centre) || self.rng.random_bool(self.network.loss) {
+            return;
+        }
+        let copies = 1 + usize::from(self.rng.random_bool(self.network.duplicate));
+        for _ in 0..copies {
+            let mut delay =
+                Duration::from_millis(self.rng.random_range(self.network.delay.clone()));
+            if self.rng.random_bool(self.network.late) {
+                delay += LATE.mul_f64(self.rng.random());
+            }
+            self.schedule(delay, to, event.clone());
+        }
+    }
+
+    fn handle(&mut self, node: usize, event: Event) {
+        let now = self.now;
+        let Some(process) = &mut self.nodes[node].process else {
+            return;
+        };
+        if process.paused {
+            process.backlog.push(event);
+            return;
+        }
+        let effects = match event {
+            Event::Tick => {
+                let mut effects = Vec::new();
+                if process.listing != self.listing {
+                    process.listing = self.listing;
+                    effects = process.membership.listed(self.hosts.clone());
+                }
+                effects.extend(process.membership.tick(now));
+                let delay = self.jitter();
+                self.schedule(delay, node, Event::Tick);
+                effects
+            }
+            Event::Request {
+                exchange,
+                from,
+                from_epoch,
+                beat,
+            } => {
+                let (beat, effects) = process.membership.request(now, &beat);
+                self.counts.bytes += (self.meter)(&beat) as u64;
+                if self.nodes[from].epoch == from_epoch {
+                    self.send(node, from, &Event::Answer { exchange, beat });
+                }
+                effects
+            }
+            Event::Answer { exchange, beat } => {
+                process.open.remove(&exchange);
+                process.membership.answered(now, &beat)
+            }
+            Event::Timeout { exchange, peer } => {
+                if !process.open.remove(&exchange) {
+                    return;
+                }
+                process.membership.failed(now, &peer)
+            }
+            Event::Fetched(generation) => {
+                process.generation = process.generation.max(generation);
+                process.membership.set_generation(process.generation);
+                Vec::new()
+            }
+        };
+        self.perform(node, effects);
+    }
+
+    fn perform(&mut self, node: usize, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Exchange {
+                    node: peer,
+                    address,
+                    beat,
+                } => self.exchange(node, peer, &address, beat),
+                Effect::Members(members) => self.publish(node, &members),
+                Effect::Outdated(_, generation) => {
+                    self.schedule(FETCH_TIME, node, Event::Fetched(generation));
+                }
+                Effect::Suspected(fingerprints) => {
+                    if let Some(process) = &mut self.nodes[node].process {
+                        process.fingerprints.extend(fingerprints);
+                    }
+                }
+            }
+        }
+    }
+
+    fn exchange(&mut self, node: usize, peer: id::Node, address: &str, beat: Beat) {
+        self.counts.exchanges += 1;
+        self.counts.bytes += (self.meter)(&beat) as u64;
+        self.exchange += 1;
+        let exchange = self.exchange;
+        let from_epoch = self.nodes[node].epoch;
+        if let Some(process) = &mut self.nodes[node].process {
+            process.open.insert(exchange);
+        }
+        self.schedule(EXCHANGE_TIMEOUT, node, Event::Timeout { exchange, peer });
+        if let Some(to) = self.addresses.get(address).copied()
+            && self.nodes[to].process.is_some()
+        {
+            let request = Event::Request {
+                exchange,
+                from: node,
+                from_epoch,
+                beat,
+            };
+            self.send(node, to, &request);
+        }
+    }
+
+    /// Takes the members that a node sees and checks them against what it
+    /// saw before.
+    fn publish(&mut self, node: usize, members: &[Member]) {
+        let mut live = BTreeMap::new();
+        for member in members {
+            live.insert(member.node.clone(), member.incarnation);
+        }
+        let Some(observer) = &self.nodes[node].process else {
+            return;
+        };
+        for name in observer.live.keys() {
+            if live.contains_key(name) {
+                continue;
+            }
+            let other = &self.nodes[self.names[name]];
+            let connected = self.connected(&self.nodes[node].data_centre, &other.data_centre);
+            let process = other.process.as_ref();
+            let healthy = process.is_some_and(|process| !process.leaving && !process.paused);
+            self.counts.false_drops += u64::from(connected && healthy);
+        }
+        let Some(observer) = &mut self.nodes[node].process else {
+            return;
+        };
+        for (name, incarnation) in &live {
+            let before = observer.live.get(name).copied().unwrap_or(0);
+            assert!(
+                *incarnation >= before,
+                "{name} went back from incarnation {before} to {incarnation}"
+            );
+            assert!(
+                !observer.left.contains(&(name.clone(), *incarnation)),
+                "{name} came back after it had left"
+            );
+        }
+        for name in observer.live.keys() {
+            let Some(member) = observer.membership.known(name) else {
+                continue;
+            };
+            if member.state == State::Left {
+                observer.left.insert((name.clone(), member.incarnation));
+            }
+        }
+        observer.live = live;
+    }
+}
--- a/node/src/peer/wire.rs
+++ b/node/src/peer/wire.rs
@@ -99,6 +99,7 @@
         Ok(peer_capnp::member::State::Alive) => State::Alive,
         Ok(peer_capnp::member::State::Suspect) => State::Suspect,
         Ok(peer_capnp::member::State::Left) => State::Left,
+        Ok(peer_capnp::member::State::Dropped) => State::Dropped,
         Err(NotInSchema(number)) => {
             return Err(Error::failed(format!("unknown member state {number}")));
         }
@@ -150,6 +151,7 @@
         State::Alive => peer_capnp::member::State::Alive,
         State::Suspect => peer_capnp::member::State::Suspect,
         State::Left => peer_capnp::member::State::Left,
+        State::Dropped => peer_capnp::member::State::Dropped,
     });
 }
 
--- a/proto/schema/peer.capnp
+++ b/proto/schema/peer.capnp
@@ -48,6 +48,7 @@
     alive @0;
     suspect @1;
     left @2;
+    dropped @3;
   }
 }
 
--- a/proto/src/peer_capnp.rs
+++ b/proto/src/peer_capnp.rs
@@ -2753,6 +2753,7 @@
         Alive = 0,
         Suspect = 1,
         Left = 2,
+        Dropped = 3,
     }
 
     impl ::capnp::introspect::Introspect for State {
@@ -2768,6 +2769,7 @@
                 0 => ::core::result::Result::Ok(Self::Alive),
                 1 => ::core::result::Result::Ok(Self::Suspect),
                 2 => ::core::result::Result::Ok(Self::Left),
+                3 => ::core::result::Result::Ok(Self::Dropped),
                 n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
             }
         }
@@ -2780,7 +2782,7 @@
         const TYPE_ID: u64 = 0xc535_70a4_f115_cfdeu64;
     }
     mod state {
-    pub(crate) static ENCODED_NODE: [::capnp::Word; 29] = [
+    pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
         ::capnp::word(222, 207, 21, 241, 164, 112, 53, 197),
         ::capnp::word(18, 0, 0, 0, 2, 0, 0, 0),
@@ -2790,26 +2792,30 @@
         ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
         ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(25, 0, 0, 0, 79, 0, 0, 0),
+        ::capnp::word(25, 0, 0, 0, 103, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
         ::capnp::word(110, 112, 58, 77, 101, 109, 98, 101),
         ::capnp::word(114, 46, 83, 116, 97, 116, 101, 0),
         ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-        ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+        ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(29, 0, 0, 0, 50, 0, 0, 0),
+        ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(21, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(33, 0, 0, 0, 66, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+        ::capnp::word(25, 0, 0, 0, 42, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(17, 0, 0, 0, 66, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(97, 108, 105, 118, 101, 0, 0, 0),
         ::capnp::word(115, 117, 115, 112, 101, 99, 116, 0),
         ::capnp::word(108, 101, 102, 116, 0, 0, 0, 0),
+        ::capnp::word(100, 114, 111, 112, 112, 101, 100, 0),
     ];
     pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
         ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
