--- a/lib/examples/experiment/driver.rs
+++ b/lib/examples/experiment/driver.rs
@@ -306,7 +306,7 @@
             wasted: 0,
             prefill: 0,
         };
-        if self.is_measured(&track) {
+        if Self::is_measured(&track) {
             self.outcomes.offered[usize::from(kind.tier)] += 1;
             if kind.service == "llm" {
                 self.outcomes.offered_work += scenario::weight(own, output);
@@ -318,7 +318,7 @@
         self.tell(node, Event::Arrived(id::Request(request), profile));
     }
 
-    fn is_measured(&self, track: &Track) -> bool {
+    fn is_measured(track: &Track) -> bool {
         (MEASURED.0..MEASURED.1).contains(&track.arrived)
     }
 
@@ -347,7 +347,7 @@
         for effect in effects {
             match effect {
                 Effect::Admit(request, endpoint) => {
-                    self.admit(node, request.0, number(endpoint.as_str()))
+                    self.admit(node, request.0, number(endpoint.as_str()));
                 }
                 Effect::Refuse(request, refusal) => self.refuse(node, request.0, refusal.reason),
                 Effect::Probe(endpoint) => self.probe(node, endpoint),
@@ -384,6 +384,7 @@
             prefill: 0.0,
             produced: 0.0,
             reported: 0,
+            sent: 0,
         };
         let kind = &KINDS[track.kind];
         *self.waiting.entry((kind.service, kind.tier)).or_default() -= 1;
@@ -404,7 +405,7 @@
         };
         let kind = &KINDS[track.kind];
         *self.waiting.entry((kind.service, kind.tier)).or_default() -= 1;
-        if !self.is_measured(&track) {
+        if !Self::is_measured(&track) {
             return;
         }
         self.outcomes.refused += 1;
@@ -435,7 +436,7 @@
 
     /// Adds up a request that an engine worked on.
     fn account(&mut self, track: &Track, good: bool) {
-        if !self.is_measured(track) {
+        if !Self::is_measured(track) {
             return;
         }
         let kind = &KINDS[track.kind];
@@ -468,7 +469,7 @@
     fn spread(&mut self, node: usize, mark: id::Fingerprint) {
         for peer in 0..self.cores.len() {
             if peer != node && self.linked(node, peer % self.scenario.data_centres) {
-                let marks = vec![(mark, Duration::from_secs(600))];
+                let marks = vec![(mark, Duration::from_mins(10))];
                 self.post(1_000_000, Message::ToCore(peer, Event::Suspected(marks)));
             }
         }
@@ -580,13 +581,17 @@
                 );
             }
         }
-        for job in self.engines[engine].running.clone() {
-            if job.produced >= 1.0 && self.linked(job.node, self.engines[engine].data_centre) {
-                let more = Tokens((self.engines[engine].stream / 2.0) as u64);
-                self.post(
-                    1000,
-                    Message::ToCore(job.node, Event::Progressed(id::Request(job.request), more)),
-                );
+        let mut events = Vec::new();
+        for job in &mut self.engines[engine].running {
+            let more = Tokens(job.reported - job.sent);
+            job.sent = job.reported;
+            if more.0 > 0 {
+                events.push((job.node, Event::Progressed(id::Request(job.request), more)));
+            }
+        }
+        for (node, event) in events {
+            if self.linked(node, self.engines[engine].data_centre) {
+                self.post(1000, Message::ToCore(node, event));
             }
         }
     }
--- a/lib/examples/experiment/fake.rs
+++ b/lib/examples/experiment/fake.rs
@@ -28,6 +28,7 @@
     pub prefill: f64,
     pub produced: f64,
     pub reported: u64,
+    pub sent: u64,
 }
 
 /// What happened to a job in a step.
--- a/lib/examples/experiment/main.rs
+++ b/lib/examples/experiment/main.rs
@@ -1,6 +1,6 @@
 //! Compares admission policies in virtual time and prints a table.
 //!
-//! `cargo run --release --example experiment -- [CSV [SCENARIO [SEEDS]]]`
+//! `cargo run --release --example experiment -- [CSV [SCENARIO [SEEDS [WAY]]]]`
 #![allow(
     missing_docs,
     clippy::cast_precision_loss,
@@ -123,12 +123,13 @@
     let seeds: u64 = args
         .get(2)
         .map_or(5, |seeds| seeds.parse().expect("a number of seeds"));
+    let only = args.get(3).map_or("", String::as_str);
     let mut jobs = Vec::new();
     for scenario in SCENARIOS
         .iter()
         .filter(|scenario| scenario.name.contains(wanted))
     {
-        for way in WAYS {
+        for way in WAYS.into_iter().filter(|(name, ..)| name.contains(only)) {
             jobs.push((*scenario, way));
         }
     }
--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 
 use crate::{
+    affinity,
     balance::Candidate,
     effect::Effect,
     fleet::Slot,
@@ -15,7 +16,8 @@
     refusal::{Reason, Refusal},
     request::Profile,
     scheduler::Scheduler,
-    text, time,
+    size, text, time,
+    window::FIRST_TOKEN,
 };
 
 /// Time to come back after a refusal, at the least.
@@ -24,6 +26,10 @@
 /// Time to come back after a refusal, at the most.
 const MAX_RETRY: Duration = Duration::from_mins(1);
 
+/// Factor by which the estimated wait must exceed the time left before a
+/// request is refused while lower tiers wait, which speaks against overload.
+const RELUCTANCE: u32 = 2;
+
 /// Part by which the time to come back is spread.
 const RETRY_JITTER: f64 = 0.25;
 
@@ -91,14 +97,20 @@
             return None;
         }
         let lane = self.lane(&profile);
+        let output = lane.expected(profile.output.0);
         let cost = match kind {
-            text::Kind::Model => profile.prompt.0 + lane.expected(profile.output.0),
+            text::Kind::Model => profile.prompt.0 + output,
             text::Kind::Plain => 1,
         };
+        let service = lane.service(output);
+        let due = profile.deadline - service;
         Some(Waiting {
             profile,
+            kind,
             cost: cost.max(1),
             share,
+            output,
+            due,
             avoided: Vec::new(),
         })
     }
@@ -109,15 +121,22 @@
         let profile = Arc::clone(&waiting.profile);
         let lane = self.lane(&profile);
         let wait = lane.wait(profile.tier, &profile.workspace, waiting.share);
-        let service = lane.service(lane.expected(profile.output.0));
-        let remaining = profile.remaining(now);
-        if service > remaining || remaining.is_zero() {
+        if waiting.due <= now {
             return self.refuse(request, Reason::Deadline, MIN_RETRY);
         }
-        if let Some(wait) = wait.filter(|wait| *wait + service > remaining) {
+        let slack = waiting.due.since(now);
+        let pool = self.pools.get(&profile.service);
+        let lowest = pool.and_then(Pool::victim).map(|(tier, _)| tier);
+        let patience = if lowest > Some(profile.tier) {
+            RELUCTANCE
+        } else {
+            1
+        };
+        if let Some(wait) = wait.filter(|wait| *wait > slack * patience) {
             self.shed_below(now, &profile.service, profile.tier);
             return self.refuse(request, Reason::Deadline, wait);
         }
+        let lane = self.lane(&profile);
         let waited = !lane.queue.is_empty();
         lane.drained(now, 0, waited);
         lane.arrived(now, profile.tier, waiting.cost);
@@ -158,12 +177,17 @@
         let Some(waiting) = self.dequeue(now, request) else {
             return;
         };
+        let held = self.prefixes.blocks(slot, &waiting.profile.prefixes);
+        let spared = size::Tokens(held * affinity::BLOCK_TOKENS);
+        let uncached = waiting.profile.prompt.saturating_sub(spared).0;
         let Some(member) = self.fleet.get_mut(slot) else {
             return;
         };
         let cost = waiting.cost;
         member.own += cost;
+        member.pending += uncached;
         member.requests += 1;
+        self.prefixes.hint(slot, &waiting.profile.prefixes);
         let name = member.record.id.clone();
         let flight = Flight {
             waiting,
@@ -172,6 +196,8 @@
             admitted: now,
             started: None,
             received: 0,
+            measured: now,
+            uncached,
         };
         let previous = self.flights.insert(request, flight);
         assert!(previous.is_none(), "request {request} was admitted twice");
@@ -186,11 +212,16 @@
         assert!(member.own >= flight.cost, "tokens in flight add up");
         assert!(member.requests > 0, "requests in flight add up");
         member.own -= flight.cost;
+        if flight.started.is_none() {
+            member.pending -= flight.uncached;
+        }
         member.requests -= 1;
         if member.reserved == Some(request) {
             member.reserved = None;
         }
-        self.fleet.release(slot);
+        if self.fleet.release(slot) {
+            self.prefixes.forget(slot);
+        }
         Some(flight)
     }
 
@@ -222,9 +253,8 @@
         };
         let mut late = Vec::new();
         for lane in pool.lanes.values() {
-            let first = lane.service(0);
-            for (deadline, request) in lane.queue.by_deadline() {
-                if deadline > now + first {
+            for (due, request) in lane.queue.by_deadline() {
+                if due > now {
                     break;
                 }
                 late.push(request);
@@ -276,6 +306,9 @@
             if waiting.avoided.contains(&member.record.id) {
                 continue;
             }
+            if member.window.prefill(member.pending) > FIRST_TOKEN {
+                continue;
+            }
             candidates.push(terms.candidate(slot, member));
         }
         candidates
@@ -287,12 +320,30 @@
             return Place::Full;
         };
         let mut fitting = self.candidates(now, waiting);
-        fitting.retain(|candidate| candidate.fits(waiting.cost));
+        let open: Vec<Slot> = fitting.iter().map(|candidate| candidate.slot).collect();
+        let profile = &waiting.profile;
+        let remaining = profile.remaining(now);
+        let output = profile.output.0;
+        if fitting
+            .iter()
+            .any(|each| each.is_in_time(output, remaining))
+        {
+            fitting.retain(|each| each.is_in_time(output, remaining));
+        }
+        fitting.retain(|each| each.fits(profile.tier, waiting.cost));
         if fitting.is_empty() {
-            return self.without_room(waiting);
+            let place = self.without_room(waiting);
+            self.note_limits(&open);
+            return place;
+        }
+        let prefixes = &waiting.profile.prefixes;
+        let held = self.prefixes.held(prefixes);
+        for candidate in &mut fitting {
+            candidate.held = held.get(&candidate.slot).copied().unwrap_or(0);
         }
         let terms = self.settings.terms(now, self.members.len());
-        let chosen = terms.choose(&mut self.rng, &mut self.turn, &fitting);
+        let first = prefixes.first().copied();
+        let chosen = terms.choose(&mut self.rng, &mut self.turn, &fitting, first);
         chosen.map_or(Place::Full, |candidate| Place::At(candidate.slot))
     }
 
@@ -311,6 +362,15 @@
         Place::Nowhere
     }
 
+    /// Records that the windows of these endpoints keep work waiting.
+    fn note_limits(&mut self, slots: &[Slot]) {
+        for slot in slots {
+            if let Some(member) = self.fleet.get_mut(*slot) {
+                member.window.limited();
+            }
+        }
+    }
+
     fn has_usable(&self, profile: &Profile) -> bool {
         let slots = self.fleet.of_service(&profile.service);
         let members = slots.iter().filter_map(|slot| self.fleet.get(*slot));
--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -1,9 +1,21 @@
 //! Choice of an endpoint.
 
+use std::{cmp::Reverse, time::Duration};
+
 use rand::{Rng, rngs::SmallRng};
+use xxhash_rust::xxh3;
 
 use crate::{fleet, id, time};
 
+/// Load, relative to the mean, up to which prefixes decide.
+const LOAD_FACTOR: f64 = 1.25;
+
+/// Load up to which prefixes decide in any case.
+const LOAD_SLACK: f64 = 0.25;
+
+/// Part of the window that each tier may fill, highest first, percent.
+const TIER_PERCENT: [u64; 4] = [200, 110, 95, 80];
+
 /// How a node decides what it may put on an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Policy {
@@ -44,15 +56,35 @@
     pub limit: u64,
     /// Whether it runs in the node's own data centre.
     pub local: bool,
+    /// Leading blocks of the prompt that its prefix cache holds.
+    pub held: usize,
+    /// Hash of its name.
+    pub key: u64,
+    /// Tokens per second of one stream, if known.
+    pub speed: Option<f64>,
 }
 
 impl Candidate {
-    /// Returns whether a request of this cost fits.
+    /// Returns whether a request of this tier and cost fits.
     ///
-    /// A request larger than the whole window fits an empty endpoint.
+    /// Lower tiers leave a part of the window free for higher ones, and the
+    /// highest may exceed it. A request larger than the whole window fits an
+    /// empty endpoint.
+    #[must_use]
+    pub fn fits(&self, tier: id::Tier, cost: u64) -> bool {
+        let rank = usize::from(tier.0).min(TIER_PERCENT.len() - 1);
+        let percent = TIER_PERCENT[rank];
+        let limit = (self.limit.saturating_mul(percent) / 100).max(1);
+        self.used == 0 || self.used + cost <= limit
+    }
+
+    /// Returns whether an answer of this length can be whole in this time.
     #[must_use]
-    pub fn fits(&self, cost: u64) -> bool {
-        self.limit > 0 && (self.used == 0 || self.used + cost <= self.limit)
+    pub fn is_in_time(&self, output: u64, time: Duration) -> bool {
+        #[expect(clippy::cast_precision_loss, reason = "an estimate")]
+        let output = output as f64;
+        self.speed
+            .is_none_or(|speed| output <= speed * time.as_secs_f64())
     }
 
     /// Returns the part of the limit that is in use.
@@ -69,18 +101,21 @@
     #[must_use]
     pub fn candidate(&self, slot: fleet::Slot, member: &fleet::Member) -> Candidate {
         let window = member.window.limit();
+        let configured = member.window.configured();
         let (used, limit) = match self.policy {
             Policy::RoundRobin => (0, u64::MAX),
-            Policy::LeastLoad => (member.reported(), window),
-            Policy::TwoChoices => (member.own + member.others, window),
-            Policy::Shares => (member.own, (window / self.nodes.max(1)).max(1)),
-            Policy::Grants => (member.own, window),
+            Policy::LeastLoad => (member.reported(), configured),
+            Policy::TwoChoices | Policy::Grants => (member.own, window),
+            Policy::Shares => (member.own, (configured / self.nodes).max(1)),
         };
         Candidate {
             slot,
             used,
             limit,
             local: member.record.data_centre == *self.data_centre,
+            held: 0,
+            key: member.key,
+            speed: member.window.speed(),
         }
     }
 
@@ -91,6 +126,7 @@
         rng: &mut SmallRng,
         turn: &mut u64,
         fitting: &[Candidate],
+        first: Option<id::Prefix>,
     ) -> Option<Candidate> {
         if self.policy == Policy::RoundRobin {
             return next(turn, fitting);
@@ -102,7 +138,10 @@
         if self.policy == Policy::LeastLoad {
             return least(&pool);
         }
-        two_choices(rng, &pool)
+        let Some(first) = first else {
+            return two_choices(rng, &pool);
+        };
+        bounded(&pool).or_else(|| preferred(first, &pool))
     }
 }
 
@@ -120,6 +159,34 @@
     pool.iter().min_by(by_load).copied()
 }
 
+/// Returns the endpoint that holds most of the prompt, unless its load is
+/// above the bound; of equals, the least loaded.
+fn bounded(pool: &[Candidate]) -> Option<Candidate> {
+    let bound = bound(pool);
+    let eligible = |each: &&Candidate| each.held > 0 && each.load() <= bound;
+    let by_held =
+        |a: &&Candidate, b: &&Candidate| a.held.cmp(&b.held).then(b.load().total_cmp(&a.load()));
+    pool.iter().filter(eligible).max_by(by_held).copied()
+}
+
+/// Returns the load up to which an endpoint is preferred for its prefixes.
+fn bound(pool: &[Candidate]) -> f64 {
+    let total: f64 = pool.iter().map(Candidate::load).sum();
+    #[expect(clippy::cast_precision_loss, reason = "a mean")]
+    let mean = total / pool.len().max(1) as f64;
+    mean * LOAD_FACTOR + LOAD_SLACK
+}
+
+/// Returns the less loaded of the two endpoints that all nodes prefer for the
+/// prefix.
+fn preferred(first: id::Prefix, pool: &[Candidate]) -> Option<Candidate> {
+    let weight = |each: &Candidate| xxh3::xxh3_64_with_seed(&each.key.to_le_bytes(), first.0);
+    let mut ranked = pool.to_vec();
+    ranked.sort_by_key(|each| Reverse(weight(each)));
+    ranked.truncate(2);
+    least(&ranked)
+}
+
 /// Returns the less loaded of two random candidates.
 fn two_choices(rng: &mut SmallRng, pool: &[Candidate]) -> Option<Candidate> {
     if pool.is_empty() {
--- a/lib/src/estimate.rs
+++ b/lib/src/estimate.rs
@@ -5,7 +5,7 @@
 use crate::time;
 
 /// Span over which rates are averaged, seconds.
-const MEMORY_SECS: f64 = 5.0;
+const MEMORY_SECS: f64 = 15.0;
 
 /// Observation needed before a rate is believed, seconds.
 const CONFIDENCE_SECS: f64 = 1.0;
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -5,9 +5,10 @@
     time::Duration,
 };
 
+use xxhash_rust::xxh3;
+
 use crate::{
     endpoint::{Load, Record, Standing},
-    estimate::Average,
     id, time,
     window::Window,
 };
@@ -36,12 +37,16 @@
 pub struct Member {
     /// What the host list says.
     pub record: Record,
+    /// Hash of its name.
+    pub key: u64,
     /// Whether the host list names it.
     pub listed: bool,
     /// What it last said of its load.
     pub load: Option<Load>,
     /// Tokens that this node has in flight there.
     pub own: u64,
+    /// Prompt tokens of this node that wait for their first token there.
+    pub pending: u64,
     /// Requests that this node has in flight there.
     pub requests: u32,
     /// Tokens of the other nodes, by the last report.
@@ -54,8 +59,6 @@
     pub avoided_until: time::Instant,
     /// The request that has it for itself.
     pub reserved: Option<id::Request>,
-    /// Tokens per second of one stream.
-    pub speed: Average,
     /// Fingerprints of requests whose connection broke, until a probe decides.
     pub broken: BTreeSet<id::Fingerprint>,
 }
@@ -63,17 +66,18 @@
 impl Member {
     fn new(record: Record, window: u64) -> Self {
         Self {
+            key: xxh3::xxh3_64(record.id.as_str().as_bytes()),
             record,
             listed: true,
             load: None,
             own: 0,
+            pending: 0,
             requests: 0,
             others: 0,
             window: Window::new(window),
             health: Health::Sound,
             avoided_until: time::Instant::default(),
             reserved: None,
-            speed: Average::default(),
             broken: BTreeSet::new(),
         }
     }
@@ -124,7 +128,13 @@
 
 impl Fleet {
     /// Takes over a host list; `window` gives the window of a service.
-    pub fn replace(&mut self, records: Vec<Record>, window: impl Fn(&id::Service) -> u64) {
+    ///
+    /// Returns the positions that became free.
+    pub fn replace(
+        &mut self,
+        records: Vec<Record>,
+        window: impl Fn(&id::Service) -> u64,
+    ) -> Vec<Slot> {
         let mut gone: BTreeSet<Slot> = self.names.values().copied().collect();
         for record in records {
             let Some(&slot) = self.names.get(&record.id) else {
@@ -143,10 +153,14 @@
             }
             member.record = record;
         }
+        let mut freed = Vec::new();
         for slot in gone {
-            self.retire(slot);
+            if self.retire(slot) {
+                freed.push(slot);
+            }
         }
         self.index();
+        freed
     }
 
     /// Returns the endpoint at this position.
@@ -178,17 +192,19 @@
         self.names.values().copied().collect()
     }
 
-    /// Frees the position of an endpoint that is neither listed nor in use.
-    pub fn release(&mut self, slot: Slot) {
+    /// Frees the position of an endpoint that is neither listed nor in use;
+    /// false if it is.
+    pub fn release(&mut self, slot: Slot) -> bool {
         let idle = |member: &Member| !member.listed && member.requests == 0;
         if !self.get(slot).is_some_and(idle) {
-            return;
+            return false;
         }
         if let Some(member) = self.members[slot].take() {
             self.names.remove(&member.record.id);
             self.free.push(slot);
         }
         self.index();
+        true
     }
 
     fn insert(&mut self, member: Member) {
@@ -201,11 +217,11 @@
         self.names.insert(name, slot);
     }
 
-    fn retire(&mut self, slot: Slot) {
+    fn retire(&mut self, slot: Slot) -> bool {
         if let Some(member) = self.get_mut(slot) {
             member.listed = false;
         }
-        self.release(slot);
+        self.release(slot)
     }
 
     fn index(&mut self) {
--- a/lib/src/flight.rs
+++ b/lib/src/flight.rs
@@ -2,17 +2,23 @@
 
 use std::sync::Arc;
 
-use crate::{fair, fleet, id, request, time};
+use crate::{fair, fleet, id, request, text, time};
 
 /// A request that waits for an endpoint.
 #[derive(Clone, Debug)]
 pub struct Waiting {
     /// What is known of it.
     pub profile: Arc<request::Profile>,
+    /// What stands behind its service.
+    pub kind: text::Kind,
     /// Its cost in tokens.
     pub cost: u64,
+    /// Its expected length of an answer in tokens.
+    pub output: u64,
     /// Its workspace's share.
     pub share: u32,
+    /// When an endpoint must have it at the latest.
+    pub due: time::Instant,
     /// Endpoints that it was not handed to.
     pub avoided: Vec<id::Endpoint>,
 }
@@ -25,7 +31,7 @@
             id: request,
             workspace: self.profile.workspace.clone(),
             share: self.share,
-            deadline: self.profile.deadline,
+            deadline: self.due,
             cost: self.cost,
         }
     }
@@ -44,6 +50,10 @@
     pub admitted: time::Instant,
     /// When the first byte came.
     pub started: Option<time::Instant>,
-    /// Tokens that came.
+    /// Prompt tokens that the endpoint's cache is not known to hold.
+    pub uncached: u64,
+    /// Tokens that came since `measured`.
     pub received: u64,
+    /// Since when the speed is measured.
+    pub measured: time::Instant,
 }
--- a/lib/src/health.rs
+++ b/lib/src/health.rs
@@ -12,6 +12,7 @@
     refusal::Reason,
     scheduler::Scheduler,
     size, text, time,
+    window::FIRST_TOKEN,
 };
 
 /// Time between two probes of an endpoint that does not answer.
@@ -27,6 +28,9 @@
 /// the requests in flight.
 const MAX_OTHER_DEATHS: usize = 1;
 
+/// Time over which the speed of a stream is measured.
+const SPEED_SPAN: Duration = Duration::from_millis(400);
+
 /// Time to come back for a suspect that does not fit.
 const SUSPECT_RETRY: Duration = Duration::from_secs(10);
 
@@ -48,11 +52,14 @@
     /// Takes over the host list.
     pub(crate) fn list(&mut self, now: time::Instant, records: Vec<Record>) {
         let text = self.text.clone();
-        self.fleet.replace(records, |service| {
+        let freed = self.fleet.replace(records, |service| {
             let text = text.as_ref();
             let service = text.and_then(|text| text.services.get(service));
             service.map_or(1, |service| service.window.0)
         });
+        for slot in freed {
+            self.prefixes.forget(slot);
+        }
         self.pump_all(now);
     }
 
@@ -65,6 +72,9 @@
             return;
         };
         member.others = load.tokens.0.saturating_sub(member.own);
+        if load.waiting > 0 {
+            member.window.queueing(now);
+        }
         member.load = Some(load);
         let service = member.record.service.clone();
         self.pump(now, &service);
@@ -72,7 +82,9 @@
 
     /// Takes in a change of an endpoint's prefix cache.
     pub(crate) fn cache(&mut self, name: &id::Endpoint, cache: &Cache) {
-        let _ = (&self.fleet, name, cache);
+        if let Some(slot) = self.fleet.find(name) {
+            self.prefixes.change(slot, cache);
+        }
     }
 
     /// Takes in a peer's message of the admission protocol.
@@ -90,15 +102,13 @@
         }
         flight.started = Some(now);
         let took = now.since(flight.admitted);
-        let (slot, cost) = (flight.slot, flight.cost);
-        let profile = Arc::clone(&flight.waiting.profile);
-        let lane = self.lane(&profile);
-        lane.first.record(took.as_secs_f64());
-        let limited = !lane.queue.is_empty();
+        flight.measured = now;
+        let (slot, uncached) = (flight.slot, flight.uncached);
         if let Some(member) = self.fleet.get_mut(slot) {
-            let sample = (took, profile.prompt.0, cost);
-            member.window.first_token(now, sample, limited);
+            member.pending -= uncached;
         }
+        let profile = Arc::clone(&flight.waiting.profile);
+        self.lane(&profile).first.record(took.as_secs_f64());
     }
 
     /// Records progress of an answer.
@@ -108,9 +118,23 @@
         request: id::Request,
         more: size::Tokens,
     ) {
-        let _ = now;
-        if let Some(flight) = self.flights.get_mut(&request) {
-            flight.received += more.0;
+        let Some(flight) = self.flights.get_mut(&request) else {
+            return;
+        };
+        if flight.waiting.kind == text::Kind::Plain {
+            return;
+        }
+        flight.received += more.0;
+        let span = now.since(flight.measured);
+        if span < SPEED_SPAN {
+            return;
+        }
+        #[expect(clippy::cast_precision_loss, reason = "a rate")]
+        let rate = flight.received as f64 / span.as_secs_f64();
+        flight.measured = now;
+        flight.received = 0;
+        if let Some(member) = self.fleet.get_mut(flight.slot) {
+            member.window.stream(now, rate);
         }
     }
 
@@ -120,7 +144,10 @@
             return;
         };
         match outcome {
-            Outcome::Answered { output, .. } => self.answered(now, &flight, output),
+            Outcome::Answered { cached, output } => {
+                self.measure(now, &flight, cached);
+                self.answered(now, &flight, output);
+            }
             Outcome::Cancelled => {}
             Outcome::Rejected => self.rejected(now, flight.slot),
             Outcome::Broken | Outcome::Stalled => self.broken(now, &flight),
@@ -204,6 +231,7 @@
         self.marks.expire(now);
         self.deaths.retain(|_, at| now.since(*at) <= DEATH_SPAN);
         self.probe_due(now);
+        self.check_pending(now);
         let services: Vec<id::Service> = self.pools.keys().cloned().collect();
         for service in services {
             self.expire(now, &service);
@@ -211,6 +239,22 @@
         }
     }
 
+    /// Shrinks the windows of endpoints whose first tokens are overdue.
+    fn check_pending(&mut self, now: time::Instant) {
+        for flight in self.flights.values() {
+            if flight.started.is_some() {
+                continue;
+            }
+            let Some(member) = self.fleet.get_mut(flight.slot) else {
+                continue;
+            };
+            let expected = member.window.prefill(flight.uncached);
+            if now.since(flight.admitted) > expected + FIRST_TOKEN {
+                member.window.queueing(now);
+            }
+        }
+    }
+
     /// Avoids an endpoint that could not be reached and returns its name.
     pub(crate) fn avoid(&mut self, now: time::Instant, slot: Slot) -> Option<id::Endpoint> {
         let member = self.fleet.get_mut(slot)?;
@@ -233,6 +277,19 @@
         self.effects.push(Effect::Probe(name));
     }
 
+    /// Learns from the time to the first token of an answered request.
+    fn measure(&mut self, now: time::Instant, flight: &Flight, cached: size::Tokens) {
+        let Some(started) = flight.started else {
+            return;
+        };
+        let took = started.since(flight.admitted);
+        let prompt = flight.waiting.profile.prompt;
+        if let Some(member) = self.fleet.get_mut(flight.slot) {
+            let uncached = prompt.saturating_sub(cached);
+            member.window.first_token(now, took, uncached.0);
+        }
+    }
+
     fn answered(&mut self, now: time::Instant, flight: &Flight, output: size::Tokens) {
         let profile = &flight.waiting.profile;
         self.marks.answered(now, profile.fingerprint);
@@ -255,7 +312,7 @@
         let Some(member) = self.fleet.get_mut(slot) else {
             return;
         };
-        member.window.decrease(now);
+        member.window.decrease();
         member.avoided_until = now + AVOID_PERIOD;
     }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -5,6 +5,7 @@
 //! daemon, the randomised runs and the experiments drive the same code.
 
 mod admission;
+pub mod affinity;
 pub mod balance;
 pub mod effect;
 pub mod endpoint;
--- a/lib/src/pool.rs
+++ b/lib/src/pool.rs
@@ -19,6 +19,8 @@
     pub queue: Queue,
     /// Tokens admitted while something waited.
     drain: Meter,
+    /// All tokens admitted.
+    admitted: Meter,
     /// Tokens that came in, by tier.
     arrivals: BTreeMap<id::Tier, Meter>,
     /// Seconds to the first token.
@@ -40,6 +42,7 @@
     /// queue, with zero if nothing was.
     pub fn drained(&mut self, now: time::Instant, cost: u64, waited: bool) {
         self.drain.record(now, cost, waited);
+        self.admitted.record(now, cost, true);
     }
 
     /// Returns the time that a new request would wait, if it is known.
@@ -50,7 +53,11 @@
         for (_, meter) in self.arrivals.range(..tier) {
             above += meter.rate().unwrap_or(0.0);
         }
-        estimate::wait(ahead, self.drain.rate(), above)
+        let drain = self.drain.rate().map(|rate| {
+            let admitted = self.admitted.rate().unwrap_or(0.0);
+            rate.max(admitted)
+        });
+        estimate::wait(ahead, drain, above)
     }
 
     /// Returns the time that an answer of this length takes, zero if unknown.
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -5,6 +5,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
+    affinity,
     balance::{Policy, Terms},
     effect::Effect,
     event::Event,
@@ -51,6 +52,7 @@
     pub(crate) pools: BTreeMap<id::Service, Pool>,
     pub(crate) waiting: BTreeMap<id::Request, Waiting>,
     pub(crate) flights: BTreeMap<id::Request, Flight>,
+    pub(crate) prefixes: affinity::Index,
     pub(crate) isolation: Isolation,
     pub(crate) marks: Marks,
     pub(crate) deaths: BTreeMap<Slot, time::Instant>,
@@ -73,6 +75,7 @@
             pools: BTreeMap::new(),
             waiting: BTreeMap::new(),
             flights: BTreeMap::new(),
+            prefixes: affinity::Index::default(),
             isolation: Isolation::default(),
             marks: Marks::default(),
             deaths: BTreeMap::new(),
--- a/lib/src/window.rs
+++ b/lib/src/window.rs
@@ -1,32 +1,44 @@
-//! Window of an endpoint: the tokens that it may hold.
+//! Window of an endpoint: the tokens that this node may hold there.
 //!
-//! Additive increase while the window limits and the first token comes in
-//! time, multiplicative decrease when it comes late.
+//! Every node adapts its own window by what it sees, as congestion control
+//! does: additive increase while the window limits and streams run near the
+//! endpoint's best speed, multiplicative decrease when streams slow down or
+//! first tokens come late. All nodes see the same speed, so that their windows
+//! settle without a message between them.
 
 use std::time::Duration;
 
-use crate::time;
+use crate::{estimate::Average, time};
 
 /// Target for the time to the first token.
 pub const FIRST_TOKEN: Duration = Duration::from_millis(660);
 
-/// Shortest time between two decreases.
-const DECREASE_PERIOD: Duration = Duration::from_millis(500);
+/// Shortest time between two adjustments.
+const PERIOD: Duration = Duration::from_millis(500);
 
-/// Factor of a decrease.
-const DECREASE: f64 = 0.85;
+/// Part of the target that queueing inside the endpoint may take.
+const QUEUEING: f64 = 0.5;
 
-/// Increase per timely answer, relative to its cost.
-const INCREASE: f64 = 0.1;
+/// Part of the best speed below which the window shrinks.
+const SLOW: f64 = 0.7;
 
-/// Bounds of the window relative to the configured one.
-const BOUNDS: (f64, f64) = (0.05, 8.0);
+/// Part of the best speed below which the window shrinks fast.
+const CRAWLING: f64 = 0.25;
 
-/// Share of the target that queueing inside the endpoint may take.
-const QUEUEING: f64 = 0.5;
+/// Part of the best speed above which the window grows.
+const FAST: f64 = 0.8;
+
+/// Factor of a decrease, and of a fast one.
+const DECREASE: (f64, f64) = (0.9, 0.5);
 
-/// Speed with which the least time per prompt token is forgotten.
-const FORGET: f64 = 0.01;
+/// Increase of a period, relative to the configured window.
+const INCREASE: f64 = 0.02;
+
+/// Bounds of the window relative to the configured one.
+const BOUNDS: (f64, f64) = (0.01, 8.0);
+
+/// Part of the best speed that is forgotten with each sample.
+const FORGET: f64 = 0.0001;
 
 /// Prompt tokens below which the time to first token is not set in relation.
 const MIN_PROMPT: f64 = 64.0;
@@ -36,8 +48,12 @@
 pub struct Window {
     configured: f64,
     limit: f64,
+    speed: Average,
+    best: f64,
     per_token: Option<f64>,
-    decreased: time::Instant,
+    late: bool,
+    limited: bool,
+    adjusted: time::Instant,
 }
 
 impl Window {
@@ -49,12 +65,16 @@
         Self {
             configured,
             limit: configured,
+            speed: Average::default(),
+            best: 0.0,
             per_token: None,
-            decreased: time::Instant::default(),
+            late: false,
+            limited: false,
+            adjusted: time::Instant::default(),
         }
     }
 
-    /// Returns the tokens that the endpoint may hold.
+    /// Returns the tokens that this node may hold at the endpoint.
     #[must_use]
     #[expect(
         clippy::cast_possible_truncation,
@@ -65,6 +85,23 @@
         self.limit.max(1.0) as u64
     }
 
+    /// Returns the tokens that the operators' text gives the endpoint.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "made from an integer"
+    )]
+    pub fn configured(&self) -> u64 {
+        self.configured as u64
+    }
+
+    /// Returns the tokens per second of one stream, if known.
+    #[must_use]
+    pub fn speed(&self) -> Option<f64> {
+        self.speed.get()
+    }
+
     /// Takes over a changed configuration.
     pub fn configure(&mut self, configured: u64) {
         let fresh = Self::new(configured);
@@ -73,40 +110,68 @@
         }
     }
 
-    /// Learns the time to the first token of a request.
-    ///
-    /// `limited` says whether work waited for the window meanwhile.
-    pub fn first_token(
-        &mut self,
-        now: time::Instant,
-        (took, prompt, cost): (Duration, u64, u64),
-        limited: bool,
-    ) {
+    /// Learns that work waited because the window was full.
+    pub fn limited(&mut self) {
+        self.limited = true;
+    }
+
+    /// Learns the time to the first token for this many uncached tokens.
+    pub fn first_token(&mut self, now: time::Instant, took: Duration, uncached: u64) {
         #[expect(clippy::cast_precision_loss, reason = "a ratio")]
-        let (prompt, cost) = ((prompt as f64).max(MIN_PROMPT), cost as f64);
+        let uncached = (uncached as f64).max(MIN_PROMPT);
         let took = took.as_secs_f64();
-        let per_token = took / prompt;
-        let least = match self.per_token {
-            Some(known) => (known * (1.0 + FORGET)).min(per_token),
-            None => per_token,
-        };
+        let per_token = took / uncached;
+        let least = self.per_token.unwrap_or(per_token) * (1.0 + FORGET);
+        let least = least.min(per_token);
         self.per_token = Some(least);
-        let queued = took - least * prompt;
-        if queued > FIRST_TOKEN.as_secs_f64() * QUEUEING {
-            self.decrease(now);
-        } else if limited {
-            self.set(self.limit + cost * INCREASE);
-        }
+        let queued = took - least * uncached;
+        self.late |= queued > FIRST_TOKEN.as_secs_f64() * QUEUEING;
+        self.adjust(now);
+    }
+
+    /// Learns the tokens per second of one stream.
+    pub fn stream(&mut self, now: time::Instant, rate: f64) {
+        self.speed.record(rate);
+        let average = self.speed.get().unwrap_or(rate);
+        self.best = (self.best * (1.0 - FORGET)).max(average);
+        self.adjust(now);
     }
 
-    /// Shrinks the window, once in a while at the most.
-    pub fn decrease(&mut self, now: time::Instant) {
-        if now.since(self.decreased) < DECREASE_PERIOD && self.decreased > time::Instant::default()
-        {
+    /// Learns that requests queue inside the endpoint.
+    pub fn queueing(&mut self, now: time::Instant) {
+        self.late = true;
+        self.adjust(now);
+    }
+
+    /// Returns the time that this many prompt tokens take at the best.
+    #[must_use]
+    pub fn prefill(&self, tokens: u64) -> Duration {
+        #[expect(clippy::cast_precision_loss, reason = "an estimate")]
+        let seconds = self.per_token.unwrap_or(0.0) * tokens as f64;
+        Duration::from_secs_f64(seconds.clamp(0.0, 3600.0))
+    }
+
+    /// Shrinks the window.
+    pub fn decrease(&mut self) {
+        self.set(self.limit * DECREASE.0);
+    }
+
+    /// Adjusts the window once a period.
+    fn adjust(&mut self, now: time::Instant) {
+        if now.since(self.adjusted) < PERIOD {
             return;
         }
-        self.decreased = now;
-        self.set(self.limit * DECREASE);
+        self.adjusted = now;
+        let relative = self.speed.get().map_or(1.0, |speed| speed / self.best);
+        if relative < CRAWLING {
+            self.set(self.limit * DECREASE.1);
+        } else if relative < SLOW || self.late {
+            self.set(self.limit * DECREASE.0);
+        } else if relative > FAST && self.limited {
+            self.set(self.limit + self.configured * INCREASE);
+        }
+        self.late = false;
+        self.limited = false;
     }
 
     fn set(&mut self, limit: f64) {
