--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -52,6 +52,8 @@
     pub slot: fleet::Slot,
     /// Tokens in use, as the policy sees them.
     pub used: u64,
+    /// Tokens of other nodes, by the last report.
+    pub others: u64,
     /// Tokens that may be in use.
     pub limit: u64,
     /// Whether it runs in the node's own data centre.
@@ -87,13 +89,21 @@
             .is_none_or(|speed| output <= speed * time.as_secs_f64())
     }
 
-    /// Returns the part of the limit that is in use.
+    /// Returns the part of the node's own window that is in use.
     #[must_use]
     pub fn load(&self) -> f64 {
         #[expect(clippy::cast_precision_loss, reason = "a ratio")]
         let load = self.used as f64 / self.limit.max(1) as f64;
         load
     }
+
+    /// Returns the tokens of all nodes, relative to the node's own window.
+    #[must_use]
+    pub fn total(&self) -> f64 {
+        #[expect(clippy::cast_precision_loss, reason = "a ratio")]
+        let total = (self.used + self.others) as f64 / self.limit.max(1) as f64;
+        total
+    }
 }
 
 impl Terms<'_> {
@@ -102,6 +112,10 @@
     pub fn candidate(&self, slot: fleet::Slot, member: &fleet::Member) -> Candidate {
         let window = member.window.limit();
         let configured = member.window.configured();
+        let others = match self.policy {
+            Policy::TwoChoices | Policy::Grants => member.others,
+            Policy::RoundRobin | Policy::LeastLoad | Policy::Shares => 0,
+        };
         let (used, limit) = match self.policy {
             Policy::RoundRobin => (0, u64::MAX),
             Policy::LeastLoad => (member.reported(), configured),
@@ -111,6 +125,7 @@
         Candidate {
             slot,
             used,
+            others,
             limit,
             local: member.record.data_centre == *self.data_centre,
             held: 0,
@@ -192,9 +207,11 @@
     if pool.is_empty() {
         return None;
     }
-    let first = pool[rng.random_range(0..pool.len())];
-    let second = pool[rng.random_range(0..pool.len())];
-    let better = if second.load() < first.load() {
+    let index = rng.random_range(0..pool.len());
+    let first = pool[index];
+    let distance = rng.random_range(1..pool.len().max(2));
+    let second = pool[(index + distance) % pool.len()];
+    let better = if second.total() < first.total() {
         second
     } else {
         first
