--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -248,11 +248,9 @@
 
     /// Refuses the requests whose deadline can't be met any more.
     pub(crate) fn expire(&mut self, now: time::Instant, service: &id::Service) {
-        let Some(pool) = self.pools.get(service) else {
-            return;
-        };
-        let mut late = Vec::new();
-        for lane in pool.lanes.values() {
+        let mut late = self.late_suspects(now, service);
+        let lanes = self.pools.get(service).map(|pool| &pool.lanes);
+        for lane in lanes.into_iter().flat_map(|lanes| lanes.values()) {
             for (due, request) in lane.queue.by_deadline() {
                 if due > now {
                     break;
@@ -270,6 +268,21 @@
         }
     }
 
+    /// Returns the suspects that wait in vain.
+    fn late_suspects(&self, now: time::Instant, service: &id::Service) -> Vec<id::Request> {
+        let mut late = Vec::new();
+        let line = self.isolation.lines.get(service);
+        for request in line.into_iter().flat_map(|line| &line.requests) {
+            let Some(waiting) = self.waiting.get(request) else {
+                continue;
+            };
+            if waiting.due <= now || !self.has_usable(&waiting.profile) {
+                late.push(*request);
+            }
+        }
+        late
+    }
+
     /// Takes a request out of the queue, wherever it waits.
     pub(crate) fn forget(&mut self, now: time::Instant, request: id::Request) -> Option<Waiting> {
         let waiting = self.waiting.remove(&request)?;
--- /dev/null
+++ b/lib/tests/test_quarantine.rs
@@ -0,0 +1,169 @@
+//! Requests that crash endpoints, and those that only stood beside them.
+
+mod support;
+
+use std::time::Duration;
+
+use dottereltally_lib::{
+    balance::Policy,
+    effect::Effect,
+    event::{Event, Outcome},
+    id::{Fingerprint, Request},
+    quarantine::{MARK_TTL, Marks, Verdict},
+    refusal::Reason,
+    request::Profile,
+    scheduler::Scheduler,
+    size::Tokens,
+};
+use support::{admitted, arrive, at, core, profile, refused};
+
+fn print(tier: u8, fingerprint: u64) -> Profile {
+    Profile {
+        fingerprint: Fingerprint(fingerprint),
+        ..profile(tier, 100, 100)
+    }
+}
+
+/// Lets the endpoint that runs these requests die; returns the marks.
+fn die(core: &mut Scheduler, now: u64, endpoint: &str, requests: &[u64]) -> Vec<Fingerprint> {
+    for request in requests {
+        core.handle(at(now), Event::Ended(Request(*request), Outcome::Broken));
+    }
+    let mut marks = Vec::new();
+    for effect in core.handle(at(now), Event::Probed(endpoint.into(), false)) {
+        if let Effect::Quarantine(mark) = effect {
+            marks.push(mark);
+        }
+    }
+    marks
+}
+
+fn answer(core: &mut Scheduler, now: u64, request: u64) -> Vec<Effect> {
+    let outcome = Outcome::Answered {
+        cached: Tokens(0),
+        output: Tokens(10),
+    };
+    core.handle(at(now), Event::Ended(Request(request), outcome))
+}
+
+fn tell(core: &mut Scheduler, now: u64, marks: &[Fingerprint]) {
+    let marks = marks.iter().map(|mark| (*mark, MARK_TTL)).collect();
+    core.handle(at(now), Event::Suspected(marks));
+}
+
+#[test]
+fn second_death_confirms() {
+    let mut marks = Marks::default();
+    let guilty = Fingerprint(7);
+    marks.death(at(0), guilty, &"e0".into());
+    assert_eq!(marks.verdict(at(1), guilty), Verdict::Suspect);
+    marks.death(at(2), guilty, &"e1".into());
+    assert_eq!(marks.verdict(at(3), guilty), Verdict::Confirmed);
+    let later = at(4) + MARK_TTL;
+    assert_eq!(marks.verdict(later, guilty), Verdict::Clear);
+}
+
+#[test]
+fn same_death_seen_by_two_nodes_counts_once() {
+    let (mut one, mut two) = (Marks::default(), Marks::default());
+    for mark in one.death(at(0), Fingerprint(7), &"e0".into()) {
+        two.mark(at(1), mark, Duration::from_mins(1));
+    }
+    two.death(at(2), Fingerprint(7), &"e0".into());
+    assert_eq!(two.verdict(at(3), Fingerprint(7)), Verdict::Suspect);
+}
+
+#[test]
+fn crashing_request_is_refused_at_every_node_after_two_deaths() {
+    let mut one = core(Policy::TwoChoices, 10_000, 4);
+    let mut two = core(Policy::TwoChoices, 10_000, 4);
+    let first = admitted(&arrive(&mut one, 0, 1, print(0, 7)), 1).expect("admitted");
+    let marks = die(&mut one, 10, first.as_str(), &[1]);
+    assert!(!marks.is_empty());
+    tell(&mut two, 20, &marks);
+    two.handle(at(20), Event::Probed(first.clone(), false));
+    let second = admitted(&arrive(&mut two, 6000, 1, print(0, 7)), 1).expect("runs once more");
+    assert_ne!(first, second);
+    let marks = die(&mut two, 6010, second.as_str(), &[1]);
+    let effects = arrive(&mut two, 6020, 2, print(0, 7));
+    assert_eq!(refused(&effects, 2).expect("refused").0, Reason::Quarantine);
+    tell(&mut one, 6030, &marks);
+    let effects = arrive(&mut one, 6040, 2, print(0, 7));
+    assert_eq!(refused(&effects, 2).expect("refused").0, Reason::Quarantine);
+}
+
+#[test]
+fn innocent_request_beside_a_crash_is_served_when_it_comes_again() {
+    let mut core = core(Policy::TwoChoices, 10_000, 1);
+    arrive(&mut core, 0, 1, print(0, 7));
+    arrive(&mut core, 0, 2, print(0, 8));
+    die(&mut core, 10, "e0", &[1, 2]);
+    core.handle(at(1000), Event::Probed("e0".into(), true));
+    assert!(admitted(&arrive(&mut core, 1000, 3, print(0, 8)), 3).is_some());
+    assert!(
+        arrive(&mut core, 1001, 4, print(0, 9)).is_empty(),
+        "a suspect runs alone"
+    );
+    let effects = answer(&mut core, 1100, 3);
+    assert!(admitted(&effects, 4).is_some());
+    assert!(
+        admitted(&arrive(&mut core, 1200, 5, print(0, 8)), 5).is_some(),
+        "an answered suspect is cleared"
+    );
+}
+
+#[test]
+fn suspect_waits_for_an_empty_endpoint_without_blocking_others() {
+    let mut core = core(Policy::TwoChoices, 10_000, 3);
+    let dead = admitted(&arrive(&mut core, 0, 1, print(0, 7)), 1).expect("admitted");
+    die(&mut core, 10, dead.as_str(), &[1]);
+    for request in 10..30 {
+        assert!(
+            admitted(
+                &arrive(&mut core, 20, request, print(0, 100 + request)),
+                request
+            )
+            .is_some()
+        );
+    }
+    assert!(arrive(&mut core, 30, 40, print(0, 7)).is_empty());
+    for request in 50..60 {
+        assert!(
+            admitted(
+                &arrive(&mut core, 40, request, print(0, 100 + request)),
+                request
+            )
+            .is_some()
+        );
+    }
+    let mut isolated = None;
+    for request in (10..30).chain(50..60) {
+        isolated = isolated.or(admitted(&answer(&mut core, 50, request), 40));
+    }
+    assert!(isolated.is_some());
+}
+
+#[test]
+fn many_deaths_at_once_speak_against_the_network() {
+    let mut core = core(Policy::TwoChoices, 10_000, 6);
+    let mut marks = Vec::new();
+    for number in 0..6 {
+        let effects = core.handle(at(0), Event::Probed(format!("e{number}").into(), true));
+        assert!(effects.is_empty());
+    }
+    let mut running = Vec::new();
+    for request in 0..30 {
+        let effects = arrive(&mut core, 0, request, print(0, 100 + request));
+        running.push((admitted(&effects, request).expect("admitted"), request));
+    }
+    for number in 0..6 {
+        let name = format!("e{number}");
+        let here: Vec<u64> = running
+            .iter()
+            .filter(|(endpoint, _)| endpoint.as_str() == name)
+            .map(|(_, request)| *request)
+            .collect();
+        marks.push(die(&mut core, 10, &name, &here).len());
+    }
+    assert_eq!(marks[2..].iter().sum::<usize>(), 0, "{marks:?}");
+}
