quarantine, stream: suspects wait for news, callers are answered at once

Cause: a caller that sends a crashing request again at once is faster than the news of a death. The answer for a broken connection was held back for 250 ms so that the news arrives first; the users do not accept an answer that is held to keep its caller quiet. Ruled out: holding the answer; a claim in the key-value service for suspects (does not help where the second node does not know of the first death yet). Change: a broken connection marks its request at once, shared like a death; a marked request waits 1.25 s after its arrival, longer than a probe, before it runs alone, and is refused as soon as a second death is known; suspects of different nodes prefer different endpoints by rendezvous; a suspect without a usable endpoint is refused at once instead of at the next tick.

--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -21,10 +21,10 @@
 };
 
 /// Time to come back after a refusal, at the least.
-const MIN_RETRY: Duration = Duration::from_secs(1);
+pub(crate) const MIN_RETRY: Duration = Duration::from_secs(1);
 
 /// Time to come back after a refusal, at the most.
-const MAX_RETRY: Duration = Duration::from_mins(1);
+pub(crate) const MAX_RETRY: Duration = Duration::from_mins(1);
 
 /// Factor by which the estimated wait must exceed the time left before a
 /// request is refused while lower tiers wait, which speaks against overload.
@@ -268,7 +268,7 @@
         }
     }
 
-    /// Returns the suspects that wait in vain.
+    /// Returns the suspects that wait for too long.
     fn late_suspects(&self, now: time::Instant, service: &id::Service) -> Vec<id::Request> {
         let mut late = Vec::new();
         let line = self.isolation.lines.get(service);
@@ -276,7 +276,7 @@
             let Some(waiting) = self.waiting.get(request) else {
                 continue;
             };
-            if waiting.due <= now || !self.has_usable(&waiting.profile) {
+            if waiting.due <= now {
                 late.push(*request);
             }
         }
@@ -384,7 +384,7 @@
         }
     }
 
-    fn has_usable(&self, profile: &Profile) -> bool {
+    pub(crate) fn has_usable(&self, profile: &Profile) -> bool {
         let slots = self.fleet.of_service(&profile.service);
         let members = slots.iter().filter_map(|slot| self.fleet.get(*slot));
         members
--- a/lib/src/health.rs
+++ b/lib/src/health.rs
@@ -3,13 +3,16 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
+    admission::{MAX_RETRY, MIN_RETRY},
     effect::Effect,
     endpoint::{Cache, Load, Record},
     event::{Message, Outcome},
     fleet::{AVOID_PERIOD, Health, Slot},
     flight::{Flight, Waiting},
     id,
+    quarantine::Verdict,
     refusal::Reason,
+    rendezvous,
     scheduler::Scheduler,
     size, text, time,
     window::FIRST_TOKEN,
@@ -31,6 +34,10 @@
 /// Time over which the speed of a stream is measured.
 const SPEED_SPAN: Duration = Duration::from_millis(400);
 
+/// Time that a suspect waits before it runs, so that the probe of the endpoint
+/// that it may have crashed is over and its result is known at every node.
+const SUSPECT_SETTLE: Duration = Duration::from_millis(1250);
+
 /// Time to come back for a suspect that does not fit.
 const SUSPECT_RETRY: Duration = Duration::from_secs(10);
 
@@ -185,6 +192,7 @@
         for (mark, valid) in marks {
             self.marks.mark(now, mark, valid);
         }
+        self.refuse_confirmed(now);
     }
 
     /// Lets a suspect wait for an endpoint of its own.
@@ -199,12 +207,16 @@
 
     /// Admits the suspect that waits longest once its endpoint is empty.
     pub(crate) fn pump_suspects(&mut self, now: time::Instant, service: &id::Service) {
+        self.refuse_stranded(now, service);
         let Some(line) = self.isolation.lines.get(service) else {
             return;
         };
         let Some(&request) = line.requests.front() else {
             return;
         };
+        if !self.is_settled(now, request) {
+            return;
+        }
         let Some(slot) = line.slot.or_else(|| self.reserve(now, request)) else {
             return;
         };
@@ -226,6 +238,49 @@
         self.admit(now, request, slot);
     }
 
+    /// Returns whether what other nodes know of a suspect has had the time to
+    /// arrive.
+    fn is_settled(&self, now: time::Instant, request: id::Request) -> bool {
+        let waiting = self.waiting.get(&request);
+        waiting.is_some_and(|waiting| now.since(waiting.profile.received) >= SUSPECT_SETTLE)
+    }
+
+    /// Refuses the suspects that no endpoint is left for.
+    fn refuse_stranded(&mut self, now: time::Instant, service: &id::Service) {
+        let mut stranded = Vec::new();
+        let line = self.isolation.lines.get(service);
+        for request in line.into_iter().flat_map(|line| &line.requests) {
+            let waiting = self.waiting.get(request);
+            if waiting.is_some_and(|waiting| !self.has_usable(&waiting.profile)) {
+                stranded.push(*request);
+            }
+        }
+        for request in stranded {
+            self.forget(now, request);
+            self.refuse(request, Reason::NoEndpoint, MIN_RETRY);
+        }
+    }
+
+    /// Refuses the suspects that turned out to crash endpoints.
+    fn refuse_confirmed(&mut self, now: time::Instant) {
+        let mut confirmed = Vec::new();
+        for line in self.isolation.lines.values() {
+            for request in &line.requests {
+                let Some(waiting) = self.waiting.get(request) else {
+                    continue;
+                };
+                let fingerprint = waiting.profile.fingerprint;
+                if self.marks.verdict(now, fingerprint) == Verdict::Confirmed {
+                    confirmed.push(*request);
+                }
+            }
+        }
+        for request in confirmed {
+            self.forget(now, request);
+            self.refuse(request, Reason::Quarantine, MAX_RETRY);
+        }
+    }
+
     /// Does what is due by time.
     pub(crate) fn tick(&mut self, now: time::Instant) {
         self.marks.expire(now);
@@ -321,6 +376,8 @@
         if let Some(member) = self.fleet.get_mut(flight.slot) {
             member.broken.insert(fingerprint);
         }
+        let mark = self.marks.broke(now, fingerprint);
+        self.effects.push(Effect::Quarantine(mark));
         self.check(now, flight.slot);
     }
 
@@ -350,6 +407,7 @@
                 self.effects.push(Effect::Quarantine(mark));
             }
         }
+        self.refuse_confirmed(now);
     }
 
     /// Probes endpoints that are dead or whose probe was lost.
@@ -379,8 +437,18 @@
     fn reserve(&mut self, now: time::Instant, request: id::Request) -> Option<Slot> {
         let waiting = self.waiting.get(&request)?;
         let candidates = self.candidates(now, waiting);
-        let least = candidates.iter().min_by_key(|candidate| candidate.used)?;
-        let slot = least.slot;
+        let fingerprint = waiting.profile.fingerprint;
+        // Different suspects prefer different endpoints, so that nodes that
+        // do not know of each other's seldom run two of them together.
+        let mut best = None;
+        for candidate in &candidates {
+            let Some(member) = self.fleet.get(candidate.slot) else {
+                continue;
+            };
+            let weight = rendezvous::endpoint_weight(fingerprint, &member.record.id);
+            best = best.max(Some((weight, candidate.slot)));
+        }
+        let (_, slot) = best?;
         self.fleet.get_mut(slot)?.reserved = Some(request);
         Some(slot)
     }
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -24,12 +24,15 @@
 /// Seed that derives the mark of a confirmed fingerprint.
 const CONFIRMED_SEED: u64 = 1;
 
+/// Seed that derives the mark of a fingerprint whose connection broke.
+const BROKEN_SEED: u64 = 2;
+
 /// What is known of a fingerprint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// Nothing speaks against it.
     Clear,
-    /// It was in flight at one death.
+    /// Its connection broke, or it was in flight at one death.
     Suspect,
     /// It was in flight at two deaths.
     Confirmed,
@@ -45,8 +48,17 @@
 /// Returns the mark of a confirmed fingerprint.
 #[must_use]
 pub fn confirmed(fingerprint: id::Fingerprint) -> id::Fingerprint {
+    derived(fingerprint, CONFIRMED_SEED)
+}
+
+/// Returns the mark of a fingerprint whose connection broke.
+fn broken(fingerprint: id::Fingerprint) -> id::Fingerprint {
+    derived(fingerprint, BROKEN_SEED)
+}
+
+fn derived(fingerprint: id::Fingerprint, seed: u64) -> id::Fingerprint {
     let bytes = fingerprint.0.to_le_bytes();
-    id::Fingerprint(xxh3::xxh3_64_with_seed(&bytes, CONFIRMED_SEED))
+    id::Fingerprint(xxh3::xxh3_64_with_seed(&bytes, seed))
 }
 
 /// Returns the mark of a fingerprint seen at the death of this endpoint.
@@ -62,12 +74,22 @@
         if self.holds(now, confirmed(fingerprint)) {
             return Verdict::Confirmed;
         }
-        if self.holds(now, fingerprint) && !self.is_cleared(now, fingerprint) {
+        let suspect = self.holds(now, fingerprint) || self.holds(now, broken(fingerprint));
+        if suspect && !self.is_cleared(now, fingerprint) {
             return Verdict::Suspect;
         }
         Verdict::Clear
     }
 
+    /// Records that the request's connection broke, which may be the first sign
+    /// of a death, and returns the mark to be shared.
+    pub fn broke(&mut self, now: time::Instant, fingerprint: id::Fingerprint) -> id::Fingerprint {
+        let mark = broken(fingerprint);
+        self.cleared.remove(&fingerprint);
+        self.mark(now, mark, MARK_TTL);
+        mark
+    }
+
     /// Records that the request was in flight at the death of this endpoint
     /// and returns the marks to be shared.
     ///
@@ -80,8 +102,8 @@
     ) -> Vec<id::Fingerprint> {
         let place = at(fingerprint, endpoint);
         let mut marks = vec![fingerprint, place];
-        let seen_elsewhere = self.verdict(now, fingerprint) != Verdict::Clear;
-        if seen_elsewhere && !self.holds(now, place) {
+        let seen = self.holds(now, fingerprint) && !self.is_cleared(now, fingerprint);
+        if seen && !self.holds(now, place) {
             marks.push(confirmed(fingerprint));
         }
         self.cleared.remove(&fingerprint);
--- a/lib/src/rendezvous.rs
+++ b/lib/src/rendezvous.rs
@@ -10,6 +10,12 @@
     xxh3::xxh3_64_with_seed(node.as_str().as_bytes(), xxh3::xxh3_64(key.as_bytes()))
 }
 
+/// Returns the weight of an endpoint for a request's content.
+#[must_use]
+pub fn endpoint_weight(fingerprint: id::Fingerprint, endpoint: &id::Endpoint) -> u64 {
+    xxh3::xxh3_64_with_seed(endpoint.as_str().as_bytes(), fingerprint.0)
+}
+
 /// Returns the node with the highest weight for the key.
 #[must_use]
 pub fn choose<'a>(
--- a/node/src/filter.rs
+++ b/node/src/filter.rs
@@ -18,7 +18,7 @@
 };
 use http::{HeaderValue, Response, StatusCode, header::HeaderMap, request::Parts};
 use http_body_util::BodyExt;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::{
     answer, authenticate,
@@ -28,7 +28,6 @@
     dispatch::{self, Ended, Free, Job},
     dispatcher::{Handle, Resolve},
     exclusive::{self, Keeper},
-    flight::NEWS_DELAY,
     limit::{Permit, Table},
     metrics::Metrics,
     problem::{Problem, Reason},
@@ -112,9 +111,6 @@
         match outcome {
             Ok(response) => response,
             Err(refused) => {
-                if refused.problem.reason() == Reason::Broken {
-                    sleep(NEWS_DELAY).await;
-                }
                 self.metrics.refused(refused.tier, refused.problem.reason());
                 refused.problem.response(Some(id))
             }
--- a/node/src/flight.rs
+++ b/node/src/flight.rs
@@ -23,11 +23,6 @@
 /// Time between two reports of progress to the core.
 const REPORT_PERIOD: Duration = Duration::from_millis(200);
 
-/// Delay before a caller hears that its connection to the endpoint broke, in
-/// which the endpoint is probed and the peers learn of its death; a request that
-/// crashes endpoints is then known wherever the caller sends it again.
-pub const NEWS_DELAY: Duration = Duration::from_millis(250);
-
 /// Reports a dispatched request's course; dropping it reports that the
 /// caller left.
 pub struct Flight<D: Handle> {
--- a/node/src/stream.rs
+++ b/node/src/stream.rs
@@ -17,12 +17,7 @@
 };
 
 use crate::{
-    body::Cut,
-    dispatcher::Handle,
-    flight::{Flight, NEWS_DELAY},
-    problem::Reason,
-    sse,
-    upstream::Broken,
+    body::Cut, dispatcher::Handle, flight::Flight, problem::Reason, sse, upstream::Broken,
 };
 
 /// Time for the last event of a cut stream to leave before the connection is
@@ -71,11 +66,6 @@
     timer: Pin<Box<Sleep>>,
 }
 
-<<<<<<< HEAD
-enum State<B, D: Handle> {
-    Open { body: B, flight: Flight<D> },
-    Held(Reason),
-=======
 /// Where the answer comes from; empty once it has ended or was cancelled.
 struct Source<B, D: Handle>(Arc<Mutex<Option<Open<B, D>>>>);
 
@@ -87,7 +77,6 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum State {
     Open,
->>>>>>> front
     Aborting,
     Ended,
 }
@@ -184,20 +173,10 @@
     }
 
     /// Ends the answer where the endpoint ended it.
-<<<<<<< HEAD
-    fn finish(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        if self
-            .scanner
-            .as_ref()
-            .is_some_and(|scanner| !scanner.is_done())
-        {
-            return self.cut(Reason::Broken, context);
-=======
     fn finish(&mut self) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         let scanner = self.scanner.as_ref();
         if scanner.is_some_and(|scanner| !scanner.is_done()) {
             return self.cut(Reason::Broken);
->>>>>>> front
         }
         let usage = scanner.and_then(sse::Scanner::usage);
         let usage = usage.unwrap_or(sse::Usage {
@@ -214,41 +193,15 @@
     }
 
     /// Ends the answer before its end, in a way that the caller can tell.
-<<<<<<< HEAD
-    fn cut(
-        &mut self,
-        reason: Reason,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        let state = std::mem::replace(&mut self.state, State::Held(reason));
-        if let State::Open { body, flight } = state {
-            drop(body);
-=======
     fn cut(&mut self, reason: Reason) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         if let Some(open) = self.source.take() {
             drop(open.body);
->>>>>>> front
             match reason {
                 Reason::DeadlinePassed => open.flight.expired(),
                 Reason::Stalled => open.flight.stalled(),
                 _ => open.flight.broken(),
             }
         }
-        let delay = match reason {
-            Reason::Broken => NEWS_DELAY,
-            _ => Duration::ZERO,
-        };
-        self.timer = Box::pin(sleep(delay));
-        self.poll_held(reason, context)
-    }
-
-    /// Tells the caller that the answer was cut once the delay is over.
-    fn poll_held(
-        &mut self,
-        reason: Reason,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        ready!(self.timer.as_mut().poll(context));
         if self.scanner.is_none() {
             self.state = State::Ended;
             return Poll::Ready(Some(Err(Cut)));
@@ -280,12 +233,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         let this = self.get_mut();
         match this.state {
-<<<<<<< HEAD
-            State::Open { .. } => {}
-            State::Held(reason) => return this.poll_held(reason, context),
-=======
             State::Open => {}
->>>>>>> front
             State::Aborting => {
                 ready!(this.timer.as_mut().poll(context));
                 this.state = State::Ended;
@@ -298,8 +246,8 @@
                 this.observe(&frame);
                 Poll::Ready(Some(Ok(frame)))
             }
-            Ok(None) => this.finish(context),
-            Err(reason) => this.cut(reason, context),
+            Ok(None) => this.finish(),
+            Err(reason) => this.cut(reason),
         }
     }
 
