window: shrink what is not used, count higher tiers only

Cause: a burst met windows that steady load had left wide open. Change: an unused window shrinks towards twice its use, not below a multiple of the node's share; a tier sees only its own and higher tiers in the window; the highest keeps at least its share; a decrease follows the speed. The experiment shows the plain service in columns of its own, since a burst of three times its capacity can't be met by anyone.

--- a/lib/examples/experiment/driver.rs
+++ b/lib/examples/experiment/driver.rs
@@ -45,8 +45,8 @@
 /// What came out of a run.
 #[derive(Clone, Debug, Default)]
 pub struct Outcomes {
-    pub offered: [u64; 4],
-    pub good: [u64; 4],
+    pub offered: [u64; 6],
+    pub good: [u64; 6],
     pub offered_work: f64,
     pub good_work: f64,
     pub capacity_work: f64,
@@ -307,7 +307,7 @@
             prefill: 0,
         };
         if Self::is_measured(&track) {
-            self.outcomes.offered[usize::from(kind.tier)] += 1;
+            self.outcomes.offered[number] += 1;
             if kind.service == "llm" {
                 self.outcomes.offered_work += scenario::weight(own, output);
             }
@@ -445,7 +445,7 @@
         if !good {
             return;
         }
-        self.outcomes.good[usize::from(kind.tier)] += 1;
+        self.outcomes.good[track.kind] += 1;
         if kind.service == "llm" {
             self.outcomes.good_work += scenario::weight(track.own, track.output);
         }
--- a/lib/examples/experiment/main.rs
+++ b/lib/examples/experiment/main.rs
@@ -44,11 +44,13 @@
 const THREADS: usize = 4;
 
 /// Names of the columns.
-const COLUMNS: [&str; 9] = [
+const COLUMNS: [&str; 11] = [
     "tier 0",
     "tier 1",
     "tier 2",
     "tier 3",
+    "app 0",
+    "app 2",
     "goodput/bound",
     "wasted prefill",
     "p95 first token s",
@@ -57,7 +59,7 @@
 ];
 
 /// Returns the figures of one run, in the order of the columns.
-fn figures(outcomes: &Outcomes) -> [f64; 9] {
+fn figures(outcomes: &Outcomes) -> [f64; 11] {
     let ratio = |part: f64, whole: f64| if whole > 0.0 { part / whole } else { 1.0 };
     let tier = |tier: usize| ratio(outcomes.good[tier] as f64, outcomes.offered[tier] as f64);
     let bound = outcomes.offered_work.min(outcomes.capacity_work);
@@ -72,6 +74,8 @@
         tier(1),
         tier(2),
         tier(3),
+        tier(4),
+        tier(5),
         ratio(outcomes.good_work, bound),
         ratio(outcomes.wasted as f64, outcomes.prefill as f64),
         p95,
@@ -94,7 +98,7 @@
 type Task = (Scenario, (&'static str, Policy, bool));
 
 /// Runs all tasks with all seeds on a few threads.
-fn run_all(tasks: &[Task], seeds: u64) -> Vec<Vec<[f64; 9]>> {
+fn run_all(tasks: &[Task], seeds: u64) -> Vec<Vec<[f64; 11]>> {
     let rows = Mutex::new(vec![Vec::new(); tasks.len()]);
     let next = AtomicUsize::new(0);
     let work = || {
@@ -141,7 +145,7 @@
         let mut line = format!("| {} | {way} |", scenario.name);
         for (column, title) in COLUMNS.iter().enumerate() {
             let (median, least, greatest) = spread(runs.iter().map(|run| run[column]).collect());
-            let digits = if column < 7 { 3 } else { 0 };
+            let digits = if column < 9 { 3 } else { 0 };
             let _ = write!(
                 line,
                 " {median:.digits$} ({least:.digits$}–{greatest:.digits$}) |"
--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -6,18 +6,17 @@
 
 use crate::{
     affinity,
-    balance::Candidate,
     effect::Effect,
-    fleet::Slot,
+    fleet::{self, Slot},
     flight::{Flight, Waiting},
     id,
+    placement::Place,
     pool::{Lane, MAX_WAITING, Pool},
     quarantine::Verdict,
     refusal::{Reason, Refusal},
     request::Profile,
     scheduler::Scheduler,
     size, text, time,
-    window::FIRST_TOKEN,
 };
 
 /// Time to come back after a refusal, at the least.
@@ -33,16 +32,6 @@
 /// Part by which the time to come back is spread.
 const RETRY_JITTER: f64 = 0.25;
 
-/// Where a waiting request can go.
-enum Place {
-    /// To this endpoint.
-    At(Slot),
-    /// To none now.
-    Full,
-    /// To none at all.
-    Nowhere,
-}
-
 impl Scheduler {
     /// Takes a request in: admits it, lets it wait or refuses it.
     pub(crate) fn arrive(
@@ -185,6 +174,8 @@
         };
         let cost = waiting.cost;
         member.own += cost;
+        member.by_tier[fleet::rank(waiting.profile.tier)] += cost;
+        member.window.hold(member.own);
         member.pending += uncached;
         member.requests += 1;
         self.prefixes.hint(slot, &waiting.profile.prefixes);
@@ -212,6 +203,7 @@
         assert!(member.own >= flight.cost, "tokens in flight add up");
         assert!(member.requests > 0, "requests in flight add up");
         member.own -= flight.cost;
+        member.by_tier[fleet::rank(flight.waiting.profile.tier)] -= flight.cost;
         if flight.started.is_none() {
             member.pending -= flight.uncached;
         }
@@ -304,94 +296,6 @@
         pool.lanes.entry(profile.model.clone()).or_default()
     }
 
-    /// Returns the candidates among a service's endpoints.
-    pub(crate) fn candidates(&self, now: time::Instant, waiting: &Waiting) -> Vec<Candidate> {
-        let profile = &waiting.profile;
-        let terms = self.settings.terms(now, self.members.len());
-        let mut candidates = Vec::new();
-        for &slot in self.fleet.of_service(&profile.service) {
-            let Some(member) = self.fleet.get(slot) else {
-                continue;
-            };
-            if !member.is_usable(profile.model.as_ref()) || !member.is_open(now) {
-                continue;
-            }
-            if waiting.avoided.contains(&member.record.id) {
-                continue;
-            }
-            if member.window.prefill(member.pending) > FIRST_TOKEN {
-                continue;
-            }
-            candidates.push(terms.candidate(slot, member));
-        }
-        candidates
-    }
-
-    /// Returns where a waiting request can go.
-    fn place(&mut self, now: time::Instant, request: id::Request) -> Place {
-        let Some(waiting) = self.waiting.get(&request) else {
-            return Place::Full;
-        };
-        let mut fitting = self.candidates(now, waiting);
-        let open: Vec<Slot> = fitting.iter().map(|candidate| candidate.slot).collect();
-        let profile = &waiting.profile;
-        let remaining = profile.remaining(now);
-        let output = profile.output.0;
-        if fitting
-            .iter()
-            .any(|each| each.is_in_time(output, remaining))
-        {
-            fitting.retain(|each| each.is_in_time(output, remaining));
-        }
-        fitting.retain(|each| each.fits(profile.tier, waiting.cost));
-        if fitting.is_empty() {
-            let place = self.without_room(waiting);
-            self.note_limits(&open);
-            return place;
-        }
-        let prefixes = &waiting.profile.prefixes;
-        let held = self.prefixes.held(prefixes);
-        for candidate in &mut fitting {
-            candidate.held = held.get(&candidate.slot).copied().unwrap_or(0);
-        }
-        let terms = self.settings.terms(now, self.members.len());
-        let first = prefixes.first().copied();
-        let chosen = terms.choose(&mut self.rng, &mut self.turn, &fitting, first);
-        chosen.map_or(Place::Full, |candidate| Place::At(candidate.slot))
-    }
-
-    /// Tells whether a request that fits nowhere now can ever be placed.
-    fn without_room(&self, waiting: &Waiting) -> Place {
-        let profile = &waiting.profile;
-        for &slot in self.fleet.of_service(&profile.service) {
-            let Some(member) = self.fleet.get(slot) else {
-                continue;
-            };
-            let usable = member.is_usable(profile.model.as_ref());
-            if usable && !waiting.avoided.contains(&member.record.id) {
-                return Place::Full;
-            }
-        }
-        Place::Nowhere
-    }
-
-    /// Records that the windows of these endpoints keep work waiting.
-    fn note_limits(&mut self, slots: &[Slot]) {
-        for slot in slots {
-            if let Some(member) = self.fleet.get_mut(*slot) {
-                member.window.limited();
-            }
-        }
-    }
-
-    fn has_usable(&self, profile: &Profile) -> bool {
-        let slots = self.fleet.of_service(&profile.service);
-        let members = slots.iter().filter_map(|slot| self.fleet.get(*slot));
-        members
-            .into_iter()
-            .any(|member| member.is_usable(profile.model.as_ref()))
-    }
-
     /// Takes a request that is being admitted out of the queue.
     fn dequeue(&mut self, now: time::Instant, request: id::Request) -> Option<Waiting> {
         let waiting = self.waiting.remove(&request)?;
--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -11,10 +11,10 @@
 const LOAD_FACTOR: f64 = 1.25;
 
 /// Load up to which prefixes decide in any case.
-const LOAD_SLACK: f64 = 0.25;
+const LOAD_SLACK: f64 = 0.5;
 
 /// Part of the window that each tier may fill, highest first, percent.
-const TIER_PERCENT: [u64; 4] = [200, 110, 95, 80];
+const TIER_PERCENT: [u64; fleet::TIERS] = [150, 110, 95, 80];
 
 /// How a node decides what it may put on an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -56,10 +56,14 @@
     pub others: u64,
     /// Tokens that may be in use.
     pub limit: u64,
+    /// Equal part of the configured window for each node.
+    pub share: u64,
     /// Whether it runs in the node's own data centre.
     pub local: bool,
+    /// Tokens in use by the request's tier and those above it.
+    pub held: u64,
     /// Leading blocks of the prompt that its prefix cache holds.
-    pub held: usize,
+    pub blocks: usize,
     /// Hash of its name.
     pub key: u64,
     /// Tokens per second of one stream, if known.
@@ -67,17 +71,19 @@
 }
 
 impl Candidate {
-    /// Returns whether a request of this tier and cost fits.
+    /// Returns whether a request of this tier and cost fits beside its own and
+    /// higher tiers.
     ///
     /// Lower tiers leave a part of the window free for higher ones, and the
     /// highest may exceed it. A request larger than the whole window fits an
     /// empty endpoint.
     #[must_use]
     pub fn fits(&self, tier: id::Tier, cost: u64) -> bool {
-        let rank = usize::from(tier.0).min(TIER_PERCENT.len() - 1);
-        let percent = TIER_PERCENT[rank];
-        let limit = (self.limit.saturating_mul(percent) / 100).max(1);
-        self.used == 0 || self.used + cost <= limit
+        let rank = fleet::rank(tier);
+        let limit = self.limit.saturating_mul(TIER_PERCENT[rank]) / 100;
+        let floor = if rank == 0 { self.share } else { 1 };
+        let limit = limit.max(floor);
+        self.used == 0 || self.held + cost <= limit
     }
 
     /// Returns whether an answer of this length can be whole in this time.
@@ -89,11 +95,11 @@
             .is_none_or(|speed| output <= speed * time.as_secs_f64())
     }
 
-    /// Returns the part of the node's own window that is in use.
+    /// Returns the part of the node's share that is in use.
     #[must_use]
     pub fn load(&self) -> f64 {
         #[expect(clippy::cast_precision_loss, reason = "a ratio")]
-        let load = self.used as f64 / self.limit.max(1) as f64;
+        let load = self.used as f64 / self.share as f64;
         load
     }
 
@@ -109,9 +115,20 @@
 impl Terms<'_> {
     /// Returns the endpoint as the policy sees it.
     #[must_use]
-    pub fn candidate(&self, slot: fleet::Slot, member: &fleet::Member) -> Candidate {
+    pub fn candidate(
+        &self,
+        tier: id::Tier,
+        slot: fleet::Slot,
+        member: &fleet::Member,
+    ) -> Candidate {
         let window = member.window.limit();
         let configured = member.window.configured();
+        let share = (configured / self.nodes).max(1);
+        let held = match self.policy {
+            Policy::RoundRobin => 0,
+            Policy::LeastLoad => member.reported(),
+            Policy::TwoChoices | Policy::Shares | Policy::Grants => member.held(tier),
+        };
         let others = match self.policy {
             Policy::TwoChoices | Policy::Grants => member.others,
             Policy::RoundRobin | Policy::LeastLoad | Policy::Shares => 0,
@@ -120,15 +137,17 @@
             Policy::RoundRobin => (0, u64::MAX),
             Policy::LeastLoad => (member.reported(), configured),
             Policy::TwoChoices | Policy::Grants => (member.own, window),
-            Policy::Shares => (member.own, (configured / self.nodes).max(1)),
+            Policy::Shares => (member.own, share),
         };
         Candidate {
             slot,
             used,
             others,
             limit,
+            share,
             local: member.record.data_centre == *self.data_centre,
-            held: 0,
+            held,
+            blocks: 0,
             key: member.key,
             speed: member.window.speed(),
         }
@@ -178,9 +197,10 @@
 /// above the bound; of equals, the least loaded.
 fn bounded(pool: &[Candidate]) -> Option<Candidate> {
     let bound = bound(pool);
-    let eligible = |each: &&Candidate| each.held > 0 && each.load() <= bound;
-    let by_held =
-        |a: &&Candidate, b: &&Candidate| a.held.cmp(&b.held).then(b.load().total_cmp(&a.load()));
+    let eligible = |each: &&Candidate| each.blocks > 0 && each.load() <= bound;
+    let by_held = |a: &&Candidate, b: &&Candidate| {
+        a.blocks.cmp(&b.blocks).then(b.load().total_cmp(&a.load()))
+    };
     pool.iter().filter(eligible).max_by(by_held).copied()
 }
 
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -16,9 +16,18 @@
 /// How long an endpoint that refused a connection is avoided.
 pub const AVOID_PERIOD: Duration = Duration::from_secs(1);
 
+/// Tiers of the operators' text at the most.
+pub const TIERS: usize = 4;
+
 /// Position of an endpoint in the table; stable while the endpoint is in use.
 pub type Slot = usize;
 
+/// Returns the index of a tier.
+#[must_use]
+pub fn rank(tier: id::Tier) -> usize {
+    usize::from(tier.0).min(TIERS - 1)
+}
+
 /// Whether an endpoint is trusted to answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Health {
@@ -45,6 +54,8 @@
     pub load: Option<Load>,
     /// Tokens that this node has in flight there.
     pub own: u64,
+    /// The same by tier, the highest first.
+    pub by_tier: [u64; TIERS],
     /// Prompt tokens of this node that wait for their first token there.
     pub pending: u64,
     /// Requests that this node has in flight there.
@@ -71,6 +82,7 @@
             listed: true,
             load: None,
             own: 0,
+            by_tier: [0; TIERS],
             pending: 0,
             requests: 0,
             others: 0,
@@ -110,6 +122,13 @@
         load.models.is_empty() || load.models.contains(model)
     }
 
+    /// Returns the tokens that this node holds there for this tier and those
+    /// above it.
+    #[must_use]
+    pub fn held(&self, tier: id::Tier) -> u64 {
+        self.by_tier[..=rank(tier)].iter().sum()
+    }
+
     /// Returns the tokens that the last report gives.
     #[must_use]
     pub fn reported(&self) -> u64 {
--- a/lib/src/health.rs
+++ b/lib/src/health.rs
@@ -57,12 +57,29 @@
             let service = text.and_then(|text| text.services.get(service));
             service.map_or(1, |service| service.window.0)
         });
+        self.share_windows();
         for slot in freed {
             self.prefixes.forget(slot);
         }
         self.pump_all(now);
     }
 
+    /// Takes over the list of live nodes.
+    pub(crate) fn join(&mut self, members: Vec<(id::Node, id::DataCentre)>) {
+        self.members = members;
+        self.share_windows();
+    }
+
+    /// Divides windows of which nothing is known yet between the nodes.
+    fn share_windows(&mut self) {
+        let nodes = u64::try_from(self.members.len()).unwrap_or(u64::MAX);
+        for slot in self.fleet.slots() {
+            if let Some(member) = self.fleet.get_mut(slot) {
+                member.window.share(nodes);
+            }
+        }
+    }
+
     /// Takes in what an endpoint says of its load.
     pub(crate) fn report(&mut self, now: time::Instant, name: &id::Endpoint, load: Load) {
         let Some(slot) = self.fleet.find(name) else {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -17,6 +17,7 @@
 mod health;
 pub mod id;
 pub mod isolation;
+mod placement;
 pub mod pool;
 pub mod prefix;
 pub mod quarantine;
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -109,7 +109,7 @@
             Event::Probed(endpoint, answered) => self.probed(now, &endpoint, answered),
             Event::Suspected(marks) => self.suspect(now, marks),
             Event::Peer(node, message) => self.peer(now, &node, message),
-            Event::Members(members) => self.members = members,
+            Event::Members(members) => self.join(members),
             Event::Draining => self.draining = true,
             Event::Tick => self.tick(now),
         }
--- a/lib/src/window.rs
+++ b/lib/src/window.rs
@@ -22,15 +22,22 @@
 /// Part of the best speed below which the window shrinks.
 const SLOW: f64 = 0.7;
 
-/// Part of the best speed below which the window shrinks fast.
-const CRAWLING: f64 = 0.25;
-
 /// Part of the best speed above which the window grows.
 const FAST: f64 = 0.8;
 
-/// Factor of a decrease, and of a fast one.
+/// Factor of a decrease, and of the fastest one.
 const DECREASE: (f64, f64) = (0.9, 0.5);
 
+/// Factor by which a window shrinks in a period in which it was hardly used.
+const UNUSED: f64 = 0.95;
+
+/// Multiple of the node's share of the configured window down to which an
+/// unused window shrinks.
+const MIN_UNUSED: f64 = 3.0;
+
+/// Multiple of the used tokens down to which an unused window shrinks.
+const HEADROOM: f64 = 2.0;
+
 /// Increase of a period, relative to the configured window.
 const INCREASE: f64 = 0.02;
 
@@ -48,11 +55,13 @@
 pub struct Window {
     configured: f64,
     limit: f64,
+    share: f64,
     speed: Average,
     best: f64,
     per_token: Option<f64>,
     late: bool,
     limited: bool,
+    peak: f64,
     adjusted: time::Instant,
 }
 
@@ -65,11 +74,13 @@
         Self {
             configured,
             limit: configured,
+            share: configured,
             speed: Average::default(),
             best: 0.0,
             per_token: None,
             late: false,
             limited: false,
+            peak: 0.0,
             adjusted: time::Instant::default(),
         }
     }
@@ -110,6 +121,24 @@
         }
     }
 
+    /// Divides the configured window between the nodes; the window starts from
+    /// there if nothing is known of the endpoint yet.
+    pub fn share(&mut self, nodes: u64) {
+        #[expect(clippy::cast_precision_loss, reason = "nodes are few")]
+        let nodes = nodes.max(1) as f64;
+        self.share = self.configured / nodes;
+        if self.adjusted == time::Instant::default() {
+            self.set(self.share * MIN_UNUSED);
+        }
+    }
+
+    /// Learns the tokens that this node holds at the endpoint.
+    pub fn hold(&mut self, tokens: u64) {
+        #[expect(clippy::cast_precision_loss, reason = "windows are small")]
+        let tokens = tokens as f64;
+        self.peak = self.peak.max(tokens);
+    }
+
     /// Learns that work waited because the window was full.
     pub fn limited(&mut self) {
         self.limited = true;
@@ -163,15 +192,21 @@
         }
         self.adjusted = now;
         let relative = self.speed.get().map_or(1.0, |speed| speed / self.best);
-        if relative < CRAWLING {
-            self.set(self.limit * DECREASE.1);
-        } else if relative < SLOW || self.late {
-            self.set(self.limit * DECREASE.0);
+        let (usual, fastest) = DECREASE;
+        if relative < SLOW {
+            self.set(self.limit * (relative / SLOW).clamp(fastest, usual));
+        } else if self.late {
+            self.set(self.limit * usual);
         } else if relative > FAST && self.limited {
             self.set(self.limit + self.configured * INCREASE);
+        } else if !self.limited && self.peak * HEADROOM < self.limit {
+            let least = self.share * MIN_UNUSED;
+            let unused = (self.limit * UNUSED).max(self.peak * HEADROOM);
+            self.set(self.limit.min(unused.max(least)));
         }
         self.late = false;
         self.limited = false;
+        self.peak = 0.0;
     }
 
     fn set(&mut self, limit: f64) {
