--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -11,7 +11,7 @@
 const LOAD_FACTOR: f64 = 1.25;
 
 /// Load up to which prefixes decide in any case.
-const LOAD_SLACK: f64 = 0.5;
+const LOAD_SLACK: f64 = 1.5;
 
 /// Part of the window that each tier may fill, highest first, percent.
 const TIER_PERCENT: [u64; fleet::TIERS] = [150, 110, 95, 80];
--- a/lib/src/window.rs
+++ b/lib/src/window.rs
@@ -33,7 +33,7 @@
 
 /// Multiple of the node's share of the configured window down to which an
 /// unused window shrinks.
-const MIN_UNUSED: f64 = 3.0;
+const MIN_UNUSED: f64 = 1.5;
 
 /// Multiple of the used tokens down to which an unused window shrinks.
 const HEADROOM: f64 = 2.0;
