--- a/node/src/claim/keeper.rs
+++ b/node/src/claim/keeper.rs
@@ -26,7 +26,7 @@
     replay::Attempts,
 };
 
-/// Time before a transaction with a lost answer is repeated.
+/// Time before a transaction is repeated.
 const REPEAT_PERIOD: Duration = Duration::from_millis(50);
 
 /// Time to wait for a lease to be granted.
@@ -244,9 +244,9 @@
                     if !pending.was_sent() {
                         break;
                     }
-                    time::sleep_until(end.min(Instant::now() + REPEAT_PERIOD)).await;
                 }
             }
+            time::sleep_until(end.min(Instant::now() + REPEAT_PERIOD)).await;
         }
         Err(away())
     }
