--- a/node/examples/claim_runs/simulation/mod.rs
+++ b/node/examples/claim_runs/simulation/mod.rs
@@ -146,7 +146,7 @@
         let store = self.service.connect();
         store.script(faults(SmallRng::from_rng(random), self.rates.call));
         let attempts = Attempts::default();
-        self.network.route(&name(index), attempts.clone());
+        self.network.route(&name(index), Some(attempts.clone()));
         let keeper = Keeper::start(
             name(index),
             store.clone(),
@@ -198,7 +198,7 @@
             1 => world.process(index).store.set_down(true),
             2 => world.replace(index, true, &mut random),
             3 => world.replace(index, false, &mut random),
-            4 => world.network.cut(&name(index)),
+            4 => world.network.route(&name(index), None),
             _ => {
                 for process in lock(&world.processes).iter() {
                     process.store.set_down(false);
--- a/node/examples/claim_runs/simulation/network.rs
+++ b/node/examples/claim_runs/simulation/network.rs
@@ -38,14 +38,13 @@
         })))
     }
 
-    /// Routes a node's name to a process.
-    pub fn route(&self, node: &id::Node, attempts: Attempts) {
-        self.lock().nodes.insert(node.clone(), attempts);
-    }
-
-    /// Routes a node's name nowhere.
-    pub fn cut(&self, node: &id::Node) {
-        self.lock().nodes.remove(node);
+    /// Routes a node's name to a process, or nowhere.
+    pub fn route(&self, node: &id::Node, attempts: Option<Attempts>) {
+        let nodes = &mut self.lock().nodes;
+        match attempts {
+            Some(attempts) => nodes.insert(node.clone(), attempts),
+            None => nodes.remove(node),
+        };
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/node/tests/test_claim.rs
+++ b/node/tests/test_claim.rs
@@ -54,7 +54,7 @@
     fn node_with(&self, name: &str, attempts: Attempts) -> Node {
         let name = id::Node::from(name);
         let store = self.service.connect();
-        self.network.route(&name, attempts.clone());
+        self.network.route(&name, Some(attempts.clone()));
         let keeper = Keeper::start(
             name.clone(),
             store.clone(),
@@ -142,6 +142,19 @@
     assert_eq!(world.claim().await, None);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_loser_takes_one_transaction_and_a_takeover_two() {
+    let world = World::new();
+    let (a, b, c) = (world.node("a"), world.node("b"), world.node("c"));
+    let held = a.acquire().await.unwrap();
+    let _running = lost(b.acquire().await);
+    assert_eq!(b.transactions(), 1);
+    a.store.set_down(true);
+    assert_eq!(held.release().await, Err(Error::Unconfirmed));
+    let _held = c.acquire().await.unwrap();
+    assert_eq!(c.transactions(), 2);
+}
+
 #[rstest]
 #[case::call_lost(&[Fault::CallLost])]
 #[case::answer_lost(&[Fault::AnswerLost])]
@@ -402,7 +415,7 @@
     let world = World::new();
     let (a, b) = (world.node("a"), world.node("b"));
     let held = a.acquire().await.unwrap();
-    world.network.cut(&a.name);
+    world.network.route(&a.name, None);
     let lost = lost(b.acquire().await);
     assert!(
         matches!(
@@ -506,6 +519,7 @@
     let long = scope(&"k".repeat(100_000));
     let _held = node.keeper.acquire(long, FINGERPRINT, deadline).await;
     let entry = world.claim().await.unwrap();
+    println!("key {}, value {}", entry.key.len(), entry.value.len());
     assert!(entry.key.len() < 128, "{}", entry.key);
 }
 
--- /dev/null
+++ b/node/tests/test_platform.rs
@@ -0,0 +1,176 @@
+//! Claims and configuration over the stand-in of the key-value service.
+
+#[path = "../examples/claim_runs/simulation/network.rs"]
+mod network;
+
+use std::time::Duration;
+
+use dottereltally::{
+    claim::{Held, Keeper, Limits, Lost, Scope},
+    configuration::{Arguments, Controller, Counters, Handle},
+    peer::Response,
+    replay::Attempts,
+};
+use dottereltally_lib::id;
+use dottereltally_platform::{
+    etcd::Store,
+    kv::{Compare, Operation, Store as _, Transaction},
+    layout,
+};
+use dottereltally_testutils::{
+    client::switch,
+    kv::Kv,
+    server::{self, Addresses},
+    wait::eventually,
+};
+use eyre::Result;
+use network::Network;
+use rand::{SeedableRng, rngs::SmallRng};
+use rstest::rstest;
+use serde_json::json;
+use tokio::time::Instant;
+
+const TIMEOUT: Duration = Duration::from_millis(300);
+const PATIENCE: Duration = Duration::from_secs(30);
+
+struct World {
+    kv: Addresses,
+    network: Network,
+}
+
+impl World {
+    async fn new() -> Result<Self> {
+        Ok(Self {
+            kv: server::start(Kv::start(), "127.0.0.1:0".parse()?).await?,
+            network: Network::new(SmallRng::seed_from_u64(1), 0.0),
+        })
+    }
+
+    fn store(&self) -> Store {
+        Store::new(vec![self.kv.address.to_string()], TIMEOUT)
+    }
+
+    fn keeper(&self, name: &str) -> Keeper<Store, Network> {
+        let attempts = Attempts::default();
+        let node = id::Node::from(name);
+        self.network.route(&node, Some(attempts.clone()));
+        let limits = Limits {
+            settle: PATIENCE,
+            wait: PATIENCE,
+            release: PATIENCE,
+        };
+        Keeper::start(node, self.store(), self.network.clone(), attempts, limits)
+    }
+
+    async fn set(&self, change: serde_json::Value) -> Result<()> {
+        switch(&self.kv.control.to_string(), &change).await
+    }
+}
+
+async fn acquire(keeper: &Keeper<Store, Network>) -> Result<Held, Lost> {
+    let scope = Scope {
+        workspace: id::Workspace::from("yard"),
+        service: id::Service::from("ledger"),
+        key: "pay-1".to_owned(),
+    };
+    let deadline = Instant::now() + PATIENCE;
+    keeper.acquire(scope, id::Fingerprint(7), deadline).await
+}
+
+fn paid() -> Response {
+    Response {
+        status: 200,
+        content_type: "text/plain".to_owned(),
+        body: b"paid".to_vec(),
+    }
+}
+
+#[rstest]
+#[case::none(json!({}))]
+#[case::answers_lost(json!({"lose_answers": 2}))]
+#[case::requests_lost(json!({"lose_requests": 2}))]
+#[case::connections_silent(json!({"silent": "existing"}))]
+#[tokio::test]
+async fn a_claim_is_taken_and_given_back_once(#[case] fault: serde_json::Value) -> Result<()> {
+    let world = World::new().await?;
+    let (a, b) = (world.keeper("a"), world.keeper("b"));
+    acquire(&a).await?.release().await?;
+    world.set(fault.clone()).await?;
+    let held = acquire(&a).await?;
+    world.set(fault.clone()).await?;
+    held.release().await?;
+    let claims = world.store().list(layout::CLAIMS, 10).await?;
+    assert!(claims.is_empty(), "{claims:?}");
+    let dispatched = acquire(&a).await?.dispatch()?;
+    world.set(fault).await?;
+    dispatched.complete(paid());
+    assert_eq!(acquire(&b).await.err(), Some(Lost::Replay(paid())));
+    Ok(())
+}
+
+#[tokio::test]
+async fn an_outage_refuses_claims_and_its_end_allows_them() -> Result<()> {
+    let world = World::new().await?;
+    let keeper = world.keeper("a");
+    acquire(&keeper).await?.release().await?;
+    world.set(json!({"down": true})).await?;
+    let lost = acquire(&keeper).await.err();
+    assert!(matches!(lost, Some(Lost::Away { .. })), "{lost:?}");
+    world.set(json!({"down": false})).await?;
+    eventually("the service is back", async || {
+        keeper.is_available().then_some(())
+    })
+    .await?;
+    acquire(&keeper).await?.release().await?;
+    Ok(())
+}
+
+#[rstest]
+#[case::watch_works(json!({}))]
+#[case::watch_silent(json!({"watch_silent": true}))]
+#[case::connections_silent(json!({"silent": "existing"}))]
+#[tokio::test]
+async fn a_change_comes_into_force(#[case] fault: serde_json::Value) -> Result<()> {
+    let world = World::new().await?;
+    let handle = Handle::default();
+    let (actor, _task) = Controller::start(Arguments {
+        handle: handle.clone(),
+        store: world.store(),
+        peers: world.network.clone(),
+        counters: Counters::default(),
+    })
+    .await?;
+    let mut receiver = handle.receiver();
+    for generation in 1..=2 {
+        let record = layout::Configuration {
+            generation: id::Generation(generation),
+            text: include_str!("data/text.yaml").to_owned(),
+            author: "ana".to_owned(),
+            time: "2026-01-01T00:00:00Z".to_owned(),
+            token: format!("token-{generation}"),
+        };
+        let key = layout::CONFIGURATION.to_owned();
+        let value = serde_json::to_vec(&record)?;
+        let compares = if generation == 1 {
+            vec![Compare::Absent(key.clone())]
+        } else {
+            Vec::new()
+        };
+        let write = Transaction {
+            compares,
+            success: vec![Operation::Put(key, value, None)],
+            failure: Vec::new(),
+        };
+        assert!(world.store().transact(write).await?.succeeded);
+        receiver
+            .wait_for(|current| {
+                current
+                    .as_ref()
+                    .is_some_and(|current| current.record == record)
+            })
+            .await?;
+        world.set(fault.clone()).await?;
+    }
+    actor.stop(None);
+    Ok(())
+}
