--- a/testutils/src/deployment.rs
+++ b/testutils/src/deployment.rs
@@ -158,6 +158,18 @@
         self.publish().await
     }
 
+    /// Kills a node and starts it again under its name, at new addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it is not known or does not start.
+    pub async fn restart_node(&mut self, name: &str) -> Result<()> {
+        let node = self.nodes.get_mut(name).ok_or_else(|| unknown(name))?;
+        node.process.kill().await?;
+        let data_centre = node.data_centre.clone();
+        self.add_node(name, &data_centre).await
+    }
+
     fn write_settings(&self, name: &str, data_centre: &str) -> Result<PathBuf> {
         let path = self.directory.path().join(format!("{name}.yaml"));
         let any = "127.0.0.1:0";
