--- a/lib/examples/experiment/driver.rs
+++ b/lib/examples/experiment/driver.rs
@@ -384,6 +384,7 @@
             prefill: 0.0,
             produced: 0.0,
             reported: 0,
+            sent: 0,
         };
         let kind = &KINDS[track.kind];
         *self.waiting.entry((kind.service, kind.tier)).or_default() -= 1;
@@ -580,13 +581,17 @@
                 );
             }
         }
-        for job in self.engines[engine].running.clone() {
-            if job.produced >= 1.0 && self.linked(job.node, self.engines[engine].data_centre) {
-                let more = Tokens((self.engines[engine].stream / 2.0) as u64);
-                self.post(
-                    1000,
-                    Message::ToCore(job.node, Event::Progressed(id::Request(job.request), more)),
-                );
+        let mut events = Vec::new();
+        for job in &mut self.engines[engine].running {
+            let more = Tokens(job.reported - job.sent);
+            job.sent = job.reported;
+            if more.0 > 0 {
+                events.push((job.node, Event::Progressed(id::Request(job.request), more)));
+            }
+        }
+        for (node, event) in events {
+            if self.linked(node, self.engines[engine].data_centre) {
+                self.post(1000, Message::ToCore(node, event));
             }
         }
     }
