membership: let the time to contradict grow with the number of nodes

Cause: three seconds for every fleet drop a killed node of 8 after 6.2 s. Change: 0.8 s and 0.4 s per doubling of the nodes.

--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -43,8 +43,10 @@
     pub period: Duration,
     /// Peers per round.
     pub fan_out: usize,
-    /// Time for a suspected node to contradict.
+    /// Least time for a suspected node to contradict.
     pub suspicion: Duration,
+    /// Further time to contradict, per doubling of the number of nodes.
+    pub suspicion_step: Duration,
     /// Time that a node which is not live is remembered.
     pub retention: Duration,
     /// News per beat.
@@ -63,7 +65,8 @@
         Self {
             period: Duration::from_millis(500),
             fan_out: 2,
-            suspicion: Duration::from_secs(3),
+            suspicion: Duration::from_millis(800),
+            suspicion_step: Duration::from_millis(400),
             retention: Duration::from_mins(10),
             news: 64,
             reconnect: 8,
@@ -310,7 +313,9 @@
     }
 
     fn expire(&mut self, now: Instant) {
-        let dropped = self.table.drop_suspects(now, self.settings.suspicion);
+        let doublings = rumour::doublings(self.table.len());
+        let span = self.settings.suspicion + self.settings.suspicion_step * doublings;
+        let dropped = self.table.drop_suspects(now, span);
         self.changed |= dropped > 0;
         self.table.forget(now, self.settings.retention);
         let fingerprints = &mut self.fingerprints;
--- a/lib/src/membership/rumour.rs
+++ b/lib/src/membership/rumour.rs
@@ -63,6 +63,10 @@
 
 /// Returns how often a piece of news is sent among so many nodes.
 fn bound(nodes: usize) -> u32 {
-    let doublings = usize::BITS - nodes.leading_zeros();
-    SENDS_PER_DOUBLING * (doublings + 1)
+    SENDS_PER_DOUBLING * (doublings(nodes) + 1)
+}
+
+/// Returns how often one node has to double to make up so many.
+pub fn doublings(nodes: usize) -> u32 {
+    usize::BITS - nodes.leading_zeros()
 }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -199,7 +199,8 @@
 pub fn hasty() -> Settings {
     Settings {
         period: Duration::from_millis(50),
-        suspicion: Duration::from_millis(300),
+        suspicion: Duration::from_millis(200),
+        suspicion_step: Duration::from_millis(50),
         ..Settings::default()
     }
 }
