--- /dev/null
+++ b/node/src/node.rs
@@ -0,0 +1,204 @@
+//! Puts a node together and runs it.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicU64},
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use dottereltally_lib::{event::Event, id};
+use eyre::WrapErr;
+use prometheus_client::registry::Registry;
+use serde::Serialize;
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    clock::Clock,
+    controllers::{Base, Controllers},
+    dispatcher::Handle,
+    filter::Chain,
+    limit::Table,
+    metrics::Metrics,
+    operations::Pages,
+    pool::Pool,
+    server,
+    settings::Settings,
+    shutdown::{self, Phase},
+    state::State,
+};
+
+/// Prefix of every metric's name.
+const METRICS_PREFIX: &str = "dottereltally";
+
+/// Line that a node prints once it listens.
+#[derive(Serialize)]
+struct Ready {
+    node: id::Node,
+    callers: SocketAddr,
+    peers: SocketAddr,
+    operations: SocketAddr,
+}
+
+/// Sockets that a node listens on.
+struct Listeners {
+    callers: TcpListener,
+    peers: TcpListener,
+    operations: TcpListener,
+}
+
+impl Listeners {
+    async fn bind(settings: &Settings) -> eyre::Result<Self> {
+        Ok(Self {
+            callers: bind("callers", &settings.listen.callers).await?,
+            peers: bind("peers", &settings.listen.peers).await?,
+            operations: bind("operations", &settings.listen.operations).await?,
+        })
+    }
+
+    fn ready(&self, node: id::Node) -> eyre::Result<Ready> {
+        Ok(Ready {
+            node,
+            callers: self.callers.local_addr()?,
+            peers: self.peers.local_addr()?,
+            operations: self.operations.local_addr()?,
+        })
+    }
+}
+
+async fn bind(field: &str, address: &str) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("can't listen on {address}; change `listen.{field}`"))
+}
+
+/// Returns the first attempt's number, above those of earlier processes of
+/// the node.
+fn first_number() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(since.unwrap_or_default().as_micros()).unwrap_or_default()
+}
+
+/// Servers of callers and operators.
+struct Servers {
+    callers: JoinHandle<()>,
+    operations: JoinHandle<()>,
+    places: Table,
+    stop: watch::Sender<bool>,
+}
+
+impl Servers {
+    fn start(
+        settings: &Settings,
+        clock: Clock,
+        controllers: &Controllers,
+        listeners: (TcpListener, TcpListener),
+        mut registry: Registry,
+        phase: &Phase,
+    ) -> Self {
+        let (callers, operations) = listeners;
+        let limits = server::Limits {
+            head: settings.limits.head,
+            head_timeout: settings.limits.head_timeout,
+            write_timeout: settings.limits.inactivity,
+        };
+        let places = Table::default();
+        let metrics = Metrics::default();
+        metrics.register(&mut registry);
+        let chain = Arc::new(Chain {
+            node: settings.node.clone(),
+            limits: settings.limits.clone(),
+            clock,
+            rules: controllers.rules.clone(),
+            places: places.clone(),
+            dispatcher: controllers.dispatcher.clone(),
+            resolve: controllers.book.resolve(),
+            upstream: Pool::default(),
+            keeper: controllers.keeper.clone(),
+            metrics,
+            next: AtomicU64::new(first_number()),
+        });
+        let handler = move |request| Arc::clone(&chain).serve(request);
+        let callers = server::serve(callers, limits, phase.draining(), handler);
+        let keeper = controllers.keeper.clone();
+        let state = State {
+            settings: settings.clone(),
+            rules: controllers.rules.clone(),
+            book: controllers.book.clone(),
+            membership: controllers.membership.clone(),
+            platform: Arc::new(move || keeper.is_available()),
+            phase: phase.clone(),
+        };
+        let pages = Arc::new(Pages::new(registry, state));
+        let handler = move |request: http::Request<_>| {
+            let pages = Arc::clone(&pages);
+            async move { pages.get(request.method(), request.uri().path()).await }
+        };
+        let stop = watch::Sender::new(false);
+        let operations = server::serve(operations, limits, stop.subscribe(), handler);
+        Self {
+            callers: tokio::spawn(callers),
+            operations: tokio::spawn(operations),
+            places,
+            stop,
+        }
+    }
+}
+
+/// Runs a node until it is told to stop.
+///
+/// # Errors
+///
+/// Fails if it can't listen or its dispatcher stops unasked.
+pub async fn run(settings: Settings) -> eyre::Result<()> {
+    let listeners = Listeners::bind(&settings).await?;
+    let ready = listeners.ready(settings.node.clone())?;
+    let ready = serde_json::to_string(&ready)?;
+    let phase = Phase::default();
+    let clock = Clock::start();
+    let mut registry = Registry::with_prefix(METRICS_PREFIX);
+    let base = Base::start(&settings, clock, listeners.peers, &mut registry)?;
+    let mut controllers = Controllers::start(base, &mut registry).await?;
+    let servers = Servers::start(
+        &settings,
+        clock,
+        &controllers,
+        (listeners.callers, listeners.operations),
+        registry,
+        &phase,
+    );
+    println!("{ready}");
+    tokio::select! {
+        requested = shutdown::requested() => requested?,
+        _ = &mut controllers.dispatching => {
+            eyre::bail!("the dispatcher stopped; report the panic above");
+        }
+    }
+    stop(&settings, &phase, &controllers, servers).await;
+    Ok(())
+}
+
+/// Stops in an order that cuts no request.
+async fn stop(settings: &Settings, phase: &Phase, controllers: &Controllers, mut servers: Servers) {
+    phase.announce();
+    tracing::info!("shutting down: not ready any more");
+    sleep(settings.shutdown.notice).await;
+    phase.drain();
+    controllers.dispatcher.tell(Event::Draining);
+    tracing::info!("shutting down: no new requests");
+    let finishing = async {
+        let _ = (&mut servers.callers).await;
+        servers.places.idle().await;
+    };
+    if timeout(settings.shutdown.grace, finishing).await.is_err() {
+        let requests = servers.places.total();
+        tracing::warn!(requests, "shutting down: the grace period is over");
+    }
+    controllers.membership.leave().await;
+    servers.stop.send_replace(true);
+    servers.operations.abort();
+}
