--- a/node/src/clock.rs
+++ b/node/src/clock.rs
@@ -1,10 +1,11 @@
 //! The monotonic clock that the decision core is driven by.
 
-use std::time;
-
 use dottereltally_lib::time::Instant;
+use tokio::time;
 
 /// A monotonic clock with its origin at the start of the process.
+///
+/// It follows the runtime's clock, which a test can pause.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     origin: time::Instant,
--- a/node/tests/chain/mod.rs
+++ b/node/tests/chain/mod.rs
@@ -378,7 +378,7 @@
         let node = id::Node::from("entry-1");
         let keeper = claim::Keeper::start(
             node.clone(),
-            store.connect(),
+            store.clone(),
             Alone,
             Attempts::default(),
             claim::Limits::default(),
--- a/node/tests/test_filter.rs
+++ b/node/tests/test_filter.rs
@@ -14,7 +14,10 @@
     id, refusal,
     size::Tokens,
 };
-use dottereltally_platform::layout;
+use dottereltally_platform::{
+    layout,
+    memory::{Call, Fault},
+};
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use rstest::rstest;
@@ -424,6 +427,32 @@
     assert_eq!(second.status, StatusCode::CREATED, "{}", second.text);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_claim_that_can_t_be_given_back_proves_nothing() {
+    let refuse = Decision::Refuse(refusal::Reason::Overload);
+    let bench = Bench::new(vec![refuse], vec![]);
+    let mut transactions = 0;
+    bench.store.script(move |call| {
+        transactions += u32::from(call == Call::Transact);
+        (transactions > 1).then_some(Fault::Unreachable)
+    });
+    let seen = bench.send(payment("k")).await;
+    assert_eq!(seen.member("reason"), "overload", "{}", seen.text);
+    assert_eq!(seen.member("run"), "may-have-run");
+}
+
+#[tokio::test(start_paused = true)]
+async fn no_claim_is_taken_while_the_platform_is_away() {
+    let bench = Bench::new(vec![], vec![]);
+    bench.store.set_down(true);
+    let seen = bench.send(payment("k")).await;
+    assert_eq!(seen.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(seen.member("reason"), "platform");
+    assert_eq!(seen.member("run"), "may-have-run");
+    assert!(seen.headers.contains_key("retry-after"));
+    assert!(bench.sent().is_empty());
+}
+
 #[tokio::test]
 async fn a_keyed_call_whose_endpoint_is_unreachable_takes_another() {
     let decisions = vec![Decision::Admit("ledger-1"), Decision::Admit("ledger-2")];
