--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -1,9 +1,21 @@
 //! Choice of an endpoint.
 
+use std::{cmp::Reverse, time::Duration};
+
 use rand::{Rng, rngs::SmallRng};
+use xxhash_rust::xxh3;
 
 use crate::{fleet, id, time};
 
+/// Load, relative to the mean, up to which prefixes decide.
+const LOAD_FACTOR: f64 = 1.25;
+
+/// Load up to which prefixes decide in any case.
+const LOAD_SLACK: f64 = 0.25;
+
+/// Part of the window that each tier may fill, highest first, percent.
+const TIER_PERCENT: [u64; 4] = [200, 110, 95, 80];
+
 /// How a node decides what it may put on an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Policy {
@@ -40,28 +52,58 @@
     pub slot: fleet::Slot,
     /// Tokens in use, as the policy sees them.
     pub used: u64,
+    /// Tokens of other nodes, by the last report.
+    pub others: u64,
     /// Tokens that may be in use.
     pub limit: u64,
     /// Whether it runs in the node's own data centre.
     pub local: bool,
+    /// Leading blocks of the prompt that its prefix cache holds.
+    pub held: usize,
+    /// Hash of its name.
+    pub key: u64,
+    /// Tokens per second of one stream, if known.
+    pub speed: Option<f64>,
 }
 
 impl Candidate {
-    /// Returns whether a request of this cost fits.
+    /// Returns whether a request of this tier and cost fits.
     ///
-    /// A request larger than the whole window fits an empty endpoint.
+    /// Lower tiers leave a part of the window free for higher ones, and the
+    /// highest may exceed it. A request larger than the whole window fits an
+    /// empty endpoint.
+    #[must_use]
+    pub fn fits(&self, tier: id::Tier, cost: u64) -> bool {
+        let rank = usize::from(tier.0).min(TIER_PERCENT.len() - 1);
+        let percent = TIER_PERCENT[rank];
+        let limit = (self.limit.saturating_mul(percent) / 100).max(1);
+        self.used == 0 || self.used + cost <= limit
+    }
+
+    /// Returns whether an answer of this length can be whole in this time.
     #[must_use]
-    pub fn fits(&self, cost: u64) -> bool {
-        self.limit > 0 && (self.used == 0 || self.used + cost <= self.limit)
+    pub fn is_in_time(&self, output: u64, time: Duration) -> bool {
+        #[expect(clippy::cast_precision_loss, reason = "an estimate")]
+        let output = output as f64;
+        self.speed
+            .is_none_or(|speed| output <= speed * time.as_secs_f64())
     }
 
-    /// Returns the part of the limit that is in use.
+    /// Returns the part of the node's own window that is in use.
     #[must_use]
     pub fn load(&self) -> f64 {
         #[expect(clippy::cast_precision_loss, reason = "a ratio")]
         let load = self.used as f64 / self.limit.max(1) as f64;
         load
     }
+
+    /// Returns the tokens of all nodes, relative to the node's own window.
+    #[must_use]
+    pub fn total(&self) -> f64 {
+        #[expect(clippy::cast_precision_loss, reason = "a ratio")]
+        let total = (self.used + self.others) as f64 / self.limit.max(1) as f64;
+        total
+    }
 }
 
 impl Terms<'_> {
@@ -69,18 +111,26 @@
     #[must_use]
     pub fn candidate(&self, slot: fleet::Slot, member: &fleet::Member) -> Candidate {
         let window = member.window.limit();
+        let configured = member.window.configured();
+        let others = match self.policy {
+            Policy::TwoChoices | Policy::Grants => member.others,
+            Policy::RoundRobin | Policy::LeastLoad | Policy::Shares => 0,
+        };
         let (used, limit) = match self.policy {
             Policy::RoundRobin => (0, u64::MAX),
-            Policy::LeastLoad => (member.reported(), window),
-            Policy::TwoChoices => (member.own + member.others, window),
-            Policy::Shares => (member.own, (window / self.nodes.max(1)).max(1)),
-            Policy::Grants => (member.own, window),
+            Policy::LeastLoad => (member.reported(), configured),
+            Policy::TwoChoices | Policy::Grants => (member.own, window),
+            Policy::Shares => (member.own, (configured / self.nodes).max(1)),
         };
         Candidate {
             slot,
             used,
+            others,
             limit,
             local: member.record.data_centre == *self.data_centre,
+            held: 0,
+            key: member.key,
+            speed: member.window.speed(),
         }
     }
 
@@ -91,6 +141,7 @@
         rng: &mut SmallRng,
         turn: &mut u64,
         fitting: &[Candidate],
+        first: Option<id::Prefix>,
     ) -> Option<Candidate> {
         if self.policy == Policy::RoundRobin {
             return next(turn, fitting);
@@ -102,7 +153,10 @@
         if self.policy == Policy::LeastLoad {
             return least(&pool);
         }
-        two_choices(rng, &pool)
+        let Some(first) = first else {
+            return two_choices(rng, &pool);
+        };
+        bounded(&pool).or_else(|| preferred(first, &pool))
     }
 }
 
@@ -120,14 +174,44 @@
     pool.iter().min_by(by_load).copied()
 }
 
+/// Returns the endpoint that holds most of the prompt, unless its load is
+/// above the bound; of equals, the least loaded.
+fn bounded(pool: &[Candidate]) -> Option<Candidate> {
+    let bound = bound(pool);
+    let eligible = |each: &&Candidate| each.held > 0 && each.load() <= bound;
+    let by_held =
+        |a: &&Candidate, b: &&Candidate| a.held.cmp(&b.held).then(b.load().total_cmp(&a.load()));
+    pool.iter().filter(eligible).max_by(by_held).copied()
+}
+
+/// Returns the load up to which an endpoint is preferred for its prefixes.
+fn bound(pool: &[Candidate]) -> f64 {
+    let total: f64 = pool.iter().map(Candidate::load).sum();
+    #[expect(clippy::cast_precision_loss, reason = "a mean")]
+    let mean = total / pool.len().max(1) as f64;
+    mean * LOAD_FACTOR + LOAD_SLACK
+}
+
+/// Returns the less loaded of the two endpoints that all nodes prefer for the
+/// prefix.
+fn preferred(first: id::Prefix, pool: &[Candidate]) -> Option<Candidate> {
+    let weight = |each: &Candidate| xxh3::xxh3_64_with_seed(&each.key.to_le_bytes(), first.0);
+    let mut ranked = pool.to_vec();
+    ranked.sort_by_key(|each| Reverse(weight(each)));
+    ranked.truncate(2);
+    least(&ranked)
+}
+
 /// Returns the less loaded of two random candidates.
 fn two_choices(rng: &mut SmallRng, pool: &[Candidate]) -> Option<Candidate> {
     if pool.is_empty() {
         return None;
     }
-    let first = pool[rng.random_range(0..pool.len())];
-    let second = pool[rng.random_range(0..pool.len())];
-    let better = if second.load() < first.load() {
+    let index = rng.random_range(0..pool.len());
+    let first = pool[index];
+    let distance = rng.random_range(1..pool.len().max(2));
+    let second = pool[(index + distance) % pool.len()];
+    let better = if second.total() < first.total() {
         second
     } else {
         first
