stream: resolve the conflict that a merge left in the file

Both sides are kept: the deadline's own task, and the delay before a caller hears that its connection broke.

--- a/node/src/stream.rs
+++ b/node/src/stream.rs
@@ -71,11 +71,6 @@
     timer: Pin<Box<Sleep>>,
 }
 
-<<<<<<< HEAD
-enum State<B, D: Handle> {
-    Open { body: B, flight: Flight<D> },
-    Held(Reason),
-=======
 /// Where the answer comes from; empty once it has ended or was cancelled.
 struct Source<B, D: Handle>(Arc<Mutex<Option<Open<B, D>>>>);
 
@@ -87,7 +82,7 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum State {
     Open,
->>>>>>> front
+    Held(Reason),
     Aborting,
     Ended,
 }
@@ -184,20 +179,10 @@
     }
 
     /// Ends the answer where the endpoint ended it.
-<<<<<<< HEAD
     fn finish(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        if self
-            .scanner
-            .as_ref()
-            .is_some_and(|scanner| !scanner.is_done())
-        {
-            return self.cut(Reason::Broken, context);
-=======
-    fn finish(&mut self) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         let scanner = self.scanner.as_ref();
         if scanner.is_some_and(|scanner| !scanner.is_done()) {
-            return self.cut(Reason::Broken);
->>>>>>> front
+            return self.cut(Reason::Broken, context);
         }
         let usage = scanner.and_then(sse::Scanner::usage);
         let usage = usage.unwrap_or(sse::Usage {
@@ -205,7 +190,7 @@
             output: scanner.map_or(0, sse::Scanner::events),
         });
         let Some(open) = self.source.take() else {
-            return self.cut(Reason::DeadlinePassed);
+            return self.cut(Reason::DeadlinePassed, context);
         };
         open.flight
             .answered(Tokens(usage.cached), Tokens(usage.output));
@@ -214,20 +199,13 @@
     }
 
     /// Ends the answer before its end, in a way that the caller can tell.
-<<<<<<< HEAD
     fn cut(
         &mut self,
         reason: Reason,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        let state = std::mem::replace(&mut self.state, State::Held(reason));
-        if let State::Open { body, flight } = state {
-            drop(body);
-=======
-    fn cut(&mut self, reason: Reason) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         if let Some(open) = self.source.take() {
             drop(open.body);
->>>>>>> front
             match reason {
                 Reason::DeadlinePassed => open.flight.expired(),
                 Reason::Stalled => open.flight.stalled(),
@@ -238,6 +216,7 @@
             Reason::Broken => NEWS_DELAY,
             _ => Duration::ZERO,
         };
+        self.state = State::Held(reason);
         self.timer = Box::pin(sleep(delay));
         self.poll_held(reason, context)
     }
@@ -280,12 +259,8 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         let this = self.get_mut();
         match this.state {
-<<<<<<< HEAD
-            State::Open { .. } => {}
-            State::Held(reason) => return this.poll_held(reason, context),
-=======
             State::Open => {}
->>>>>>> front
+            State::Held(reason) => return this.poll_held(reason, context),
             State::Aborting => {
                 ready!(this.timer.as_mut().poll(context));
                 this.state = State::Ended;
