metrics: count as refused only what was not dispatched

A request whose endpoint broke, stalled or answered another was counted under refusals besides its answer's result. The test of these cases now asserts that refusals stay at zero.

--- a/node/src/filter.rs
+++ b/node/src/filter.rs
@@ -115,7 +115,10 @@
                 if refused.problem.reason() == Reason::Broken {
                     sleep(NEWS_DELAY).await;
                 }
-                self.metrics.refused(refused.tier, refused.problem.reason());
+                let reason = refused.problem.reason();
+                if !reason.is_after_dispatch() {
+                    self.metrics.refused(refused.tier, reason);
+                }
                 refused.problem.response(Some(id))
             }
         }
--- a/node/src/problem.rs
+++ b/node/src/problem.rs
@@ -73,6 +73,21 @@
     DeadlinePassed,
 }
 
+impl Reason {
+    /// Returns whether an endpoint was handed the request.
+    #[must_use]
+    pub const fn is_after_dispatch(self) -> bool {
+        matches!(
+            self,
+            Self::Broken
+                | Self::Stalled
+                | Self::Crossed
+                | Self::AnswerTooLarge
+                | Self::DeadlinePassed
+        )
+    }
+}
+
 /// A refusal or failure on its way to the caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Problem {
--- a/node/tests/test_filter.rs
+++ b/node/tests/test_filter.rs
@@ -242,6 +242,7 @@
         metrics.contains("wasted_prefill_tokens_total{tier=\"1\"} 2"),
         "{metrics}"
     );
+    assert!(!metrics.contains("refusals_total{"), "{metrics}");
 }
 
 #[rstest]
