--- a/lib/src/window.rs
+++ b/lib/src/window.rs
@@ -128,7 +128,7 @@
         let nodes = nodes.max(1) as f64;
         self.share = self.configured / nodes;
         if self.adjusted == time::Instant::default() {
-            self.set(self.share * MIN_UNUSED);
+            self.set(self.share);
         }
     }
 
