--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -28,8 +28,6 @@
     TwoChoices,
     /// An equal share of each endpoint's window for every node.
     Shares,
-    /// Tokens granted by the endpoint's home node.
-    Grants,
 }
 
 /// What a choice depends on besides the endpoints.
@@ -127,16 +125,16 @@
         let held = match self.policy {
             Policy::RoundRobin => 0,
             Policy::LeastLoad => member.reported(),
-            Policy::TwoChoices | Policy::Shares | Policy::Grants => member.held(tier),
+            Policy::TwoChoices | Policy::Shares => member.held(tier),
         };
         let others = match self.policy {
-            Policy::TwoChoices | Policy::Grants => member.others,
+            Policy::TwoChoices => member.others,
             Policy::RoundRobin | Policy::LeastLoad | Policy::Shares => 0,
         };
         let (used, limit) = match self.policy {
             Policy::RoundRobin => (0, u64::MAX),
             Policy::LeastLoad => (member.reported(), configured),
-            Policy::TwoChoices | Policy::Grants => (member.own, window),
+            Policy::TwoChoices => (member.own, window),
             Policy::Shares => (member.own, share),
         };
         Candidate {
--- a/lib/src/health.rs
+++ b/lib/src/health.rs
@@ -5,7 +5,7 @@
 use crate::{
     effect::Effect,
     endpoint::{Cache, Load, Record},
-    event::{Message, Outcome},
+    event::Outcome,
     fleet::{AVOID_PERIOD, Health, Slot},
     flight::{Flight, Waiting},
     id,
@@ -104,11 +104,6 @@
         }
     }
 
-    /// Takes in a peer's message of the admission protocol.
-    pub(crate) fn peer(&mut self, now: time::Instant, node: &id::Node, message: Message) {
-        let _ = (&self.fleet, now, node, message);
-    }
-
     /// Records the first byte of an answer.
     pub(crate) fn start(&mut self, now: time::Instant, request: id::Request) {
         let Some(flight) = self.flights.get_mut(&request) else {
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -108,7 +108,8 @@
             Event::Ended(request, outcome) => self.end(now, request, outcome),
             Event::Probed(endpoint, answered) => self.probed(now, &endpoint, answered),
             Event::Suspected(marks) => self.suspect(now, marks),
-            Event::Peer(node, message) => self.peer(now, &node, message),
+            // No policy sends messages of the admission protocol yet.
+            Event::Peer(..) => {}
             Event::Members(members) => self.join(members),
             Event::Draining => self.draining = true,
             Event::Tick => self.tick(now),
