balance: follow a prefix into another data centre

Cause: every data centre filled its own copy of every prefix. Ruled out: nothing else tried; a message of some KB across the link is held against computing some thousand tokens again. Change: if no endpoint of the own data centre holds the prompt's prefix within the bound, the holders elsewhere are taken.

--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -173,7 +173,9 @@
         let Some(first) = first else {
             return two_choices(rng, &pool);
         };
-        bounded(&pool).or_else(|| preferred(first, &pool))
+        bounded(&pool)
+            .or_else(|| bounded(fitting))
+            .or_else(|| preferred(first, &pool))
     }
 }
 
