--- a/lib/src/health.rs
+++ b/lib/src/health.rs
@@ -6,7 +6,7 @@
     admission::{MAX_RETRY, MIN_RETRY},
     effect::Effect,
     endpoint::{Cache, Load, Record},
-    event::{Message, Outcome},
+    event::Outcome,
     fleet::{AVOID_PERIOD, Health, Slot},
     flight::{Flight, Waiting},
     id,
@@ -111,11 +111,6 @@
         }
     }
 
-    /// Takes in a peer's message of the admission protocol.
-    pub(crate) fn peer(&mut self, now: time::Instant, node: &id::Node, message: Message) {
-        let _ = (&self.fleet, now, node, message);
-    }
-
     /// Records the first byte of an answer.
     pub(crate) fn start(&mut self, now: time::Instant, request: id::Request) {
         let Some(flight) = self.flights.get_mut(&request) else {
