observer: number cache events across restarts; tests

Cause: an endpoint's event numbers start again when it restarts; the core takes lower numbers for late events and would ignore the new process until it has caught up. The poll interval of an endpoint stayed what it was when the endpoint was first seen. Ruled out: telling a restart by a failed connect (a quick restart shows none); resuming at the expected number (a restarted endpoint never reaches it). Change: every stream is read from the first event kept, behind a synthetic Cleared, and numbered on; gaps stay gaps. The interval follows the length of the list. node/tests/test_observer.rs. Conclusion: a reconnect costs a replay of what the endpoint keeps.

--- a/node/src/observer.rs
+++ b/node/src/observer.rs
@@ -14,7 +14,7 @@
 use prometheus_client::{metrics::counter::Counter, registry::Registry};
 use rand::Rng;
 use tokio::{
-    sync::Semaphore,
+    sync::{Semaphore, watch},
     task::{JoinHandle, JoinSet},
     time::sleep,
 };
@@ -88,6 +88,7 @@
         dispatcher,
         metrics,
         polls: Arc::new(Semaphore::new(MAX_POLLS)),
+        interval: watch::Sender::new(POLL_INTERVAL),
         watched: BTreeMap::new(),
     };
     tokio::spawn(observer.run(hosts))
@@ -104,6 +105,7 @@
     dispatcher: H,
     metrics: Metrics,
     polls: Arc<Semaphore>,
+    interval: watch::Sender<Duration>,
     watched: BTreeMap<id::Endpoint, Watched>,
 }
 
@@ -123,22 +125,24 @@
     fn listed(&mut self, snapshot: &Snapshot) {
         self.dispatcher
             .tell(Event::Listed(snapshot.endpoints.clone()));
-        let interval = interval(snapshot.endpoints.len());
+        // The receivers are the polls; there may be none.
+        self.interval
+            .send_replace(interval(snapshot.endpoints.len()));
         let mut watched = BTreeMap::new();
         for record in &snapshot.endpoints {
             let kept = self.watched.remove(&record.id);
             let kept = kept.filter(|kept| kept.record.address == record.address);
-            let entry = kept.unwrap_or_else(|| self.watch(record, interval));
+            let entry = kept.unwrap_or_else(|| self.watch(record));
             watched.insert(record.id.clone(), entry);
         }
         self.watched = watched;
     }
 
-    fn watch(&self, record: &Record, interval: Duration) -> Watched {
+    fn watch(&self, record: &Record) -> Watched {
         let mut tasks = JoinSet::new();
         tasks.spawn(poll(
             record.clone(),
-            interval,
+            self.interval.subscribe(),
             self.dispatcher.clone(),
             self.metrics.clone(),
             self.polls.clone(),
@@ -166,7 +170,7 @@
 /// Polls the load page of one endpoint until the task is dropped.
 async fn poll(
     record: Record,
-    interval: Duration,
+    interval: watch::Receiver<Duration>,
     dispatcher: impl dispatcher::Handle,
     metrics: Metrics,
     polls: Arc<Semaphore>,
@@ -174,7 +178,8 @@
     let mut connection = None;
     loop {
         let jitter = rand::rng().random_range(0.8..1.2);
-        sleep(interval.mul_f64(jitter)).await;
+        let pause = interval.borrow().mul_f64(jitter);
+        sleep(pause).await;
         let Ok(_permit) = polls.acquire().await else {
             return;
         };
--- a/node/src/observer/cache.rs
+++ b/node/src/observer/cache.rs
@@ -20,6 +20,8 @@
     observer::{Metrics, load},
 };
 
+/// Path of the cache events, from the first that the endpoint keeps.
+const PATH: &str = "/cache/events?from=0";
 /// First pause before a stream is opened again; doubles with each failure.
 const MIN_PAUSE: Duration = Duration::from_millis(500);
 /// Longest pause before a stream is opened again.
@@ -80,12 +82,57 @@
     Broken,
 }
 
+/// Numbers the events of one endpoint across its streams.
+///
+/// The endpoint's own numbers start again when it restarts, and a stream that
+/// broke off does not tell whether it did. Each stream is therefore read from
+/// the first event that the endpoint keeps, behind a synthetic
+/// [`Change::Cleared`]; the numbers passed on never go back, and a gap in the
+/// endpoint's numbers is a gap in them.
+#[derive(Debug, Default)]
+struct Numbering {
+    last: u64,
+    number: Option<u64>,
+}
+
+impl Numbering {
+    /// Starts a stream; returns the event to be passed on first, if any.
+    fn restart(&mut self) -> Option<Cache> {
+        self.number = None;
+        if self.last == 0 {
+            return None;
+        }
+        self.last += 1;
+        Some(Cache {
+            sequence: self.last,
+            change: Change::Cleared,
+        })
+    }
+
+    /// Numbers an event; none if it comes late. The second value tells
+    /// whether events are missing before it.
+    fn number(&mut self, event: &Cache) -> Option<(Cache, bool)> {
+        let step = match self.number {
+            None => 1,
+            Some(number) if event.sequence > number => event.sequence - number,
+            Some(_) => return None,
+        };
+        self.number = Some(event.sequence);
+        self.last = self.last.saturating_add(step);
+        let cache = Cache {
+            sequence: self.last,
+            change: event.change,
+        };
+        Some((cache, step > 1))
+    }
+}
+
 /// Follows the events of one endpoint until the task is dropped.
 pub(super) async fn follow(record: Record, dispatcher: impl dispatcher::Handle, metrics: Metrics) {
-    let mut next = 0;
+    let mut numbering = Numbering::default();
     let mut pause = MIN_PAUSE;
     loop {
-        let end = read(&record, &mut next, &dispatcher, &metrics).await;
+        let end = read(&record, &mut numbering, &dispatcher, &metrics).await;
         let wait = match end {
             End::Absent => ABSENT_PAUSE,
             End::Broken => MIN_PAUSE,
@@ -100,19 +147,21 @@
     }
 }
 
-/// Reads one stream to its end; `next` is the number of the event that is
-/// expected, zero before the first.
+/// Reads one stream to its end.
 async fn read(
     record: &Record,
-    next: &mut u64,
+    numbering: &mut Numbering,
     dispatcher: &impl dispatcher::Handle,
     metrics: &Metrics,
 ) -> End {
-    let mut body = match open(&record.address, *next).await {
+    let mut body = match open(&record.address).await {
         Ok(body) => body,
         Err(end) => return end,
     };
     metrics.streams.inc();
+    if let Some(cleared) = numbering.restart() {
+        dispatcher.tell(Event::Cached(record.id.clone(), cleared));
+    }
     let mut buffer = BytesMut::new();
     loop {
         let Ok(Some(Ok(frame))) = timeout(INACTIVITY, body.frame()).await else {
@@ -123,14 +172,12 @@
         };
         buffer.extend_from_slice(&data);
         while let Some(event) = split_event(&mut buffer) {
-            let Some(cache) = parse(&event) else {
+            let Some((cache, gap)) = parse(&event).and_then(|event| numbering.number(&event))
+            else {
                 continue;
             };
             metrics.events.inc();
-            if *next != 0 && cache.sequence != *next {
-                metrics.gaps.inc();
-            }
-            *next = cache.sequence + 1;
+            metrics.gaps.inc_by(u64::from(gap));
             dispatcher.tell(Event::Cached(record.id.clone(), cache));
         }
         if buffer.len() > MAX_EVENT {
@@ -139,9 +186,9 @@
     }
 }
 
-async fn open(address: &str, next: u64) -> Result<Incoming, End> {
+async fn open(address: &str) -> Result<Incoming, End> {
     let mut sender = load::open(address).await.map_err(|_| End::Failed)?;
-    let request = load::get(address, &format!("/cache/events?from={next}"));
+    let request = load::get(address, PATH);
     let response = timeout(HEAD_TIMEOUT, sender.send_request(request))
         .await
         .map_err(|_| End::Failed)?
--- /dev/null
+++ b/node/tests/test_observer.rs
@@ -0,0 +1,348 @@
+//! Endpoints are watched through their own pages.
+
+mod common;
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use common::{Dispatcher, Events, wait_for};
+use dottereltally::{
+    hosts,
+    observer::{self, Metrics, probe},
+};
+use dottereltally_lib::{
+    endpoint::{Cache, Change, Record, Standing},
+    event::Event,
+    id,
+};
+use dottereltally_platform::host::Snapshot;
+use rstest::rstest;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinHandle,
+};
+
+/// What a fake endpoint answers.
+#[derive(Clone, Debug, Default)]
+struct Pages {
+    /// Load page; none for no answer at all.
+    load: Option<String>,
+    /// Cache events of each stream in turn; a stream that is not the last
+    /// one ends after its events.
+    streams: Vec<String>,
+    /// Requests for cache events.
+    opened: usize,
+}
+
+/// A fake endpoint.
+struct Endpoint {
+    address: String,
+    pages: Arc<Mutex<Pages>>,
+    server: JoinHandle<()>,
+}
+
+impl Endpoint {
+    async fn start(pages: Pages) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let pages = Arc::new(Mutex::new(pages));
+        let served = pages.clone();
+        let server = tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                tokio::spawn(serve(stream, served.clone()));
+            }
+        });
+        Self {
+            address,
+            pages,
+            server,
+        }
+    }
+
+    fn set_load(&self, load: Option<&str>) {
+        self.pages.lock().unwrap().load = load.map(str::to_owned);
+    }
+}
+
+impl Drop for Endpoint {
+    fn drop(&mut self) {
+        self.server.abort();
+    }
+}
+
+/// Serves one connection.
+async fn serve(mut stream: TcpStream, pages: Arc<Mutex<Pages>>) {
+    let mut head = Vec::new();
+    loop {
+        let mut byte = [0];
+        if stream.read_exact(&mut byte).await.is_err() {
+            return;
+        }
+        head.push(byte[0]);
+        if !head.ends_with(b"\r\n\r\n") {
+            continue;
+        }
+        let answer = if head.starts_with(b"GET /load ") {
+            load(&pages)
+        } else {
+            events(&pages)
+        };
+        head.clear();
+        let Some((answer, keep)) = answer else {
+            // A silent endpoint holds the connection open.
+            std::future::pending::<()>().await;
+            return;
+        };
+        if stream.write_all(answer.as_bytes()).await.is_err() || !keep {
+            return;
+        }
+    }
+}
+
+fn load(pages: &Mutex<Pages>) -> Option<(String, bool)> {
+    let page = pages.lock().unwrap().load.clone()?;
+    let length = page.len();
+    let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{page}");
+    Some((answer, true))
+}
+
+fn events(pages: &Mutex<Pages>) -> Option<(String, bool)> {
+    let mut pages = pages.lock().unwrap();
+    let index = pages.opened;
+    pages.opened += 1;
+    let Some(events) = pages.streams.get(index) else {
+        return Some((
+            "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n".to_owned(),
+            true,
+        ));
+    };
+    let answer = format!("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n{events}");
+    Some((answer, index + 1 == pages.streams.len()))
+}
+
+fn record(endpoint: &Endpoint) -> Record {
+    Record {
+        id: "tally-1".into(),
+        address: endpoint.address.clone(),
+        service: "tally-llm".into(),
+        data_centre: "plovdiv".into(),
+        standing: Standing::Live,
+    }
+}
+
+/// An observer of endpoints.
+struct Watch {
+    events: Events,
+    metrics: Metrics,
+    list: watch::Sender<Option<Arc<Snapshot>>>,
+}
+
+/// Watches endpoints from the data centre plovdiv.
+fn observe(endpoints: Vec<Record>) -> Watch {
+    let snapshot = Snapshot {
+        entries: Vec::new(),
+        endpoints,
+    };
+    let (list, hosts): (_, hosts::Receiver) = watch::channel(Some(Arc::new(snapshot)));
+    let (dispatcher, events) = Dispatcher::new();
+    let metrics = Metrics::default();
+    observer::spawn("plovdiv".into(), hosts, dispatcher, metrics.clone());
+    Watch {
+        events,
+        metrics,
+        list,
+    }
+}
+
+/// Returns the cache events so far.
+fn cached(events: &[Event]) -> Vec<Cache> {
+    let mut caches = Vec::new();
+    for event in events {
+        if let Event::Cached(_, cache) = event {
+            caches.push(cache.clone());
+        }
+    }
+    caches
+}
+
+/// Waits for so many cache events and returns them.
+async fn wait_cached(events: &Events, count: usize) -> Vec<Cache> {
+    let mut events = events.clone();
+    let seen = events.wait_for(|events| cached(events).len() >= count);
+    cached(&seen.await.unwrap())
+}
+
+/// Returns a load page.
+fn page(running: u32, state: &str) -> String {
+    format!(
+        r#"{{"running": {running}, "waiting": 1, "tokens": 9, "models": ["m"], "state": "{state}"}}"#
+    )
+}
+
+#[rstest]
+#[tokio::test]
+async fn the_host_list_and_the_load_pages_reach_the_dispatcher() {
+    let endpoint = Endpoint::start(Pages::default()).await;
+    endpoint.set_load(Some(&page(3, "live")));
+    let watch = observe(vec![record(&endpoint)]);
+    let listed = record(&endpoint);
+    wait_for(&watch.events, |event| match event {
+        Event::Listed(records) => records.contains(&listed),
+        _ => false,
+    })
+    .await;
+    wait_for(&watch.events, |event| match event {
+        Event::Reported(id, load) => {
+            id.as_str() == "tally-1" && load.running == 3 && load.models.contains(&"m".into())
+        }
+        _ => false,
+    })
+    .await;
+}
+
+#[rstest]
+#[tokio::test]
+async fn an_endpoint_says_itself_that_it_leaves() {
+    let endpoint = Endpoint::start(Pages::default()).await;
+    endpoint.set_load(Some(&page(3, "live")));
+    let watch = observe(vec![record(&endpoint)]);
+    wait_for(&watch.events, |event| matches!(event, Event::Reported(..))).await;
+    endpoint.set_load(Some(&page(3, "leaving")));
+    wait_for(&watch.events, |event| match event {
+        Event::Reported(_, load) => load.standing == Standing::Leaving,
+        _ => false,
+    })
+    .await;
+}
+
+#[rstest]
+#[case(None)]
+#[case(Some("not JSON"))]
+#[case(Some(r#"{"running": -1}"#))]
+#[tokio::test]
+async fn a_bad_load_page_is_counted_and_polled_again(#[case] bad: Option<&str>) {
+    let endpoint = Endpoint::start(Pages::default()).await;
+    endpoint.set_load(bad);
+    let watch = observe(vec![record(&endpoint)]);
+    while watch.metrics.failures.get() == 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    endpoint.set_load(Some(&page(3, "live")));
+    wait_for(&watch.events, |event| matches!(event, Event::Reported(..))).await;
+}
+
+#[rstest]
+#[tokio::test]
+async fn an_endpoint_off_the_list_is_polled_no_more() {
+    let endpoint = Endpoint::start(Pages::default()).await;
+    endpoint.set_load(Some(&page(3, "live")));
+    let watch = observe(vec![record(&endpoint)]);
+    wait_for(&watch.events, |event| matches!(event, Event::Reported(..))).await;
+    let other = Endpoint::start(Pages::default()).await;
+    other.set_load(Some(&page(5, "live")));
+    let mut listed = record(&other);
+    listed.id = "tally-2".into();
+    let snapshot = Snapshot {
+        entries: Vec::new(),
+        endpoints: vec![listed],
+    };
+    watch.list.send_replace(Some(Arc::new(snapshot)));
+    let count = |name: &str| {
+        let mut count = 0;
+        for event in watch.events.borrow().iter() {
+            count += usize::from(matches!(event, Event::Reported(id, _) if id.as_str() == name));
+        }
+        count
+    };
+    while count("tally-2") == 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let before = count("tally-1");
+    while count("tally-2") < 3 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(count("tally-1"), before);
+}
+
+#[rstest]
+#[tokio::test]
+async fn cache_events_come_with_their_gaps() {
+    let stream = concat!(
+        ": a comment\n\n",
+        "id: 4\ndata: {\"stored\": \"00000000000000ff\"}\n\n",
+        "id: 5\ndata: {\"removed\": \"00000000000000ff\"}\n\n",
+        "id: 5\ndata: {\"removed\": \"00000000000000fe\"}\n\n",
+        "id: 6\ndata: nonsense\n\n",
+        "id: 8\ndata: {\"cleared\": true}\n\n",
+    );
+    let pages = Pages {
+        load: Some(page(0, "live")),
+        streams: vec![stream.to_owned()],
+        opened: 0,
+    };
+    let endpoint = Endpoint::start(pages).await;
+    let watch = observe(vec![record(&endpoint)]);
+    let prefix = id::Prefix(255);
+    let expected = [
+        (1, Change::Stored(prefix)),
+        (2, Change::Removed(prefix)),
+        (5, Change::Cleared),
+    ];
+    let found = wait_cached(&watch.events, 3).await;
+    for (cache, (sequence, change)) in found.iter().zip(expected) {
+        assert_eq!((cache.sequence, cache.change), (sequence, change));
+    }
+    assert_eq!(watch.metrics.gaps.get(), 1);
+}
+
+#[rstest]
+#[tokio::test]
+async fn cache_events_of_a_restarted_endpoint_are_not_taken_for_old_ones() {
+    let first = "id: 90\ndata: {\"stored\": \"01\"}\n\n";
+    let second = "id: 1\ndata: {\"stored\": \"02\"}\n\n";
+    let pages = Pages {
+        load: Some(page(0, "live")),
+        streams: vec![first.to_owned(), second.to_owned()],
+        opened: 0,
+    };
+    let endpoint = Endpoint::start(pages).await;
+    let watch = observe(vec![record(&endpoint)]);
+    let found = wait_cached(&watch.events, 3).await;
+    let changes: Vec<Change> = found.iter().map(|cache| cache.change).collect();
+    let expected = [
+        Change::Stored(id::Prefix(1)),
+        Change::Cleared,
+        Change::Stored(id::Prefix(2)),
+    ];
+    assert_eq!(changes, expected);
+    assert!(found.is_sorted_by(|a, b| a.sequence < b.sequence));
+}
+
+#[rstest]
+#[case(Some(&*page(0, "live")), true)]
+#[case(None, false)]
+#[tokio::test]
+async fn a_probe_tells_whether_the_endpoint_answers(
+    #[case] load: Option<&str>,
+    #[case] answers: bool,
+) {
+    let endpoint = Endpoint::start(Pages::default()).await;
+    endpoint.set_load(load);
+    assert_eq!(probe(&endpoint.address).await, answers);
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_probe_of_a_closed_port_fails() {
+    let endpoint = Endpoint::start(Pages::default()).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    drop(listener);
+    assert!(!probe(&address).await);
+    drop(endpoint);
+}
