tests: observer clean under Clippy; example that measures the control path

Ruled out: allowing the lints. Change: names and a return type in test_observer.rs; node/examples/control_cost.rs runs nodes on loopback in one process and prints bytes, calls, processor time and memory per node. Figures: none yet.

--- /dev/null
+++ b/node/examples/control_cost.rs
@@ -0,0 +1,142 @@
+//! Measures what membership and peers cost a node, with real connections on
+//! loopback and all nodes in this process:
+//! `cargo run --release -p dottereltally --example control_cost -- --nodes 50 --seconds 20`.
+//!
+//! Prints the bytes of beats as well, for news of changes and for a whole
+//! table in every beat.
+
+#![allow(clippy::cast_precision_loss, reason = "figures for people")]
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use std::{env, fs, time::Duration};
+
+use common::Fleet;
+use dottereltally::peer::wire;
+use dottereltally_lib::{
+    id,
+    membership::{
+        Settings,
+        beat::{Beat, Member, State},
+    },
+};
+use dottereltally_proto::peer_capnp;
+use tokio::time::{Instant, sleep};
+
+/// Clock ticks per second of `/proc/self/stat`.
+const TICKS_PER_SECOND: f64 = 100.0;
+/// Time for the nodes to find each other.
+const START: Duration = Duration::from_secs(20);
+
+/// Returns the number that follows a switch.
+fn number(switch: &str, default: u64) -> u64 {
+    let mut arguments = env::args().skip_while(|argument| argument != switch);
+    let value = arguments.nth(1);
+    value.map_or(default, |value| {
+        value.parse().expect("a switch takes a whole number")
+    })
+}
+
+/// Returns the processor time of this process, seconds.
+fn processor_time() -> f64 {
+    let stat = fs::read_to_string("/proc/self/stat").expect("no /proc");
+    let (_, rest) = stat.rsplit_once(')').expect("no command name");
+    let mut fields = rest.split_whitespace().skip(11);
+    let mut ticks = 0.0;
+    for _ in 0..2 {
+        let field = fields.next().expect("a short line");
+        ticks += field.parse::<f64>().expect("not a number");
+    }
+    ticks / TICKS_PER_SECOND
+}
+
+/// Returns the resident memory of this process, KiB.
+fn resident() -> f64 {
+    let status = fs::read_to_string("/proc/self/status").expect("no /proc");
+    for line in status.lines() {
+        let Some(rest) = line.strip_prefix("VmRSS:") else {
+            continue;
+        };
+        let value = rest.trim().trim_end_matches(" kB");
+        return value.parse().expect("not a number");
+    }
+    panic!("no VmRSS");
+}
+
+/// Returns what a node says of itself.
+fn member(index: u64) -> Member {
+    Member {
+        node: format!("entry-{index:03}").as_str().into(),
+        data_centre: "stara-zagora".into(),
+        address: "10.20.30.40:7000".to_owned(),
+        incarnation: 1_790_000_000_000,
+        version: 1,
+        state: State::Alive,
+    }
+}
+
+/// Returns the bytes of a beat with so many members.
+fn beat_bytes(members: u64) -> usize {
+    let beat = Beat {
+        sender: member(0),
+        generation: id::Generation(7),
+        digest: 1,
+        whole: false,
+        members: (1..=members).map(member).collect(),
+        suspects: Vec::new(),
+    };
+    let mut message = capnp::message::Builder::new_default();
+    wire::write_beat(&beat, message.init_root::<peer_capnp::beat::Builder<'_>>());
+    capnp::serialize::compute_serialized_size_in_words(&message) * 8
+}
+
+#[tokio::main]
+async fn main() {
+    let nodes = number("--nodes", 50);
+    let span = Duration::from_secs(number("--seconds", 20));
+    for members in [0, 1, 7, 49, 349] {
+        println!("beat with {members} members: {} bytes", beat_bytes(members));
+    }
+    let before = resident();
+    let names: Vec<String> = (0..nodes)
+        .map(|index| format!("entry-{index:03}"))
+        .collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let fleet = Fleet::start_with(&names, Settings::default()).await;
+    sleep(START).await;
+    let mut complete = 0;
+    for node in fleet.nodes() {
+        complete += usize::from(node.membership.members().await.len() == names.len());
+    }
+    println!("{complete} of {nodes} nodes see all {nodes}");
+    let (bytes, calls, failures, opened) = totals(&fleet);
+    let (started, processor) = (Instant::now(), processor_time());
+    sleep(span).await;
+    let seconds = started.elapsed().as_secs_f64();
+    let processor = processor_time() - processor;
+    let after = totals(&fleet);
+    let per = |value: u64| value as f64 / seconds / nodes as f64;
+    println!(
+        "per node: {:.0} bytes/s in and out, {:.2} calls/s, {:.3} failures/s, {:.2} connections/s, {:.4} % of a core, {:.0} KiB",
+        per(after.0 - bytes),
+        per(after.1 - calls),
+        per(after.2 - failures),
+        per(after.3 - opened),
+        100.0 * processor / seconds / nodes as f64,
+        (resident() - before) / nodes as f64,
+    );
+}
+
+/// Returns bytes, calls, failures and connections of all nodes.
+fn totals(fleet: &Fleet) -> (u64, u64, u64, u64) {
+    let mut totals = (0, 0, 0, 0);
+    for node in fleet.nodes() {
+        let metrics = &node.metrics;
+        totals.0 += metrics.received.get() + metrics.sent.get();
+        totals.1 += metrics.calls.get();
+        totals.2 += metrics.failures.get();
+        totals.3 += metrics.opened.get();
+    }
+    totals
+}
--- a/node/tests/test_observer.rs
+++ b/node/tests/test_observer.rs
@@ -50,11 +50,11 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap().to_string();
         let pages = Arc::new(Mutex::new(pages));
-        let served = pages.clone();
+        let shared = pages.clone();
         let server = tokio::spawn(async move {
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
-                tokio::spawn(serve(stream, served.clone()));
+                tokio::spawn(serve(stream, shared.clone()));
             }
         });
         Self {
@@ -90,7 +90,7 @@
         let answer = if head.starts_with(b"GET /load ") {
             load(&pages)
         } else {
-            events(&pages)
+            Some(events(&pages))
         };
         head.clear();
         let Some((answer, keep)) = answer else {
@@ -111,18 +111,18 @@
     Some((answer, true))
 }
 
-fn events(pages: &Mutex<Pages>) -> Option<(String, bool)> {
+fn events(pages: &Mutex<Pages>) -> (String, bool) {
     let mut pages = pages.lock().unwrap();
     let index = pages.opened;
     pages.opened += 1;
     let Some(events) = pages.streams.get(index) else {
-        return Some((
+        return (
             "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n".to_owned(),
             true,
-        ));
+        );
     };
     let answer = format!("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n{events}");
-    Some((answer, index + 1 == pages.streams.len()))
+    (answer, index + 1 == pages.streams.len())
 }
 
 fn record(endpoint: &Endpoint) -> Record {
