--- a/node/src/stream.rs
+++ b/node/src/stream.rs
@@ -17,12 +17,7 @@
 };
 
 use crate::{
-    body::Cut,
-    dispatcher::Handle,
-    flight::{Flight, NEWS_DELAY},
-    problem::Reason,
-    sse,
-    upstream::Broken,
+    body::Cut, dispatcher::Handle, flight::Flight, problem::Reason, sse, upstream::Broken,
 };
 
 /// Time for the last event of a cut stream to leave before the connection is
@@ -82,7 +77,6 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum State {
     Open,
-    Held(Reason),
     Aborting,
     Ended,
 }
@@ -179,10 +173,10 @@
     }
 
     /// Ends the answer where the endpoint ended it.
-    fn finish(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+    fn finish(&mut self) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         let scanner = self.scanner.as_ref();
         if scanner.is_some_and(|scanner| !scanner.is_done()) {
-            return self.cut(Reason::Broken, context);
+            return self.cut(Reason::Broken);
         }
         let usage = scanner.and_then(sse::Scanner::usage);
         let usage = usage.unwrap_or(sse::Usage {
@@ -190,7 +184,7 @@
             output: scanner.map_or(0, sse::Scanner::events),
         });
         let Some(open) = self.source.take() else {
-            return self.cut(Reason::DeadlinePassed, context);
+            return self.cut(Reason::DeadlinePassed);
         };
         open.flight
             .answered(Tokens(usage.cached), Tokens(usage.output));
@@ -199,11 +193,7 @@
     }
 
     /// Ends the answer before its end, in a way that the caller can tell.
-    fn cut(
-        &mut self,
-        reason: Reason,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+    fn cut(&mut self, reason: Reason) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         if let Some(open) = self.source.take() {
             drop(open.body);
             match reason {
@@ -212,22 +202,6 @@
                 _ => open.flight.broken(),
             }
         }
-        let delay = match reason {
-            Reason::Broken => NEWS_DELAY,
-            _ => Duration::ZERO,
-        };
-        self.state = State::Held(reason);
-        self.timer = Box::pin(sleep(delay));
-        self.poll_held(reason, context)
-    }
-
-    /// Tells the caller that the answer was cut once the delay is over.
-    fn poll_held(
-        &mut self,
-        reason: Reason,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        ready!(self.timer.as_mut().poll(context));
         if self.scanner.is_none() {
             self.state = State::Ended;
             return Poll::Ready(Some(Err(Cut)));
@@ -260,7 +234,6 @@
         let this = self.get_mut();
         match this.state {
             State::Open => {}
-            State::Held(reason) => return this.poll_held(reason, context),
             State::Aborting => {
                 ready!(this.timer.as_mut().poll(context));
                 this.state = State::Ended;
@@ -273,8 +246,8 @@
                 this.observe(&frame);
                 Poll::Ready(Some(Ok(frame)))
             }
-            Ok(None) => this.finish(context),
-            Err(reason) => this.cut(reason, context),
+            Ok(None) => this.finish(),
+            Err(reason) => this.cut(reason),
         }
     }
 
