--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod isolation;
 pub mod key;
 pub mod membership;
+mod placement;
 pub mod pool;
 pub mod prefix;
 pub mod quarantine;
