scheduler: count work as what has to be computed

Change: fairness and wait estimates count the prompt that no cache is known to hold and the expected answer; windows still count what the endpoint holds.

--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -85,11 +85,17 @@
         if !self.has_usable(&profile) {
             return None;
         }
+        let held = self.prefixes.held(&profile.prefixes);
         let lane = self.lane(&profile);
         let output = lane.expected(profile.output.0);
-        let cost = match kind {
-            text::Kind::Model => profile.prompt.0 + output,
-            text::Kind::Plain => 1,
+        let held = held.values().max().copied().unwrap_or(0);
+        let spared = size::Tokens(affinity::BLOCK_TOKENS * held);
+        let (cost, work) = match kind {
+            text::Kind::Model => {
+                let uncached = profile.prompt.saturating_sub(spared).0;
+                (profile.prompt.0 + output, uncached + output)
+            }
+            text::Kind::Plain => (1, 1),
         };
         let service = lane.service(output);
         let due = profile.deadline - service;
@@ -97,6 +103,7 @@
             profile,
             kind,
             cost: cost.max(1),
+            work: work.max(1),
             share,
             output,
             due,
@@ -128,7 +135,7 @@
         let lane = self.lane(&profile);
         let waited = !lane.queue.is_empty();
         lane.drained(now, 0, waited);
-        lane.arrived(now, profile.tier, waiting.cost);
+        lane.arrived(now, profile.tier, waiting.work);
         lane.queue.push(profile.tier, waiting.item(request));
         self.waiting.insert(request, waiting);
         self.pump(now, &profile.service);
@@ -303,7 +310,7 @@
         let waited = !lane.queue.is_empty();
         if lane.queue.peek().is_some_and(|(_, next)| next == request) {
             lane.queue.pop();
-            lane.drained(now, waiting.cost, waited);
+            lane.drained(now, waiting.work, waited);
         }
         Some(waiting)
     }
--- a/lib/src/affinity.rs
+++ b/lib/src/affinity.rs
@@ -78,9 +78,9 @@
     /// Returns the number of leading blocks that each endpoint holds, for the
     /// endpoints that hold any.
     #[must_use]
-    pub fn held(&self, prefixes: &[id::Prefix]) -> BTreeMap<Slot, usize> {
+    pub fn held(&self, prefixes: &[id::Prefix]) -> BTreeMap<Slot, u64> {
         let mut held = BTreeMap::new();
-        for (index, prefix) in prefixes.iter().enumerate() {
+        for (index, prefix) in (0_u64..).zip(prefixes) {
             let mut any = false;
             for (_, slot) in self.holders.range((*prefix, 0)..=(*prefix, Slot::MAX)) {
                 let blocks = held.entry(*slot).or_insert(0);
--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -61,7 +61,7 @@
     /// Tokens in use by the request's tier and those above it.
     pub held: u64,
     /// Leading blocks of the prompt that its prefix cache holds.
-    pub blocks: usize,
+    pub blocks: u64,
     /// Hash of its name.
     pub key: u64,
     /// Tokens per second of one stream, if known.
--- a/lib/src/flight.rs
+++ b/lib/src/flight.rs
@@ -11,8 +11,11 @@
     pub profile: Arc<request::Profile>,
     /// What stands behind its service.
     pub kind: text::Kind,
-    /// Its cost in tokens.
+    /// Tokens that it can occupy in an endpoint.
     pub cost: u64,
+    /// Tokens to be computed for it: what no cache is known to hold of its
+    /// prompt, and its answer.
+    pub work: u64,
     /// Its expected length of an answer in tokens.
     pub output: u64,
     /// Its workspace's share.
@@ -32,7 +35,7 @@
             workspace: self.profile.workspace.clone(),
             share: self.share,
             deadline: self.due,
-            cost: self.cost,
+            cost: self.work,
         }
     }
 }
--- a/lib/tests/test_affinity.rs
+++ b/lib/tests/test_affinity.rs
@@ -57,7 +57,7 @@
             let held = index.held(&wanted);
             for (slot, set) in &sets {
                 let blocks = wanted.iter().take_while(|prefix| set.contains(prefix)).count();
-                prop_assert_eq!(held.get(slot).copied().unwrap_or(0), blocks);
+                prop_assert_eq!(held.get(slot).copied().unwrap_or(0), blocks as u64);
                 prop_assert_eq!(index.blocks(*slot, &wanted), blocks as u64);
             }
             prop_assert_eq!(index.len(), sets.values().map(BTreeSet::len).sum::<usize>());
