--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -2,9 +2,40 @@
 //!
 //! A filter chain serves requests; controllers, each an actor, keep state.
 
+pub mod address;
+pub mod answer;
+pub mod authenticate;
+pub mod body;
 pub mod claim;
+pub mod classify;
 pub mod clock;
 pub mod configuration;
+pub mod controllers;
+pub mod dispatch;
 pub mod dispatcher;
+pub mod exclusive;
+pub mod filter;
+pub mod flight;
+pub mod hosts;
+pub mod limit;
+pub mod membership;
+pub mod metrics;
+pub mod node;
+pub mod observer;
+pub mod operations;
+pub mod outlet;
 pub mod peer;
+pub mod pool;
+pub mod problem;
+pub mod prompt;
+pub mod replay;
+pub mod rules;
+pub mod server;
+pub mod service;
 pub mod settings;
+pub mod shutdown;
+pub mod sse;
+pub mod state;
+pub mod stream;
+pub mod upstream;
+pub mod write_timeout;
--- /dev/null
+++ b/node/src/service.rs
@@ -0,0 +1,66 @@
+//! What this node answers its peers.
+
+use std::sync::OnceLock;
+
+use dottereltally_lib::{
+    event::{self, Event},
+    id,
+};
+use dottereltally_platform::layout;
+
+use crate::{
+    configuration,
+    dispatcher::{Handle, Sender},
+    peer::{self, Answer},
+    replay::Attempts,
+};
+
+/// Answers peers from the parts of this node.
+pub struct Service {
+    configuration: configuration::Handle,
+    attempts: Attempts,
+    dispatcher: OnceLock<Sender>,
+}
+
+impl Service {
+    /// Builds the service; admission messages are dropped until the
+    /// dispatcher is known.
+    #[must_use]
+    pub fn new(configuration: configuration::Handle, attempts: Attempts) -> Self {
+        Self {
+            configuration,
+            attempts,
+            dispatcher: OnceLock::new(),
+        }
+    }
+
+    /// Makes the dispatcher known.
+    pub fn connect(&self, dispatcher: Sender) {
+        // The first dispatcher stays; there is one a process.
+        let _ = self.dispatcher.set(dispatcher);
+    }
+}
+
+impl peer::Service for Service {
+    fn answer(&self, claim: &str, token: &str) -> Answer {
+        self.attempts.answer(claim, token)
+    }
+
+    fn configuration(&self, above: id::Generation) -> Option<layout::Configuration> {
+        self.configuration.newer(above)
+    }
+
+    fn generation(&self) -> id::Generation {
+        self.configuration.generation()
+    }
+
+    fn outdated(&self, generation: id::Generation) {
+        self.configuration.outdated(generation);
+    }
+
+    fn admission(&self, sender: id::Node, message: event::Message) {
+        if let Some(dispatcher) = self.dispatcher.get() {
+            dispatcher.tell(Event::Peer(sender, message));
+        }
+    }
+}
