window: let a recovered endpoint be found out; suspects in a module

Cause: an endpoint whose measured speed was too low for every deadline got nothing and so could never show that it had recovered; a shrunk window grew back only while work waited. Ruled out: probing with requests of a special kind, which engines do not know. Change: a measured speed holds for 10 s; a window below the node's share grows whenever streams run fast.

--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -147,7 +147,7 @@
             held,
             blocks: 0,
             key: member.key,
-            speed: member.window.speed(),
+            speed: member.window.speed(self.now),
         }
     }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod request;
 pub mod scheduler;
 pub mod size;
+mod suspects;
 pub mod text;
 pub mod time;
 pub mod tree;
--- a/lib/src/window.rs
+++ b/lib/src/window.rs
@@ -16,6 +16,10 @@
 /// Shortest time between two adjustments.
 const PERIOD: Duration = Duration::from_millis(500);
 
+/// Time after which a measured speed no longer keeps work away, so that an
+/// endpoint that has recovered is found out.
+const SPEED_TTL: Duration = Duration::from_secs(10);
+
 /// Part of the target that queueing inside the endpoint may take.
 const QUEUEING: f64 = 0.5;
 
@@ -59,6 +63,7 @@
     speed: Average,
     best: f64,
     per_token: Option<f64>,
+    measured: time::Instant,
     late: bool,
     limited: bool,
     peak: f64,
@@ -78,6 +83,7 @@
             speed: Average::default(),
             best: 0.0,
             per_token: None,
+            measured: time::Instant::default(),
             late: false,
             limited: false,
             peak: 0.0,
@@ -107,10 +113,11 @@
         self.configured as u64
     }
 
-    /// Returns the tokens per second of one stream, if known.
+    /// Returns the tokens per second of one stream, if known and recent.
     #[must_use]
-    pub fn speed(&self) -> Option<f64> {
-        self.speed.get()
+    pub fn speed(&self, now: time::Instant) -> Option<f64> {
+        let recent = now.since(self.measured) < SPEED_TTL;
+        self.speed.get().filter(|_| recent)
     }
 
     /// Takes over a changed configuration.
@@ -160,6 +167,7 @@
 
     /// Learns the tokens per second of one stream.
     pub fn stream(&mut self, now: time::Instant, rate: f64) {
+        self.measured = now;
         self.speed.record(rate);
         let average = self.speed.get().unwrap_or(rate);
         self.best = (self.best * (1.0 - FORGET)).max(average);
@@ -197,7 +205,7 @@
             self.set(self.limit * (relative / SLOW).clamp(fastest, usual));
         } else if self.late {
             self.set(self.limit * usual);
-        } else if relative > FAST && self.limited {
+        } else if relative > FAST && (self.limited || self.limit < self.share) {
             self.set(self.limit + self.configured * INCREASE);
         } else if !self.limited && self.peak * HEADROOM < self.limit {
             let least = self.share * MIN_UNUSED;
