suspects: judge them like other waiting requests

Cause: random runs found two faults: a suspect was admitted to an endpoint that had begun to leave after it was reserved, and lower-tier suspects went on waiting while a higher tier was refused for overload. Change: a reservation is given back once its endpoint is not usable; the lowest tier is sought among queued requests and suspects; too many suspects are refused for quarantine.

--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -121,8 +121,7 @@
             return self.refuse(request, Reason::Deadline, MIN_RETRY);
         }
         let slack = waiting.due.since(now);
-        let pool = self.pools.get(&profile.service);
-        let lowest = pool.and_then(Pool::victim).map(|(tier, _)| tier);
+        let lowest = self.lowest(&profile.service).map(|(tier, _)| tier);
         let patience = if lowest > Some(profile.tier) {
             RELUCTANCE
         } else {
@@ -237,7 +236,7 @@
 
     /// Refuses everything that waits for the service below this tier.
     pub(crate) fn shed_below(&mut self, now: time::Instant, service: &id::Service, tier: id::Tier) {
-        while let Some((lowest, request)) = self.pools.get(service).and_then(Pool::victim) {
+        while let Some((lowest, request)) = self.lowest(service) {
             if lowest <= tier {
                 return;
             }
@@ -315,13 +314,20 @@
         Some(waiting)
     }
 
+    /// Returns the request to be given up first and its tier.
+    fn lowest(&self, service: &id::Service) -> Option<(id::Tier, id::Request)> {
+        let queued = self.pools.get(service).and_then(Pool::victim);
+        let suspect = self.lowest_suspect(service);
+        match (queued, suspect) {
+            (Some(queued), Some(suspect)) if suspect.0 > queued.0 => Some(suspect),
+            (queued, suspect) => queued.or(suspect),
+        }
+    }
+
     /// Refuses waiting requests beyond the bound, lowest tier first.
     fn bound(&mut self, now: time::Instant, service: &id::Service) {
-        while let Some(pool) = self.pools.get(service) {
-            if pool.len() <= MAX_WAITING {
-                return;
-            }
-            let Some((_, request)) = pool.victim() else {
+        while self.pools.get(service).map_or(0, Pool::len) > MAX_WAITING {
+            let Some((_, request)) = self.lowest(service) else {
                 return;
             };
             self.evict(now, request);
@@ -334,7 +340,7 @@
             return;
         };
         let profile = &waiting.profile;
-        let lowest = self.pools.get(&profile.service).and_then(Pool::victim);
+        let lowest = self.lowest(&profile.service);
         assert!(
             lowest.is_none_or(|(tier, _)| tier <= profile.tier),
             "a lower tier waits while a higher one is refused"
--- a/lib/src/suspects.rs
+++ b/lib/src/suspects.rs
@@ -40,7 +40,7 @@
     pub(crate) fn isolate(&mut self, now: time::Instant, request: id::Request, waiting: Waiting) {
         let service = waiting.profile.service.clone();
         if !self.isolation.push(&service, request) {
-            return self.refuse(request, Reason::Overload, SUSPECT_RETRY);
+            return self.refuse(request, Reason::Quarantine, SUSPECT_RETRY);
         }
         self.waiting.insert(request, waiting);
         self.pump(now, &service);
@@ -64,19 +64,49 @@
         if let Some(line) = self.isolation.lines.get_mut(service) {
             line.slot = Some(slot);
         }
-        let empty = |member: &&mut Member| member.requests == 0;
-        let Some(member) = self.fleet.get_mut(slot).filter(empty) else {
-            return;
+        if !self.keeps(request, slot) {
+            return self.unreserve(service, slot);
+        }
+        let empty = |member: &Member| member.requests == 0;
+        if self.fleet.get(slot).is_some_and(empty) {
+            self.isolation.remove(service, request);
+            self.admit(now, request, slot);
+        }
+    }
+
+    /// Returns whether a reserved endpoint can still serve its suspect.
+    fn keeps(&self, request: id::Request, slot: Slot) -> bool {
+        let Some(waiting) = self.waiting.get(&request) else {
+            return false;
         };
-        if member.health != Health::Sound {
+        let model = waiting.profile.model.as_ref();
+        let member = self.fleet.get(slot);
+        member.is_some_and(|member| {
+            member.reserved == Some(request)
+                && member.health == Health::Sound
+                && member.is_usable(model)
+        })
+    }
+
+    /// Gives a reserved endpoint back.
+    fn unreserve(&mut self, service: &id::Service, slot: Slot) {
+        if let Some(member) = self.fleet.get_mut(slot) {
             member.reserved = None;
-            if let Some(line) = self.isolation.lines.get_mut(service) {
-                line.slot = None;
-            }
-            return;
         }
-        self.isolation.remove(service, request);
-        self.admit(now, request, slot);
+        if let Some(line) = self.isolation.lines.get_mut(service) {
+            line.slot = None;
+        }
+    }
+
+    /// Returns the suspect of the lowest tier that waits for the service.
+    pub(crate) fn lowest_suspect(&self, service: &id::Service) -> Option<(id::Tier, id::Request)> {
+        let mut lowest = None;
+        let line = self.isolation.lines.get(service);
+        for request in line.into_iter().flat_map(|line| &line.requests) {
+            let waiting = self.waiting.get(request);
+            lowest = lowest.max(waiting.map(|waiting| (waiting.profile.tier, *request)));
+        }
+        lowest
     }
 
     /// Returns whether what other nodes know of a suspect has had the time to
