--- a/node/src/configuration/source.rs
+++ b/node/src/configuration/source.rs
@@ -15,7 +15,11 @@
 };
 use ractor::ActorRef;
 use rand::Rng;
-use tokio::{sync::Notify, task::JoinSet, time};
+use tokio::{
+    sync::Notify,
+    task::JoinSet,
+    time::{self, Instant},
+};
 
 use crate::{
     configuration::{
@@ -29,7 +33,7 @@
 const READ_PERIOD: Duration = Duration::from_secs(1);
 
 /// Time limit of one read.
-const READ_TIMEOUT: Duration = Duration::from_millis(500);
+const READ_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Mean time before a watch that ended is started again.
 const WATCH_PERIOD: Duration = Duration::from_secs(1);
@@ -122,13 +126,14 @@
 /// Reads the key each period, its value only if it has changed.
 async fn read<S: kv::Store>(feed: Feed, store: S) {
     loop {
+        let start = Instant::now();
         let seen = Revision(feed.seen.load(Ordering::Relaxed));
         let late = feed.watched.load(Ordering::Relaxed) < seen.0;
         if late {
             feed.missed.notify_one();
         }
         let _revision = feed.read_once(&store).await;
-        time::sleep(jittered(READ_PERIOD)).await;
+        time::sleep_until(start + jittered(READ_PERIOD)).await;
     }
 }
 
--- a/node/tests/test_configuration.rs
+++ b/node/tests/test_configuration.rs
@@ -161,6 +161,7 @@
         settle().await;
         time::sleep(Duration::from_millis(seed * 37)).await;
         store.set_silent(true);
+        store.set_timeout(Duration::from_mins(1));
         for fault in faults {
             store.inject(Call::Transact, *fault);
         }
