--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod peer;
 pub mod pool;
 pub mod problem;
+pub mod process;
 pub mod prompt;
 pub mod replay;
 pub mod rules;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -26,6 +26,7 @@
     metrics::Metrics,
     operations::Pages,
     pool::Pool,
+    process::Process,
     server,
     settings::Settings,
     shutdown::{self, Phase},
@@ -161,6 +162,7 @@
     let phase = Phase::default();
     let clock = Clock::start();
     let mut registry = Registry::with_prefix(METRICS_PREFIX);
+    registry.register_collector(Box::new(Process));
     let base = Base::start(&settings, clock, listeners.peers, &mut registry)?;
     let mut controllers = Controllers::start(base, &mut registry).await?;
     let servers = Servers::start(
--- a/node/tests/test_operations.rs
+++ b/node/tests/test_operations.rs
@@ -1,10 +1,13 @@
 //! The pages for operators.
 
-use dottereltally::operations::{Pages, Source, Status};
+use dottereltally::{
+    operations::{Pages, Source, Status},
+    process::Process,
+};
 use dottereltally_lib::id;
 use http::{Method, StatusCode};
 use http_body_util::BodyExt;
-use prometheus_client::{metrics::counter::Counter, registry::Registry};
+use prometheus_client::{encoding::text::encode, metrics::counter::Counter, registry::Registry};
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -66,6 +69,23 @@
     assert!(text.ends_with("# EOF\n"), "{text}");
 }
 
+#[test]
+fn tells_what_the_process_takes() {
+    let mut registry = Registry::default();
+    registry.register_collector(Box::new(Process));
+    let mut text = String::new();
+    encode(&mut text, &registry).expect("metrics encode");
+    for name in [
+        "process_cpu_seconds_total ",
+        "process_resident_memory_bytes ",
+    ] {
+        let line = text.lines().find(|line| line.starts_with(name));
+        let value = line.and_then(|line| line.strip_prefix(name));
+        let value: Option<f64> = value.and_then(|value| value.parse().ok());
+        assert!(value.is_some_and(|value| value >= 0.0), "{text}");
+    }
+}
+
 #[tokio::test]
 async fn tells_the_state() {
     let (_, text) = get(true, Method::GET, "/status").await;
