balance: keep the naive policy naive

Cause: the guards of the other policies (early refusal, slow endpoints left out, limit of unstarted prompts) had crept into round robin, which it is compared by. Change: round robin admits at once, in turn.

--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     affinity,
+    balance::Policy,
     effect::Effect,
     fleet::{self, Slot},
     flight::{Flight, Waiting},
@@ -117,7 +118,8 @@
         let profile = Arc::clone(&waiting.profile);
         let lane = self.lane(&profile);
         let wait = lane.wait(profile.tier, &profile.workspace, waiting.share);
-        if waiting.due <= now {
+        let naive = self.settings.policy == Policy::RoundRobin;
+        if waiting.due <= now && !naive {
             return self.refuse(request, Reason::Deadline, MIN_RETRY);
         }
         let slack = waiting.due.since(now);
--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -121,6 +121,10 @@
     ) -> Candidate {
         let window = member.window.limit();
         let configured = member.window.configured();
+        let speed = match self.policy {
+            Policy::RoundRobin => None,
+            _ => member.window.speed(self.now),
+        };
         let share = (configured / self.nodes).max(1);
         let held = match self.policy {
             Policy::RoundRobin => 0,
@@ -147,7 +151,7 @@
             held,
             blocks: 0,
             key: member.key,
-            speed: member.window.speed(self.now),
+            speed,
         }
     }
 
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -1,8 +1,14 @@
 //! Where a waiting request can go.
 
 use crate::{
-    balance::Candidate, fleet::Slot, flight::Waiting, id, request::Profile, scheduler::Scheduler,
-    time, window::FIRST_TOKEN,
+    balance::{Candidate, Policy},
+    fleet::Slot,
+    flight::Waiting,
+    id,
+    request::Profile,
+    scheduler::Scheduler,
+    time,
+    window::FIRST_TOKEN,
 };
 
 /// Where a waiting request can go.
@@ -63,7 +69,8 @@
             if waiting.avoided.contains(&member.record.id) {
                 continue;
             }
-            if member.window.prefill(member.pending) > FIRST_TOKEN {
+            let naive = terms.policy == Policy::RoundRobin;
+            if !naive && member.window.prefill(member.pending) > FIRST_TOKEN {
                 continue;
             }
             candidates.push(terms.candidate(profile.tier, slot, member));
