--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     affinity,
+    balance::Policy,
     effect::Effect,
     fleet::{self, Slot},
     flight::{Flight, Waiting},
@@ -85,11 +86,17 @@
         if !self.has_usable(&profile) {
             return None;
         }
+        let held = self.prefixes.held(&profile.prefixes);
         let lane = self.lane(&profile);
         let output = lane.expected(profile.output.0);
-        let cost = match kind {
-            text::Kind::Model => profile.prompt.0 + output,
-            text::Kind::Plain => 1,
+        let held = held.values().max().copied().unwrap_or(0);
+        let spared = size::Tokens(affinity::BLOCK_TOKENS * held);
+        let (cost, work) = match kind {
+            text::Kind::Model => {
+                let uncached = profile.prompt.saturating_sub(spared).0;
+                (profile.prompt.0 + output, uncached + output)
+            }
+            text::Kind::Plain => (1, 1),
         };
         let service = lane.service(output);
         let due = profile.deadline - service;
@@ -97,6 +104,7 @@
             profile,
             kind,
             cost: cost.max(1),
+            work: work.max(1),
             share,
             output,
             due,
@@ -110,12 +118,12 @@
         let profile = Arc::clone(&waiting.profile);
         let lane = self.lane(&profile);
         let wait = lane.wait(profile.tier, &profile.workspace, waiting.share);
-        if waiting.due <= now {
+        let naive = self.settings.policy == Policy::RoundRobin;
+        if waiting.due <= now && !naive {
             return self.refuse(request, Reason::Deadline, MIN_RETRY);
         }
         let slack = waiting.due.since(now);
-        let pool = self.pools.get(&profile.service);
-        let lowest = pool.and_then(Pool::victim).map(|(tier, _)| tier);
+        let lowest = self.lowest(&profile.service).map(|(tier, _)| tier);
         let patience = if lowest > Some(profile.tier) {
             RELUCTANCE
         } else {
@@ -128,7 +136,7 @@
         let lane = self.lane(&profile);
         let waited = !lane.queue.is_empty();
         lane.drained(now, 0, waited);
-        lane.arrived(now, profile.tier, waiting.cost);
+        lane.arrived(now, profile.tier, waiting.work);
         lane.queue.push(profile.tier, waiting.item(request));
         self.waiting.insert(request, waiting);
         self.pump(now, &profile.service);
@@ -230,7 +238,7 @@
 
     /// Refuses everything that waits for the service below this tier.
     pub(crate) fn shed_below(&mut self, now: time::Instant, service: &id::Service, tier: id::Tier) {
-        while let Some((lowest, request)) = self.pools.get(service).and_then(Pool::victim) {
+        while let Some((lowest, request)) = self.lowest(service) {
             if lowest <= tier {
                 return;
             }
@@ -303,18 +311,25 @@
         let waited = !lane.queue.is_empty();
         if lane.queue.peek().is_some_and(|(_, next)| next == request) {
             lane.queue.pop();
-            lane.drained(now, waiting.cost, waited);
+            lane.drained(now, waiting.work, waited);
         }
         Some(waiting)
     }
 
+    /// Returns the request to be given up first and its tier.
+    fn lowest(&self, service: &id::Service) -> Option<(id::Tier, id::Request)> {
+        let queued = self.pools.get(service).and_then(Pool::victim);
+        let suspect = self.lowest_suspect(service);
+        match (queued, suspect) {
+            (Some(queued), Some(suspect)) if suspect.0 > queued.0 => Some(suspect),
+            (queued, suspect) => queued.or(suspect),
+        }
+    }
+
     /// Refuses waiting requests beyond the bound, lowest tier first.
     fn bound(&mut self, now: time::Instant, service: &id::Service) {
-        while let Some(pool) = self.pools.get(service) {
-            if pool.len() <= MAX_WAITING {
-                return;
-            }
-            let Some((_, request)) = pool.victim() else {
+        while self.pools.get(service).map_or(0, Pool::len) > MAX_WAITING {
+            let Some((_, request)) = self.lowest(service) else {
                 return;
             };
             self.evict(now, request);
@@ -327,7 +342,7 @@
             return;
         };
         let profile = &waiting.profile;
-        let lowest = self.pools.get(&profile.service).and_then(Pool::victim);
+        let lowest = self.lowest(&profile.service);
         assert!(
             lowest.is_none_or(|(tier, _)| tier <= profile.tier),
             "a lower tier waits while a higher one is refused"
--- a/lib/src/balance.rs
+++ b/lib/src/balance.rs
@@ -28,8 +28,6 @@
     TwoChoices,
     /// An equal share of each endpoint's window for every node.
     Shares,
-    /// Tokens granted by the endpoint's home node.
-    Grants,
 }
 
 /// What a choice depends on besides the endpoints.
@@ -63,7 +61,7 @@
     /// Tokens in use by the request's tier and those above it.
     pub held: u64,
     /// Leading blocks of the prompt that its prefix cache holds.
-    pub blocks: usize,
+    pub blocks: u64,
     /// Hash of its name.
     pub key: u64,
     /// Tokens per second of one stream, if known.
@@ -123,20 +121,24 @@
     ) -> Candidate {
         let window = member.window.limit();
         let configured = member.window.configured();
+        let speed = match self.policy {
+            Policy::RoundRobin => None,
+            _ => member.window.speed(self.now),
+        };
         let share = (configured / self.nodes).max(1);
         let held = match self.policy {
             Policy::RoundRobin => 0,
             Policy::LeastLoad => member.reported(),
-            Policy::TwoChoices | Policy::Shares | Policy::Grants => member.held(tier),
+            Policy::TwoChoices | Policy::Shares => member.held(tier),
         };
         let others = match self.policy {
-            Policy::TwoChoices | Policy::Grants => member.others,
+            Policy::TwoChoices => member.others,
             Policy::RoundRobin | Policy::LeastLoad | Policy::Shares => 0,
         };
         let (used, limit) = match self.policy {
             Policy::RoundRobin => (0, u64::MAX),
             Policy::LeastLoad => (member.reported(), configured),
-            Policy::TwoChoices | Policy::Grants => (member.own, window),
+            Policy::TwoChoices => (member.own, window),
             Policy::Shares => (member.own, share),
         };
         Candidate {
@@ -149,7 +151,7 @@
             held,
             blocks: 0,
             key: member.key,
-            speed: member.window.speed(),
+            speed,
         }
     }
 
@@ -175,7 +177,9 @@
         let Some(first) = first else {
             return two_choices(rng, &pool);
         };
-        bounded(&pool).or_else(|| preferred(first, &pool))
+        bounded(&pool)
+            .or_else(|| bounded(fitting))
+            .or_else(|| preferred(first, &pool))
     }
 }
 
