tests: generations stay in force while the store goes back

Change: the switch concerns every call that writes nothing; never_goes_back waits until such reads were made and ends with a new generation; a paused node must get a generation from its peer while the service is away.

--- a/node/tests/test_generations.rs
+++ b/node/tests/test_generations.rs
@@ -7,9 +7,13 @@
 };
 use eyre::Result;
 use http::{Method, StatusCode};
+use nix::sys::signal::Signal;
 use rstest::rstest;
 use serde_json::{Value, json};
 
+/// Stale reads that three nodes make together before the test goes on.
+const STALE_READS: u64 = 9;
+
 /// Returns the fixture's text with another path for payments.
 fn changed(path: &str) -> String {
     text().replace("/payments", path)
@@ -61,7 +65,8 @@
     Ok(())
 }
 
-/// Reads that lie behind never bring an older generation back.
+/// Reads that lie behind never bring an older generation back, and don't keep
+/// a newer one away.
 #[tokio::test(flavor = "multi_thread")]
 async fn never_goes_back() -> Result<()> {
     let mut deployment = Fixture::default().start().await?;
@@ -70,19 +75,59 @@
     let stale = json!({"stale_by": 1, "watch_silent": true});
     deployment.switch("kv", &stale).await?;
     deployment.add_node("entry-3", "plovdiv").await?;
-    deployment.settled(2).await?;
-    for node in ["entry-1", "entry-2", "entry-3"] {
-        let mut highest = 0;
-        for _ in 0..50 {
-            let seen = generation(&deployment, node).await?;
-            assert!(seen >= highest, "{node}: {seen} after {highest}");
-            highest = seen;
+    let before = reads(&deployment).await?;
+    eventually("the nodes read an older generation", async || {
+        for node in deployment.node_names() {
+            generation(&deployment, &node).await.ok()?;
         }
-        assert_in_force(&deployment, node, "/releases").await?;
+        (reads(&deployment).await.ok()? >= before + STALE_READS).then_some(())
+    })
+    .await?;
+    deployment.settled(2).await?;
+    for node in deployment.node_names() {
+        assert_eq!(generation(&deployment, &node).await?, 2, "{node}");
+        assert_in_force(&deployment, &node, "/releases").await?;
+    }
+    let fresh = json!({"stale_by": 0, "watch_silent": false});
+    deployment.switch("kv", &fresh).await?;
+    deployment.apply_text(&changed("/bales")).await?;
+    deployment.settled(3).await?;
+    for node in deployment.node_names() {
+        assert_in_force(&deployment, &node, "/bales").await?;
     }
     Ok(())
 }
 
+/// Returns how often the key-value service was read.
+async fn reads(deployment: &Deployment) -> Result<u64> {
+    let counts = deployment.counts("kv").await?;
+    Ok(counts["calls"]["kv/txn"].as_u64().unwrap_or(0))
+}
+
+/// A node that was paused while a generation came gets it from its peer, as
+/// the key-value service is away when it wakes.
+#[tokio::test(flavor = "multi_thread")]
+async fn comes_from_a_peer_after_a_pause() -> Result<()> {
+    let mut deployment = Fixture::default().start().await?;
+    deployment.node("entry-2")?.signal(Signal::SIGSTOP)?;
+    deployment
+        .switch("kv", &json!({"watch_silent": true}))
+        .await?;
+    deployment.apply_text(&changed("/releases")).await?;
+    until_generation(&deployment, "entry-1", 2).await?;
+    deployment.switch("kv", &json!({"down": true})).await?;
+    deployment.node("entry-2")?.signal(Signal::SIGCONT)?;
+    until_generation(&deployment, "entry-2", 2).await
+}
+
+async fn until_generation(deployment: &Deployment, node: &str, number: u64) -> Result<()> {
+    let what = format!("{node} has generation {number} in force");
+    eventually(&what, async || {
+        (generation(deployment, node).await.ok()? == number).then_some(())
+    })
+    .await
+}
+
 /// Nodes go on with what they have while the service is away, and a new node
 /// gets the newest generation from them.
 #[tokio::test(flavor = "multi_thread")]
--- a/testutils/src/kv.rs
+++ b/testutils/src/kv.rs
@@ -38,7 +38,7 @@
     pub hold_after: bool,
     /// Keeps watches open but reports nothing.
     pub watch_silent: bool,
-    /// Number of revisions by which reads outside transactions lie behind.
+    /// Number of revisions by which calls that write nothing lie behind.
     pub stale_by: i64,
 }
 
@@ -111,7 +111,12 @@
             return Err(Abort);
         }
         let writes = query.writes();
-        let result = self.with_store(|store| store.transact(&query));
+        let stale_by = self.switches.get().stale_by;
+        let result = if writes || stale_by == 0 {
+            self.with_store(|store| store.transact(&query))
+        } else {
+            lock(&self.store).before(stale_by).transact(&query)
+        };
         self.switches
             .wait_for(|positions| !positions.hold_after)
             .await;
@@ -195,7 +200,12 @@
         match path.as_str() {
             "/v3/kv/range" => {
                 let stale_by = self.switches.get().stale_by;
-                let run = |store: &mut Store, query: &wire::Range| Ok(store.range(query, stale_by));
+                let run = |store: &mut Store, query: &wire::Range| {
+                    if stale_by == 0 {
+                        return Ok(store.range(query));
+                    }
+                    Ok(store.before(stale_by).range(query))
+                };
                 Ok(self.call(request, run).await)
             }
             "/v3/kv/put" => Ok(self.call(request, Store::put).await),
--- a/testutils/src/kv/store.rs
+++ b/testutils/src/kv/store.rs
@@ -78,13 +78,19 @@
         self.revision
     }
 
-    /// Reads a range as it was `stale_by` revisions ago.
-    pub fn range(&self, query: &Range, stale_by: i64) -> Value {
-        if stale_by == 0 {
-            return answer(&self.items, self.revision, query);
+    /// Reads a range.
+    pub fn range(&self, query: &Range) -> Value {
+        answer(&self.items, self.revision, query)
+    }
+
+    /// Returns the store as it was so many revisions ago, without its leases.
+    pub fn before(&self, revisions: i64) -> Self {
+        let revision = (self.revision - revisions).max(1);
+        Self {
+            revision,
+            items: self.items_at(revision),
+            ..Self::default()
         }
-        let revision = (self.revision - stale_by).max(1);
-        answer(&self.items_at(revision), revision, query)
     }
 
     fn items_at(&self, revision: i64) -> BTreeMap<Vec<u8>, Item> {
@@ -156,7 +162,7 @@
                 self.write(put);
                 json!({"response_put": {"header": header(revision)}})
             }
-            Operation::Range(range) => json!({"response_range": self.range(range, 0)}),
+            Operation::Range(range) => json!({"response_range": self.range(range)}),
             Operation::Delete(range) => {
                 let deleted = self.remove(range, revision);
                 json!({"response_delete_range": deletion(deleted, revision)})
