tests: the membership's pause guard, whole tables and disbelief in drops

Cause: the randomised run does not fail without these three. Change: a test for each on the pure module.

--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -4,7 +4,14 @@
 
 use std::time::Duration;
 
-use dottereltally_lib::membership::Settings;
+use dottereltally_lib::{
+    id,
+    membership::{
+        Effect, Membership, Settings,
+        beat::{Beat, Member, State},
+    },
+    time::Instant,
+};
 use fleet::{Fleet, Network, scenario};
 use rstest::rstest;
 
@@ -124,3 +131,84 @@
     assert!(took.is_some(), "seed 1");
     fleet
 }
+
+/// Returns what a node says of itself.
+fn member(name: &str, state: State) -> Member {
+    Member {
+        node: name.into(),
+        data_centre: "plovdiv".into(),
+        address: format!("{name}:1"),
+        incarnation: 1,
+        version: 0,
+        state,
+    }
+}
+
+/// Returns a beat that tells of other nodes.
+fn beat(sender: &str, members: Vec<Member>) -> Beat {
+    Beat {
+        sender: member(sender, State::Alive),
+        generation: id::Generation(0),
+        digest: 0,
+        whole: false,
+        members,
+        suspects: Vec::new(),
+    }
+}
+
+/// Returns a membership of node a that knows b and c, and the moment.
+fn three() -> (Membership, Instant) {
+    let now = Instant::default() + Duration::from_mins(1);
+    let own = member("a", State::Alive);
+    let mut membership = Membership::new(Settings::default(), own, now, 1);
+    membership.request(now, &beat("b", vec![member("c", State::Alive)]));
+    (membership, now)
+}
+
+/// Returns whether a node is among the live.
+fn is_live(membership: &Membership, name: &str) -> bool {
+    let members = membership.members();
+    members.iter().any(|member| member.node.as_str() == name)
+}
+
+#[rstest]
+fn a_pause_does_not_count_as_time_to_contradict() {
+    let (mut membership, now) = three();
+    membership.request(now, &beat("b", vec![member("c", State::Suspect)]));
+    let later = now + Duration::from_mins(1);
+    membership.tick(later);
+    assert!(is_live(&membership, "c"));
+    let mut moment = later;
+    for _ in 0..10 {
+        moment += Duration::from_millis(500);
+        membership.tick(moment);
+    }
+    assert!(!is_live(&membership, "c"));
+}
+
+#[rstest]
+fn a_node_dropped_elsewhere_is_tried_and_told() {
+    let (mut membership, now) = three();
+    membership.request(now, &beat("b", vec![member("c", State::Dropped)]));
+    assert!(is_live(&membership, "c"));
+    let told = membership.tick(now).into_iter().any(|effect| match effect {
+        Effect::Exchange { node, beat, .. } => {
+            node.as_str() == "c" && beat.members.contains(&member("c", State::Dropped))
+        }
+        _ => false,
+    });
+    assert!(told);
+}
+
+#[rstest]
+fn a_peer_that_knows_less_is_told_everything_once_no_news_are_left() {
+    let (mut membership, now) = three();
+    let mut moment = now;
+    let mut told = false;
+    for _ in 0..60 {
+        moment += Duration::from_millis(500);
+        let (answer, _) = membership.request(moment, &beat("b", Vec::new()));
+        told |= answer.whole && answer.members.contains(&member("c", State::Alive));
+    }
+    assert!(told);
+}
