--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -6,18 +6,18 @@
 
 use crate::{
     affinity,
-    balance::Candidate,
+    balance::Policy,
     effect::Effect,
-    fleet::Slot,
+    fleet::{self, Slot},
     flight::{Flight, Waiting},
     id,
+    placement::Place,
     pool::{Lane, MAX_WAITING, Pool},
     quarantine::Verdict,
     refusal::{Reason, Refusal},
     request::Profile,
     scheduler::Scheduler,
     size, text, time,
-    window::FIRST_TOKEN,
 };
 
 /// Time to come back after a refusal, at the least.
@@ -33,16 +33,6 @@
 /// Part by which the time to come back is spread.
 const RETRY_JITTER: f64 = 0.25;
 
-/// Where a waiting request can go.
-enum Place {
-    /// To this endpoint.
-    At(Slot),
-    /// To none now.
-    Full,
-    /// To none at all.
-    Nowhere,
-}
-
 impl Scheduler {
     /// Takes a request in: admits it, lets it wait or refuses it.
     pub(crate) fn arrive(
@@ -96,11 +86,17 @@
         if !self.has_usable(&profile) {
             return None;
         }
+        let held = self.prefixes.held(&profile.prefixes);
         let lane = self.lane(&profile);
         let output = lane.expected(profile.output.0);
-        let cost = match kind {
-            text::Kind::Model => profile.prompt.0 + output,
-            text::Kind::Plain => 1,
+        let held = held.values().max().copied().unwrap_or(0);
+        let spared = size::Tokens(affinity::BLOCK_TOKENS * held);
+        let (cost, work) = match kind {
+            text::Kind::Model => {
+                let uncached = profile.prompt.saturating_sub(spared).0;
+                (profile.prompt.0 + output, uncached + output)
+            }
+            text::Kind::Plain => (1, 1),
         };
         let service = lane.service(output);
         let due = profile.deadline - service;
@@ -108,6 +104,7 @@
             profile,
             kind,
             cost: cost.max(1),
+            work: work.max(1),
             share,
             output,
             due,
@@ -121,12 +118,12 @@
         let profile = Arc::clone(&waiting.profile);
         let lane = self.lane(&profile);
         let wait = lane.wait(profile.tier, &profile.workspace, waiting.share);
-        if waiting.due <= now {
+        let naive = self.settings.policy == Policy::RoundRobin;
+        if waiting.due <= now && !naive {
             return self.refuse(request, Reason::Deadline, MIN_RETRY);
         }
         let slack = waiting.due.since(now);
-        let pool = self.pools.get(&profile.service);
-        let lowest = pool.and_then(Pool::victim).map(|(tier, _)| tier);
+        let lowest = self.lowest(&profile.service).map(|(tier, _)| tier);
         let patience = if lowest > Some(profile.tier) {
             RELUCTANCE
         } else {
@@ -139,7 +136,7 @@
         let lane = self.lane(&profile);
         let waited = !lane.queue.is_empty();
         lane.drained(now, 0, waited);
-        lane.arrived(now, profile.tier, waiting.cost);
+        lane.arrived(now, profile.tier, waiting.work);
         lane.queue.push(profile.tier, waiting.item(request));
         self.waiting.insert(request, waiting);
         self.pump(now, &profile.service);
@@ -185,6 +182,8 @@
         };
         let cost = waiting.cost;
         member.own += cost;
+        member.by_tier[fleet::rank(waiting.profile.tier)] += cost;
+        member.window.hold(member.own);
         member.pending += uncached;
         member.requests += 1;
         self.prefixes.hint(slot, &waiting.profile.prefixes);
@@ -212,6 +211,7 @@
         assert!(member.own >= flight.cost, "tokens in flight add up");
         assert!(member.requests > 0, "requests in flight add up");
         member.own -= flight.cost;
+        member.by_tier[fleet::rank(flight.waiting.profile.tier)] -= flight.cost;
         if flight.started.is_none() {
             member.pending -= flight.uncached;
         }
@@ -238,7 +238,7 @@
 
     /// Refuses everything that waits for the service below this tier.
     pub(crate) fn shed_below(&mut self, now: time::Instant, service: &id::Service, tier: id::Tier) {
-        while let Some((lowest, request)) = self.pools.get(service).and_then(Pool::victim) {
+        while let Some((lowest, request)) = self.lowest(service) {
             if lowest <= tier {
                 return;
             }
@@ -304,94 +304,6 @@
         pool.lanes.entry(profile.model.clone()).or_default()
     }
 
-    /// Returns the candidates among a service's endpoints.
-    pub(crate) fn candidates(&self, now: time::Instant, waiting: &Waiting) -> Vec<Candidate> {
-        let profile = &waiting.profile;
-        let terms = self.settings.terms(now, self.members.len());
-        let mut candidates = Vec::new();
-        for &slot in self.fleet.of_service(&profile.service) {
-            let Some(member) = self.fleet.get(slot) else {
-                continue;
-            };
-            if !member.is_usable(profile.model.as_ref()) || !member.is_open(now) {
-                continue;
-            }
-            if waiting.avoided.contains(&member.record.id) {
-                continue;
-            }
-            if member.window.prefill(member.pending) > FIRST_TOKEN {
-                continue;
-            }
-            candidates.push(terms.candidate(slot, member));
-        }
-        candidates
-    }
-
-    /// Returns where a waiting request can go.
-    fn place(&mut self, now: time::Instant, request: id::Request) -> Place {
-        let Some(waiting) = self.waiting.get(&request) else {
-            return Place::Full;
-        };
-        let mut fitting = self.candidates(now, waiting);
-        let open: Vec<Slot> = fitting.iter().map(|candidate| candidate.slot).collect();
-        let profile = &waiting.profile;
-        let remaining = profile.remaining(now);
-        let output = profile.output.0;
-        if fitting
-            .iter()
-            .any(|each| each.is_in_time(output, remaining))
-        {
-            fitting.retain(|each| each.is_in_time(output, remaining));
-        }
-        fitting.retain(|each| each.fits(profile.tier, waiting.cost));
-        if fitting.is_empty() {
-            let place = self.without_room(waiting);
-            self.note_limits(&open);
-            return place;
-        }
-        let prefixes = &waiting.profile.prefixes;
-        let held = self.prefixes.held(prefixes);
-        for candidate in &mut fitting {
-            candidate.held = held.get(&candidate.slot).copied().unwrap_or(0);
-        }
-        let terms = self.settings.terms(now, self.members.len());
-        let first = prefixes.first().copied();
-        let chosen = terms.choose(&mut self.rng, &mut self.turn, &fitting, first);
-        chosen.map_or(Place::Full, |candidate| Place::At(candidate.slot))
-    }
-
-    /// Tells whether a request that fits nowhere now can ever be placed.
-    fn without_room(&self, waiting: &Waiting) -> Place {
-        let profile = &waiting.profile;
-        for &slot in self.fleet.of_service(&profile.service) {
-            let Some(member) = self.fleet.get(slot) else {
-                continue;
-            };
-            let usable = member.is_usable(profile.model.as_ref());
-            if usable && !waiting.avoided.contains(&member.record.id) {
-                return Place::Full;
-            }
-        }
-        Place::Nowhere
-    }
-
-    /// Records that the windows of these endpoints keep work waiting.
-    fn note_limits(&mut self, slots: &[Slot]) {
-        for slot in slots {
-            if let Some(member) = self.fleet.get_mut(*slot) {
-                member.window.limited();
-            }
-        }
-    }
-
-    pub(crate) fn has_usable(&self, profile: &Profile) -> bool {
-        let slots = self.fleet.of_service(&profile.service);
-        let members = slots.iter().filter_map(|slot| self.fleet.get(*slot));
-        members
-            .into_iter()
-            .any(|member| member.is_usable(profile.model.as_ref()))
-    }
-
     /// Takes a request that is being admitted out of the queue.
     fn dequeue(&mut self, now: time::Instant, request: id::Request) -> Option<Waiting> {
         let waiting = self.waiting.remove(&request)?;
@@ -399,18 +311,25 @@
         let waited = !lane.queue.is_empty();
         if lane.queue.peek().is_some_and(|(_, next)| next == request) {
             lane.queue.pop();
-            lane.drained(now, waiting.cost, waited);
+            lane.drained(now, waiting.work, waited);
         }
         Some(waiting)
     }
 
+    /// Returns the request to be given up first and its tier.
+    fn lowest(&self, service: &id::Service) -> Option<(id::Tier, id::Request)> {
+        let queued = self.pools.get(service).and_then(Pool::victim);
+        let suspect = self.lowest_suspect(service);
+        match (queued, suspect) {
+            (Some(queued), Some(suspect)) if suspect.0 > queued.0 => Some(suspect),
+            (queued, suspect) => queued.or(suspect),
+        }
+    }
+
     /// Refuses waiting requests beyond the bound, lowest tier first.
     fn bound(&mut self, now: time::Instant, service: &id::Service) {
-        while let Some(pool) = self.pools.get(service) {
-            if pool.len() <= MAX_WAITING {
-                return;
-            }
-            let Some((_, request)) = pool.victim() else {
+        while self.pools.get(service).map_or(0, Pool::len) > MAX_WAITING {
+            let Some((_, request)) = self.lowest(service) else {
                 return;
             };
             self.evict(now, request);
@@ -423,7 +342,7 @@
             return;
         };
         let profile = &waiting.profile;
-        let lowest = self.pools.get(&profile.service).and_then(Pool::victim);
+        let lowest = self.lowest(&profile.service);
         assert!(
             lowest.is_none_or(|(tier, _)| tier <= profile.tier),
             "a lower tier waits while a higher one is refused"
--- a/lib/src/window.rs
+++ b/lib/src/window.rs
@@ -16,21 +16,32 @@
 /// Shortest time between two adjustments.
 const PERIOD: Duration = Duration::from_millis(500);
 
+/// Time after which a measured speed no longer keeps work away, so that an
+/// endpoint that has recovered is found out.
+const SPEED_TTL: Duration = Duration::from_secs(10);
+
 /// Part of the target that queueing inside the endpoint may take.
 const QUEUEING: f64 = 0.5;
 
 /// Part of the best speed below which the window shrinks.
 const SLOW: f64 = 0.7;
 
-/// Part of the best speed below which the window shrinks fast.
-const CRAWLING: f64 = 0.25;
-
 /// Part of the best speed above which the window grows.
 const FAST: f64 = 0.8;
 
-/// Factor of a decrease, and of a fast one.
+/// Factor of a decrease, and of the fastest one.
 const DECREASE: (f64, f64) = (0.9, 0.5);
 
+/// Factor by which a window shrinks in a period in which it was hardly used.
+const UNUSED: f64 = 0.95;
+
+/// Multiple of the node's share of the configured window down to which an
+/// unused window shrinks.
+const MIN_UNUSED: f64 = 1.5;
+
+/// Multiple of the used tokens down to which an unused window shrinks.
+const HEADROOM: f64 = 2.0;
+
 /// Increase of a period, relative to the configured window.
 const INCREASE: f64 = 0.02;
 
@@ -48,11 +59,14 @@
 pub struct Window {
     configured: f64,
     limit: f64,
+    share: f64,
     speed: Average,
     best: f64,
     per_token: Option<f64>,
+    measured: time::Instant,
     late: bool,
     limited: bool,
+    peak: f64,
     adjusted: time::Instant,
 }
 
@@ -65,11 +79,14 @@
         Self {
             configured,
             limit: configured,
+            share: configured,
             speed: Average::default(),
             best: 0.0,
             per_token: None,
+            measured: time::Instant::default(),
             late: false,
             limited: false,
+            peak: 0.0,
             adjusted: time::Instant::default(),
         }
     }
@@ -96,10 +113,11 @@
         self.configured as u64
     }
 
-    /// Returns the tokens per second of one stream, if known.
+    /// Returns the tokens per second of one stream, if known and recent.
     #[must_use]
-    pub fn speed(&self) -> Option<f64> {
-        self.speed.get()
+    pub fn speed(&self, now: time::Instant) -> Option<f64> {
+        let recent = now.since(self.measured) < SPEED_TTL;
+        self.speed.get().filter(|_| recent)
     }
 
     /// Takes over a changed configuration.
@@ -110,6 +128,24 @@
         }
     }
 
+    /// Divides the configured window between the nodes; the window starts from
+    /// there if nothing is known of the endpoint yet.
+    pub fn share(&mut self, nodes: u64) {
+        #[expect(clippy::cast_precision_loss, reason = "nodes are few")]
+        let nodes = nodes.max(1) as f64;
+        self.share = self.configured / nodes;
+        if self.adjusted == time::Instant::default() {
+            self.set(self.share);
+        }
+    }
+
+    /// Learns the tokens that this node holds at the endpoint.
+    pub fn hold(&mut self, tokens: u64) {
+        #[expect(clippy::cast_precision_loss, reason = "windows are small")]
+        let tokens = tokens as f64;
+        self.peak = self.peak.max(tokens);
+    }
+
     /// Learns that work waited because the window was full.
     pub fn limited(&mut self) {
         self.limited = true;
@@ -131,6 +167,7 @@
 
     /// Learns the tokens per second of one stream.
     pub fn stream(&mut self, now: time::Instant, rate: f64) {
+        self.measured = now;
         self.speed.record(rate);
         let average = self.speed.get().unwrap_or(rate);
         self.best = (self.best * (1.0 - FORGET)).max(average);
@@ -163,15 +200,21 @@
         }
         self.adjusted = now;
         let relative = self.speed.get().map_or(1.0, |speed| speed / self.best);
-        if relative < CRAWLING {
-            self.set(self.limit * DECREASE.1);
-        } else if relative < SLOW || self.late {
-            self.set(self.limit * DECREASE.0);
-        } else if relative > FAST && self.limited {
+        let (usual, fastest) = DECREASE;
+        if relative < SLOW {
+            self.set(self.limit * (relative / SLOW).clamp(fastest, usual));
+        } else if self.late {
+            self.set(self.limit * usual);
+        } else if relative > FAST && (self.limited || self.limit < self.share) {
             self.set(self.limit + self.configured * INCREASE);
+        } else if !self.limited && self.peak * HEADROOM < self.limit {
+            let least = self.share * MIN_UNUSED;
+            let unused = (self.limit * UNUSED).max(self.peak * HEADROOM);
+            self.set(self.limit.min(unused.max(least)));
         }
         self.late = false;
         self.limited = false;
+        self.peak = 0.0;
     }
 
     fn set(&mut self, limit: f64) {
--- a/node/src/filter.rs
+++ b/node/src/filter.rs
@@ -111,7 +111,10 @@
         match outcome {
             Ok(response) => response,
             Err(refused) => {
-                self.metrics.refused(refused.tier, refused.problem.reason());
+                let reason = refused.problem.reason();
+                if !reason.is_after_dispatch() {
+                    self.metrics.refused(refused.tier, reason);
+                }
                 refused.problem.response(Some(id))
             }
         }
