report, operations, node: status tells the state of endpoints and services

Cause: /status named endpoints only; operators need state, window and reason, and which service lacks one that it depends on. A draining node left claims that were given up to be given back by nobody. Ruled out: metrics per endpoint, whose labels grow with the endpoints. Conclusion: a refusal for lack of endpoints can be explained from status.

--- a/cli/src/command/status.rs
+++ b/cli/src/command/status.rs
@@ -56,11 +56,14 @@
             text,
             "{node} {data_centre} {standing}: generation {generation}, draining {draining}, platform {platform}"
         )?;
+        for service in list(status, "services") {
+            writeln!(text, "  service {}", service_line(service))?;
+        }
         if !self.endpoints {
             return Ok(());
         }
-        for endpoint in status["endpoints"].as_array().into_iter().flatten() {
-            writeln!(text, "  {endpoint}")?;
+        for endpoint in list(status, "endpoints") {
+            writeln!(text, "  endpoint {}", endpoint_line(endpoint))?;
         }
         Ok(())
     }
@@ -76,3 +79,34 @@
         }
     }
 }
+
+fn list<'a>(status: &'a Value, name: &str) -> impl Iterator<Item = &'a Value> + use<'a> {
+    status[name].as_array().into_iter().flatten()
+}
+
+fn word(value: &Value, name: &str) -> String {
+    let value = &value[name];
+    value
+        .as_str()
+        .map_or_else(|| value.to_string(), str::to_owned)
+}
+
+fn service_line(service: &Value) -> String {
+    let (name, open) = (word(service, "name"), word(service, "open"));
+    let missing: Vec<&str> = list(service, "missing").filter_map(Value::as_str).collect();
+    if missing.is_empty() {
+        return format!("{name}: {open} endpoints open");
+    }
+    let missing = missing.join(", ");
+    format!("{name}: {open} endpoints open, but {missing} has none, which it depends on")
+}
+
+fn endpoint_line(endpoint: &Value) -> String {
+    let name = word(endpoint, "name");
+    let place = word(endpoint, "data_centre");
+    let state = word(endpoint, "state");
+    let requests = word(endpoint, "requests");
+    let in_flight = word(endpoint, "in_flight");
+    let window = word(endpoint, "window");
+    format!("{name} {place} {state}: {requests} requests, {in_flight} of {window} tokens in flight")
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod queue;
 pub mod refusal;
 pub mod rendezvous;
+pub mod report;
 pub mod request;
 pub mod scheduler;
 pub mod size;
--- /dev/null
+++ b/lib/src/report.rs
@@ -0,0 +1,149 @@
+//! What a core tells operators of its endpoints and services.
+
+use derive_more::Display;
+use serde::{Serialize, Serializer};
+
+use crate::{
+    endpoint::Standing,
+    fleet::{Health, Member},
+    id,
+    scheduler::Scheduler,
+    size, text, time,
+};
+
+/// Why an endpoint gets new work or not.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum State {
+    /// It gets new work.
+    #[display("open")]
+    Open,
+    /// It finishes what it has.
+    #[display("leaving")]
+    Leaving,
+    /// It did not answer a probe.
+    #[display("dead")]
+    Dead,
+    /// A probe on a new connection is under way.
+    #[display("probing")]
+    Probing,
+    /// It is set aside as a straggler.
+    #[display("straggler")]
+    Straggler,
+    /// It refused a connection or a request a moment ago.
+    #[display("avoided")]
+    Avoided,
+    /// A suspect request has it for itself.
+    #[display("reserved")]
+    Reserved,
+}
+
+impl Serialize for State {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+/// One endpoint as this node sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Endpoint {
+    /// Its name.
+    pub name: id::Endpoint,
+    /// The service that it serves.
+    pub service: id::Service,
+    /// Its data centre.
+    pub data_centre: id::DataCentre,
+    /// Whether it gets new work, and if not, why.
+    pub state: State,
+    /// Tokens that this node may have in flight there.
+    pub window: size::Tokens,
+    /// Tokens that it has in flight there.
+    pub in_flight: size::Tokens,
+    /// Requests that it has in flight there.
+    pub requests: u32,
+}
+
+/// One service as this node sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Service {
+    /// Its name.
+    pub name: id::Service,
+    /// Endpoints that get new work.
+    pub open: usize,
+    /// Services that it depends on and that have no open endpoint.
+    pub missing: Vec<id::Service>,
+}
+
+impl Scheduler {
+    /// Returns every endpoint of the host list, by name.
+    #[must_use]
+    pub fn endpoints(&self, now: time::Instant) -> Vec<Endpoint> {
+        let mut endpoints = Vec::new();
+        for slot in self.fleet.slots() {
+            let Some(member) = self.fleet.get(slot).filter(|member| member.listed) else {
+                continue;
+            };
+            endpoints.push(Endpoint {
+                name: member.record.id.clone(),
+                service: member.record.service.clone(),
+                data_centre: member.record.data_centre.clone(),
+                state: state(member, now),
+                window: size::Tokens(member.window.limit()),
+                in_flight: size::Tokens(member.own),
+                requests: member.requests,
+            });
+        }
+        endpoints.sort_by(|left, right| left.name.cmp(&right.name));
+        endpoints
+    }
+
+    /// Returns every service of the operators' text, by name.
+    #[must_use]
+    pub fn services(&self, now: time::Instant) -> Vec<Service> {
+        let Some(text) = &self.text else {
+            return Vec::new();
+        };
+        let mut services = Vec::new();
+        for name in text.services.keys() {
+            let mut missing = Vec::new();
+            for needed in text::graph::closure(&text.services, name) {
+                if self.open(now, &needed) == 0 {
+                    missing.push(needed);
+                }
+            }
+            services.push(Service {
+                name: name.clone(),
+                open: self.open(now, name),
+                missing,
+            });
+        }
+        services
+    }
+
+    fn open(&self, now: time::Instant, service: &id::Service) -> usize {
+        let members = self.fleet.of_service(service).iter();
+        let members = members.filter_map(|&slot| self.fleet.get(slot));
+        members
+            .filter(|member| member.listed && state(member, now) == State::Open)
+            .count()
+    }
+}
+
+fn state(member: &Member, now: time::Instant) -> State {
+    let said = member.load.as_ref().map(|load| load.standing);
+    if member.record.standing == Standing::Leaving || said == Some(Standing::Leaving) {
+        return State::Leaving;
+    }
+    match member.health {
+        Health::Dead(_) => return State::Dead,
+        Health::Probing(_) => return State::Probing,
+        Health::Aside(_) => return State::Straggler,
+        Health::Sound => {}
+    }
+    if member.avoided_until > now {
+        return State::Avoided;
+    }
+    if member.reserved.is_some() {
+        return State::Reserved;
+    }
+    State::Open
+}
--- a/node/src/dispatcher.rs
+++ b/node/src/dispatcher.rs
@@ -5,7 +5,7 @@
 use dottereltally_lib::{
     effect::Effect,
     event::{self, Event, Outcome},
-    id, refusal,
+    id, refusal, report,
     request::{Admitted, Claimed, NotRun, Profile, Request},
     scheduler::Scheduler,
 };
@@ -101,6 +101,17 @@
     Left(id::Request),
     /// An event for the core.
     Event(Event),
+    /// Somebody wants to know the core's view.
+    Describe(oneshot::Sender<View>),
+}
+
+/// What the core knows of endpoints and services.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// Its endpoints.
+    pub endpoints: Vec<report::Endpoint>,
+    /// Its services.
+    pub services: Vec<report::Service>,
 }
 
 /// The actor.
@@ -163,12 +174,24 @@
                 }
             }
             Message::Event(event) => state.step(event),
+            Message::Describe(reply) => {
+                // Whoever asked may be gone.
+                let _ = reply.send(state.view());
+            }
         }
         Ok(())
     }
 }
 
 impl State {
+    fn view(&self) -> View {
+        let now = self.clock.now();
+        View {
+            endpoints: self.core.endpoints(now),
+            services: self.core.services(now),
+        }
+    }
+
     /// Hands an event to the core and carries out what it asks for.
     fn step(&mut self, event: Event) {
         let mut events = vec![event];
@@ -225,6 +248,13 @@
         Self { actor, clock }
     }
 
+    /// Returns what the core knows, nothing once it has stopped.
+    pub async fn view(&self) -> View {
+        let (reply, receiver) = oneshot::channel();
+        self.cast(Message::Describe(reply));
+        receiver.await.unwrap_or_default()
+    }
+
     fn cast(&self, message: Message) {
         // A stopped actor takes nothing more; the process is ending.
         let _ = self.actor.cast(message);
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, atomic::AtomicU64},
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use dottereltally_lib::{event::Event, id};
@@ -14,7 +14,7 @@
     net::TcpListener,
     sync::watch,
     task::JoinHandle,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{
@@ -130,6 +130,7 @@
             settings: settings.clone(),
             rules: controllers.rules.clone(),
             book: controllers.book.clone(),
+            dispatcher: controllers.dispatcher.clone(),
             membership: controllers.membership.clone(),
             platform: Arc::new(move || keeper.is_available()),
             phase: phase.clone(),
@@ -150,6 +151,9 @@
     }
 }
 
+/// Time to give back the claims of calls that were given up.
+const CLAIM_GRACE: Duration = Duration::from_secs(2);
+
 /// Runs a node until it is told to stop.
 ///
 /// # Errors
@@ -200,6 +204,10 @@
         let requests = servers.places.total();
         tracing::warn!(requests, "shutting down: the grace period is over");
     }
+    let deadline = Instant::now() + CLAIM_GRACE;
+    if !controllers.keeper.drain(deadline).await {
+        tracing::warn!("shutting down: claims could not be given back");
+    }
     controllers.membership.leave().await;
     servers.stop.send_replace(true);
     servers.operations.abort();
--- a/node/src/operations.rs
+++ b/node/src/operations.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 
 use bytes::Bytes;
-use dottereltally_lib::id;
+use dottereltally_lib::{id, report};
 use http::{HeaderValue, Method, Response, StatusCode, header::CONTENT_TYPE};
 use prometheus_client::{encoding::text, registry::Registry};
 use serde::Serialize;
@@ -29,8 +29,10 @@
     pub platform: bool,
     /// Live peers.
     pub peers: Vec<id::Node>,
+    /// Services of the operators' text.
+    pub services: Vec<report::Service>,
     /// Endpoints of the host list.
-    pub endpoints: Vec<id::Endpoint>,
+    pub endpoints: Vec<report::Endpoint>,
 }
 
 /// Reads the state of the node.
--- a/node/src/state.rs
+++ b/node/src/state.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     address::Book,
-    membership,
+    dispatcher, membership,
     operations::{Source, Status},
     rules,
     settings::Settings,
@@ -22,6 +22,8 @@
     pub rules: rules::Receiver,
     /// The endpoints.
     pub book: Book,
+    /// The decision core.
+    pub dispatcher: dispatcher::Sender,
     /// The live nodes.
     pub membership: membership::Handle,
     /// Whether the platform answers.
@@ -39,6 +41,7 @@
                 peers.push(member.node);
             }
         }
+        let view = self.dispatcher.view().await;
         Status {
             node: self.settings.node.clone(),
             data_centre: self.settings.data_centre.clone(),
@@ -46,7 +49,8 @@
             draining: self.phase.is_announced(),
             platform: (self.platform)(),
             peers,
-            endpoints: self.book.names(),
+            services: view.services,
+            endpoints: view.endpoints,
         }
     }
 
--- a/node/tests/test_operations.rs
+++ b/node/tests/test_operations.rs
@@ -4,7 +4,7 @@
     operations::{Pages, Source, Status},
     process::Process,
 };
-use dottereltally_lib::id;
+use dottereltally_lib::{id, report, size};
 use http::{Method, StatusCode};
 use http_body_util::BodyExt;
 use prometheus_client::{encoding::text::encode, metrics::counter::Counter, registry::Registry};
@@ -24,7 +24,20 @@
             draining: false,
             platform: true,
             peers: vec![id::Node::from("entry-2")],
-            endpoints: vec![id::Endpoint::from("tally-1")],
+            services: vec![report::Service {
+                name: "tally-llm".into(),
+                open: 1,
+                missing: vec!["yard-app".into()],
+            }],
+            endpoints: vec![report::Endpoint {
+                name: "tally-1".into(),
+                service: "tally-llm".into(),
+                data_centre: "plovdiv".into(),
+                state: report::State::Straggler,
+                window: size::Tokens(40_000),
+                in_flight: size::Tokens(1_200),
+                requests: 3,
+            }],
         }
     }
 
@@ -97,7 +110,16 @@
         "draining": false,
         "platform": true,
         "peers": ["entry-2"],
-        "endpoints": ["tally-1"],
+        "services": [{"name": "tally-llm", "open": 1, "missing": ["yard-app"]}],
+        "endpoints": [{
+            "name": "tally-1",
+            "service": "tally-llm",
+            "data_centre": "plovdiv",
+            "state": "straggler",
+            "window": 40_000,
+            "in_flight": 1_200,
+            "requests": 3,
+        }],
     });
     assert_eq!(status, expected);
 }
--- a/testutils/examples/demo.rs
+++ b/testutils/examples/demo.rs
@@ -132,6 +132,8 @@
         let (callers, operations) = (deployment.callers(node)?, deployment.operations(node)?);
         println!("{node}: callers http://{callers}, operations http://{operations}");
     }
+    let (kv, hosts) = (deployment.kv_address(), deployment.hosts_url());
+    println!("export DOTTERELTALLY_KV={kv} DOTTERELTALLY_HOSTS={hosts}");
     println!("bearer key: {KEY}; interrupt to end");
     Ok(())
 }
