membership: split choice of peers and intake of news from the module

Cause: 600 lines with three jobs. Ruled out: types of their own, which would share every field. Change: choice and news as modules of their own, no change of behaviour. Conclusion: one job a file.

--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -6,6 +6,8 @@
 //! hands in the time and what arrives, and performs the effects.
 
 pub mod beat;
+mod choice;
+mod news;
 mod rumour;
 mod table;
 
@@ -14,7 +16,7 @@
     time::Duration,
 };
 
-use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use crate::{
     endpoint, id,
@@ -26,11 +28,6 @@
     time::Instant,
 };
 
-/// Fingerprints that hold on for less are not taken from a peer.
-const MIN_VALIDITY: Duration = Duration::from_secs(5);
-
-/// Doubted nodes that one node tries per round.
-const MAX_CONFIRMATIONS: usize = 4;
 /// Periods after which an exchange without a result is forgotten.
 const PENDING_PERIODS: u32 = 20;
 /// Periods without a round after which this process counts as paused.
@@ -330,49 +327,6 @@
             .retain(|_, started| now.since(*started) < limit);
     }
 
-    /// Picks random live peers that no exchange is running with.
-    fn choose(&mut self, count: usize) -> BTreeMap<id::Node, String> {
-        let mut candidates = Vec::new();
-        for record in self.table.records() {
-            let member = &record.member;
-            if member.is_live() && !self.pending.contains_key(&member.node) {
-                candidates.push((&member.node, &member.address));
-            }
-        }
-        draw(&candidates, &mut self.rng, count)
-    }
-
-    /// Picks random nodes that this node has to try itself.
-    fn choose_doubted(&mut self) -> BTreeMap<id::Node, String> {
-        let mut candidates = Vec::new();
-        for node in &self.confirm {
-            let Some(record) = self.table.get(node) else {
-                continue;
-            };
-            if record.member.is_live() && !self.pending.contains_key(node) {
-                candidates.push((node, &record.member.address));
-            }
-        }
-        let drawn = draw(&candidates, &mut self.rng, MAX_CONFIRMATIONS);
-        for node in drawn.keys() {
-            self.confirm.remove(node);
-        }
-        drawn
-    }
-
-    /// Picks random hosts of the host list that are not live.
-    fn choose_lost(&mut self, count: usize) -> BTreeMap<id::Node, String> {
-        let mut candidates = Vec::new();
-        for host in self.hosts.values() {
-            let busy = self.pending.contains_key(&host.node);
-            if host.node == self.own.node || busy || self.is_live(&host.node) {
-                continue;
-            }
-            candidates.push((&host.node, &host.address));
-        }
-        draw(&candidates, &mut self.rng, count)
-    }
-
     fn exchange(&mut self, now: Instant, node: id::Node, address: String, whole: bool) -> Effect {
         let beat = self.beat(now, &node, whole);
         self.pending.insert(node.clone(), now);
@@ -439,133 +393,6 @@
         Some((fingerprint, until.since(now)))
     }
 
-    /// Takes in everything that a beat says.
-    fn take(&mut self, now: Instant, beat: &Beat, effects: &mut Vec<Effect>) {
-        self.merge(now, &beat.sender);
-        for member in &beat.members {
-            self.merge(now, member);
-        }
-        if beat.whole {
-            self.resynced = now;
-            self.correct(beat);
-        }
-        if beat.generation > self.generation {
-            effects.push(Effect::Outdated(beat.sender.node.clone(), beat.generation));
-        }
-        let news = self.take_fingerprints(now, &beat.suspects);
-        if !news.is_empty() {
-            effects.push(Effect::Suspected(news));
-        }
-    }
-
-    /// Passes on what this node knows better than a peer that told all.
-    fn correct(&mut self, beat: &Beat) {
-        let mut told = BTreeMap::new();
-        for member in &beat.members {
-            told.insert(&member.node, member);
-        }
-        told.insert(&beat.sender.node, &beat.sender);
-        for record in self.table.records() {
-            let node = &record.member.node;
-            if told
-                .get(node)
-                .is_none_or(|member| record.member.replaces(member))
-            {
-                self.board.post(Topic::Member(node.clone()));
-            }
-        }
-    }
-
-    fn take_fingerprints(
-        &mut self,
-        now: Instant,
-        suspects: &[(id::Fingerprint, Duration)],
-    ) -> Vec<(id::Fingerprint, Duration)> {
-        let mut news = Vec::new();
-        for (fingerprint, valid) in suspects {
-            let known = match self.fingerprints.get(fingerprint) {
-                Some(until) => until.since(now),
-                None => Duration::ZERO,
-            };
-            if *valid < known + MIN_VALIDITY {
-                continue;
-            }
-            self.quarantine(now, *fingerprint, *valid);
-            news.push((*fingerprint, *valid));
-        }
-        news
-    }
-
-    /// Takes in one statement on a node.
-    fn merge(&mut self, now: Instant, member: &Member) {
-        if member.node == self.own.node {
-            self.contradict(member);
-            return;
-        }
-        if member.state == State::Dropped
-            && let Some(record) = self.table.get(&member.node)
-            && record.member.state == State::Alive
-        {
-            self.doubt(now, member);
-            return;
-        }
-        if !self.table.merge(now, member) {
-            return;
-        }
-        self.changed = true;
-        self.hearsay.remove(&member.node);
-        self.confirm.remove(&member.node);
-        self.board.post(Topic::Member(member.node.clone()));
-        if member.state == State::Suspect {
-            self.draw_confirmation(&member.node);
-        }
-    }
-
-    /// Handles the word that a node was dropped elsewhere which is alive for
-    /// all that is known here, such as after a partition: the node is told,
-    /// so that it can contradict, and is suspected only if it can't be reached
-    /// from here either.
-    fn doubt(&mut self, now: Instant, member: &Member) {
-        let Some(record) = self.table.get(&member.node) else {
-            return;
-        };
-        if !member.replaces(&record.member) {
-            return;
-        }
-        let (known, told) = (&record.member, member);
-        if (told.incarnation, told.version) > (known.incarnation, known.version) {
-            let mut suspect = member.clone();
-            suspect.state = State::Suspect;
-            self.merge(now, &suspect);
-            return;
-        }
-        self.hearsay.insert(member.node.clone(), member.clone());
-        self.confirm.insert(member.node.clone());
-    }
-
-    /// Decides at random whether this node is among the few that try a node
-    /// themselves in the next round.
-    fn draw_confirmation(&mut self, node: &id::Node) {
-        let nodes = self.table.len().max(1);
-        let chance = self.settings.confirmations.min(nodes);
-        if self.rng.random_range(0..nodes) < chance {
-            self.confirm.insert(node.clone());
-        }
-    }
-
-    /// Raises this node's own statement above one that is not its own.
-    fn contradict(&mut self, member: &Member) {
-        if !member.replaces(&self.own) {
-            return;
-        }
-        if member.incarnation > self.own.incarnation {
-            self.own.incarnation = member.incarnation + 1;
-            self.own.version = 0;
-        } else {
-            self.own.version = member.version + 1;
-        }
-    }
-
     /// Adds the members if they have changed since they were last announced.
     fn settle(&mut self, mut effects: Vec<Effect>) -> Vec<Effect> {
         if !std::mem::take(&mut self.changed) {
@@ -585,16 +412,3 @@
         effects
     }
 }
-
-/// Draws up to `count` of the candidates.
-fn draw(
-    candidates: &[(&id::Node, &String)],
-    rng: &mut SmallRng,
-    count: usize,
-) -> BTreeMap<id::Node, String> {
-    let mut drawn = BTreeMap::new();
-    for (node, address) in candidates.choose_multiple(rng, count) {
-        drawn.insert((*node).clone(), (*address).clone());
-    }
-    drawn
-}
