fleet: drop the state of an endpoint set aside, which nothing sets

Ruled out: building it now without a measurement. Change: the variant and its branches, in the status page too. Conclusion: less code, same behaviour.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -37,8 +37,6 @@
     Probing(time::Instant),
     /// It did not answer a probe; the next one is due then.
     Dead(time::Instant),
-    /// It is set aside as a straggler until then.
-    Aside(time::Instant),
 }
 
 /// One endpoint.
--- a/lib/src/health.rs
+++ b/lib/src/health.rs
@@ -171,9 +171,7 @@
         let died = !answered && matches!(member.health, Health::Probing(_));
         if answered {
             member.broken.clear();
-            if !matches!(member.health, Health::Aside(_)) {
-                member.health = Health::Sound;
-            }
+            member.health = Health::Sound;
         } else {
             member.health = Health::Dead(now + PROBE_PERIOD);
         }
@@ -291,7 +289,7 @@
                 continue;
             };
             let due = match member.health {
-                Health::Sound | Health::Aside(_) => false,
+                Health::Sound => false,
                 Health::Probing(since) => now.since(since) >= PROBE_TIMEOUT,
                 Health::Dead(next) => next <= now,
             };
--- a/lib/src/report.rs
+++ b/lib/src/report.rs
@@ -26,9 +26,6 @@
     /// A probe on a new connection is under way.
     #[display("probing")]
     Probing,
-    /// It is set aside as a straggler.
-    #[display("straggler")]
-    Straggler,
     /// It refused a connection or a request a moment ago.
     #[display("avoided")]
     Avoided,
@@ -136,7 +133,6 @@
     match member.health {
         Health::Dead(_) => return State::Dead,
         Health::Probing(_) => return State::Probing,
-        Health::Aside(_) => return State::Straggler,
         Health::Sound => {}
     }
     if member.avoided_until > now {
