membership: the field's terms for gossip

Cause: names such as board, hearsay and contradict were the module's own. Ruled out: leaving them, which a newcomer would have to learn. Change: gossip queue, updates, refute, disputed; no change of behaviour. Conclusion: the terms of the literature on membership.

--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -1,14 +1,14 @@
-//! Which nodes are live, and the news that they pass on.
+//! Which nodes are live, and the updates that they pass on.
 //!
 //! Each period a node exchanges beats with a few random peers. A peer that
-//! does not answer is suspected; the suspicion travels as news, and the peer
-//! contradicts it with a higher version of itself or is dropped. The caller
+//! does not answer is suspected; the suspicion travels as an update, and the peer
+//! refutes it with a higher version of itself or is dropped. The caller
 //! hands in the time and what arrives, and performs the effects.
 
 pub mod beat;
 mod choice;
-mod news;
-mod rumour;
+mod gossip;
+mod intake;
 mod table;
 
 use std::{
@@ -22,7 +22,7 @@
     endpoint, id,
     membership::{
         beat::{Beat, Member, State},
-        rumour::{Board, Topic},
+        gossip::{Queue, Topic},
         table::Table,
     },
     time::Instant,
@@ -40,14 +40,14 @@
     pub period: Duration,
     /// Peers per round.
     pub fan_out: usize,
-    /// Least time for a suspected node to contradict.
+    /// Least time for a suspected node to refute.
     pub suspicion: Duration,
-    /// Further time to contradict, per doubling of the number of nodes.
+    /// Further time to refute, per doubling of the number of nodes.
     pub suspicion_step: Duration,
     /// Time that a node which is not live is remembered.
     pub retention: Duration,
-    /// News per beat.
-    pub news: usize,
+    /// Updates per beat.
+    pub updates: usize,
     /// Rounds, on average, between two attempts to reach a node that is
     /// listed and not live.
     pub reconnect: u32,
@@ -65,7 +65,7 @@
             suspicion: Duration::from_millis(800),
             suspicion_step: Duration::from_millis(400),
             retention: Duration::from_mins(10),
-            news: 64,
+            updates: 64,
             reconnect: 8,
             confirmations: 3,
             resync: Duration::from_secs(5),
@@ -111,11 +111,11 @@
     own: Member,
     generation: id::Generation,
     table: Table,
-    board: Board,
+    gossip: Queue,
     hosts: BTreeMap<id::Node, Host>,
     fingerprints: BTreeMap<id::Fingerprint, Instant>,
     confirm: BTreeSet<id::Node>,
-    hearsay: BTreeMap<id::Node, Member>,
+    disputed: BTreeMap<id::Node, Member>,
     announced: Option<Vec<Member>>,
     pending: BTreeMap<id::Node, Instant>,
     ticked: Instant,
@@ -133,11 +133,11 @@
             own,
             generation: id::Generation::default(),
             table: Table::default(),
-            board: Board::default(),
+            gossip: Queue::default(),
             hosts: BTreeMap::new(),
             fingerprints: BTreeMap::new(),
             confirm: BTreeSet::new(),
-            hearsay: BTreeMap::new(),
+            disputed: BTreeMap::new(),
             announced: None,
             pending: BTreeMap::new(),
             ticked: now,
@@ -165,7 +165,7 @@
     /// Passes on a fingerprint of a crashing request.
     pub fn quarantine(&mut self, now: Instant, fingerprint: id::Fingerprint, valid: Duration) {
         self.fingerprints.insert(fingerprint, now + valid);
-        self.board.post(Topic::Fingerprint(fingerprint));
+        self.gossip.push(Topic::Fingerprint(fingerprint));
     }
 
     /// Tells the peers that this node shuts down.
@@ -178,7 +178,7 @@
         self.spread(now)
     }
 
-    /// Passes news on ahead of the next round.
+    /// Passes updates on ahead of the next round.
     pub fn spread(&mut self, now: Instant) -> Vec<Effect> {
         let mut effects = Vec::new();
         for (node, address) in self.choose(2 * self.settings.fan_out) {
@@ -193,7 +193,7 @@
         self.expire(now);
         let mut effects = Vec::new();
         let mut targets = self.choose(self.settings.fan_out);
-        targets.extend(self.choose_doubted());
+        targets.extend(self.choose_unverified());
         let alone = targets.is_empty();
         for (node, address) in targets {
             effects.push(self.exchange(now, node, address, false));
@@ -215,7 +215,7 @@
         let mut effects = Vec::new();
         self.take(now, beat, &mut effects);
         let astray = beat.digest != self.table.digest(&self.own)
-            && self.board.is_empty()
+            && self.gossip.is_empty()
             && now.since(self.resynced) >= self.settings.resync;
         let whole = beat.whole || !known || astray;
         let answer = self.beat(now, &beat.sender.node, whole);
@@ -300,7 +300,7 @@
     }
 
     /// Gives every running suspicion its full time again if this process was
-    /// stopped for a while, since it could not hear any contradiction.
+    /// stopped for a while, since it could not hear any refutation.
     fn notice_pause(&mut self, now: Instant) {
         let gap = now.since(self.ticked);
         self.ticked = now;
@@ -315,7 +315,7 @@
     }
 
     fn expire(&mut self, now: Instant) {
-        let doublings = rumour::doublings(self.table.len());
+        let doublings = gossip::doublings(self.table.len());
         let span = self.settings.suspicion + self.settings.suspicion_step * doublings;
         let dropped = self.table.drop_suspects(now, span);
         self.changed |= dropped > 0;
@@ -340,12 +340,12 @@
     /// Builds a beat for a node; `whole` puts everything in that is known.
     fn beat(&mut self, now: Instant, to: &id::Node, whole: bool) -> Beat {
         let nodes = self.table.len() + 1;
-        let topics = self.board.take(self.settings.news, nodes);
+        let topics = self.gossip.take(self.settings.updates, nodes);
         let mut members = Vec::new();
         let mut suspects = Vec::new();
         for topic in topics {
             match topic {
-                Topic::Member(node) => members.extend(self.news(&node, to, whole)),
+                Topic::Member(node) => members.extend(self.update_on(&node, to, whole)),
                 Topic::Fingerprint(fingerprint) if !whole => {
                     suspects.extend(self.fingerprint(now, fingerprint));
                 }
@@ -365,7 +365,7 @@
         {
             members.push(record.member.clone());
         }
-        members.extend(self.hearsay.remove(to));
+        members.extend(self.disputed.remove(to));
         Beat {
             sender: self.own.clone(),
             generation: self.generation,
@@ -376,8 +376,8 @@
         }
     }
 
-    /// Returns the news of a node for one beat, unless it goes in anyway.
-    fn news(&self, node: &id::Node, to: &id::Node, whole: bool) -> Option<Member> {
+    /// Returns the update on a node for one beat, unless it goes in anyway.
+    fn update_on(&self, node: &id::Node, to: &id::Node, whole: bool) -> Option<Member> {
         if whole || node == to {
             return None;
         }
@@ -401,7 +401,7 @@
         let members = self.members();
         let mut announced = members.clone();
         for member in &mut announced {
-            // Neither a suspicion nor its contradiction changes who is live.
+            // Neither a suspicion nor its refutation changes who is live.
             member.state = State::Alive;
             member.version = 0;
         }
--- a/lib/src/membership/beat.rs
+++ b/lib/src/membership/beat.rs
@@ -12,10 +12,10 @@
     /// It takes part.
     #[display("alive")]
     Alive,
-    /// It did not answer; it is dropped unless it contradicts in time.
+    /// It did not answer; it is dropped unless it refutes in time.
     #[display("suspect")]
     Suspect,
-    /// It did not contradict in time.
+    /// It did not refute in time.
     #[display("dropped")]
     Dropped,
     /// It has said that it is shutting down.
@@ -38,7 +38,7 @@
     pub address: String,
     /// Differs between two processes of the node; the later is higher.
     pub incarnation: u64,
-    /// Raised by the node to contradict what is said of it.
+    /// Raised by the node to refute what is said of it.
     pub version: u32,
     /// What it is said to be.
     pub state: State,
--- a/lib/src/membership/choice.rs
+++ b/lib/src/membership/choice.rs
@@ -23,7 +23,7 @@
     }
 
     /// Picks random nodes that this node has to try itself.
-    pub(super) fn choose_doubted(&mut self) -> BTreeMap<id::Node, String> {
+    pub(super) fn choose_unverified(&mut self) -> BTreeMap<id::Node, String> {
         let mut candidates = Vec::new();
         for node in &self.confirm {
             let Some(record) = self.table.get(node) else {
--- a/lib/src/membership/rumour.rs
+++ b/lib/src/membership/gossip.rs
@@ -1,13 +1,13 @@
-//! Which news are still to be passed on.
+//! Which updates are still to be passed on.
 
 use std::collections::BTreeMap;
 
 use crate::id;
 
-/// Times that a piece of news is sent, per doubling of the number of nodes.
+/// Times that an update is sent, per doubling of the number of nodes.
 const SENDS_PER_DOUBLING: u32 = 2;
 
-/// What a piece of news is about.
+/// What an update is about.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Topic {
     /// A node.
@@ -16,15 +16,15 @@
     Fingerprint(id::Fingerprint),
 }
 
-/// News with the number of times that each was sent.
+/// Updates with the number of times that each was sent.
 #[derive(Clone, Debug, Default)]
-pub struct Board {
+pub struct Queue {
     sent: BTreeMap<Topic, u32>,
 }
 
-impl Board {
-    /// Puts a piece of news up; one that is already up starts anew.
-    pub fn post(&mut self, topic: Topic) {
+impl Queue {
+    /// Queues an update; one that is queued already starts anew.
+    pub fn push(&mut self, topic: Topic) {
         self.sent.insert(topic, 0);
     }
 
@@ -34,7 +34,7 @@
         self.sent.is_empty()
     }
 
-    /// Returns up to `limit` pieces, those sent least often first, and counts
+    /// Returns up to `limit` updates, those sent least often first, and counts
     /// them as sent once more to one of `nodes` nodes.
     pub fn take(&mut self, limit: usize, nodes: usize) -> Vec<Topic> {
         let mut order = Vec::new();
@@ -61,7 +61,7 @@
     }
 }
 
-/// Returns how often a piece of news is sent among so many nodes.
+/// Returns how often an update is sent among so many nodes.
 fn bound(nodes: usize) -> u32 {
     SENDS_PER_DOUBLING * (doublings(nodes) + 1)
 }
--- a/lib/src/membership/news.rs
+++ b/lib/src/membership/intake.rs
@@ -9,7 +9,7 @@
     membership::{
         Effect, Membership,
         beat::{Beat, Member, State},
-        rumour::Topic,
+        gossip::Topic,
     },
     time::Instant,
 };
@@ -31,9 +31,9 @@
         if beat.generation > self.generation {
             effects.push(Effect::Outdated(beat.sender.node.clone(), beat.generation));
         }
-        let news = self.take_fingerprints(now, &beat.suspects);
-        if !news.is_empty() {
-            effects.push(Effect::Suspected(news));
+        let learnt = self.take_fingerprints(now, &beat.suspects);
+        if !learnt.is_empty() {
+            effects.push(Effect::Suspected(learnt));
         }
     }
 
@@ -50,7 +50,7 @@
                 .get(node)
                 .is_none_or(|member| record.member.replaces(member))
             {
-                self.board.post(Topic::Member(node.clone()));
+                self.gossip.push(Topic::Member(node.clone()));
             }
         }
     }
@@ -60,7 +60,7 @@
         now: Instant,
         suspects: &[(id::Fingerprint, Duration)],
     ) -> Vec<(id::Fingerprint, Duration)> {
-        let mut news = Vec::new();
+        let mut learnt = Vec::new();
         for (fingerprint, valid) in suspects {
             let known = match self.fingerprints.get(fingerprint) {
                 Some(until) => until.since(now),
@@ -70,31 +70,31 @@
                 continue;
             }
             self.quarantine(now, *fingerprint, *valid);
-            news.push((*fingerprint, *valid));
+            learnt.push((*fingerprint, *valid));
         }
-        news
+        learnt
     }
 
     /// Takes in one statement on a node.
     pub(super) fn merge(&mut self, now: Instant, member: &Member) {
         if member.node == self.own.node {
-            self.contradict(member);
+            self.refute(member);
             return;
         }
         if member.state == State::Dropped
             && let Some(record) = self.table.get(&member.node)
             && record.member.state == State::Alive
         {
-            self.doubt(now, member);
+            self.dispute(now, member);
             return;
         }
         if !self.table.merge(now, member) {
             return;
         }
         self.changed = true;
-        self.hearsay.remove(&member.node);
+        self.disputed.remove(&member.node);
         self.confirm.remove(&member.node);
-        self.board.post(Topic::Member(member.node.clone()));
+        self.gossip.push(Topic::Member(member.node.clone()));
         if member.state == State::Suspect {
             self.draw_confirmation(&member.node);
         }
@@ -102,9 +102,9 @@
 
     /// Handles the word that a node was dropped elsewhere which is alive for
     /// all that is known here, such as after a partition: the node is told,
-    /// so that it can contradict, and is suspected only if it can't be reached
+    /// so that it can refute, and is suspected only if it can't be reached
     /// from here either.
-    fn doubt(&mut self, now: Instant, member: &Member) {
+    fn dispute(&mut self, now: Instant, member: &Member) {
         let Some(record) = self.table.get(&member.node) else {
             return;
         };
@@ -118,7 +118,7 @@
             self.merge(now, &suspect);
             return;
         }
-        self.hearsay.insert(member.node.clone(), member.clone());
+        self.disputed.insert(member.node.clone(), member.clone());
         self.confirm.insert(member.node.clone());
     }
 
@@ -133,7 +133,7 @@
     }
 
     /// Raises this node's own statement above one that is not its own.
-    fn contradict(&mut self, member: &Member) {
+    fn refute(&mut self, member: &Member) {
         if !member.replaces(&self.own) {
             return;
         }
--- a/lib/tests/fleet/scenario.rs
+++ b/lib/tests/fleet/scenario.rs
@@ -171,6 +171,6 @@
         .run_until(NEWS_LIMIT, |fleet| {
             fleet.is_configured(1) && fleet.is_quarantined(source, 7)
         })
-        .ok_or("news did not reach every node in time")?;
+        .ok_or("an update did not reach every node in time")?;
     Ok(took)
 }
--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -172,7 +172,7 @@
 }
 
 #[rstest]
-fn a_pause_does_not_count_as_time_to_contradict() {
+fn a_pause_does_not_count_as_time_to_refute() {
     let (mut membership, now) = three();
     membership.request(now, &beat("b", vec![member("c", State::Suspect)]));
     let later = now + Duration::from_mins(1);
--- a/node/examples/control_cost.rs
+++ b/node/examples/control_cost.rs
@@ -2,7 +2,7 @@
 //! loopback and all nodes in this process:
 //! `cargo run --release -p dottereltally --example control_cost -- --nodes 50 --seconds 20`.
 //!
-//! Prints the bytes of beats as well, for news of changes and for a whole
+//! Prints the bytes of beats as well, for updates and for a whole
 //! table in every beat.
 
 #![allow(clippy::cast_precision_loss, reason = "figures for people")]
--- a/node/src/membership.rs
+++ b/node/src/membership.rs
@@ -113,7 +113,7 @@
     Failed(id::Node),
     /// Pass on a fingerprint of a crashing request.
     Quarantine(id::Fingerprint, Duration),
-    /// Pass the news on ahead of the next round.
+    /// Pass the updates on ahead of the next round.
     Spread,
     /// Tell the peers that this node shuts down.
     Leave(oneshot::Sender<()>),
@@ -134,7 +134,7 @@
     }
 
     /// Tells the peers that this node shuts down, and returns once a few of
-    /// them were sent the news.
+    /// them were sent the updates.
     pub async fn leave(&self) {
         let (sender, receiver) = oneshot::channel();
         self.cast(Message::Leave(sender));
@@ -332,7 +332,7 @@
         self.dispatcher.tell(Event::Members(live));
     }
 
-    /// Sends the last news and signals `done` once they were taken or failed.
+    /// Sends the last updates and signals `done` once they were taken or failed.
     fn leave(&mut self, myself: &ActorRef<Message>, done: oneshot::Sender<()>) {
         let mut sent = Vec::new();
         for effect in self.membership.leave(self.clock.now()) {
--- a/node/tests/test_membership.rs
+++ b/node/tests/test_membership.rs
@@ -1,4 +1,4 @@
-//! Nodes on loopback find each other, lose each other and pass news on.
+//! Nodes on loopback find each other, lose each other and pass updates on.
 
 mod common;
 
