tests: one configuration for the property tests of the core

Cause: five files had the same ten lines. Ruled out: the test support crate, which does not know proptest. Change: a shared module, the same seed. Conclusion: none of their checks changed.

--- a/lib/tests/test_affinity.rs
+++ b/lib/tests/test_affinity.rs
@@ -1,5 +1,7 @@
 //! The prefix index against a plain map of sets.
 
+mod property;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use dottereltally_lib::{
@@ -7,7 +9,7 @@
     endpoint::{Cache, Change},
     id::Prefix,
 };
-use proptest::{prelude::*, test_runner::RngSeed};
+use proptest::prelude::*;
 
 fn change() -> impl Strategy<Value = Change> {
     prop_oneof![
@@ -17,17 +19,8 @@
     ]
 }
 
-/// Fixes the seed, so that every run checks the same cases.
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        rng_seed: RngSeed::Fixed(1),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(property::config())]
 
     #[test]
     fn index_agrees_with_sets(
--- a/lib/tests/test_estimate.rs
+++ b/lib/tests/test_estimate.rs
@@ -1,25 +1,18 @@
 //! Rates and waiting times.
 #![allow(clippy::cast_precision_loss, reason = "figures are small")]
 
+mod property;
+
 use std::time::Duration;
 
 use dottereltally_lib::{
     estimate::{Meter, wait},
     time::Instant,
 };
-use proptest::{prelude::*, test_runner::RngSeed};
-
-/// Fixes the seed, so that every run checks the same cases.
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        rng_seed: RngSeed::Fixed(1),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
+use proptest::prelude::*;
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(property::config())]
 
     #[test]
     fn meter_agrees_with_the_sum_over_all_records(
--- a/lib/tests/test_fair.rs
+++ b/lib/tests/test_fair.rs
@@ -1,5 +1,7 @@
 //! The fair queue against a version that scans a list.
 
+mod property;
+
 use std::collections::BTreeMap;
 
 use dottereltally_lib::{
@@ -7,7 +9,7 @@
     id,
     time::Instant,
 };
-use proptest::{prelude::*, test_runner::RngSeed};
+use proptest::prelude::*;
 
 const SCALE: u64 = 1 << 20;
 
@@ -94,17 +96,8 @@
     ]
 }
 
-/// Fixes the seed, so that every run checks the same cases.
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        rng_seed: RngSeed::Fixed(1),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(property::config())]
 
     #[test]
     fn fair_queue_agrees_with_a_scan(steps in proptest::collection::vec(step(), 1..120)) {
--- a/lib/tests/test_queue.rs
+++ b/lib/tests/test_queue.rs
@@ -1,7 +1,9 @@
 //! The tiered queue against a sorted list.
 
+mod property;
+
 use dottereltally_lib::{fair::Item, id, queue::Queue, time::Instant};
-use proptest::{prelude::*, test_runner::RngSeed};
+use proptest::prelude::*;
 
 fn item(number: u64, deadline: u64, cost: u64) -> Item {
     Item {
@@ -13,17 +15,8 @@
     }
 }
 
-/// Fixes the seed, so that every run checks the same cases.
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        rng_seed: RngSeed::Fixed(1),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(property::config())]
 
     #[test]
     fn one_workspace_is_served_by_tier_then_deadline(
--- a/lib/tests/test_rendezvous.rs
+++ b/lib/tests/test_rendezvous.rs
@@ -1,9 +1,11 @@
 //! Rendezvous hashing.
 
+mod property;
+
 use std::collections::BTreeMap;
 
 use dottereltally_lib::{id::Node, rendezvous};
-use proptest::{prelude::*, test_runner::RngSeed};
+use proptest::prelude::*;
 
 fn nodes(count: usize) -> Vec<Node> {
     (0..count)
@@ -11,17 +13,8 @@
         .collect()
 }
 
-/// Fixes the seed, so that every run checks the same cases.
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        rng_seed: RngSeed::Fixed(1),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(property::config())]
 
     #[test]
     fn choice_is_the_greatest_weight_in_any_order(count in 1..30usize, key in "[a-z]{1,8}") {
