text: report missing tiers once

Cause: seen on a newcomer's walk through the README: an empty file got two faults for its missing tiers. Ruled out: nothing else. Change: the second is skipped. Conclusion: one fault for one cause.

--- a/lib/src/text/wire.rs
+++ b/lib/src/text/wire.rs
@@ -67,7 +67,12 @@
 }
 
 fn read_tiers(reader: &mut Reader, fields: &Fields<'_>) -> Vec<String> {
-    reader.required(fields, "tiers", "[highest, lowest]");
+    if reader
+        .required(fields, "tiers", "[highest, lowest]")
+        .is_none()
+    {
+        return Vec::new();
+    }
     let tiers = reader.texts(fields, "tiers", "highest, lowest");
     let line = fields.line_of("tiers");
     if tiers.is_empty() {
--- a/lib/tests/test_text.rs
+++ b/lib/tests/test_text.rs
@@ -151,6 +151,17 @@
     assert_eq!(lines, ["line 5", "line 7", "line 12"]);
 }
 
+#[test]
+fn an_empty_document_lacks_each_section_once() {
+    let paths: Vec<String> = wire::parse("")
+        .unwrap_err()
+        .0
+        .into_iter()
+        .map(|fault| fault.path)
+        .collect();
+    assert_eq!(paths, ["calls", "services", "tiers", "workspaces"]);
+}
+
 #[rstest]
 #[case("")]
 #[case("[")]
