settings: list unknown fields with every other fault

Cause: an unknown field was reported alone, as the YAML library stops at the first; faults are to be listed in one go. Ruled out: a second parser; the tree that the operators' text is read from serves here too. Change: unknown fields are found on the tree, the values are read leniently. Tests: the case of one unknown field becomes a test that wants it beside other faults, which is stricter; a section of the wrong kind is a new case.

--- a/node/src/settings/wire.rs
+++ b/node/src/settings/wire.rs
@@ -2,7 +2,11 @@
 
 use std::path::Path;
 
-use dottereltally_lib::id;
+use dottereltally_lib::{
+    fields::Reader,
+    id,
+    tree::{Item, Node},
+};
 use serde::Deserialize;
 use serde_saphyr::Spanned;
 
@@ -13,11 +17,26 @@
 
 pub use super::check::Fault;
 
+/// Fields of each section of the settings.
+const SECTIONS: [(&str, &[&str]); 5] = [
+    ("listen", &["callers", "peers", "operations"]),
+    ("platform", &["kv", "hosts", "timeout"]),
+    (
+        "limits",
+        &["head", "body", "head_timeout", "body_timeout", "inactivity"],
+    ),
+    ("shutdown", &["notice", "grace"]),
+    ("log", &["format", "level"]),
+];
+
+/// Fields that stand at the top beside the sections.
+const TOP: [&str; 2] = ["node", "data_centre"];
+
 /// Smallest head limit that the HTTP library can keep, bytes.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
 
 #[derive(Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[serde(default)]
 struct WireSettings {
     node: Scalar,
     data_centre: Scalar,
@@ -29,7 +48,7 @@
 }
 
 #[derive(Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[serde(default)]
 struct WireListen {
     callers: Scalar,
     peers: Scalar,
@@ -37,7 +56,7 @@
 }
 
 #[derive(Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[serde(default)]
 struct WirePlatform {
     kv: Option<Vec<Spanned<String>>>,
     hosts: Scalar,
@@ -45,7 +64,7 @@
 }
 
 #[derive(Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[serde(default)]
 struct WireLimits {
     head: Scalar,
     body: Scalar,
@@ -55,14 +74,14 @@
 }
 
 #[derive(Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[serde(default)]
 struct WireShutdown {
     notice: Scalar,
     grace: Scalar,
 }
 
 #[derive(Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[serde(default)]
 struct WireLog {
     format: Scalar,
     level: Scalar,
@@ -82,20 +101,23 @@
     environment: Environment<'_>,
 ) -> Result<Settings, Vec<Fault>> {
     let file = path.display().to_string();
-    let wire: WireSettings = serde_saphyr::from_str(content).map_err(|error| {
-        vec![Fault {
-            file: file.clone(),
-            line: error.location().map(|location| location.line()),
-            remedy: format!(
-                "{}; see docs/configuration.md for the fields",
-                first_line(&error)
-            ),
-        }]
-    })?;
     let mut check = Check {
         file,
         faults: Vec::new(),
     };
+    check.unknown_fields(content);
+    let wire: WireSettings = match serde_saphyr::from_str(content) {
+        Ok(wire) => wire,
+        Err(error) => {
+            let line = error.location().map(|location| location.line());
+            let remedy = format!(
+                "{}; see docs/configuration.md for the fields",
+                first_line(&error)
+            );
+            check.fault(line, remedy);
+            return Err(check.faults);
+        }
+    };
     let settings = check.settings(wire, environment);
     if check.faults.is_empty() {
         Ok(settings)
@@ -111,6 +133,35 @@
 }
 
 impl Check {
+    /// Records every field that the settings do not have; a document that is
+    /// not YAML is left to the reader of the values.
+    fn unknown_fields(&mut self, content: &str) {
+        let Ok(document) = Node::parse(content) else {
+            return;
+        };
+        let mut reader = Reader::default();
+        let mut known = TOP.to_vec();
+        known.extend(SECTIONS.iter().map(|(name, _)| *name));
+        let top = reader.fields(&document, "", &known);
+        for (name, fields) in SECTIONS {
+            // A section of another kind is told by the reader of the values.
+            if let Some(section) = reader.optional(&top, name)
+                && matches!(section.item, Item::Map(_))
+            {
+                reader.fields(section, name, fields);
+            }
+        }
+        let Err(list) = reader.finish(()) else {
+            return;
+        };
+        for fault in list.0 {
+            self.fault(
+                Some(fault.line),
+                format!("`{}`: {}", fault.path, fault.message),
+            );
+        }
+    }
+
     fn settings(&mut self, wire: WireSettings, environment: Environment<'_>) -> Settings {
         Settings {
             node: id::Node::from(self.name("node", wire.node)),
--- a/node/tests/test_settings.rs
+++ b/node/tests/test_settings.rs
@@ -127,9 +127,9 @@
 }
 
 #[rstest]
-#[case::unknown_field("node: a\nnods: b\n", Some(2))]
 #[case::no_yaml("node: a\nlisten: {\n", Some(2))]
 #[case::wrong_kind("node: {a: b}\n", Some(1))]
+#[case::wrong_section("node: a\nlisten: 3\n", Some(2))]
 fn tells_where_the_file_is_no_settings_file(#[case] content: &str, #[case] line: Option<u64>) {
     let found = faults(content);
     assert_eq!(found.len(), 1, "{found:?}");
@@ -137,6 +137,27 @@
     assert!(!found[0].1.contains('\n'), "{found:?}");
 }
 
+#[test]
+fn lists_unknown_fields_with_the_other_faults() {
+    let content = r#"node: a
+nods: b
+data_centre: d
+listen: {callers: "127.0.0.1:1", peers: "127.0.0.1:2", operations: "127.0.0.1:3"}
+platform:
+  kv: ["127.0.0.1:4"]
+  hosts: "http://127.0.0.1:5/hosts"
+  colour: red
+log: {level: loud}
+"#;
+    let found = faults(content);
+    let mut lines = Vec::new();
+    for (line, _) in &found {
+        lines.push(*line);
+    }
+    assert_eq!(lines, [Some(2), Some(8), Some(9)], "{found:#?}");
+    assert!(found[0].1.contains("`nods`"), "{found:#?}");
+}
+
 #[test]
 fn names_the_file_and_line() {
     let faults = parse("node: {a: b}\n").expect_err("a fault");
