--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -28,7 +28,7 @@
 
 /// Factor by which the estimated wait must exceed the time left before a
 /// request is refused while lower tiers wait, which speaks against overload.
-const RELUCTANCE: u32 = 2;
+const REFUSAL_FACTOR: u32 = 2;
 
 /// Part by which the time to come back is spread.
 const RETRY_JITTER: f64 = 0.25;
@@ -125,7 +125,7 @@
         let slack = waiting.due.since(now);
         let lowest = self.lowest(&profile.service).map(|(tier, _)| tier);
         let patience = if lowest > Some(profile.tier) {
-            RELUCTANCE
+            REFUSAL_FACTOR
         } else {
             1
         };
