--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -124,12 +124,12 @@
         }
         let slack = waiting.due.since(now);
         let lowest = self.lowest(&profile.service).map(|(tier, _)| tier);
-        let patience = if lowest > Some(profile.tier) {
+        let factor = if lowest > Some(profile.tier) {
             REFUSAL_FACTOR
         } else {
             1
         };
-        if let Some(wait) = wait.filter(|wait| *wait > slack * patience) {
+        if let Some(wait) = wait.filter(|wait| *wait > slack * factor) {
             self.shed_below(now, &profile.service, profile.tier);
             return self.refuse(request, Reason::Deadline, wait);
         }
