fleet, report, text, address: say once whether an endpoint leaves

Cause: the read of the whole change found the test for a leaving endpoint twice (placement and status page) and two functions that nothing calls any more: Text::keys and Book::names, the latter since the status page asks the core. Change: Member::is_leaving serves both; the unused functions are gone.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -96,15 +96,19 @@
     /// pending probe.
     #[must_use]
     pub fn is_usable(&self, model: Option<&id::Model>) -> bool {
-        let leaving = Some(Standing::Leaving);
-        let standing = self.load.as_ref().map(|load| load.standing);
         self.listed
-            && self.record.standing == Standing::Live
-            && standing != leaving
+            && !self.is_leaving()
             && !matches!(self.health, Health::Dead(_))
             && self.has_loaded(model)
     }
 
+    /// Returns whether it leaves, by the host list or by its own word.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        let said = self.load.as_ref().map(|load| load.standing);
+        self.record.standing == Standing::Leaving || said == Some(Standing::Leaving)
+    }
+
     /// Returns whether new work may go there now.
     #[must_use]
     pub fn is_open(&self, now: time::Instant) -> bool {
--- a/lib/src/report.rs
+++ b/lib/src/report.rs
@@ -4,7 +4,6 @@
 use serde::{Serialize, Serializer};
 
 use crate::{
-    endpoint::Standing,
     fleet::{Health, Member},
     id,
     scheduler::Scheduler,
@@ -126,8 +125,7 @@
 }
 
 fn state(member: &Member, now: time::Instant) -> State {
-    let said = member.load.as_ref().map(|load| load.standing);
-    if member.record.standing == Standing::Leaving || said == Some(Standing::Leaving) {
+    if member.is_leaving() {
         return State::Leaving;
     }
     match member.health {
--- a/lib/src/text.rs
+++ b/lib/src/text.rs
@@ -123,18 +123,6 @@
         }
         best
     }
-
-    /// Returns every workspace by the digests of its keys.
-    #[must_use]
-    pub fn keys(&self) -> BTreeMap<&str, &id::Workspace> {
-        let mut keys = BTreeMap::new();
-        for (name, workspace) in &self.workspaces {
-            for key in &workspace.keys {
-                keys.insert(key.as_str(), name);
-            }
-        }
-        keys
-    }
 }
 
 impl Call {
--- a/node/src/address.rs
+++ b/node/src/address.rs
@@ -75,18 +75,6 @@
         addresses.get(endpoint).cloned()
     }
 
-    /// Returns the names of all endpoints, in order.
-    #[must_use]
-    pub fn names(&self) -> Vec<id::Endpoint> {
-        let addresses = self
-            .addresses
-            .read()
-            .unwrap_or_else(PoisonError::into_inner);
-        let mut names: Vec<_> = addresses.keys().cloned().collect();
-        names.sort();
-        names
-    }
-
     /// Returns the book as a function.
     #[must_use]
     pub fn resolve(&self) -> Resolve {
