store: the clients of key-value service and host list move from platform

The folder platform/ becomes the adapter of the users' platform and holds translation only. The clients of the product's own interface move whole, with their tests; no line of them changes but the crate's name.

--- a/cli/src/command/apply.rs
+++ b/cli/src/command/apply.rs
@@ -7,7 +7,7 @@
 
 use argh::FromArgs;
 use dottereltally_lib::{id, text::Text};
-use dottereltally_platform::proposal::{Accepted, Proposal};
+use dottereltally_store::proposal::{Accepted, Proposal};
 use serde_json::json;
 use tokio::time;
 use uuid::Uuid;
--- a/cli/src/command/diff.rs
+++ b/cli/src/command/diff.rs
@@ -2,7 +2,7 @@
 
 use argh::FromArgs;
 use dottereltally_lib::{difference, text::Text};
-use dottereltally_platform::proposal;
+use dottereltally_store::proposal;
 use serde_json::json;
 
 use crate::{command::Code, connection::Connection, output::Printer, page};
--- a/cli/src/command/explain.rs
+++ b/cli/src/command/explain.rs
@@ -5,7 +5,7 @@
     id,
     text::{Text, graph},
 };
-use dottereltally_platform::proposal;
+use dottereltally_store::proposal;
 use eyre::eyre;
 use serde_json::json;
 
--- a/cli/src/command/history.rs
+++ b/cli/src/command/history.rs
@@ -2,7 +2,7 @@
 
 use argh::FromArgs;
 use dottereltally_lib::id;
-use dottereltally_platform::{layout::Audit, proposal};
+use dottereltally_store::{layout::Audit, proposal};
 
 use crate::{command::Code, connection::Connection, output::Printer};
 
--- a/cli/src/command/show.rs
+++ b/cli/src/command/show.rs
@@ -1,7 +1,7 @@
 //! `show`: prints the text in force, ready to be edited and applied.
 
 use argh::FromArgs;
-use dottereltally_platform::proposal;
+use dottereltally_store::proposal;
 
 use crate::{command::Code, connection::Connection, output::Printer, page};
 
--- a/cli/src/connection.rs
+++ b/cli/src/connection.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use dottereltally_lib::id;
-use dottereltally_platform::{
+use dottereltally_store::{
     etcd,
     host::{self, List},
     hosts,
--- a/cli/src/hint.rs
+++ b/cli/src/hint.rs
@@ -1,7 +1,7 @@
 //! Errors with hints, and the exit code of each.
 
 use dottereltally_lib::{fault, id};
-use dottereltally_platform::{host, kv, layout::Audit, proposal};
+use dottereltally_store::{host, kv, layout::Audit, proposal};
 
 use crate::command::Code;
 
--- a/node/examples/claim_runs/simulation/network.rs
+++ b/node/examples/claim_runs/simulation/network.rs
@@ -11,7 +11,7 @@
     replay::Attempts,
 };
 use dottereltally_lib::{event, id};
-use dottereltally_platform::layout;
+use dottereltally_store::layout;
 use rand::{Rng, rngs::SmallRng};
 use tokio::time;
 
--- a/node/examples/claim_runs/simulation/world.rs
+++ b/node/examples/claim_runs/simulation/world.rs
@@ -10,7 +10,7 @@
     replay::Attempts,
 };
 use dottereltally_lib::id;
-use dottereltally_platform::memory::{Call, Fault, Store};
+use dottereltally_store::memory::{Call, Fault, Store};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use super::{ledger::Ledger, network::Network};
--- a/node/src/claim.rs
+++ b/node/src/claim.rs
@@ -21,7 +21,7 @@
 use std::time::Duration;
 
 use dottereltally_lib::id;
-use dottereltally_platform::kv;
+use dottereltally_store::kv;
 
 use crate::peer::Response;
 
--- a/node/src/claim/breaker.rs
+++ b/node/src/claim/breaker.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use dottereltally_platform::{kv, layout};
+use dottereltally_store::{kv, layout};
 use prometheus_client::{metrics::counter::Counter, registry::Registry};
 use tokio::{sync::Notify, time};
 
--- a/node/src/claim/identity.rs
+++ b/node/src/claim/identity.rs
@@ -1,7 +1,7 @@
 //! Key, token and value of one attempt's claim.
 
 use dottereltally_lib::id;
-use dottereltally_platform::{kv, layout};
+use dottereltally_store::{kv, layout};
 use sha2::{Digest, Sha256};
 use uuid::Uuid;
 
--- a/node/src/claim/keeper.rs
+++ b/node/src/claim/keeper.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use dottereltally_lib::id;
-use dottereltally_platform::{
+use dottereltally_store::{
     kv::{self, Error as KvError},
     layout,
 };
--- a/node/src/claim/lease.rs
+++ b/node/src/claim/lease.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use dottereltally_platform::kv;
+use dottereltally_store::kv;
 use tokio::{sync::Notify, time};
 
 use crate::claim::breaker::Breaker;
--- a/node/src/claim/sweeper.rs
+++ b/node/src/claim/sweeper.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use dottereltally_platform::kv;
+use dottereltally_store::kv;
 use tokio::{
     sync::{mpsc, oneshot, watch},
     task::JoinSet,
--- a/node/src/configuration.rs
+++ b/node/src/configuration.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 
 use dottereltally_lib::{id, text};
-use dottereltally_platform::layout;
+use dottereltally_store::layout;
 use tokio::sync::watch;
 
 pub use controller::{Arguments, Controller, Message};
--- a/node/src/configuration/controller.rs
+++ b/node/src/configuration/controller.rs
@@ -3,7 +3,7 @@
 use std::{marker::PhantomData, sync::Arc};
 
 use dottereltally_lib::{id, text::Text};
-use dottereltally_platform::{kv, layout};
+use dottereltally_store::{kv, layout};
 use ractor::{Actor, ActorProcessingErr, ActorRef, SpawnErr};
 use tokio::task::{self, JoinHandle, JoinSet};
 
--- a/node/src/configuration/source.rs
+++ b/node/src/configuration/source.rs
@@ -9,7 +9,7 @@
 };
 
 use dottereltally_lib::id;
-use dottereltally_platform::{
+use dottereltally_store::{
     kv::{self, Change, Compare, Entry, Operation, Revision, Transaction},
     layout,
 };
--- a/node/src/exclusive.rs
+++ b/node/src/exclusive.rs
@@ -7,7 +7,7 @@
     id,
     request::{Received, Request},
 };
-use dottereltally_platform::kv::Store;
+use dottereltally_store::kv::Store;
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header::CONTENT_TYPE};
 use tokio::time::Instant;
 
--- a/node/src/hosts.rs
+++ b/node/src/hosts.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use dottereltally_platform::host::{List, Snapshot};
+use dottereltally_store::host::{List, Snapshot};
 use prometheus_client::{metrics::counter::Counter, registry::Registry};
 use rand::Rng;
 use tokio::{
--- a/node/src/membership.rs
+++ b/node/src/membership.rs
@@ -16,7 +16,7 @@
         beat::{Beat, Member, State as Standing},
     },
 };
-use dottereltally_platform::host::Snapshot;
+use dottereltally_store::host::Snapshot;
 use prometheus_client::{
     metrics::{counter::Counter, gauge::Gauge},
     registry::Registry,
--- a/node/src/observer.rs
+++ b/node/src/observer.rs
@@ -10,7 +10,7 @@
     event::Event,
     id,
 };
-use dottereltally_platform::host::Snapshot;
+use dottereltally_store::host::Snapshot;
 use prometheus_client::{metrics::counter::Counter, registry::Registry};
 use rand::Rng;
 use tokio::{
--- a/node/src/peer.rs
+++ b/node/src/peer.rs
@@ -11,7 +11,7 @@
 use std::future::Future;
 
 use dottereltally_lib::{event, id};
-use dottereltally_platform::layout;
+use dottereltally_store::layout;
 
 pub use self::{
     handle::{Handle, start},
--- a/node/src/peer/connection.rs
+++ b/node/src/peer/connection.rs
@@ -4,8 +4,8 @@
 
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side};
 use dottereltally_lib::{event, id, membership::beat::Beat};
-use dottereltally_platform::layout;
 use dottereltally_proto::peer_capnp::peer;
+use dottereltally_store::layout;
 use tokio::{
     net::TcpStream,
     task::{JoinHandle, spawn_local},
--- a/node/src/peer/handle.rs
+++ b/node/src/peer/handle.rs
@@ -12,7 +12,7 @@
 };
 
 use dottereltally_lib::{event, id, membership::beat::Beat};
-use dottereltally_platform::layout;
+use dottereltally_store::layout;
 use tokio::{
     net::TcpListener,
     runtime,
--- a/node/src/peer/wire.rs
+++ b/node/src/peer/wire.rs
@@ -8,8 +8,8 @@
     membership::beat::{Beat, Member, State},
     size,
 };
-use dottereltally_platform::layout;
 use dottereltally_proto::peer_capnp;
+use dottereltally_store::layout;
 
 use crate::peer::{Answer, Response};
 
--- a/node/src/service.rs
+++ b/node/src/service.rs
@@ -6,7 +6,7 @@
     event::{self, Event},
     id,
 };
-use dottereltally_platform::layout;
+use dottereltally_store::layout;
 
 use crate::{
     configuration,
--- a/node/tests/chain/mod.rs
+++ b/node/tests/chain/mod.rs
@@ -33,7 +33,7 @@
     request::{Admitted, Claimed, Request},
     text::Text,
 };
-use dottereltally_platform::{layout, memory::Store};
+use dottereltally_store::{layout, memory::Store};
 use http::{Response, StatusCode, header::CONTENT_TYPE};
 use http_body::Frame;
 use http_body_util::{BodyExt, Full};
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -18,7 +18,7 @@
     membership::Settings,
     request::{Admitted, Claimed, Request},
 };
-use dottereltally_platform::{host, layout};
+use dottereltally_store::{host, layout};
 use tokio::sync::{mpsc, watch};
 
 /// Events of one node, newest last.
--- a/node/tests/test_claim.rs
+++ b/node/tests/test_claim.rs
@@ -11,7 +11,7 @@
     replay::{self, Attempts},
 };
 use dottereltally_lib::{event, id};
-use dottereltally_platform::{
+use dottereltally_store::{
     kv::{Entry, Lease, Store as _},
     layout,
     memory::{Call, Fault, Store},
--- a/node/tests/test_configuration.rs
+++ b/node/tests/test_configuration.rs
@@ -11,7 +11,7 @@
     peer::{self, Answer, Peers},
 };
 use dottereltally_lib::{event, id};
-use dottereltally_platform::{
+use dottereltally_store::{
     layout,
     memory::{Call, Fault, Store},
 };
--- a/node/tests/test_filter.rs
+++ b/node/tests/test_filter.rs
@@ -14,7 +14,7 @@
     id, refusal,
     size::Tokens,
 };
-use dottereltally_platform::{
+use dottereltally_store::{
     layout,
     memory::{Call, Fault},
 };
--- a/node/tests/test_observer.rs
+++ b/node/tests/test_observer.rs
@@ -17,7 +17,7 @@
     event::Event,
     id,
 };
-use dottereltally_platform::host::Snapshot;
+use dottereltally_store::host::Snapshot;
 use rstest::rstest;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
--- a/node/tests/test_path_random.rs
+++ b/node/tests/test_path_random.rs
@@ -33,7 +33,7 @@
     size::Tokens,
     text::Kind,
 };
-use dottereltally_platform::memory::{Fault, Store};
+use dottereltally_store::memory::{Fault, Store};
 use http_body_util::Full;
 use prometheus_client::{encoding::text::encode, registry::Registry};
 use ractor::Actor;
--- a/node/tests/test_platform.rs
+++ b/node/tests/test_platform.rs
@@ -12,7 +12,7 @@
     replay::Attempts,
 };
 use dottereltally_lib::id;
-use dottereltally_platform::{
+use dottereltally_store::{
     etcd::Store,
     kv::{Compare, Operation, Store as _, Transaction},
     layout,
--- a/platform/tests/test_etcd.rs
+++ b/store/tests/test_etcd.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dottereltally_platform::{
+use dottereltally_store::{
     etcd::Store,
     kv::{Change, Compare, Error, Lease, Operation, Revision, Store as _, Transaction, Watch as _},
 };
--- a/platform/tests/test_hosts.rs
+++ b/store/tests/test_hosts.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use dottereltally_lib::{endpoint::Standing, id};
-use dottereltally_platform::{
+use dottereltally_store::{
     host::{Error, List as _},
     hosts::{List, parse},
 };
--- a/platform/tests/test_memory.rs
+++ b/store/tests/test_memory.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dottereltally_platform::{
+use dottereltally_store::{
     kv::{
         Change, Compare, Error, Lease, Operation, Outcome, Revision, Store as _, Transaction,
         Watch as _,
--- a/platform/tests/test_proposal.rs
+++ b/store/tests/test_proposal.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use dottereltally_lib::id::Generation;
-use dottereltally_platform::{
+use dottereltally_store::{
     kv, layout,
     memory::{Call, Fault, Store},
     proposal::{self, Accepted, Error, Proposal},
