--- /dev/null
+++ b/gateway/src/controller/registration.rs
@@ -0,0 +1,82 @@
+//! Keeps this node registered, so that others find it.
+
+use std::time::Duration;
+
+use dottereltally_store::kv::{Error, Lease};
+use rand::Rng;
+use tokio::{sync::watch, time::sleep};
+
+use crate::{
+    directory::{Node, Source},
+    metrics::Metrics,
+};
+
+/// Time for which a registration holds without being renewed.
+const TTL: Duration = Duration::from_secs(12);
+
+/// Time between two renewals; three may fail.
+const PERIOD: Duration = Duration::from_secs(3);
+
+/// Registration of one node.
+pub struct Registration<S> {
+    source: S,
+    node: Node,
+    lease: watch::Sender<Option<Lease>>,
+    metrics: Metrics,
+}
+
+impl<S: Source> Registration<S> {
+    /// Builds a registration; nothing is sent yet.
+    #[must_use]
+    pub fn new(source: S, node: Node, metrics: Metrics) -> Self {
+        Self {
+            source,
+            node,
+            lease: watch::Sender::new(None),
+            metrics,
+        }
+    }
+
+    /// Keeps the node registered for ever.
+    pub async fn run(&self) {
+        loop {
+            self.metrics.store_calls.inc();
+            let held = *self.lease.borrow();
+            let result = match held {
+                None => self.source.register(&self.node, TTL).await.map(Some),
+                Some(lease) => self.source.renew(lease).await.map(|()| Some(lease)),
+            };
+            match result {
+                Ok(lease) => {
+                    if held.is_none() {
+                        tracing::info!(node = %self.node.name, "node registered");
+                    }
+                    self.lease.send_replace(lease);
+                }
+                Err(Error::UnknownLease(lease)) => {
+                    tracing::info!(%lease, "registration lapsed");
+                    self.lease.send_replace(None);
+                    continue;
+                }
+                Err(error) => {
+                    self.metrics.store_failures.inc();
+                    tracing::info!(%error, "registration could not be renewed");
+                }
+            }
+            let spread = rand::rng().random_range(0.8..1.2);
+            sleep(PERIOD.mul_f64(spread)).await;
+        }
+    }
+
+    /// Ends the registration.
+    pub async fn leave(&self) {
+        let held = *self.lease.borrow();
+        let Some(lease) = held else {
+            return;
+        };
+        self.metrics.store_calls.inc();
+        if let Err(error) = self.source.leave(lease).await {
+            tracing::info!(%error, "registration ends by itself: it could not be ended");
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/metrics.rs
@@ -0,0 +1,202 @@
+//! Counters and latencies of the request path.
+
+use std::time::Duration;
+
+use dottereltally::problem::Reason;
+use dottereltally_lib::id;
+use http::StatusCode;
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::{Registry, Unit},
+};
+
+/// Upper bounds of the latency buckets, seconds.
+const BUCKETS_SECONDS: [f64; 13] = [
+    0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 30.0,
+];
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AnswerLabels {
+    tier: u8,
+    status: u16,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RefusalLabels {
+    reason: String,
+    status: u16,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TierLabels {
+    tier: u8,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct FailureLabels {
+    failure: &'static str,
+}
+
+/// The counters; clones share them.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    answers: Family<AnswerLabels, Counter>,
+    refusals: Family<RefusalLabels, Counter>,
+    failures: Family<FailureLabels, Counter>,
+    first_event: Family<TierLabels, Histogram, fn() -> Histogram>,
+    whole: Family<TierLabels, Histogram, fn() -> Histogram>,
+    /// Streams that went on at another endpoint.
+    pub resumed: Counter,
+    /// Streams that broke off.
+    pub cut: Counter,
+    /// Repeats that the budget did not allow.
+    pub budget_exhausted: Counter,
+    /// Calls of the key-value service.
+    pub store_calls: Counter,
+    /// Calls of it that failed.
+    pub store_failures: Counter,
+    /// Generation of the plan in force.
+    pub generation: Gauge,
+    /// Endpoints that may get requests.
+    pub endpoints: Gauge,
+    /// Other nodes that are heard.
+    pub peers: Gauge,
+    /// Requests that wait for an endpoint.
+    pub waiting: Gauge,
+    /// Requests at endpoints.
+    pub running: Gauge,
+    /// Log lines that were dropped.
+    pub dropped_lines: Gauge,
+}
+
+fn latency() -> Histogram {
+    Histogram::new(BUCKETS_SECONDS)
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self {
+            answers: Family::default(),
+            refusals: Family::default(),
+            failures: Family::default(),
+            first_event: Family::new_with_constructor(latency),
+            whole: Family::new_with_constructor(latency),
+            resumed: Counter::default(),
+            cut: Counter::default(),
+            budget_exhausted: Counter::default(),
+            store_calls: Counter::default(),
+            store_failures: Counter::default(),
+            generation: Gauge::default(),
+            endpoints: Gauge::default(),
+            peers: Gauge::default(),
+            waiting: Gauge::default(),
+            running: Gauge::default(),
+            dropped_lines: Gauge::default(),
+        }
+    }
+}
+
+impl Metrics {
+    /// Registers the counters.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "answers",
+            "Answers of endpoints that were passed on",
+            self.answers.clone(),
+        );
+        registry.register(
+            "refusals",
+            "Answers of the gateway's own",
+            self.refusals.clone(),
+        );
+        registry.register(
+            "failed_attempts",
+            "Sends without a usable answer",
+            self.failures.clone(),
+        );
+        registry.register_with_unit(
+            "first_event",
+            "Time from a request to the first event of its answer",
+            Unit::Seconds,
+            self.first_event.clone(),
+        );
+        registry.register_with_unit(
+            "answer",
+            "Time from a request to the end of its answer",
+            Unit::Seconds,
+            self.whole.clone(),
+        );
+        for (name, help, counter) in [
+            ("resumed", "Streams that went on elsewhere", &self.resumed),
+            ("cut", "Streams that broke off", &self.cut),
+            (
+                "budget_exhausted",
+                "Repeats without budget",
+                &self.budget_exhausted,
+            ),
+            (
+                "store_calls",
+                "Calls of the key-value service",
+                &self.store_calls,
+            ),
+            (
+                "store_failures",
+                "Calls of the key-value service that failed",
+                &self.store_failures,
+            ),
+        ] {
+            registry.register(name, help, counter.clone());
+        }
+        for (name, help, gauge) in [
+            ("generation", "Plan in force", &self.generation),
+            ("endpoints", "Listed endpoints", &self.endpoints),
+            ("peers", "Other nodes that are heard", &self.peers),
+            ("waiting", "Requests that wait", &self.waiting),
+            ("running", "Requests at endpoints", &self.running),
+            (
+                "dropped_lines",
+                "Log lines that were dropped",
+                &self.dropped_lines,
+            ),
+        ] {
+            registry.register(name, help, gauge.clone());
+        }
+    }
+
+    /// Records an answer that was passed on whole.
+    pub fn answered(&self, tier: id::Tier, status: StatusCode, took: Duration) {
+        let labels = AnswerLabels {
+            tier: tier.0,
+            status: status.as_u16(),
+        };
+        self.answers.get_or_create(&labels).inc();
+        let labels = TierLabels { tier: tier.0 };
+        self.whole
+            .get_or_create(&labels)
+            .observe(took.as_secs_f64());
+    }
+
+    /// Records the first event of a stream.
+    pub fn first_event(&self, tier: id::Tier, took: Duration) {
+        let labels = TierLabels { tier: tier.0 };
+        self.first_event
+            .get_or_create(&labels)
+            .observe(took.as_secs_f64());
+    }
+
+    /// Records an answer of the gateway's own.
+    pub fn refused(&self, reason: Reason, status: StatusCode) {
+        let labels = RefusalLabels {
+            reason: reason.to_string(),
+            status: status.as_u16(),
+        };
+        self.refusals.get_or_create(&labels).inc();
+    }
+
+    /// Records a send without a usable answer.
+    pub fn attempt_failed(&self, failure: &'static str) {
+        let labels = FailureLabels { failure };
+        self.failures.get_or_create(&labels).inc();
+    }
+}
--- a/lib/examples/experiment/driver.rs
+++ b/lib/examples/experiment/driver.rs
@@ -190,6 +190,7 @@
             service: engine.service.into(),
             data_centre: format!("dc{}", engine.data_centre).into(),
             standing: Standing::Live,
+            places: None,
         };
         self.engines.iter().enumerate().map(record).collect()
     }
--- a/lib/src/endpoint.rs
+++ b/lib/src/endpoint.rs
@@ -33,6 +33,8 @@
     pub data_centre: id::DataCentre,
     /// Whether it may get new work.
     pub standing: Standing,
+    /// Requests that it runs at once, if it is known.
+    pub places: Option<u32>,
 }
 
 /// What an endpoint last said of its own load.
--- /dev/null
+++ b/lib/src/gate.rs
@@ -0,0 +1,546 @@
+//! The gate before the endpoints: which request goes where, and when.
+//!
+//! Engines admit in order of arrival and know no priorities, so requests wait
+//! here and an endpoint gets no more than it runs at once. A request that can
+//! still be on time goes before one that is late; among equals the tier
+//! decides, then the time that is left.
+
+mod learn;
+mod line;
+mod member;
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use self::{
+    line::{Lane, Line},
+    member::Member,
+};
+use crate::{endpoint, id, refusal, refusal::Refusal, time};
+
+/// Requests that may wait for one service at one node.
+const MAX_WAITING: usize = 2000;
+
+/// Waiting requests that are looked at for one free place.
+const LOOK_AHEAD: usize = 16;
+
+/// Time that an answer takes on the way between data centres and in the node,
+/// taken off the time that an endpoint has.
+const MARGIN: Duration = Duration::from_millis(15);
+
+/// Time by which an endpoint of another data centre must be faster.
+const DISTANCE: f64 = 0.012;
+
+/// Random time added to each estimate, so that nodes that know the same do not
+/// all choose the same endpoint, seconds.
+const JITTER: f64 = 0.006;
+
+/// Weight of an endpoint's whole time on a request against the time to its
+/// first byte.
+const DURATION_WEIGHT: f64 = 0.1;
+
+/// Time that a likely failure counts for, seconds.
+const FAILURE_COST: f64 = 1.5;
+
+/// Shortest and longest time to come back after a refusal.
+const RETRY: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(4));
+
+/// What a gate needs to know of its own node.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    /// The node's data centre.
+    pub data_centre: id::DataCentre,
+    /// Seed of every random choice.
+    pub seed: u64,
+}
+
+/// A request as the gate sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// The service that must serve it.
+    pub service: id::Service,
+    /// Its tier.
+    pub tier: id::Tier,
+    /// Tokens of its prompt; none for a plain service.
+    pub prompt: u64,
+    /// Tokens of its answer, at the most.
+    pub output: u64,
+    /// When its first byte is on time.
+    pub due: time::Instant,
+    /// When its caller leaves without a first byte.
+    pub first_by: time::Instant,
+    /// When its answer is of no more use.
+    pub deadline: time::Instant,
+    /// Endpoints that it was already sent to.
+    pub avoid: Vec<id::Endpoint>,
+}
+
+/// How a request at an endpoint ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The whole answer came, with this many events after the first.
+    Answered(u64),
+    /// The caller left or the time was over.
+    Cancelled,
+    /// The endpoint answered with an error of its own.
+    Failed,
+    /// The endpoint said that it did not run it.
+    Rejected,
+    /// The endpoint could not be reached.
+    Unreachable,
+    /// The connection broke or nothing came in time.
+    Broken,
+}
+
+/// What has to be done about a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Send it to this endpoint.
+    Send(id::Request, Choice),
+    /// Refuse it.
+    Refuse(id::Request, Refusal),
+}
+
+/// An endpoint that was chosen, with what the choice was based on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The endpoint.
+    pub endpoint: id::Endpoint,
+    /// Its address, `ip:port`.
+    pub address: String,
+    /// Its data centre.
+    pub data_centre: id::DataCentre,
+    /// Requests of this node there, this one included.
+    pub own: u32,
+    /// Requests of other nodes there, as they last said.
+    pub others: u32,
+    /// Places of the endpoint.
+    pub places: u32,
+    /// Expected time to the first byte.
+    pub first: Duration,
+    /// Requests that wait at this node for the same service.
+    pub waiting: usize,
+}
+
+/// Requests that one node has at one endpoint, as it tells the others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Held {
+    /// Requests in flight.
+    pub requests: u32,
+    /// Prompt tokens without a first byte yet.
+    pub pending: u64,
+}
+
+/// A request that was sent.
+#[derive(Clone, Debug)]
+struct Flight {
+    ask: Ask,
+    endpoint: id::Endpoint,
+    sent: time::Instant,
+    first: Option<time::Instant>,
+}
+
+/// The gate of one node.
+#[derive(Debug)]
+pub struct Gate {
+    settings: Settings,
+    members: BTreeMap<id::Endpoint, Member>,
+    services: BTreeMap<id::Service, Line>,
+    flights: HashMap<id::Request, Flight>,
+    peers: HashMap<id::Node, HashMap<id::Endpoint, Held>>,
+    nodes: usize,
+    rng: SmallRng,
+    effects: Vec<Effect>,
+}
+
+impl Gate {
+    /// Builds a gate that knows no endpoint.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            rng: SmallRng::seed_from_u64(settings.seed),
+            settings,
+            members: BTreeMap::new(),
+            services: BTreeMap::new(),
+            flights: HashMap::new(),
+            peers: HashMap::new(),
+            nodes: 1,
+            effects: Vec::new(),
+        }
+    }
+
+    /// Takes over the endpoints; those left out get nothing more.
+    pub fn list(&mut self, now: time::Instant, records: Vec<endpoint::Record>) -> Vec<Effect> {
+        for member in self.members.values_mut() {
+            member.listed = false;
+        }
+        for record in records {
+            match self.members.get_mut(&record.id) {
+                Some(member) => member.update(record),
+                None => {
+                    let member = Member::new(record);
+                    self.members.insert(member.record.id.clone(), member);
+                }
+            }
+        }
+        self.members
+            .retain(|_, member| member.listed || member.own > 0);
+        self.index();
+        self.pump_all(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Takes over which other nodes there are.
+    pub fn join(&mut self, nodes: &[id::Node]) {
+        self.nodes = nodes.len() + 1;
+        self.peers.retain(|node, _| nodes.contains(node));
+        self.count_others();
+    }
+
+    /// Takes over what another node holds.
+    pub fn hear(
+        &mut self,
+        now: time::Instant,
+        node: &id::Node,
+        held: HashMap<id::Endpoint, Held>,
+    ) -> Vec<Effect> {
+        self.peers.insert(node.clone(), held);
+        self.count_others();
+        self.pump_all(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Forgets what a node held that is not heard any more.
+    pub fn miss(&mut self, node: &id::Node) {
+        if self.peers.remove(node).is_some() {
+            self.count_others();
+        }
+    }
+
+    /// Returns what this node holds.
+    #[must_use]
+    pub fn held(&self) -> Vec<(id::Endpoint, Held)> {
+        let busy = self.members.values().filter(|member| member.own > 0);
+        busy.map(|member| (member.record.id.clone(), member.held()))
+            .collect()
+    }
+
+    /// Takes a request in.
+    pub fn arrive(&mut self, now: time::Instant, request: id::Request, ask: Ask) -> Vec<Effect> {
+        let Some(line) = self.services.get_mut(&ask.service) else {
+            self.refuse(request, refusal::Reason::NoEndpoint, RETRY.0 * 2);
+            return std::mem::take(&mut self.effects);
+        };
+        let service = ask.service.clone();
+        let places: u32 = line
+            .endpoints
+            .iter()
+            .filter_map(|name| self.members.get(name))
+            .map(Member::places)
+            .sum();
+        let part = f64::from(places) / f64::from(u32::try_from(self.nodes).unwrap_or(u32::MAX));
+        let wait = line.wait(&ask, part);
+        if line.len() >= MAX_WAITING || line.is_hopeless(now + wait, &ask) {
+            let reason = if line.len() >= MAX_WAITING {
+                refusal::Reason::Overload
+            } else {
+                refusal::Reason::Deadline
+            };
+            self.refuse(request, reason, wait);
+            return std::mem::take(&mut self.effects);
+        }
+        line.push(now, request, ask);
+        self.pump(now, &service);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Forgets a request that waits or was just sent.
+    pub fn withdraw(&mut self, now: time::Instant, request: id::Request) -> Vec<Effect> {
+        if self.flights.contains_key(&request) {
+            return self.end(now, request, Outcome::Cancelled);
+        }
+        for line in self.services.values_mut() {
+            if line.remove(request).is_some() {
+                break;
+            }
+        }
+        Vec::new()
+    }
+
+    /// Records the first byte of an answer.
+    pub fn start(&mut self, now: time::Instant, request: id::Request) {
+        let Some(flight) = self.flights.get_mut(&request) else {
+            return;
+        };
+        if flight.first.is_some() {
+            return;
+        }
+        flight.first = Some(now);
+        let Some(member) = self.members.get_mut(&flight.endpoint) else {
+            return;
+        };
+        let pending = member.pending;
+        member.pending = member.pending.saturating_sub(flight.ask.prompt);
+        let took = now.since(flight.sent);
+        if let Some(line) = self.services.get_mut(&flight.ask.service) {
+            line.model
+                .first(flight.ask.prompt, pending, took, member.speed());
+        }
+    }
+
+    /// Records what an endpoint said of its own load.
+    pub fn report(&mut self, now: time::Instant, name: &id::Endpoint, running: u32, waiting: u32) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.reported = Some((now, running + waiting));
+        }
+    }
+
+    /// Ends a request at its endpoint.
+    pub fn end(
+        &mut self,
+        now: time::Instant,
+        request: id::Request,
+        outcome: Outcome,
+    ) -> Vec<Effect> {
+        let Some(flight) = self.flights.remove(&request) else {
+            return Vec::new();
+        };
+        let service = flight.ask.service.clone();
+        if let Some(member) = self.members.get_mut(&flight.endpoint) {
+            member.own = member.own.saturating_sub(1);
+            if flight.first.is_none() {
+                member.pending = member.pending.saturating_sub(flight.ask.prompt);
+            }
+            member.learn(now, outcome);
+            if let (Outcome::Answered(events), Some(first)) = (outcome, flight.first)
+                && let Some(line) = self.services.get_mut(&service)
+            {
+                let took = now.since(first);
+                if let Some(pace) = line.model.ended(&flight.ask, events, took) {
+                    member.pace.record(pace);
+                }
+                member.typical = line.model.pace.get();
+            }
+            if !member.listed && member.own == 0 {
+                self.members.remove(&flight.endpoint);
+            }
+        }
+        self.pump(now, &service);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Refuses what can't be served in time any more and sends what can.
+    pub fn tick(&mut self, now: time::Instant) -> Vec<Effect> {
+        let mut hopeless = Vec::new();
+        for line in self.services.values_mut() {
+            hopeless.extend(line.hopeless(now));
+        }
+        for request in hopeless {
+            self.refuse(request, refusal::Reason::Deadline, RETRY.0);
+        }
+        self.pump_all(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Returns the number of requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.services.values().map(Line::len).sum()
+    }
+
+    /// Returns the number of requests at endpoints.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// Returns the number of listed endpoints.
+    #[must_use]
+    pub fn endpoints(&self) -> usize {
+        self.members.values().filter(|member| member.listed).count()
+    }
+
+    fn pump_all(&mut self, now: time::Instant) {
+        let busy = self.services.iter().filter(|(_, line)| line.len() > 0);
+        let busy: Vec<id::Service> = busy.map(|(service, _)| service.clone()).collect();
+        for service in busy {
+            self.pump(now, &service);
+        }
+    }
+
+    /// Sends waiting requests of a service as long as there is room.
+    fn pump(&mut self, now: time::Instant, service: &id::Service) {
+        loop {
+            let Some(line) = self.services.get_mut(service) else {
+                return;
+            };
+            line.demote(now);
+            let mut sent = false;
+            for (lane, request) in line.first(LOOK_AHEAD) {
+                let Some(line) = self.services.get(service) else {
+                    return;
+                };
+                let Some(ask) = line.get(request) else {
+                    continue;
+                };
+                let choice = self.choose(now, line, ask, lane);
+                match choice {
+                    Pick::At(name, first) => {
+                        self.send(now, service, request, &name, first);
+                        sent = true;
+                        break;
+                    }
+                    Pick::Wait => {}
+                    Pick::Full => return,
+                }
+            }
+            if !sent {
+                return;
+            }
+        }
+    }
+
+    /// Chooses an endpoint for a request.
+    fn choose(&self, now: time::Instant, line: &Line, ask: &Ask, lane: Lane) -> Pick {
+        let left = (ask.due - MARGIN).since(now).as_secs_f64();
+        let mut best: Option<(f64, f64, &id::Endpoint)> = None;
+        let mut room = false;
+        let mut rng = self.rng.clone();
+        for name in &line.endpoints {
+            let Some(member) = self.members.get(name) else {
+                continue;
+            };
+            if !member.has_room(now) {
+                continue;
+            }
+            room = true;
+            if ask.avoid.contains(name) {
+                continue;
+            }
+            let speed = member.speed();
+            let first = line.model.first_byte(ask.prompt, member.pending(), speed);
+            let distance = if member.record.data_centre == self.settings.data_centre {
+                0.0
+            } else {
+                DISTANCE
+            };
+            let late = lane == Lane::OnTime && first > left;
+            if late {
+                continue;
+            }
+            let whole = line.model.rest(ask) / speed;
+            let cost = first
+                + distance
+                + DURATION_WEIGHT * whole
+                + FAILURE_COST * member.failure(now)
+                + rng.random_range(0.0..JITTER);
+            if best.is_none_or(|(least, ..)| cost < least) {
+                best = Some((cost, first, name));
+            }
+        }
+        match best {
+            Some((_, first, name)) => Pick::At(name.clone(), first),
+            None if room => Pick::Wait,
+            None => Pick::Full,
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: time::Instant,
+        service: &id::Service,
+        request: id::Request,
+        name: &id::Endpoint,
+        first: f64,
+    ) {
+        self.rng.random::<u64>();
+        let Some(line) = self.services.get_mut(service) else {
+            return;
+        };
+        let Some(ask) = line.remove(request) else {
+            return;
+        };
+        let waiting = line.len();
+        let Some(member) = self.members.get_mut(name) else {
+            return;
+        };
+        member.own += 1;
+        member.pending += ask.prompt;
+        let choice = Choice {
+            endpoint: name.clone(),
+            address: member.record.address.clone(),
+            data_centre: member.record.data_centre.clone(),
+            own: member.own,
+            others: member.others.requests,
+            places: member.places(),
+            first: Duration::from_secs_f64(first.clamp(0.0, 3600.0)),
+            waiting,
+        };
+        let flight = Flight {
+            ask,
+            endpoint: name.clone(),
+            sent: now,
+            first: None,
+        };
+        let previous = self.flights.insert(request, flight);
+        assert!(previous.is_none(), "request {request} was sent twice");
+        self.effects.push(Effect::Send(request, choice));
+    }
+
+    fn refuse(&mut self, request: id::Request, reason: refusal::Reason, after: Duration) {
+        let spread = self.rng.random_range(1.0..1.25);
+        let retry_after = after.clamp(RETRY.0, RETRY.1).mul_f64(spread);
+        let refusal = Refusal {
+            reason,
+            retry_after,
+        };
+        self.effects.push(Effect::Refuse(request, refusal));
+    }
+
+    /// Groups the endpoints by service.
+    fn index(&mut self) {
+        for line in self.services.values_mut() {
+            line.endpoints.clear();
+        }
+        for member in self.members.values() {
+            if !member.listed {
+                continue;
+            }
+            let line = self
+                .services
+                .entry(member.record.service.clone())
+                .or_default();
+            line.endpoints.push(member.record.id.clone());
+        }
+    }
+
+    /// Adds up what the other nodes hold.
+    fn count_others(&mut self) {
+        for member in self.members.values_mut() {
+            member.others = Held::default();
+        }
+        for held in self.peers.values() {
+            for (name, held) in held {
+                let Some(member) = self.members.get_mut(name) else {
+                    continue;
+                };
+                member.others.requests += held.requests;
+                member.others.pending += held.pending;
+            }
+        }
+    }
+}
+
+/// Where a waiting request can go.
+enum Pick {
+    /// To this endpoint, with its expected time to the first byte in seconds.
+    At(id::Endpoint, f64),
+    /// To none that has room.
+    Wait,
+    /// No endpoint has room.
+    Full,
+}
--- /dev/null
+++ b/lib/src/gate/member.rs
@@ -0,0 +1,157 @@
+//! What a gate knows of one endpoint.
+
+use std::time::Duration;
+
+use crate::{
+    endpoint::{Record, Standing},
+    estimate::Average,
+    gate::{Held, Outcome},
+    time,
+};
+
+/// Places of an endpoint that does not tell how many it has.
+const DEFAULT_PLACES: u32 = 8;
+
+/// Time for which an unreachable endpoint is avoided, at first and at most.
+const AVOID: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(2));
+
+/// Time for which an endpoint that rejected a request is avoided.
+const FULL: Duration = Duration::from_millis(100);
+
+/// Time after which half of the observed failures is forgotten, seconds.
+const FAILURE_HALF_LIFE: f64 = 2.0;
+
+/// Weight of one more result against the failures seen so far.
+const FAILURE_WEIGHT: f64 = 0.2;
+
+/// Bounds of an endpoint's speed relative to the service's mean.
+const SPEED: (f64, f64) = (0.1, 10.0);
+
+/// Time for which an endpoint's own word on its load counts.
+const REPORT_TTL: Duration = Duration::from_millis(500);
+
+/// One endpoint.
+#[derive(Clone, Debug)]
+pub(super) struct Member {
+    /// What the directory says.
+    pub(super) record: Record,
+    /// Whether the directory names it.
+    pub(super) listed: bool,
+    /// Requests of this node.
+    pub(super) own: u32,
+    /// Prompt tokens of this node that wait for their first byte.
+    pub(super) pending: u64,
+    /// What the other nodes hold.
+    pub(super) others: Held,
+    /// Requests at the endpoint by its own word.
+    pub(super) reported: Option<(time::Instant, u32)>,
+    /// Seconds between two events of a stream.
+    pub(super) pace: Average,
+    /// The same for the whole service.
+    pub(super) typical: Option<f64>,
+    avoided_until: time::Instant,
+    misses: u32,
+    failures: f64,
+    judged: time::Instant,
+}
+
+impl Member {
+    pub(super) fn new(record: Record) -> Self {
+        Self {
+            record,
+            listed: true,
+            own: 0,
+            pending: 0,
+            others: Held::default(),
+            reported: None,
+            pace: Average::default(),
+            typical: None,
+            avoided_until: time::Instant::default(),
+            misses: 0,
+            failures: 0.0,
+            judged: time::Instant::default(),
+        }
+    }
+
+    /// Takes over a changed record.
+    pub(super) fn update(&mut self, record: Record) {
+        if record.address != self.record.address {
+            self.avoided_until = time::Instant::default();
+            self.misses = 0;
+            self.failures = 0.0;
+        }
+        self.listed = true;
+        self.record = record;
+    }
+
+    /// Returns the requests that it runs at once.
+    pub(super) fn places(&self) -> u32 {
+        self.record.places.unwrap_or(DEFAULT_PLACES).max(1)
+    }
+
+    /// Returns whether one more request would run at once.
+    pub(super) fn has_room(&self, now: time::Instant) -> bool {
+        if self.record.standing == Standing::Leaving || self.avoided_until > now {
+            return false;
+        }
+        let mut others = self.others.requests;
+        if let Some((at, total)) = self.reported
+            && now.since(at) < REPORT_TTL
+        {
+            others = others.max(total.saturating_sub(self.own));
+        }
+        self.own + others < self.places()
+    }
+
+    /// Returns the prompt tokens of all nodes that wait for their first byte.
+    pub(super) fn pending(&self) -> u64 {
+        self.pending + self.others.pending
+    }
+
+    /// Returns what this node holds.
+    pub(super) fn held(&self) -> Held {
+        Held {
+            requests: self.own,
+            pending: self.pending,
+        }
+    }
+
+    /// Returns the speed relative to the service's mean.
+    pub(super) fn speed(&self) -> f64 {
+        let (Some(own), Some(typical)) = (self.pace.get(), self.typical) else {
+            return 1.0;
+        };
+        (typical / own.max(1e-6)).clamp(SPEED.0, SPEED.1)
+    }
+
+    /// Returns the part of requests that failed lately.
+    pub(super) fn failure(&self, now: time::Instant) -> f64 {
+        let idle = now.since(self.judged).as_secs_f64();
+        self.failures * (-idle / FAILURE_HALF_LIFE).exp2()
+    }
+
+    /// Learns from the end of a request.
+    pub(super) fn learn(&mut self, now: time::Instant, outcome: Outcome) {
+        let failed = match outcome {
+            Outcome::Cancelled => return,
+            Outcome::Answered(_) => {
+                self.misses = 0;
+                0.0
+            }
+            Outcome::Rejected => {
+                self.avoided_until = self.avoided_until.max(now + FULL);
+                return;
+            }
+            Outcome::Failed => 0.5,
+            Outcome::Unreachable | Outcome::Broken => 1.0,
+        };
+        if outcome == Outcome::Unreachable {
+            let pause = (AVOID.0 * 2_u32.saturating_pow(self.misses.min(8))).min(AVOID.1);
+            self.misses += 1;
+            self.avoided_until = self.avoided_until.max(now + pause);
+        }
+        let failures = self.failure(now);
+        self.failures = failures + (failed - failures) * FAILURE_WEIGHT;
+        self.judged = now;
+    }
+}
--- a/lib/src/id.rs
+++ b/lib/src/id.rs
@@ -58,6 +58,10 @@
     /// Names a call of the operators' text.
     Call
 }
+name! {
+    /// Names a route.
+    Route
+}
 
 /// Identifies one attempt of a request inside one node.
 #[derive(Clone, Copy, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/node/src/filter.rs
+++ b/node/src/filter.rs
@@ -272,7 +272,12 @@
     answer::is_event_stream(response.headers())
 }
 
-async fn collect<B>(body: &mut B, limit: usize) -> Result<Bytes, Problem>
+/// Reads a whole body.
+///
+/// # Errors
+///
+/// Fails if the body breaks off or is over the limit, bytes.
+pub async fn collect<B>(body: &mut B, limit: usize) -> Result<Bytes, Problem>
 where
     B: http_body::Body<Data = Bytes> + Unpin,
 {
@@ -312,7 +317,11 @@
 }
 
 /// Checks the size of a request's head as HTTP/1.1 would write it.
-fn check_head(parts: &Parts, limit: usize) -> Result<(), Problem> {
+///
+/// # Errors
+///
+/// Fails if the head is over the limit, bytes.
+pub fn check_head(parts: &Parts, limit: usize) -> Result<(), Problem> {
     let target = parts
         .uri
         .path_and_query()
--- a/store/src/hosts.rs
+++ b/store/src/hosts.rs
@@ -172,6 +172,7 @@
             address,
             data_centre,
             standing,
+            places: None,
         });
         Ok(())
     }
