gateway: nodes tell each other what they use, in beats

Change: beats as datagrams, five to ten a second, with requests at endpoints, use of quotas and marks; the rate a node sends is bounded, so that a larger fleet hears less often.

--- /dev/null
+++ b/gateway/src/beat.rs
@@ -0,0 +1,124 @@
+//! What one node tells the others several times a second.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use capnp::{
+    message::{Builder, ReaderOptions},
+    serialize_packed,
+};
+use dottereltally_lib::{
+    gate::Held,
+    id::{self, DataCentre, Endpoint, Fingerprint, Generation, Workspace},
+    quota::Usage,
+};
+use dottereltally_proto::gateway_capnp::beat;
+
+/// Words of the largest beat that is read, 64 KiB.
+const MAX_WORDS: usize = 8 * 1024;
+
+/// One beat.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Beat {
+    /// The node that tells.
+    pub node: id::Node,
+    /// Differs between two processes of the same node.
+    pub incarnation: u64,
+    /// Number of the beat in its process.
+    pub sequence: u64,
+    /// The node's data centre.
+    pub data_centre: DataCentre,
+    /// Generation of the plan in force there.
+    pub generation: Generation,
+    /// Its requests at endpoints.
+    pub held: Vec<(Endpoint, Held)>,
+    /// Its use of quotas.
+    pub usage: BTreeMap<Workspace, Usage>,
+    /// Requests that may crash endpoints, with the time that it holds on.
+    pub marks: Vec<(Fingerprint, Duration)>,
+}
+
+impl Beat {
+    /// Writes the beat as one datagram.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the message can't be written.
+    pub fn encode(&self) -> capnp::Result<Vec<u8>> {
+        let mut message = Builder::new_default();
+        let mut root = message.init_root::<beat::Builder<'_>>();
+        root.set_node(self.node.as_str());
+        root.set_incarnation(self.incarnation);
+        root.set_sequence(self.sequence);
+        root.set_data_centre(self.data_centre.as_str());
+        root.set_generation(self.generation.0);
+        let mut list = root.reborrow().init_held(length(self.held.len()));
+        for (index, (endpoint, held)) in self.held.iter().enumerate() {
+            let mut entry = list.reborrow().get(length(index));
+            entry.set_endpoint(endpoint.as_str());
+            entry.set_requests(held.requests);
+            entry.set_pending(held.pending);
+        }
+        let mut list = root.reborrow().init_usage(length(self.usage.len()));
+        for (index, (workspace, usage)) in self.usage.iter().enumerate() {
+            let mut entry = list.reborrow().get(length(index));
+            entry.set_workspace(workspace.as_str());
+            entry.set_admitted(usage.admitted);
+            entry.set_demand(usage.demand);
+        }
+        let mut list = root.init_marks(length(self.marks.len()));
+        for (index, (fingerprint, valid)) in self.marks.iter().enumerate() {
+            let mut entry = list.reborrow().get(length(index));
+            entry.set_fingerprint(fingerprint.0);
+            entry.set_valid_ms(u64::try_from(valid.as_millis()).unwrap_or(u64::MAX));
+        }
+        let mut bytes = Vec::new();
+        serialize_packed::write_message(&mut bytes, &message)?;
+        Ok(bytes)
+    }
+
+    /// Reads a beat from a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the datagram is no beat.
+    pub fn decode(bytes: &[u8]) -> capnp::Result<Self> {
+        let mut options = ReaderOptions::new();
+        options.traversal_limit_in_words(Some(MAX_WORDS));
+        let message = serialize_packed::read_message(bytes, options)?;
+        let root = message.get_root::<beat::Reader<'_>>()?;
+        let mut beat = Self {
+            node: id::Node::from(root.get_node()?.to_str()?),
+            incarnation: root.get_incarnation(),
+            sequence: root.get_sequence(),
+            data_centre: DataCentre::from(root.get_data_centre()?.to_str()?),
+            generation: Generation(root.get_generation()),
+            ..Self::default()
+        };
+        for entry in root.get_held()? {
+            let held = Held {
+                requests: entry.get_requests(),
+                pending: entry.get_pending(),
+            };
+            let endpoint = Endpoint::from(entry.get_endpoint()?.to_str()?);
+            beat.held.push((endpoint, held));
+        }
+        for entry in root.get_usage()? {
+            let usage = Usage {
+                admitted: entry.get_admitted(),
+                demand: entry.get_demand(),
+            };
+            let workspace = Workspace::from(entry.get_workspace()?.to_str()?);
+            beat.usage.insert(workspace, usage);
+        }
+        for entry in root.get_marks()? {
+            let valid = Duration::from_millis(entry.get_valid_ms());
+            beat.marks
+                .push((Fingerprint(entry.get_fingerprint()), valid));
+        }
+        Ok(beat)
+    }
+}
+
+fn length(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod attempt;
+pub mod beat;
 pub mod chain;
 pub mod controller;
 pub mod dialect;
@@ -15,6 +16,7 @@
 pub mod journal;
 pub mod metrics;
 pub mod node;
+pub mod peers;
 pub mod refusal;
 pub mod relay;
 pub mod settings;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -29,7 +29,7 @@
 use prometheus_client::registry::Registry;
 use ractor::Actor;
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, UdpSocket},
     signal::unix::{SignalKind, signal},
     sync::watch,
     time::{interval, sleep, timeout},
@@ -43,6 +43,7 @@
     directory::{self, Snapshot, Source},
     journal::Journal,
     metrics::Metrics,
+    peers::{self, Peers},
     settings::Settings,
 };
 
@@ -138,7 +139,11 @@
         address: settings.listen.beats.to_string(),
         data_centre: settings.data_centre.clone(),
     };
-    let registration = Arc::new(Registration::new(parts.source, own, metrics.clone()));
+    let registration = Arc::new(Registration::new(
+        parts.source,
+        own.clone(),
+        metrics.clone(),
+    ));
     let keeping = Arc::clone(&registration);
     tokio::spawn(async move { keeping.run().await });
     let chain = Arc::new(Chain {
@@ -154,6 +159,7 @@
         metrics: metrics.clone(),
         phase: phase.clone(),
     });
+    meet(&settings, own, &chain, nodes.subscribe()).await?;
     let serving = Arc::clone(&chain);
     let handler = move |request| Arc::clone(&serving).serve(request);
     let serving = tokio::spawn(server::serve(callers, LIMITS, phase.draining(), handler));
@@ -204,6 +210,38 @@
     Ok(())
 }
 
+/// Starts to talk to the other nodes.
+async fn meet<D: Dialect>(
+    settings: &Settings,
+    own: directory::Node,
+    chain: &Arc<Chain<D>>,
+    mut nodes: watch::Receiver<Vec<directory::Node>>,
+) -> eyre::Result<()> {
+    let address = settings.listen.beats;
+    let socket = UdpSocket::bind(address)
+        .await
+        .wrap_err_with(|| format!("{address} can't be listened on; change `listen.beats`"))?;
+    let socket = Arc::new(socket);
+    let arguments = peers::Arguments {
+        own,
+        socket: Arc::clone(&socket),
+        chain: Arc::clone(chain),
+    };
+    let (peers, _running) = Actor::spawn(None, Peers::default(), arguments)
+        .await
+        .wrap_err("the controller of the nodes can't be started")?;
+    tokio::spawn(peers::listen(socket, peers.clone()));
+    tokio::spawn(async move {
+        while nodes.changed().await.is_ok() {
+            let registered = nodes.borrow_and_update().clone();
+            if let Err(error) = peers.send_message(peers::Message::Registered(registered)) {
+                tracing::error!(%error, "the controller of the nodes stopped");
+            }
+        }
+    });
+    Ok(())
+}
+
 /// Takes over changed settings; addresses stay until the next start.
 fn apply<D>(chain: &Chain<D>, settings: Option<Settings>) {
     let Some(settings) = settings else {
--- /dev/null
+++ b/gateway/src/peers.rs
@@ -0,0 +1,350 @@
+//! The other nodes: tells them what this node uses and takes in what they use.
+//!
+//! Beats are datagrams: each replaces the one before, so that a lost one needs
+//! no repeat and a silent node blocks nobody.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use dottereltally_lib::{gate::Gate, id, time};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use tokio::net::UdpSocket;
+
+use crate::{
+    beat::Beat,
+    chain::{Chain, lock, millis},
+    dialect::Dialect,
+    directory::Node,
+};
+
+/// Time between two looks at who is due.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Shortest time between two beats to a node of the same data centre, and of
+/// another one, where bytes cost more.
+const PERIOD: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(200));
+
+/// Beats that a node sends a second to its own data centre, and to the others,
+/// at the most; in a larger fleet each node hears less often.
+const MAX_RATE: u32 = 50;
+
+/// Periods without a beat after which a node counts as silent, and the least
+/// time for it.
+const SILENCE: (u32, Duration) = (6, Duration::from_millis(1200));
+
+/// Time for which a mark is sent with every beat.
+const MARK_SPREAD: Duration = Duration::from_secs(2);
+
+/// Largest datagram that is read, bytes.
+const MAX_DATAGRAM: usize = 60 * 1024;
+
+/// What the actor is told.
+#[derive(Debug)]
+pub enum Message {
+    /// The registered nodes, without this one.
+    Registered(Vec<Node>),
+    /// A beat came.
+    Heard(Box<Beat>, SocketAddr),
+    /// Requests that may crash endpoints are to be told to the others.
+    Marked(Vec<id::Fingerprint>),
+    /// Time went on.
+    Tick,
+}
+
+/// One other node.
+#[derive(Clone, Debug)]
+struct Peer {
+    address: SocketAddr,
+    local: bool,
+    incarnation: u64,
+    sequence: u64,
+    heard: Option<time::Instant>,
+    silent: bool,
+    due: time::Instant,
+}
+
+/// The actor.
+pub struct Peers<D>(std::marker::PhantomData<D>);
+
+impl<D> Default for Peers<D> {
+    fn default() -> Self {
+        Self(std::marker::PhantomData)
+    }
+}
+
+/// What the actor starts from.
+pub struct Arguments<D> {
+    /// This node.
+    pub own: Node,
+    /// Sends the beats.
+    pub socket: Arc<UdpSocket>,
+    /// What the beats tell of, and what they change.
+    pub chain: Arc<Chain<D>>,
+}
+
+/// State of the actor.
+pub struct State<D> {
+    arguments: Arguments<D>,
+    incarnation: u64,
+    sequence: u64,
+    peers: BTreeMap<id::Node, Peer>,
+    registered: BTreeSet<id::Node>,
+    marks: Vec<(id::Fingerprint, time::Instant)>,
+}
+
+impl<D: Dialect> Actor for Peers<D> {
+    type Msg = Message;
+    type State = State<D>;
+    type Arguments = Arguments<D>;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<Message>,
+        arguments: Arguments<D>,
+    ) -> Result<State<D>, ActorProcessingErr> {
+        myself.send_interval(TICK, || Message::Tick);
+        Ok(State {
+            arguments,
+            incarnation: rand::random(),
+            sequence: 0,
+            peers: BTreeMap::new(),
+            registered: BTreeSet::new(),
+            marks: Vec::new(),
+        })
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<Message>,
+        message: Message,
+        state: &mut State<D>,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            Message::Registered(nodes) => state.register(nodes),
+            Message::Heard(beat, from) => state.hear(&beat, from),
+            Message::Marked(marks) => state.mark(&marks),
+            Message::Tick => state.tick(),
+        }
+        Ok(())
+    }
+}
+
+impl<D: Dialect> State<D> {
+    fn now(&self) -> time::Instant {
+        self.arguments.chain.clock.now()
+    }
+
+    fn register(&mut self, nodes: Vec<Node>) {
+        self.registered = nodes.iter().map(|node| node.name.clone()).collect();
+        let now = self.now();
+        for node in nodes {
+            let Ok(address) = node.address.parse() else {
+                tracing::warn!(node = %node.name, address = node.address, "unreadable address");
+                continue;
+            };
+            let local = node.data_centre == self.arguments.own.data_centre;
+            let peer = self.peers.entry(node.name).or_insert(Peer {
+                address,
+                local,
+                incarnation: 0,
+                sequence: 0,
+                heard: None,
+                silent: false,
+                due: now,
+            });
+            peer.address = address;
+        }
+        // A node that is heard stays, whatever the registrations say.
+        let registered = &self.registered;
+        self.peers.retain(|name, peer| {
+            registered.contains(name) || (peer.heard.is_some() && !peer.silent)
+        });
+        self.share();
+    }
+
+    /// Hands the table of nodes on.
+    fn share(&self) {
+        let now = self.now();
+        let names: Vec<id::Node> = self.peers.keys().cloned().collect();
+        let chain = &self.arguments.chain;
+        lock(&chain.ledger).join(now, &names);
+        lock(&chain.budget).share(names.len() + 1);
+        chain.admission.apply(|gate, _| {
+            gate.join(&names);
+            Vec::new()
+        });
+    }
+
+    fn hear(&mut self, beat: &Beat, from: SocketAddr) {
+        if beat.node == self.arguments.own.name {
+            return;
+        }
+        let now = self.now();
+        let known = self.peers.contains_key(&beat.node);
+        let local = beat.data_centre == self.arguments.own.data_centre;
+        let peer = self.peers.entry(beat.node.clone()).or_insert(Peer {
+            address: from,
+            local,
+            incarnation: beat.incarnation,
+            sequence: 0,
+            heard: None,
+            silent: false,
+            due: now,
+        });
+        if peer.incarnation == beat.incarnation && beat.sequence <= peer.sequence {
+            return;
+        }
+        if peer.heard.is_none() || peer.silent || peer.incarnation != beat.incarnation {
+            tracing::info!(
+                node = %beat.node,
+                address = %from,
+                incarnation = beat.incarnation,
+                generation = beat.generation.0,
+                "node heard"
+            );
+        }
+        peer.address = from;
+        peer.incarnation = beat.incarnation;
+        peer.sequence = beat.sequence;
+        peer.heard = Some(now);
+        peer.silent = false;
+        if !known {
+            self.share();
+        }
+        let chain = &self.arguments.chain;
+        lock(&chain.ledger).hear(now, &beat.node, beat.usage.clone());
+        for (mark, valid) in &beat.marks {
+            lock(&chain.marks).mark(now, *mark, *valid);
+        }
+        let held = beat.held.iter().cloned().collect();
+        chain
+            .admission
+            .apply(|gate, now| gate.hear(now, &beat.node, held));
+    }
+
+    fn mark(&mut self, marks: &[id::Fingerprint]) {
+        let until = self.now() + MARK_SPREAD;
+        self.marks.extend(marks.iter().map(|mark| (*mark, until)));
+    }
+
+    fn tick(&mut self) {
+        let now = self.now();
+        let locals = self.peers.values().filter(|peer| peer.local).count();
+        let periods = (
+            period(PERIOD.0, locals),
+            period(PERIOD.1, self.peers.len() - locals),
+        );
+        self.watch_silence(now, periods);
+        self.marks.retain(|(_, until)| *until > now);
+        let mut due = Vec::new();
+        for peer in self.peers.values_mut() {
+            if peer.due > now {
+                continue;
+            }
+            let period = if peer.local { periods.0 } else { periods.1 };
+            // Half of a tick, so that a beat does not slip to the next one.
+            peer.due = now + period - TICK / 2;
+            due.push(peer.address);
+        }
+        if due.is_empty() {
+            return;
+        }
+        let beat = match self.beat(now).encode() {
+            Ok(beat) => beat,
+            Err(error) => {
+                tracing::error!(%error, "a beat can't be written");
+                return;
+            }
+        };
+        for address in due {
+            // A full socket loses the beat; the next one replaces it.
+            if let Err(error) = self.arguments.socket.try_send_to(&beat, address) {
+                tracing::debug!(%address, %error, "a beat was not sent");
+            }
+        }
+    }
+
+    fn beat(&mut self, now: time::Instant) -> Beat {
+        self.sequence += 1;
+        let chain = &self.arguments.chain;
+        let plan = chain.plan.borrow();
+        let marks = self.marks.iter();
+        Beat {
+            node: self.arguments.own.name.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            data_centre: self.arguments.own.data_centre.clone(),
+            generation: plan
+                .as_ref()
+                .map(|plan| plan.generation)
+                .unwrap_or_default(),
+            held: chain.admission.read(Gate::held),
+            usage: lock(&chain.ledger).usage(now),
+            marks: marks
+                .map(|(mark, _)| (*mark, dottereltally_lib::quarantine::MARK_TTL))
+                .collect(),
+        }
+    }
+
+    /// Forgets what silent nodes held.
+    fn watch_silence(&mut self, now: time::Instant, periods: (Duration, Duration)) {
+        let mut heard = 0;
+        for (name, peer) in &mut self.peers {
+            let period = if peer.local { periods.0 } else { periods.1 };
+            let limit = (period * SILENCE.0).max(SILENCE.1);
+            let Some(last) = peer.heard else {
+                continue;
+            };
+            if now.since(last) < limit {
+                heard += 1;
+                continue;
+            }
+            if peer.silent {
+                continue;
+            }
+            peer.silent = true;
+            tracing::info!(
+                node = %name,
+                silent_ms = millis(now.since(last)),
+                "node silent"
+            );
+            self.arguments.chain.admission.apply(|gate, _| {
+                gate.miss(name);
+                Vec::new()
+            });
+        }
+        self.arguments.chain.metrics.peers.set(heard);
+    }
+}
+
+/// Returns the time between two beats to one of this many nodes.
+fn period(least: Duration, nodes: usize) -> Duration {
+    let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+    least.max(Duration::from_secs(1) * nodes / MAX_RATE)
+}
+
+/// Reads beats for ever.
+pub async fn listen(socket: Arc<UdpSocket>, peers: ActorRef<Message>) {
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                tracing::debug!(%error, "a datagram was not read");
+                continue;
+            }
+        };
+        match Beat::decode(&buffer[..length]) {
+            Ok(beat) => {
+                if let Err(error) = peers.send_message(Message::Heard(Box::new(beat), from)) {
+                    tracing::error!(%error, "the controller of the nodes stopped");
+                }
+            }
+            Err(error) => tracing::debug!(%from, %error, "a datagram is no beat"),
+        }
+    }
+}
