quota: token buckets that every node keeps for the whole fleet

A window also let a tenant spend eight seconds of its rate at once. Change: a token bucket for each workspace, the same at every node, less what the others say they admitted since their start; a new process starts low.

--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -216,7 +216,7 @@
             self.share();
         }
         let chain = &self.arguments.chain;
-        lock(&chain.ledger).hear(now, &beat.node, beat.usage.clone());
+        lock(&chain.ledger).hear(now, &beat.node, beat.incarnation, beat.usage.clone());
         for (mark, valid) in &beat.marks {
             lock(&chain.marks).mark(now, *mark, *valid);
         }
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -32,8 +32,6 @@
     pub bounds: Bounds,
     /// Repeated sends.
     pub retries: budget::Terms,
-    /// Window over which quotas hold.
-    pub quota_window: Duration,
 }
 
 /// Addresses to listen on.
@@ -73,7 +71,6 @@
     seeds: Vec<String>,
     bounds: WireBounds,
     retries: WireRetries,
-    quota_window_s: f64,
 }
 
 #[derive(Deserialize)]
@@ -196,7 +193,6 @@
         allowance: check.positive("retries.allowance", wire.retries.allowance),
         window: check.seconds("retries.window_s", wire.retries.window_s),
     };
-    let quota_window = check.seconds("quota_window_s", wire.quota_window_s);
     if !check.faults.is_empty() {
         return Err(check.faults);
     }
@@ -208,6 +204,5 @@
         seeds,
         bounds,
         retries,
-        quota_window,
     })
 }
--- a/lib/src/quota.rs
+++ b/lib/src/quota.rs
@@ -1,19 +1,17 @@
-//! Quotas of workspaces over a sliding window, for all nodes together.
+//! Quotas of workspaces, for all nodes together.
 //!
-//! Nodes tell each other what they admitted in the window. Between two such
-//! messages a node uses only its part of what is left, by its part of the
-//! demand, so that several nodes do not use the same rest.
+//! Every node keeps its own copy of each workspace's token bucket and takes
+//! off what the others say they admitted. Between two messages a node uses
+//! only its part of what is left, by its part of the demand, so that several
+//! nodes do not use the same rest.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
 use crate::{id, plan::Quota, time};
 
-/// Parts that the window is counted in; a finer count frees units sooner.
-const PARTS: u32 = 32;
-
 /// Part of the demand that is taken as equal between the nodes, so that a
 /// node without recent demand can admit a first request.
 const EQUAL_PART: f64 = 0.2;
@@ -24,112 +22,121 @@
 /// Time without a message after which a node is taken to use its whole part.
 const SILENCE: Duration = Duration::from_millis(1500);
 
-/// Longest time that a refused caller is told to stay away.
-const MAX_WAIT: Duration = Duration::from_secs(2);
+/// Part of the burst that a node which knows nothing of the past starts with;
+/// the rest may have been used before.
+const INITIAL_PART: f64 = 0.25;
+
+/// Shortest and longest time that a refused caller is told to stay away.
+const WAIT: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
 
 /// What one node tells the others about one workspace.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Usage {
-    /// Units admitted in the window.
+    /// Units admitted since the node's process started.
     pub admitted: f64,
     /// Units asked for a second, admitted or not.
     pub demand: f64,
 }
 
-/// Use of one workspace at this node.
+/// Use of one workspace at this node, and its copy of the bucket.
 #[derive(Clone, Debug, Default)]
 struct Account {
-    parts: VecDeque<(u64, f64)>,
-    demand: f64,
+    /// Units that are left; below zero after a large request.
+    level: Option<f64>,
+    refilled: time::Instant,
+    /// Units admitted by the other nodes that are not taken off yet.
+    owed: f64,
+    own: Usage,
     measured: time::Instant,
     /// Units admitted since the others were told.
     fresh: f64,
 }
 
 impl Account {
-    fn admitted(&self) -> f64 {
-        self.parts.iter().map(|(_, units)| units).sum()
-    }
-
-    fn expire(&mut self, part: u64) {
-        while let Some(&(first, _)) = self.parts.front() {
-            if first + u64::from(PARTS) >= part {
-                return;
-            }
-            self.parts.pop_front();
-        }
-    }
-
     fn decay(&mut self, now: time::Instant) {
         let idle = now.since(self.measured).as_secs_f64();
-        self.demand *= (-idle / DEMAND_SPAN.as_secs_f64()).exp();
+        self.own.demand *= (-idle / DEMAND_SPAN.as_secs_f64()).exp();
         self.measured = now;
     }
+
+    /// Brings the bucket up to date; `silent` is the part of the rate that is
+    /// left to nodes which are not heard.
+    fn refill(&mut self, now: time::Instant, quota: &Quota, silent: f64) -> f64 {
+        let idle = now.since(self.refilled).as_secs_f64();
+        self.refilled = now;
+        let rate = quota.rate * (1.0 - silent).max(0.0);
+        let level = self.level.unwrap_or(quota.burst * INITIAL_PART) + rate * idle;
+        let level = level.min(quota.burst) - std::mem::take(&mut self.owed);
+        self.level = Some(level);
+        level
+    }
 }
 
 /// What another node last said.
 #[derive(Clone, Debug, Default)]
 struct Peer {
+    incarnation: u64,
     heard: time::Instant,
     usage: BTreeMap<id::Workspace, Usage>,
 }
 
 /// The quotas as one node sees them.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Ledger {
-    window: Duration,
     accounts: BTreeMap<id::Workspace, Account>,
     peers: BTreeMap<id::Node, Peer>,
 }
 
 impl Ledger {
-    /// Builds a ledger over a sliding window.
-    #[must_use]
-    pub fn new(window: Duration) -> Self {
-        Self {
-            window,
-            accounts: BTreeMap::new(),
-            peers: BTreeMap::new(),
-        }
-    }
-
     /// Takes over which other nodes there are.
     pub fn join(&mut self, now: time::Instant, nodes: &[id::Node]) {
+        let nodes: BTreeSet<&id::Node> = nodes.iter().collect();
         self.peers.retain(|node, _| nodes.contains(node));
         for node in nodes {
-            let unheard = Peer {
-                heard: now,
-                usage: BTreeMap::new(),
-            };
-            self.peers.entry(node.clone()).or_insert(unheard);
+            if !self.peers.contains_key(node) {
+                let peer = Peer {
+                    heard: now,
+                    ..Peer::default()
+                };
+                self.peers.insert(node.clone(), peer);
+            }
         }
     }
 
-    /// Takes over what another node says.
+    /// Takes over what another node says; `incarnation` differs between two
+    /// processes of it.
     pub fn hear(
         &mut self,
         now: time::Instant,
         node: &id::Node,
+        incarnation: u64,
         usage: BTreeMap<id::Workspace, Usage>,
     ) {
         let peer = self.peers.entry(node.clone()).or_default();
+        let known = peer.incarnation == incarnation;
+        // The first message of a process that is not known may be old.
+        let first = peer.incarnation == 0;
+        for (workspace, told) in &usage {
+            let before = match peer.usage.get(workspace) {
+                Some(before) if known => before.admitted,
+                _ if first => told.admitted,
+                _ => 0.0,
+            };
+            let account = self.accounts.entry(workspace.clone()).or_default();
+            account.owed += (told.admitted - before).max(0.0);
+        }
+        peer.incarnation = incarnation;
         peer.heard = now;
         peer.usage = usage;
     }
 
     /// Returns what this node tells the others from here on.
     pub fn usage(&mut self, now: time::Instant) -> BTreeMap<id::Workspace, Usage> {
-        let part = self.part(now);
         let mut usage = BTreeMap::new();
         for (name, account) in &mut self.accounts {
-            account.expire(part);
             account.decay(now);
             account.fresh = 0.0;
-            let told = Usage {
-                admitted: account.admitted(),
-                demand: account.demand,
-            };
-            usage.insert(name.clone(), told);
+            usage.insert(name.clone(), account.own);
         }
         usage
     }
@@ -148,63 +155,42 @@
     ) -> Result<(), Duration> {
         #[expect(clippy::cast_precision_loss, reason = "requests are small")]
         let cost = cost as f64;
-        let part = self.part(now);
-        let span = DEMAND_SPAN.as_secs_f64();
         let account = self.accounts.entry(workspace.clone()).or_default();
-        account.expire(part);
         account.decay(now);
-        account.demand += cost / span;
-        let own = Usage {
-            admitted: account.admitted(),
-            demand: account.demand,
-        };
-        let limit = quota.rate * self.window.as_secs_f64() + quota.burst;
-        let (others, share) = self.others(now, workspace, &own, limit);
+        account.own.demand += cost / DEMAND_SPAN.as_secs_f64();
+        let demand = account.own.demand;
+        let (share, silent) = self.shares(now, workspace, demand);
         let account = self.accounts.entry(workspace.clone()).or_default();
-        let left = limit - own.admitted - others + account.fresh;
-        if account.fresh >= left * share || own.admitted + others + cost > limit {
-            let wait = (cost / quota.rate.max(1.0)).max(0.1);
-            return Err(Duration::from_secs_f64(wait).min(MAX_WAIT));
+        let level = account.refill(now, quota, silent);
+        // What was used since the others were told is off the level already.
+        let left = level + account.fresh;
+        if level <= 0.0 || account.fresh >= left * share {
+            let missing = (cost - level).max(0.0) / quota.rate.max(1.0);
+            let wait = Duration::try_from_secs_f64(missing).unwrap_or(WAIT.1);
+            return Err(wait.clamp(WAIT.0, WAIT.1));
         }
+        account.level = Some(level - cost);
         account.fresh += cost;
-        match account.parts.back_mut() {
-            Some((last, units)) if *last == part => *units += cost,
-            _ => account.parts.push_back((part, cost)),
-        }
+        account.own.admitted += cost;
         Ok(())
     }
 
-    /// Returns what the other nodes use, and this node's part of the demand.
-    fn others(
-        &self,
-        now: time::Instant,
-        workspace: &id::Workspace,
-        own: &Usage,
-        limit: f64,
-    ) -> (f64, f64) {
+    /// Returns this node's part of the demand, and the part of nodes that are
+    /// not heard.
+    fn shares(&self, now: time::Instant, workspace: &id::Workspace, own: f64) -> (f64, f64) {
         let nodes = f64::from(u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX));
-        let unknown = Usage::default();
-        let mut demand = own.demand;
-        for peer in self.peers.values() {
-            demand += peer.usage.get(workspace).unwrap_or(&unknown).demand;
-        }
-        let demand = demand.max(f64::MIN_POSITIVE);
-        let share =
-            |part: f64| EQUAL_PART / nodes + (1.0 - EQUAL_PART) * (part / demand).clamp(0.0, 1.0);
-        let mut used = 0.0;
+        let asked = |peer: &Peer| peer.usage.get(workspace).map_or(0.0, |usage| usage.demand);
+        let total = own + self.peers.values().map(asked).sum::<f64>();
+        let share = |demand: f64| {
+            let part = (demand / total.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0);
+            EQUAL_PART / nodes + (1.0 - EQUAL_PART) * part
+        };
+        let mut silent = 0.0;
         for peer in self.peers.values() {
-            let usage = peer.usage.get(workspace).unwrap_or(&unknown);
             if now.since(peer.heard) > SILENCE {
-                used += usage.admitted.max(limit * share(usage.demand));
-            } else {
-                used += usage.admitted;
+                silent += share(asked(peer));
             }
         }
-        (used, share(own.demand))
-    }
-
-    fn part(&self, now: time::Instant) -> u64 {
-        let length = (self.window / PARTS).as_micros().max(1);
-        u64::try_from(u128::from(now.as_micros()) / length).unwrap_or(u64::MAX)
+        (share(own), silent)
     }
 }
--- a/proto/schema/gateway.capnp
+++ b/proto/schema/gateway.capnp
@@ -27,7 +27,7 @@
 # Use of one workspace's quota at the node.
 struct Usage {
   workspace @0 :Text;
-  # Units in the window.
+  # Units since the process started.
   admitted @1 :Float64;
   # Units asked for a second.
   demand @2 :Float64;
