quota: buckets use half of what operators tolerate beyond a quota

Ruled out: silent nodes (none). Change: rate and bucket grow by the tolerated part, the bucket by half of the tolerated excess; a large request needs half a bucket.

--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -308,10 +308,21 @@
             let cost = quota.cost(tokens);
             let now = self.clock.now();
             let admitted = lock(&self.ledger).admit(now, name, quota, cost);
-            if let Err(retry_after) = admitted {
+            if let Err(exhausted) = admitted {
+                tracing::info!(
+                    id = head.correlation,
+                    workspace = %name,
+                    cost,
+                    level = exhausted.level,
+                    fresh = exhausted.fresh,
+                    share = exhausted.share,
+                    silent = exhausted.silent,
+                    rate = quota.rate,
+                    "quota used up"
+                );
                 return Err(Refused::core(refusal::Refusal {
                     reason: refusal::Reason::Limit,
-                    retry_after,
+                    retry_after: exhausted.retry_after,
                 }));
             }
         }
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -153,7 +153,7 @@
         plan: plan.subscribe(),
         admission: admission.clone(),
         upstream: Pool::default(),
-        ledger: Mutex::new(Ledger::default()),
+        ledger: Mutex::new(Ledger::new(settings.quotas)),
         budget: Mutex::new(Budget::new(settings.retries)),
         marks: Mutex::new(Marks::default()),
         metrics: metrics.clone(),
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, net::SocketAddr, str::FromStr, time::Duration};
 
-use dottereltally_lib::{budget, id};
+use dottereltally_lib::{budget, id, quota};
 use serde::Deserialize;
 
 /// A fault in the settings; the text names the field and the remedy.
@@ -32,6 +32,8 @@
     pub bounds: Bounds,
     /// Repeated sends.
     pub retries: budget::Terms,
+    /// What is tolerated beyond a quota.
+    pub quotas: quota::Tolerance,
 }
 
 /// Addresses to listen on.
@@ -71,6 +73,7 @@
     seeds: Vec<String>,
     bounds: WireBounds,
     retries: WireRetries,
+    quotas: WireQuotas,
 }
 
 #[derive(Deserialize)]
@@ -99,6 +102,13 @@
     window_s: f64,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct WireQuotas {
+    tolerated_part: f64,
+    tolerated_tokens: f64,
+}
+
 /// Collects every fault of a settings file.
 #[derive(Default)]
 struct Check {
@@ -193,6 +203,10 @@
         allowance: check.positive("retries.allowance", wire.retries.allowance),
         window: check.seconds("retries.window_s", wire.retries.window_s),
     };
+    let quotas = quota::Tolerance {
+        part: check.positive("quotas.tolerated_part", wire.quotas.tolerated_part),
+        excess: check.positive("quotas.tolerated_tokens", wire.quotas.tolerated_tokens),
+    };
     if !check.faults.is_empty() {
         return Err(check.faults);
     }
@@ -204,5 +218,6 @@
         seeds,
         bounds,
         retries,
+        quotas,
     })
 }
--- a/lib/src/quota.rs
+++ b/lib/src/quota.rs
@@ -10,7 +10,11 @@
     time::Duration,
 };
 
-use crate::{id, plan::Quota, time};
+use crate::{
+    id,
+    plan::{Quota, Unit},
+    time,
+};
 
 /// Part of the demand that is taken as equal between the nodes, so that a
 /// node without recent demand can admit a first request.
@@ -22,13 +26,41 @@
 /// Time without a message after which a node is taken to use its whole part.
 const SILENCE: Duration = Duration::from_millis(1500);
 
-/// Part of the burst that a node which knows nothing of the past starts with;
+/// Part of the bucket that a node which knows nothing of the past starts with;
 /// the rest may have been used before.
-const INITIAL_PART: f64 = 0.25;
+const INITIAL_PART: f64 = 0.1;
+
+/// Part of the tolerated excess that is used; the rest covers what nodes admit
+/// before they hear of each other.
+const EXCESS_PART: f64 = 0.5;
+
+/// Part of the bucket that must be left for a request larger than it.
+const LARGE_PART: f64 = 0.5;
 
 /// Shortest and longest time that a refused caller is told to stay away.
 const WAIT: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
 
+/// What operators tolerate beyond a quota.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Tolerance {
+    /// Part of rate and burst.
+    pub part: f64,
+    /// Units beyond that, in each window.
+    pub excess: f64,
+}
+
+impl Tolerance {
+    /// Returns the rate and the size of a workspace's bucket.
+    fn bucket(&self, quota: &Quota) -> (f64, f64) {
+        let factor = 1.0 + self.part;
+        let excess = match quota.unit {
+            Unit::Tokens { .. } => self.excess * EXCESS_PART,
+            Unit::Requests => 0.0,
+        };
+        (quota.rate * factor, quota.burst * factor + excess)
+    }
+}
+
 /// What one node tells the others about one workspace.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Usage {
@@ -38,6 +70,21 @@
     pub demand: f64,
 }
 
+/// Why a request was not admitted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Exhausted {
+    /// Units that are left to all nodes.
+    pub level: f64,
+    /// Units that this node used since it told the others.
+    pub fresh: f64,
+    /// This node's part of what is left.
+    pub share: f64,
+    /// Part of the rate that is left to nodes which are not heard.
+    pub silent: f64,
+    /// Time after which units may be free again.
+    pub retry_after: Duration,
+}
+
 /// Use of one workspace at this node, and its copy of the bucket.
 #[derive(Clone, Debug, Default)]
 struct Account {
@@ -61,12 +108,15 @@
 
     /// Brings the bucket up to date; `silent` is the part of the rate that is
     /// left to nodes which are not heard.
-    fn refill(&mut self, now: time::Instant, quota: &Quota, silent: f64) -> f64 {
+    fn refill(&mut self, now: time::Instant, (rate, size): (f64, f64), silent: f64) -> f64 {
         let idle = now.since(self.refilled).as_secs_f64();
         self.refilled = now;
-        let rate = quota.rate * (1.0 - silent).max(0.0);
-        let level = self.level.unwrap_or(quota.burst * INITIAL_PART) + rate * idle;
-        let level = level.min(quota.burst) - std::mem::take(&mut self.owed);
+        let rate = rate * (1.0 - silent).max(0.0);
+        let level = match self.level {
+            Some(level) => level + rate * idle,
+            None => size * INITIAL_PART,
+        };
+        let level = level.min(size) - std::mem::take(&mut self.owed);
         self.level = Some(level);
         level
     }
@@ -83,11 +133,21 @@
 /// The quotas as one node sees them.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
+    tolerance: Tolerance,
     accounts: BTreeMap<id::Workspace, Account>,
     peers: BTreeMap<id::Node, Peer>,
 }
 
 impl Ledger {
+    /// Builds the ledger of a node that knows of no other.
+    #[must_use]
+    pub fn new(tolerance: Tolerance) -> Self {
+        Self {
+            tolerance,
+            ..Self::default()
+        }
+    }
+
     /// Takes over which other nodes there are.
     pub fn join(&mut self, now: time::Instant, nodes: &[id::Node]) {
         let nodes: BTreeSet<&id::Node> = nodes.iter().collect();
@@ -145,14 +205,14 @@
     ///
     /// # Errors
     ///
-    /// Fails with the time after which units may be free again.
+    /// Fails with what the refusal is based on.
     pub fn admit(
         &mut self,
         now: time::Instant,
         workspace: &id::Workspace,
         quota: &Quota,
         cost: u64,
-    ) -> Result<(), Duration> {
+    ) -> Result<(), Exhausted> {
         #[expect(clippy::cast_precision_loss, reason = "requests are small")]
         let cost = cost as f64;
         let account = self.accounts.entry(workspace.clone()).or_default();
@@ -161,13 +221,20 @@
         let demand = account.own.demand;
         let (share, silent) = self.shares(now, workspace, demand);
         let account = self.accounts.entry(workspace.clone()).or_default();
-        let level = account.refill(now, quota, silent);
+        let bucket = self.tolerance.bucket(quota);
+        let level = account.refill(now, bucket, silent);
         // What was used since the others were told is off the level already.
         let left = level + account.fresh;
-        if level <= 0.0 || account.fresh >= left * share {
-            let missing = (cost - level).max(0.0) / quota.rate.max(1.0);
+        if level < cost.min(bucket.1 * LARGE_PART) || account.fresh >= left * share {
+            let missing = (cost - level).max(0.0) / bucket.0.max(1.0);
             let wait = Duration::try_from_secs_f64(missing).unwrap_or(WAIT.1);
-            return Err(wait.clamp(WAIT.0, WAIT.1));
+            return Err(Exhausted {
+                level,
+                fresh: account.fresh,
+                share,
+                silent,
+                retry_after: wait.clamp(WAIT.0, WAIT.1),
+            });
         }
         account.level = Some(level - cost);
         account.fresh += cost;
