--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -12,7 +12,7 @@
 };
 use dottereltally_lib::{
     budget::Budget,
-    gate::{Ask, Choice, Outcome},
+    gate::{Ask, Choice, Flow, Outcome},
     id,
     plan::Plan,
     quarantine::{Marks, Verdict},
@@ -85,7 +85,7 @@
     pub workspace: Option<id::Workspace>,
     /// Its tier.
     pub tier: id::Tier,
-    /// Tokens of its prompt and longest answer.
+    /// Tokens of its prompt and of its expected answer.
     pub tokens: (u64, u64),
     /// When it came in.
     pub received: time::Instant,
@@ -108,6 +108,7 @@
             tier: self.tier,
             prompt: self.tokens.0,
             output: self.tokens.1,
+            pause: self.route.pause,
             due: self.received + self.route.objective,
             first_by: self.abandoned,
             deadline: self.deadline,
@@ -268,7 +269,7 @@
             service: service.clone(),
             workspace: workspace.clone(),
             tier,
-            tokens: head.tokens.unwrap_or_default(),
+            tokens: expected_tokens(&head),
             received,
             deadline,
             abandoned: deadline.min(received + patience - ANSWER_MARGIN),
@@ -452,13 +453,13 @@
                 {
                     return Verdicted::Again(unreachable_endpoints(true));
                 }
-                self.answered(job, choice, progress, whole.parts.status, 0);
+                self.answered(job, choice, progress, whole.parts.status, Flow::default());
                 Verdicted::Answer(whole)
             }
             Attempt::Whole { place, whole } => {
-                place.end(Outcome::Answered(0));
+                place.end(Outcome::Answered(Flow::default()));
                 progress.sent(choice);
-                self.answered(job, choice, progress, whole.parts.status, 0);
+                self.answered(job, choice, progress, whole.parts.status, Flow::default());
                 Verdicted::Answer(whole)
             }
             Attempt::Stream(stream) => {
@@ -476,7 +477,7 @@
         choice: &Choice,
         progress: &Progress,
         status: StatusCode,
-        events: u64,
+        flow: Flow,
     ) {
         let took = self.clock.now().since(job.received);
         self.metrics.answered(job.tier, status, took);
@@ -487,7 +488,8 @@
             endpoint = %choice.endpoint,
             status = status.as_u16(),
             sends = progress.sends,
-            events,
+            events = flow.events,
+            pause_ms = millis(flow.pause),
             took_ms = millis(took),
             "request answered"
         );
@@ -600,6 +602,15 @@
     })
 }
 
+/// Returns the tokens of the prompt and of the expected answer.
+fn expected_tokens(head: &Head) -> (u64, u64) {
+    let Some((prompt, most)) = head.tokens else {
+        return (0, 0);
+    };
+    let expected = head.expected.unwrap_or(most);
+    (prompt, expected.clamp(1, most.max(1)))
+}
+
 fn hash(parts: &[&[u8]]) -> u64 {
     let mut hasher = Xxh3::new();
     for part in parts {
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -22,6 +22,8 @@
     pub remaining: Option<Duration>,
     /// Tokens of the prompt and of the longest answer.
     pub tokens: Option<(u64, u64)>,
+    /// Tokens that the caller expects of the answer.
+    pub expected: Option<u64>,
     /// The caller's key.
     pub key: Option<String>,
     /// Last event of the stream that the caller has.
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -9,7 +9,7 @@
     pool::Answer,
 };
 use dottereltally_lib::{
-    gate::{Choice, Outcome},
+    gate::{Choice, Flow, Outcome},
     route::Repeat,
 };
 use futures_util::stream;
@@ -21,7 +21,7 @@
 use crate::{
     admission::Place,
     attempt::{self, Attempt, Stream},
-    chain::{Chain, Job, Progress},
+    chain::{Chain, Job, Progress, millis},
     dialect::Dialect,
     events::{Batch, Splitter},
 };
@@ -49,7 +49,9 @@
     body: Answer,
     splitter: Splitter,
     place: Place,
-    events: u64,
+    flow: Flow,
+    /// When its last event came.
+    last: Instant,
 }
 
 /// What came next from an endpoint.
@@ -95,9 +97,14 @@
     ) -> Self {
         let end = Instant::now() + job.deadline.since(chain.clock.now());
         let last = job.template.after();
-        chain
-            .metrics
-            .first_event(job.tier, chain.clock.now().since(job.received));
+        let waited = chain.clock.now().since(job.received);
+        chain.metrics.first_event(job.tier, waited);
+        tracing::info!(
+            id = job.correlation,
+            endpoint = %choice.endpoint,
+            first_ms = millis(waited),
+            "stream began"
+        );
         Self {
             chain,
             job,
@@ -107,7 +114,8 @@
                 body: stream.body,
                 splitter: stream.splitter,
                 place: stream.place,
-                events: 0,
+                flow: Flow::default(),
+                last: Instant::now(),
             }),
             parts: Some(stream.parts),
             first: Some(stream.first),
@@ -191,7 +199,10 @@
         }
         self.events += batch.events;
         if let Some(source) = &mut self.source {
-            source.events += batch.events;
+            let now = Instant::now();
+            source.flow.events += batch.events;
+            source.flow.pause = source.flow.pause.max(now - source.last);
+            source.last = now;
         }
         self.last = batch.last.or(self.last);
         Ok(batch.bytes)
@@ -229,7 +240,8 @@
                         body: stream.body,
                         splitter: stream.splitter,
                         place: stream.place,
-                        events: 0,
+                        flow: Flow::default(),
+                        last: Instant::now(),
                     });
                     self.first = Some(stream.first);
                     return true;
@@ -256,15 +268,14 @@
         let Some(source) = self.source.take() else {
             return;
         };
-        source
-            .place
-            .end(Outcome::Answered(source.events.saturating_sub(1)));
+        let flow = source.flow;
+        source.place.end(Outcome::Answered(flow));
         self.chain.answered(
             &self.job,
             &self.choice,
             &self.progress,
             http::StatusCode::OK,
-            self.events,
+            flow,
         );
     }
 
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -43,6 +43,20 @@
 /// first byte.
 const DURATION_WEIGHT: f64 = 0.1;
 
+/// Time that a stream counts for which would pause for too long, seconds.
+const DISTURBANCE: f64 = 0.15;
+
+/// Part of the longest pause from which on a stream may be late.
+const DISTURBANCE_FROM: f64 = 0.7;
+
+/// Time that the last place of an endpoint of mean speed counts for, so that
+/// the places of fast endpoints are kept for work that needs them, seconds.
+const RESERVE: f64 = 0.05;
+
+/// Time that an answer counts for which would not be whole by its deadline,
+/// seconds.
+const UNFINISHED: f64 = 2.0;
+
 /// Time that a likely failure counts for, seconds.
 const FAILURE_COST: f64 = 1.5;
 
@@ -67,8 +81,10 @@
     pub tier: id::Tier,
     /// Tokens of its prompt; none for a plain service.
     pub prompt: u64,
-    /// Tokens of its answer, at the most.
+    /// Tokens of its answer, as far as they can be expected.
     pub output: u64,
+    /// Longest pause between two events that is on time.
+    pub pause: Option<Duration>,
     /// When its first byte is on time.
     pub due: time::Instant,
     /// When its caller leaves without a first byte.
@@ -79,11 +95,20 @@
     pub avoid: Vec<id::Endpoint>,
 }
 
+/// How the events of an answer came.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Flow {
+    /// Number of events.
+    pub events: u64,
+    /// Longest pause between two of them.
+    pub pause: Duration,
+}
+
 /// How a request at an endpoint ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    /// The whole answer came, with this many events after the first.
-    Answered(u64),
+    /// The whole answer came.
+    Answered(Flow),
     /// The caller left or the time was over.
     Cancelled,
     /// The endpoint answered with an error of its own.
@@ -316,11 +341,12 @@
                 member.pending = member.pending.saturating_sub(flight.ask.prompt);
             }
             member.learn(now, outcome);
-            if let (Outcome::Answered(events), Some(first)) = (outcome, flight.first)
+            if let (Outcome::Answered(flow), Some(first)) = (outcome, flight.first)
                 && let Some(line) = self.services.get_mut(&service)
             {
                 let took = now.since(first);
-                if let Some(pace) = line.model.ended(&flight.ask, events, took) {
+                let speed = member.speed();
+                if let Some(pace) = line.model.ended(&flight.ask, flow, took, speed) {
                     member.pace.record(pace);
                 }
                 member.typical = line.model.pace.get();
@@ -407,6 +433,7 @@
     /// Chooses an endpoint for a request.
     fn choose(&self, now: time::Instant, line: &Line, ask: &Ask, lane: Lane) -> Pick {
         let left = (ask.due - MARGIN).since(now).as_secs_f64();
+        let whole = (ask.deadline - MARGIN).since(now).as_secs_f64();
         let mut best: Option<(f64, f64, &id::Endpoint)> = None;
         let mut room = false;
         let mut rng = self.rng.clone();
@@ -429,13 +456,22 @@
                 DISTANCE
             };
             let late = lane == Lane::OnTime && first > left;
+            let rest = line.model.rest(ask) / speed;
             if late {
                 continue;
             }
-            let whole = line.model.rest(ask) / speed;
+            let unfinished = if first + rest > whole {
+                UNFINISHED
+            } else {
+                0.0
+            };
+            let disturbed = self.disturbed(line, ask, member);
             let cost = first
                 + distance
-                + DURATION_WEIGHT * whole
+                + DURATION_WEIGHT * rest
+                + DISTURBANCE * disturbed
+                + unfinished
+                + RESERVE * speed * member.occupancy()
                 + FAILURE_COST * member.failure(now)
                 + rng.random_range(0.0..JITTER);
             if best.is_none_or(|(least, ..)| cost < least) {
@@ -449,6 +485,20 @@
         }
     }
 
+    /// Returns the number of streams at an endpoint that would pause for too
+    /// long while it reads the request's prompt.
+    fn disturbed(&self, line: &Line, ask: &Ask, member: &Member) -> f64 {
+        let Some(pause) = ask.pause else {
+            return 0.0;
+        };
+        let pause = pause.as_secs_f64();
+        let longest = line
+            .model
+            .pause(ask.prompt, member.pending(), member.speed());
+        let part = (longest / pause - DISTURBANCE_FROM) / (1.0 - DISTURBANCE_FROM);
+        part.clamp(0.0, 1.0) * f64::from(member.running())
+    }
+
     fn send(
         &mut self,
         now: time::Instant,
--- a/lib/src/gate/line.rs
+++ b/lib/src/gate/line.rs
@@ -116,8 +116,7 @@
     /// Returns whether a request that gets an endpoint now is of no use.
     pub(super) fn is_hopeless(&self, now: time::Instant, ask: &Ask) -> bool {
         let first = self.model.first_byte(ask.prompt, 0, FASTEST);
-        let whole = first + self.model.rest(ask) / FASTEST;
-        now + seconds(first) > ask.first_by || now + seconds(whole) > ask.deadline
+        now + seconds(first) > ask.first_by.min(ask.deadline)
     }
 
     /// Returns the time that a new request would wait, if this many places
--- a/lib/src/gate/member.rs
+++ b/lib/src/gate/member.rs
@@ -103,6 +103,16 @@
         self.own + others < self.places()
     }
 
+    /// Returns the requests of all nodes.
+    pub(super) fn running(&self) -> u32 {
+        self.own + self.others.requests
+    }
+
+    /// Returns the part of its places that is taken.
+    pub(super) fn occupancy(&self) -> f64 {
+        f64::from(self.running()) / f64::from(self.places())
+    }
+
     /// Returns the prompt tokens of all nodes that wait for their first byte.
     pub(super) fn pending(&self) -> u64 {
         self.pending + self.others.pending
--- a/lib/src/route.rs
+++ b/lib/src/route.rs
@@ -48,6 +48,8 @@
     pub timeout: Duration,
     /// Time to the first byte within which an answer is on time.
     pub objective: Duration,
+    /// Longest pause between two events of a stream that is on time.
+    pub pause: Option<Duration>,
     /// Time without an event after which callers abandon a stream.
     pub patience: Option<Duration>,
     /// Its tier.
