pool, gate: limits of connections as settings; one request finds out about an endpoint

Change: the gateway gives a connect 250 ms, unacknowledged data 1.2 s; after a failure one request at a time finds out; an address that another endpoint has is left for 5 s. Idle connections are used for a part of the time that the endpoint tells.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -10,7 +10,7 @@
     upstream::{Client, Failure, Message, Reuse},
 };
 use dottereltally_lib::{
-    gate::Choice,
+    gate::{Choice, Outcome},
     id,
     route::{Repeat, Route},
 };
@@ -194,6 +194,15 @@
     }
 }
 
+/// Returns what a rejection says of the endpoint.
+#[must_use]
+pub fn rejection(status: StatusCode) -> Outcome {
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return Outcome::Misdirected;
+    }
+    Outcome::Rejected
+}
+
 /// Sends a request to the chosen endpoint and waits for its answer, or for
 /// the first events of its stream.
 pub async fn send<D: Dialect>(
--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -418,8 +418,8 @@
                 progress.avoid.push(choice.endpoint.clone());
                 Verdicted::Again(unreachable_endpoints(progress.may_have_run))
             }
-            Attempt::Rejected { place, .. } => {
-                place.end(Outcome::Rejected);
+            Attempt::Rejected { place, status } => {
+                place.end(attempt::rejection(status));
                 progress.sent(choice);
                 Verdicted::Again(rejected(progress.may_have_run))
             }
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -11,7 +11,7 @@
     body::Body,
     clock::Clock,
     operations::{Pages, Source as StatusSource, Status},
-    pool::Pool,
+    pool::{self, Pool},
     process::Process,
     server,
     shutdown::{self, Phase},
@@ -70,6 +70,16 @@
     write_timeout: Duration::from_secs(20),
 };
 
+/// Time limits of connections to endpoints: a data centre that is cut off and
+/// a connection that fell silent must show well within a caller's patience.
+const UPSTREAM: pool::Limits = pool::Limits {
+    connect: Duration::from_millis(250),
+    probe: Duration::from_secs(1),
+    probe_interval: Duration::from_millis(500),
+    unacknowledged: Duration::from_millis(1200),
+    idle: Duration::from_secs(5),
+};
+
 /// The parts that come from outside the product.
 pub struct Parts<D, S> {
     /// How heads are written.
@@ -152,7 +162,7 @@
         dialect: parts.dialect,
         plan: plan.subscribe(),
         admission: admission.clone(),
-        upstream: Pool::default(),
+        upstream: Pool::new(UPSTREAM),
         ledger: Mutex::new(Ledger::new(settings.quotas)),
         budget: Mutex::new(Budget::new(settings.retries)),
         marks: Mutex::new(Marks::default()),
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -251,7 +251,7 @@
                     place.end(Outcome::Unreachable);
                     continue;
                 }
-                Attempt::Rejected { place, .. } => (place, Outcome::Rejected),
+                Attempt::Rejected { place, status } => (place, attempt::rejection(status)),
                 Attempt::Broken { place, .. } => (place, Outcome::Broken),
                 Attempt::Expired { place } => (place, Outcome::Cancelled),
                 Attempt::Failed { place, .. } | Attempt::Whole { place, .. } => {
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -115,6 +115,8 @@
     Failed,
     /// The endpoint said that it did not run it.
     Rejected,
+    /// Another endpoint has its address.
+    Misdirected,
     /// The endpoint could not be reached.
     Unreachable,
     /// The connection broke or nothing came in time.
--- a/lib/src/gate/member.rs
+++ b/lib/src/gate/member.rs
@@ -18,6 +18,10 @@
 /// Time for which an endpoint that rejected a request is avoided.
 const FULL: Duration = Duration::from_millis(100);
 
+/// Time for which an endpoint is avoided whose address another one has; the
+/// directory tells of the change meanwhile.
+const REPLACED: Duration = Duration::from_secs(5);
+
 /// Time after which half of the observed failures is forgotten, seconds.
 const FAILURE_HALF_LIFE: f64 = 2.0;
 
@@ -94,6 +98,10 @@
         if self.record.standing == Standing::Leaving || self.avoided_until > now {
             return false;
         }
+        // One request finds out whether it can be reached again.
+        if self.misses > 0 && self.own > 0 {
+            return false;
+        }
         let mut others = self.others.requests;
         if let Some((at, total)) = self.reported
             && now.since(at) < REPORT_TTL
@@ -152,6 +160,10 @@
                 self.avoided_until = self.avoided_until.max(now + FULL);
                 return;
             }
+            Outcome::Misdirected => {
+                self.avoided_until = self.avoided_until.max(now + REPLACED);
+                return;
+            }
             Outcome::Failed => 0.5,
             Outcome::Unreachable | Outcome::Broken => 1.0,
         };
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use http::Response;
+use http::{HeaderMap, Response};
 use http_body::{Frame, SizeHint};
 use http_body_util::Full;
 use hyper::{
@@ -23,33 +23,57 @@
 
 use crate::upstream::{Broken, Client, Failure, Message, Reuse};
 
-/// Time for a connection to be made.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time after which a connection without traffic is probed by the host.
-const KEEPALIVE_TIME: Duration = Duration::from_secs(5);
-/// Time between two such probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
 /// Unanswered probes that end a connection.
 const KEEPALIVE_RETRIES: u32 = 3;
-/// Time of unacknowledged data that ends a connection.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for a returned connection to become ready for the next request.
 const READY_TIMEOUT: Duration = Duration::from_millis(10);
-/// Time after which an idle connection is not used any more.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Part of the time that an endpoint keeps idle connections in which they are
+/// used again; a request must not meet the end of its connection.
+const KEPT_PART: f64 = 0.6;
+/// Header by which an endpoint tells how long it keeps idle connections.
+const KEEP_ALIVE: &str = "keep-alive";
 /// Idle connections kept for one endpoint.
 const MAX_IDLE: usize = 64;
 
+/// Time limits of connections.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// For a connection to be made.
+    pub connect: Duration,
+    /// Without traffic, after which the host probes a connection.
+    pub probe: Duration,
+    /// Between two such probes.
+    pub probe_interval: Duration,
+    /// For data to be acknowledged.
+    pub unacknowledged: Duration,
+    /// Without a request, after which a connection is not used any more,
+    /// unless its endpoint says that it closes earlier.
+    pub idle: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_secs(1),
+            probe: Duration::from_secs(5),
+            probe_interval: Duration::from_secs(2),
+            unacknowledged: Duration::from_secs(10),
+            idle: Duration::from_secs(5),
+        }
+    }
+}
+
 /// Client with a pool of idle connections by address.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
+    limits: Limits,
     idle: Arc<Mutex<HashMap<String, Vec<Idle>>>>,
 }
 
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
-    since: Instant,
+    until: Instant,
 }
 
 /// An open connection; dropping it closes the socket.
@@ -66,11 +90,11 @@
 }
 
 impl Connection {
-    async fn open(address: &str) -> io::Result<Self> {
+    async fn open(address: &str, limits: &Limits) -> io::Result<Self> {
         let connect = TcpStream::connect(address);
-        let stream = timeout(CONNECT_TIMEOUT, connect).await??;
+        let stream = timeout(limits.connect, connect).await??;
         stream.set_nodelay(true)?;
-        watch(&stream)?;
+        watch(&stream, limits)?;
         let handshake = http1::handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
@@ -88,22 +112,31 @@
 }
 
 /// Lets the host end a connection that the network has lost track of.
-fn watch(stream: &TcpStream) -> io::Result<()> {
+fn watch(stream: &TcpStream, limits: &Limits) -> io::Result<()> {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_TIME)
-        .with_interval(KEEPALIVE_INTERVAL)
+        .with_time(limits.probe)
+        .with_interval(limits.probe_interval)
         .with_retries(KEEPALIVE_RETRIES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(limits.unacknowledged))
 }
 
 impl Pool {
+    /// Builds a pool without connections.
+    #[must_use]
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            idle: Arc::default(),
+        }
+    }
+
     /// Takes the idle connection that was used last.
     async fn take(&self, address: &str) -> Option<Connection> {
         loop {
             let idle = self.pop(address)?;
-            if idle.since.elapsed() >= IDLE_TIMEOUT {
+            if idle.until <= Instant::now() {
                 continue;
             }
             let mut connection = idle.connection;
@@ -123,16 +156,17 @@
         idle
     }
 
-    fn put(&self, address: String, connection: Connection) {
-        if connection.sender.is_closed() {
+    fn put(&self, address: String, connection: Connection, idle: Duration) {
+        if connection.sender.is_closed() || idle.is_zero() {
             return;
         }
-        let since = Instant::now();
+        let now = Instant::now();
+        let until = now + idle;
         let mut pool = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = pool.entry(address).or_default();
-        list.retain(|idle| since.duration_since(idle.since) < IDLE_TIMEOUT);
+        list.retain(|idle| idle.until > now);
         if list.len() < MAX_IDLE {
-            list.push(Idle { connection, since });
+            list.push(Idle { connection, until });
         }
     }
 
@@ -142,7 +176,7 @@
         {
             return Ok(connection);
         }
-        Connection::open(address).await
+        Connection::open(address, &self.limits).await
     }
 }
 
@@ -177,18 +211,48 @@
                 });
             }
         };
+        let idle = kept(response.headers()).map_or(self.limits.idle, |kept| {
+            self.limits.idle.min(kept.mul_f64(KEPT_PART))
+        });
+        let lease = Lease {
+            pool: self.clone(),
+            address: address.to_owned(),
+            connection,
+            idle,
+        };
         Ok(response.map(|body| Answer {
             body,
-            lease: Some((self.clone(), address.to_owned(), connection)),
+            lease: Some(lease),
         }))
     }
 }
 
+/// Returns how long an endpoint says that it keeps an idle connection.
+fn kept(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    for parameter in value.split(',') {
+        let Some(seconds) = parameter.trim().strip_prefix("timeout=") else {
+            continue;
+        };
+        return seconds.trim().parse().ok().map(Duration::from_secs);
+    }
+    None
+}
+
+/// A connection in use and how it is kept afterwards.
+#[derive(Debug)]
+struct Lease {
+    pool: Pool,
+    address: String,
+    connection: Connection,
+    idle: Duration,
+}
+
 /// Body of an answer; returns its connection to the pool at its end.
 #[derive(Debug)]
 pub struct Answer {
     body: Incoming,
-    lease: Option<(Pool, String, Connection)>,
+    lease: Option<Lease>,
 }
 
 impl http_body::Body for Answer {
@@ -210,8 +274,8 @@
                 Poll::Ready(Some(Err(Broken { cause })))
             }
             None => {
-                if let Some((pool, address, connection)) = self.lease.take() {
-                    pool.put(address, connection);
+                if let Some(lease) = self.lease.take() {
+                    lease.pool.put(lease.address, lease.connection, lease.idle);
                 }
                 Poll::Ready(None)
             }
