gate: the route's tier decides within a workspace's tier; short work first

Change: within a workspace's tier the route's tier decides; work of less than a quarter of the usual time goes first.

--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -106,6 +106,7 @@
         Ask {
             service: self.service.clone(),
             tier: self.tier,
+            class: self.route.tier,
             prompt: self.tokens.0,
             output: self.tokens.1,
             pause: self.route.pause,
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -79,6 +79,8 @@
     pub service: id::Service,
     /// Its tier.
     pub tier: id::Tier,
+    /// Its rank among requests of the same tier.
+    pub class: id::Tier,
     /// Tokens of its prompt; none for a plain service.
     pub prompt: u64,
     /// Tokens of its answer, as far as they can be expected.
--- a/lib/src/gate/learn.rs
+++ b/lib/src/gate/learn.rs
@@ -107,6 +107,8 @@
     stall: f64,
     /// Seconds between two events of a stream.
     pub(super) pace: Average,
+    /// Seconds from the first byte of an answer to its end.
+    whole: Average,
     /// Events that came, and tokens that were expected.
     output: (f64, f64),
 }
@@ -123,6 +125,7 @@
             fit,
             stall: PAUSE_PRIOR,
             pace: Average::default(),
+            whole: Average::default(),
             output: (OUTPUT_PRIOR / STRIDE_PRIOR, OUTPUT_PRIOR),
         }
     }
@@ -154,6 +157,7 @@
                 tokens * KEEP + to_float(ask.output),
             );
         }
+        self.whole.record(took.as_secs_f64() * speed);
         if flow.events < MIN_EVENTS {
             return None;
         }
@@ -200,6 +204,11 @@
         to_float(ask.output) * density * pace
     }
 
+    /// Returns the usual seconds of an answer.
+    pub(super) fn typical(&self) -> f64 {
+        self.whole.get().unwrap_or_default()
+    }
+
     /// Returns the expected time of a whole answer.
     pub(super) fn duration(&self, ask: &Ask) -> Duration {
         let seconds = self.first_byte(ask.prompt, 0, 1.0) + self.rest(ask);
--- a/lib/src/gate/line.rs
+++ b/lib/src/gate/line.rs
@@ -24,6 +24,7 @@
 struct Rank {
     lane: Lane,
     tier: id::Tier,
+    class: id::Tier,
     by: time::Instant,
     request: id::Request,
 }
@@ -140,21 +141,35 @@
         }
     }
 
+    /// Returns the rank within the tier; short work goes first, as it delays
+    /// the rest by little.
+    fn class(&self, ask: &Ask) -> id::Tier {
+        let work = self.model.duration(ask).as_secs_f64();
+        if work < self.model.typical() * SHORT_PART {
+            return id::Tier::default();
+        }
+        ask.class
+    }
+
     fn rank(&self, now: time::Instant, request: id::Request, ask: &Ask) -> Rank {
         let lane = self.lane(now, ask);
         let by = match lane {
             Lane::OnTime => ask.due,
-            Lane::Late => ask.deadline,
+            Lane::Late => ask.first_by,
         };
         Rank {
             lane,
             tier: ask.tier,
+            class: self.class(ask),
             by,
             request,
         }
     }
 }
 
+/// Part of the typical time of an answer up to which work is short.
+const SHORT_PART: f64 = 0.25;
+
 /// Speed of the fastest endpoints relative to the mean of a service.
 const FASTEST: f64 = 2.0;
 
