gateway: requests that crash endpoints are marked fleet-wide; a node without the store asks others

A request in flight at the deaths of two endpoints is refused everywhere: marks travel with beats. The startup is split into parts.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -155,17 +155,17 @@
         /// The place at the endpoint.
         place: Place,
         /// Its answer.
-        whole: Whole,
+        whole: Box<Whole>,
     },
     /// The endpoint answered.
     Whole {
         /// The place at the endpoint.
         place: Place,
         /// Its answer.
-        whole: Whole,
+        whole: Box<Whole>,
     },
     /// The endpoint began a stream.
-    Stream(Stream),
+    Stream(Box<Stream>),
 }
 
 impl Attempt {
@@ -316,7 +316,7 @@
         }
         Err(_) => return Attempt::Expired { place },
     };
-    let whole = Whole { parts, body };
+    let whole = Box::new(Whole { parts, body });
     if whole.parts.status.is_server_error() {
         return Attempt::Failed { place, whole };
     }
@@ -349,13 +349,13 @@
         match splitter.feed(data) {
             Ok(Some(first)) => {
                 place.start();
-                return Attempt::Stream(Stream {
+                return Attempt::Stream(Box::new(Stream {
                     parts,
                     first,
                     body,
                     splitter,
                     place,
-                });
+                }));
             }
             Ok(None) => {}
             Err(error) => {
--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -12,10 +12,11 @@
 };
 use dottereltally_lib::{
     budget::Budget,
+    crash,
     gate::{Ask, Choice, Flow, Outcome},
     id,
     plan::Plan,
-    quarantine::{Marks, Verdict},
+    quarantine::Verdict,
     quota::Ledger,
     refusal,
     route::{Repeat, Route},
@@ -66,7 +67,7 @@
     /// Budget of repeated sends.
     pub budget: Mutex<Budget>,
     /// Requests that crash endpoints.
-    pub marks: Mutex<Marks>,
+    pub crashes: Mutex<crash::Watch>,
     /// The counters.
     pub metrics: Metrics,
     /// Phases of a shutdown.
@@ -236,17 +237,15 @@
         })?;
         let workspace = workspace(&plan, route, &head)?;
         let reading = filter::collect(&mut body, plan.limits.body);
-        let body = match timeout(plan.limits.receive, reading).await {
-            Ok(body) => body.map_err(unread)?,
-            Err(_) => {
-                let refused = Refused::unsent(
-                    StatusCode::REQUEST_TIMEOUT,
-                    Reason::SlowSender,
-                    "the body did not arrive in time; send the request again",
-                );
-                return Err(refused.closing());
-            }
+        let Ok(body) = timeout(plan.limits.receive, reading).await else {
+            let refused = Refused::unsent(
+                StatusCode::REQUEST_TIMEOUT,
+                Reason::SlowSender,
+                "the body did not arrive in time; send the request again",
+            );
+            return Err(refused.closing());
         };
+        let body = body.map_err(unread)?;
         let service = route.service(hash(&[head.correlation.as_bytes()]));
         let service = service.ok_or_else(|| {
             let refused = Refused::unsent(
@@ -281,7 +280,7 @@
 
     /// Refuses requests that crash endpoints.
     fn check_fingerprint(&self, fingerprint: id::Fingerprint) -> Result<(), Refused> {
-        let verdict = lock(&self.marks).verdict(self.clock.now(), fingerprint);
+        let verdict = lock(&self.crashes).verdict(self.clock.now(), fingerprint);
         if verdict != Verdict::Confirmed {
             return Ok(());
         }
@@ -350,7 +349,7 @@
                     return Ok(Response::from_parts(whole.parts, Body::full(whole.body)));
                 }
                 Verdicted::Stream(stream) => {
-                    return Ok(Relay::new(self, job, progress, choice, stream).response());
+                    return Ok(Relay::new(self, job, progress, choice, *stream).response());
                 }
                 Verdicted::Again(refused) => last = Some(refused),
                 Verdicted::Never(refused) => return Err(refused),
@@ -392,6 +391,19 @@
         })
     }
 
+    /// Records that the connection of a request broke.
+    pub fn broke(&self, job: &Job, endpoint: &id::Endpoint) {
+        lock(&self.crashes).broke(self.clock.now(), endpoint, job.fingerprint);
+    }
+
+    /// Records that an endpoint can't be reached.
+    pub fn died(&self, endpoint: &id::Endpoint) {
+        let suspects = lock(&self.crashes).died(self.clock.now(), endpoint);
+        if suspects > 0 {
+            tracing::info!(%endpoint, suspects, "endpoint died with requests in flight");
+        }
+    }
+
     /// Decides what follows from an attempt.
     fn judge(
         &self,
@@ -415,6 +427,7 @@
         match attempt {
             Attempt::Unsent { place, .. } => {
                 place.end(Outcome::Unreachable);
+                self.died(&choice.endpoint);
                 progress.unreachable += 1;
                 progress.avoid.push(choice.endpoint.clone());
                 Verdicted::Again(unreachable_endpoints(progress.may_have_run))
@@ -426,6 +439,7 @@
             }
             Attempt::Broken { place, .. } => {
                 place.end(Outcome::Broken);
+                self.broke(job, &choice.endpoint);
                 progress.sent(choice);
                 progress.may_have_run = true;
                 Verdicted::Again(Refused::lost(
@@ -508,9 +522,9 @@
 /// What follows from an attempt.
 enum Verdicted {
     /// This whole answer.
-    Answer(attempt::Whole),
+    Answer(Box<attempt::Whole>),
     /// This stream.
-    Stream(attempt::Stream),
+    Stream(Box<attempt::Stream>),
     /// Another attempt, or this refusal if none is left.
     Again(Refused),
     /// This refusal.
--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -116,6 +116,10 @@
             }
             Message::Told(snapshot) => {
                 if self.belief.is_told() {
+                    // Only a newer plan is of use.
+                    if let Some(plan) = snapshot.plan {
+                        self.adopt(plan);
+                    }
                     return;
                 }
                 tracing::info!(
@@ -155,7 +159,10 @@
         let now = self.outlet.clock.now();
         self.belief.replace(now, snapshot.endpoints);
         if !whole {
-            return;
+            for node in snapshot.nodes {
+                self.nodes.entry(node.name.clone()).or_insert(node);
+            }
+            return self.tell_nodes();
         }
         let nodes = snapshot.nodes.into_iter();
         self.nodes = nodes.map(|node| (node.name.clone(), node)).collect();
@@ -202,6 +209,7 @@
         let number = i64::try_from(plan.generation.0).unwrap_or(i64::MAX);
         self.outlet.metrics.generation.set(number);
         self.outlet.plan.send_replace(Some(Arc::new(plan)));
+        self.belief.touch();
     }
 
     fn tell_nodes(&self) {
@@ -227,6 +235,7 @@
         self.outlet.snapshot.send_replace(Arc::new(Snapshot {
             plan,
             endpoints: self.belief.entries(),
+            nodes: self.nodes.values().cloned().collect(),
             ..Snapshot::default()
         }));
     }
--- a/gateway/src/controller/belief.rs
+++ b/gateway/src/controller/belief.rs
@@ -127,6 +127,11 @@
         Some(known.map(|known| known.entry.record.clone()).collect())
     }
 
+    /// Has the records handed on again.
+    pub fn touch(&mut self) {
+        self.changed = true;
+    }
+
     /// Returns the descriptions.
     #[must_use]
     pub fn entries(&self) -> BTreeMap<id::Endpoint, Entry> {
--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -4,9 +4,10 @@
 
 use dottereltally_lib::{endpoint, id, plan::Plan};
 use dottereltally_store::kv::{Error, Lease, Revision};
+use serde::{Deserialize, Serialize};
 
 /// An endpoint as it last described itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// What it says.
     pub record: endpoint::Record,
@@ -17,7 +18,7 @@
 }
 
 /// Another node as it registered itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Node {
     /// Its name.
     pub name: id::Node,
@@ -43,9 +44,10 @@
 }
 
 /// Everything at one revision.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Snapshot {
-    /// The revision from which changes follow.
+    /// The revision from which changes follow; of no use to another node.
+    #[serde(skip)]
     pub revision: Revision,
     /// The plan, if there is one.
     pub plan: Option<Plan>,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod dialect;
 pub mod directory;
 pub mod events;
+pub mod exchange;
 pub mod journal;
 pub mod metrics;
 pub mod node;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::{
     future::Future,
+    net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -18,29 +19,31 @@
 };
 use dottereltally_lib::{
     budget::Budget,
+    crash,
     gate::{self, Gate},
     id,
     plan::Plan,
-    quarantine::Marks,
     quota::Ledger,
 };
 use eyre::WrapErr;
 use http::{Response, StatusCode};
 use prometheus_client::registry::Registry;
-use ractor::Actor;
+use ractor::{Actor, ActorRef};
 use tokio::{
     net::{TcpListener, UdpSocket},
     signal::unix::{SignalKind, signal},
     sync::watch,
-    time::{interval, sleep, timeout},
+    task::{JoinHandle, spawn_local},
+    time::{MissedTickBehavior, interval, sleep, timeout},
 };
 
 use crate::{
     admission,
-    chain::Chain,
+    chain::{Chain, lock},
     controller::{self, Controller, Outlet, Pace, Registration},
     dialect::Dialect,
     directory::{self, Snapshot, Source},
+    exchange,
     journal::Journal,
     metrics::Metrics,
     peers::{self, Peers},
@@ -60,9 +63,15 @@
 /// balancer asks once a second and acts on the second miss.
 const NOTICE: Duration = Duration::from_millis(2600);
 
+/// Part of the grace period that the notice takes at the most.
+const NOTICE_PART: u32 = 3;
+
 /// Time kept back from the grace period to end by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time between two questions to other nodes while nothing is known.
+const INHERIT_PERIOD: Duration = Duration::from_millis(400);
+
 /// Limits of connections before the plan's own apply.
 const LIMITS: server::Limits = server::Limits {
     head: 64 * 1024,
@@ -88,7 +97,60 @@
     pub source: S,
 }
 
-/// Runs a gateway until it is told to stop.
+/// Sockets that a node listens on.
+struct Listeners {
+    callers: TcpListener,
+    health: TcpListener,
+    operations: TcpListener,
+    peers: TcpListener,
+    beats: UdpSocket,
+}
+
+impl Listeners {
+    async fn bind(settings: &Settings) -> eyre::Result<Self> {
+        let listen = &settings.listen;
+        let beats = UdpSocket::bind(listen.beats)
+            .await
+            .wrap_err_with(|| occupied(listen.beats, "listen.beats"))?;
+        Ok(Self {
+            callers: tcp(listen.callers, "listen.callers").await?,
+            health: tcp(listen.health, "listen.health").await?,
+            operations: tcp(listen.operations, "listen.operations").await?,
+            peers: tcp(listen.peers, "listen.peers").await?,
+            beats,
+        })
+    }
+}
+
+async fn tcp(address: SocketAddr, field: &str) -> eyre::Result<TcpListener> {
+    let listener = TcpListener::bind(address).await;
+    listener.wrap_err_with(|| occupied(address, field))
+}
+
+fn occupied(address: SocketAddr, field: &str) -> String {
+    format!("{address} can't be listened on; change `{field}`")
+}
+
+/// What the parts of a node tell each other.
+struct Wires {
+    plan: watch::Sender<Option<Arc<Plan>>>,
+    nodes: watch::Sender<Vec<directory::Node>>,
+    listed: watch::Sender<bool>,
+    snapshot: watch::Sender<Arc<Snapshot>>,
+}
+
+impl Default for Wires {
+    fn default() -> Self {
+        Self {
+            plan: watch::Sender::new(None),
+            nodes: watch::Sender::new(Vec::new()),
+            listed: watch::Sender::new(false),
+            snapshot: watch::Sender::new(Arc::new(Snapshot::default())),
+        }
+    }
+}
+
+/// Runs a gateway until it is told to stop; needs a local task set.
 ///
 /// # Errors
 ///
@@ -106,32 +168,93 @@
         version = env!("CARGO_PKG_VERSION"),
         "node starts"
     );
-    let callers = listen(settings.listen.callers, "listen.callers").await?;
-    let health = listen(settings.listen.health, "listen.health").await?;
-    let operations = listen(settings.listen.operations, "listen.operations").await?;
-    let clock = Clock::start();
+    let listeners = Listeners::bind(&settings).await?;
     let metrics = Metrics::default();
-    let phase = Phase::default();
     let mut registry = Registry::with_prefix(METRICS_PREFIX);
     registry.register_collector(Box::new(Process));
     metrics.register(&mut registry);
+    let wires = Wires::default();
+    let chain = Arc::new(chain(&settings, parts.dialect, &wires, &metrics));
+    let own = directory::Node {
+        name: settings.node.clone(),
+        address: settings.listen.beats.to_string(),
+        data_centre: settings.data_centre.clone(),
+    };
+    let controller = follow(&settings, &parts.source, &chain, &wires).await?;
+    spawn_local(exchange::serve(listeners.peers, wires.snapshot.subscribe()));
+    spawn_local(inherit(
+        settings.seeds.clone(),
+        wires.listed.subscribe(),
+        controller,
+    ));
+    let registration = Arc::new(Registration::new(parts.source, own.clone(), metrics));
+    let keeping = Arc::clone(&registration);
+    tokio::spawn(async move { keeping.run().await });
+    meet(own, listeners.beats, &chain, wires.nodes.subscribe()).await?;
+    let stop = watch::Sender::new(false);
+    let state = State::new(&settings, &chain, &wires);
+    serve_pages(
+        state,
+        registry,
+        listeners.health,
+        listeners.operations,
+        &stop,
+    );
+    tokio::spawn(tick(chain.admission.clone()));
+    tokio::spawn(gauges(
+        chain.admission.clone(),
+        chain.metrics.clone(),
+        journal,
+    ));
+    let serving = Arc::clone(&chain);
+    let handler = move |request| Arc::clone(&serving).serve(request);
+    let serving = tokio::spawn(server::serve(
+        listeners.callers,
+        LIMITS,
+        chain.phase.draining(),
+        handler,
+    ));
+    wait(&chain, reload).await?;
+    drain(&settings, &chain.phase, &registration, serving).await;
+    Ok(())
+}
+
+fn chain<D>(settings: &Settings, dialect: D, wires: &Wires, metrics: &Metrics) -> Chain<D> {
+    let clock = Clock::start();
     let gate = Gate::new(gate::Settings {
         data_centre: settings.data_centre.clone(),
         seed: rand::random(),
     });
-    let admission = admission::Handle::new(gate, clock);
-    let plan = watch::Sender::new(None);
-    let nodes = watch::Sender::new(Vec::new());
-    let listed = watch::Sender::new(false);
-    let snapshot = watch::Sender::new(Arc::new(Snapshot::default()));
-    let outlet = Outlet {
+    Chain {
+        node: settings.node.clone(),
         clock,
-        plan: plan.clone(),
-        admission: admission.clone(),
-        nodes: nodes.clone(),
-        listed: listed.clone(),
-        snapshot: snapshot.clone(),
+        dialect,
+        plan: wires.plan.subscribe(),
+        admission: admission::Handle::new(gate, clock),
+        upstream: Pool::new(UPSTREAM),
+        ledger: Mutex::new(Ledger::new(settings.quotas)),
+        budget: Mutex::new(Budget::new(settings.retries)),
+        crashes: Mutex::new(crash::Watch::default()),
         metrics: metrics.clone(),
+        phase: Phase::default(),
+    }
+}
+
+/// Starts to keep the directory in force.
+async fn follow<D, S: Source>(
+    settings: &Settings,
+    source: &S,
+    chain: &Chain<D>,
+    wires: &Wires,
+) -> eyre::Result<ActorRef<controller::Message>> {
+    let outlet = Outlet {
+        clock: chain.clock,
+        plan: wires.plan.clone(),
+        admission: chain.admission.clone(),
+        nodes: wires.nodes.clone(),
+        listed: wires.listed.clone(),
+        snapshot: wires.snapshot.clone(),
+        metrics: chain.metrics.clone(),
         own: settings.node.clone(),
     };
     let (controller, _running) = Actor::spawn(None, Controller, outlet)
@@ -139,98 +262,50 @@
         .wrap_err("the controller of the directory can't be started")?;
     let promise = settings.bounds.drain.min(settings.bounds.apply);
     tokio::spawn(controller::follow::run(
-        parts.source.clone(),
+        source.clone(),
         Pace::within(promise),
         controller.clone(),
-        metrics.clone(),
-    ));
-    let own = directory::Node {
-        name: settings.node.clone(),
-        address: settings.listen.beats.to_string(),
-        data_centre: settings.data_centre.clone(),
-    };
-    let registration = Arc::new(Registration::new(
-        parts.source,
-        own.clone(),
-        metrics.clone(),
+        chain.metrics.clone(),
     ));
-    let keeping = Arc::clone(&registration);
-    tokio::spawn(async move { keeping.run().await });
-    let chain = Arc::new(Chain {
-        node: settings.node.clone(),
-        clock,
-        dialect: parts.dialect,
-        plan: plan.subscribe(),
-        admission: admission.clone(),
-        upstream: Pool::new(UPSTREAM),
-        ledger: Mutex::new(Ledger::new(settings.quotas)),
-        budget: Mutex::new(Budget::new(settings.retries)),
-        marks: Mutex::new(Marks::default()),
-        metrics: metrics.clone(),
-        phase: phase.clone(),
-    });
-    meet(&settings, own, &chain, nodes.subscribe()).await?;
-    let serving = Arc::clone(&chain);
-    let handler = move |request| Arc::clone(&serving).serve(request);
-    let serving = tokio::spawn(server::serve(callers, LIMITS, phase.draining(), handler));
-    let state = State {
-        node: settings.node.clone(),
-        data_centre: settings.data_centre.clone(),
-        plan: plan.subscribe(),
-        listed: listed.subscribe(),
-        nodes: nodes.subscribe(),
-        phase: phase.clone(),
-    };
-    let checked = state.clone();
-    let checks = move |_request: http::Request<_>| {
-        let ready = checked.is_ready();
-        async move { check(ready) }
-    };
-    let stop = watch::Sender::new(false);
-    tokio::spawn(server::serve(health, LIMITS, stop.subscribe(), checks));
-    let pages = Arc::new(Pages::new(registry, state));
-    let handler = move |request: http::Request<_>| {
-        let pages = Arc::clone(&pages);
-        async move { pages.get(request.method(), request.uri().path()).await }
-    };
-    tokio::spawn(server::serve(operations, LIMITS, stop.subscribe(), handler));
-    tokio::spawn(tick(admission.clone()));
-    tokio::spawn(gauges(admission, metrics, journal));
-    let mut hangups = signal(SignalKind::hangup())?;
-    let stopping = shutdown::requested();
-    tokio::pin!(stopping);
+    Ok(controller)
+}
+
+/// Asks other nodes for the directory until it is known.
+async fn inherit(
+    seeds: Vec<SocketAddr>,
+    listed: watch::Receiver<bool>,
+    controller: ActorRef<controller::Message>,
+) {
+    let mut seeds = seeds.iter().cycle();
     loop {
-        tokio::select! {
-            requested = &mut stopping => {
-                requested?;
-                break;
+        sleep(INHERIT_PERIOD).await;
+        if *listed.borrow() {
+            return;
+        }
+        let Some(seed) = seeds.next() else {
+            return;
+        };
+        match exchange::ask(*seed).await {
+            Ok(None) => {}
+            Ok(Some(snapshot)) => {
+                let told = controller::Message::Told(Box::new(snapshot));
+                if let Err(error) = controller.send_message(told) {
+                    tracing::error!(%error, "the controller of the directory stopped");
+                    return;
+                }
             }
-            _ = hangups.recv() => apply(&chain, reload()),
+            Err(error) => tracing::info!(%seed, %error, "a node told no directory"),
         }
     }
-    phase.announce();
-    tracing::info!("shutting down: not ready any more");
-    registration.leave().await;
-    sleep(NOTICE.min(settings.bounds.grace / 3)).await;
-    phase.drain();
-    tracing::info!("shutting down: no new requests");
-    let left = settings.bounds.grace - NOTICE.min(settings.bounds.grace / 3);
-    let finished = timeout(left.saturating_sub(GRACE_MARGIN), serving).await;
-    tracing::info!(whole = finished.is_ok(), "node stopped");
-    Ok(())
 }
 
 /// Starts to talk to the other nodes.
 async fn meet<D: Dialect>(
-    settings: &Settings,
     own: directory::Node,
+    socket: UdpSocket,
     chain: &Arc<Chain<D>>,
     mut nodes: watch::Receiver<Vec<directory::Node>>,
 ) -> eyre::Result<()> {
-    let address = settings.listen.beats;
-    let socket = UdpSocket::bind(address)
-        .await
-        .wrap_err_with(|| format!("{address} can't be listened on; change `listen.beats`"))?;
     let socket = Arc::new(socket);
     let arguments = peers::Arguments {
         own,
@@ -252,25 +327,75 @@
     Ok(())
 }
 
+/// Serves the balancer's checks and the operators' pages.
+fn serve_pages(
+    state: State,
+    registry: Registry,
+    health: TcpListener,
+    operations: TcpListener,
+    stop: &watch::Sender<bool>,
+) {
+    let checked = state.clone();
+    let checks = move |_request: http::Request<_>| {
+        let ready = checked.is_ready();
+        async move { check(ready) }
+    };
+    tokio::spawn(server::serve(health, LIMITS, stop.subscribe(), checks));
+    let pages = Arc::new(Pages::new(registry, state));
+    let handler = move |request: http::Request<_>| {
+        let pages = Arc::clone(&pages);
+        async move { pages.get(request.method(), request.uri().path()).await }
+    };
+    tokio::spawn(server::serve(operations, LIMITS, stop.subscribe(), handler));
+}
+
+/// Waits for the signal to stop; reloads the settings on the way.
+async fn wait<D>(chain: &Chain<D>, reload: impl Fn() -> Option<Settings>) -> eyre::Result<()> {
+    let mut hangups = signal(SignalKind::hangup())?;
+    let stopping = shutdown::requested();
+    tokio::pin!(stopping);
+    loop {
+        tokio::select! {
+            requested = &mut stopping => return Ok(requested?),
+            _ = hangups.recv() => apply(chain, reload()),
+        }
+    }
+}
+
 /// Takes over changed settings; addresses stay until the next start.
 fn apply<D>(chain: &Chain<D>, settings: Option<Settings>) {
     let Some(settings) = settings else {
+        tracing::error!("the changed settings can't be used; those in force stay");
         return;
     };
-    *crate::chain::lock(&chain.budget) = Budget::new(settings.retries);
-    tracing::info!("settings reloaded: budgets; addresses change with the next start");
+    lock(&chain.budget).agree(settings.retries);
+    lock(&chain.ledger).agree(settings.quotas);
+    tracing::info!("settings reloaded: budgets and quotas; the rest changes with the next start");
 }
 
-async fn listen(address: std::net::SocketAddr, field: &str) -> eyre::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .wrap_err_with(|| format!("{address} can't be listened on; change `{field}`"))
+/// Stops in an order that cuts no request.
+async fn drain<S: Source>(
+    settings: &Settings,
+    phase: &Phase,
+    registration: &Registration<S>,
+    serving: JoinHandle<()>,
+) {
+    let grace = settings.bounds.grace;
+    let notice = NOTICE.min(grace / NOTICE_PART);
+    phase.announce();
+    tracing::info!("shutting down: not ready any more");
+    tokio::join!(registration.leave(), sleep(notice));
+    phase.drain();
+    tracing::info!("shutting down: no new requests");
+    let left = grace.saturating_sub(notice).saturating_sub(GRACE_MARGIN);
+    let finished = timeout(left, serving).await;
+    tracing::info!(whole = finished.is_ok(), "node stopped");
 }
 
 /// Looks at the waiting requests from time to time.
 async fn tick(admission: admission::Handle) {
     let mut ticks = interval(TICK);
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
         if admission.read(Gate::waiting) > 0 {
@@ -316,6 +441,17 @@
 }
 
 impl State {
+    fn new<D>(settings: &Settings, chain: &Chain<D>, wires: &Wires) -> Self {
+        Self {
+            node: settings.node.clone(),
+            data_centre: settings.data_centre.clone(),
+            plan: wires.plan.subscribe(),
+            listed: wires.listed.subscribe(),
+            nodes: wires.nodes.subscribe(),
+            phase: chain.phase.clone(),
+        }
+    }
+
     fn is_ready(&self) -> bool {
         self.plan.borrow().is_some() && *self.listed.borrow() && !self.phase.is_announced()
     }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -36,9 +36,6 @@
 /// time for it.
 const SILENCE: (u32, Duration) = (6, Duration::from_millis(1200));
 
-/// Time for which a mark is sent with every beat.
-const MARK_SPREAD: Duration = Duration::from_secs(2);
-
 /// Largest datagram that is read, bytes.
 const MAX_DATAGRAM: usize = 60 * 1024;
 
@@ -49,8 +46,6 @@
     Registered(Vec<Node>),
     /// A beat came.
     Heard(Box<Beat>, SocketAddr),
-    /// Requests that may crash endpoints are to be told to the others.
-    Marked(Vec<id::Fingerprint>),
     /// Time went on.
     Tick,
 }
@@ -93,7 +88,6 @@
     sequence: u64,
     peers: BTreeMap<id::Node, Peer>,
     registered: BTreeSet<id::Node>,
-    marks: Vec<(id::Fingerprint, time::Instant)>,
 }
 
 impl<D: Dialect> Actor for Peers<D> {
@@ -113,7 +107,6 @@
             sequence: 0,
             peers: BTreeMap::new(),
             registered: BTreeSet::new(),
-            marks: Vec::new(),
         })
     }
 
@@ -126,7 +119,6 @@
         match message {
             Message::Registered(nodes) => state.register(nodes),
             Message::Heard(beat, from) => state.hear(&beat, from),
-            Message::Marked(marks) => state.mark(&marks),
             Message::Tick => state.tick(),
         }
         Ok(())
@@ -218,7 +210,7 @@
         let chain = &self.arguments.chain;
         lock(&chain.ledger).hear(now, &beat.node, beat.incarnation, beat.usage.clone());
         for (mark, valid) in &beat.marks {
-            lock(&chain.marks).mark(now, *mark, *valid);
+            lock(&chain.crashes).hear(now, *mark, *valid);
         }
         let held = beat.held.iter().cloned().collect();
         chain
@@ -226,11 +218,6 @@
             .apply(|gate, now| gate.hear(now, &beat.node, held));
     }
 
-    fn mark(&mut self, marks: &[id::Fingerprint]) {
-        let until = self.now() + MARK_SPREAD;
-        self.marks.extend(marks.iter().map(|mark| (*mark, until)));
-    }
-
     fn tick(&mut self) {
         let now = self.now();
         let locals = self.peers.values().filter(|peer| peer.local).count();
@@ -239,7 +226,6 @@
             period(PERIOD.1, self.peers.len() - locals),
         );
         self.watch_silence(now, periods);
-        self.marks.retain(|(_, until)| *until > now);
         let mut due = Vec::new();
         for peer in self.peers.values_mut() {
             if peer.due > now {
@@ -272,7 +258,6 @@
         self.sequence += 1;
         let chain = &self.arguments.chain;
         let plan = chain.plan.borrow();
-        let marks = self.marks.iter();
         Beat {
             node: self.arguments.own.name.clone(),
             incarnation: self.incarnation,
@@ -284,9 +269,7 @@
                 .unwrap_or_default(),
             held: chain.admission.read(Gate::held),
             usage: lock(&chain.ledger).usage(now),
-            marks: marks
-                .map(|(mark, _)| (*mark, dottereltally_lib::quarantine::MARK_TTL))
-                .collect(),
+            marks: lock(&chain.crashes).fresh(now),
         }
     }
 
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -212,6 +212,7 @@
     async fn resume(&mut self, cause: &str) -> bool {
         if let Some(source) = self.source.take() {
             source.place.end(Outcome::Broken);
+            self.chain.broke(&self.job, &self.choice.endpoint);
         }
         let chain = Arc::clone(&self.chain);
         while self.can_resume() && chain.may_repeat(&self.job, &self.progress) {
@@ -249,10 +250,14 @@
                 Attempt::Unsent { place, .. } => {
                     self.progress.sends -= 1;
                     place.end(Outcome::Unreachable);
+                    chain.died(&self.choice.endpoint);
                     continue;
                 }
                 Attempt::Rejected { place, status } => (place, attempt::rejection(status)),
-                Attempt::Broken { place, .. } => (place, Outcome::Broken),
+                Attempt::Broken { place, .. } => {
+                    chain.broke(&self.job, &self.choice.endpoint);
+                    (place, Outcome::Broken)
+                }
                 Attempt::Expired { place } => (place, Outcome::Cancelled),
                 Attempt::Failed { place, .. } | Attempt::Whole { place, .. } => {
                     (place, Outcome::Failed)
--- a/lib/src/budget.rs
+++ b/lib/src/budget.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Takes over changed terms.
+    pub fn agree(&mut self, terms: Terms) {
+        self.terms = terms;
+    }
+
     /// Takes over the number of nodes that share the allowance.
     pub fn share(&mut self, nodes: usize) {
         self.nodes = f64::from(u32::try_from(nodes.max(1)).unwrap_or(u32::MAX));
@@ -83,13 +88,6 @@
     fn account(&mut self, now: time::Instant, service: &id::Service) -> &mut Account {
         let cap = self.cap();
         let window = self.terms.window.as_secs_f64().max(1.0);
-        if !self.accounts.contains_key(service) {
-            let account = Account {
-                level: cap,
-                refilled: now,
-            };
-            self.accounts.insert(service.clone(), account);
-        }
         let account = self.accounts.entry(service.clone()).or_insert(Account {
             level: cap,
             refilled: now,
--- a/lib/src/endpoint.rs
+++ b/lib/src/endpoint.rs
@@ -21,7 +21,7 @@
 }
 
 /// One endpoint of the host list.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
     /// Its name, unique in the host list.
     pub id: id::Endpoint,
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -208,13 +208,11 @@
             member.listed = false;
         }
         for record in records {
-            match self.members.get_mut(&record.id) {
-                Some(member) => member.update(record),
-                None => {
-                    let member = Member::new(record);
-                    self.members.insert(member.record.id.clone(), member);
-                }
+            if let Some(member) = self.members.get_mut(&record.id) {
+                member.update(record);
+                continue;
             }
+            self.members.insert(record.id.clone(), Member::new(record));
         }
         self.members
             .retain(|_, member| member.listed || member.own > 0);
@@ -435,13 +433,13 @@
     }
 
     /// Chooses an endpoint for a request.
-    fn choose(&self, now: time::Instant, line: &Line, ask: &Ask, lane: Lane) -> Pick {
+    fn choose(&self, now: time::Instant, queue: &Line, ask: &Ask, lane: Lane) -> Pick {
         let left = (ask.due - MARGIN).since(now).as_secs_f64();
         let whole = (ask.deadline - MARGIN).since(now).as_secs_f64();
         let mut best: Option<(f64, f64, &id::Endpoint)> = None;
         let mut room = false;
         let mut rng = self.rng.clone();
-        for name in &line.endpoints {
+        for name in &queue.endpoints {
             let Some(member) = self.members.get(name) else {
                 continue;
             };
@@ -453,15 +451,15 @@
                 continue;
             }
             let speed = member.speed();
-            let first = line.model.first_byte(ask.prompt, member.pending(), speed);
+            let first = queue.model.first_byte(ask.prompt, member.pending(), speed);
             let distance = if member.record.data_centre == self.settings.data_centre {
                 0.0
             } else {
                 DISTANCE
             };
-            let late = lane == Lane::OnTime && first > left;
-            let rest = line.model.rest(ask) / speed;
-            if late {
+            let missed = lane == Lane::OnTime && first > left;
+            let rest = queue.model.rest(ask) / speed;
+            if missed {
                 continue;
             }
             let unfinished = if first + rest > whole {
@@ -469,7 +467,7 @@
             } else {
                 0.0
             };
-            let disturbed = self.disturbed(line, ask, member);
+            let disturbed = disturbed(queue, ask, member);
             let cost = first
                 + distance
                 + DURATION_WEIGHT * rest
@@ -489,20 +487,6 @@
         }
     }
 
-    /// Returns the number of streams at an endpoint that would pause for too
-    /// long while it reads the request's prompt.
-    fn disturbed(&self, line: &Line, ask: &Ask, member: &Member) -> f64 {
-        let Some(pause) = ask.pause else {
-            return 0.0;
-        };
-        let pause = pause.as_secs_f64();
-        let longest = line
-            .model
-            .pause(ask.prompt, member.pending(), member.speed());
-        let part = (longest / pause - DISTURBANCE_FROM) / (1.0 - DISTURBANCE_FROM);
-        part.clamp(0.0, 1.0) * f64::from(member.running())
-    }
-
     fn send(
         &mut self,
         now: time::Instant,
@@ -598,3 +582,17 @@
     /// No endpoint has room.
     Full,
 }
+
+/// Returns the number of streams at an endpoint that would pause for too
+/// long while it reads the request's prompt.
+fn disturbed(line: &Line, ask: &Ask, member: &Member) -> f64 {
+    let Some(pause) = ask.pause else {
+        return 0.0;
+    };
+    let pause = pause.as_secs_f64();
+    let longest = line
+        .model
+        .pause(ask.prompt, member.pending(), member.speed());
+    let part = (longest / pause - DISTURBANCE_FROM) / (1.0 - DISTURBANCE_FROM);
+    part.clamp(0.0, 1.0) * f64::from(member.running())
+}
--- a/lib/src/gate/learn.rs
+++ b/lib/src/gate/learn.rs
@@ -85,8 +85,10 @@
         let [s0, s1, s2, s3, s4] = self.powers;
         let [y0, y1, y2] = self.products;
         let determinant = |rows: [[f64; 3]; 3]| {
-            let [[a, b, c], [d, e, f], [g, h, i]] = rows;
-            a * (e * i - f * h) - b * (d * i - f * g) + c * (d * h - e * g)
+            let [first, second, third] = rows;
+            let minor =
+                |from: usize, to: usize| second[from] * third[to] - second[to] * third[from];
+            first[0] * minor(1, 2) - first[1] * minor(0, 2) + first[2] * minor(0, 1)
         };
         let whole = determinant([[s0, s1, s2], [s1, s2, s3], [s2, s3, s4]]);
         if whole.abs() < 1e-9 {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod affinity;
 pub mod balance;
 pub mod budget;
+pub mod crash;
 pub mod difference;
 pub mod effect;
 pub mod endpoint;
--- a/lib/src/plan.rs
+++ b/lib/src/plan.rs
@@ -5,10 +5,12 @@
     time::Duration,
 };
 
+use serde::{Deserialize, Serialize};
+
 use crate::{id, route};
 
 /// Everything that an operator sets, in one generation.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Plan {
     /// Its number; higher replaces lower.
     pub generation: id::Generation,
@@ -23,7 +25,7 @@
 }
 
 /// One service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Service {
     /// Connections that one endpoint accepts from all nodes together.
     pub connections: u32,
@@ -32,7 +34,7 @@
 }
 
 /// All workspaces.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Workspaces {
     /// The workspaces by name.
     pub names: BTreeMap<id::Workspace, Workspace>,
@@ -41,7 +43,7 @@
 }
 
 /// One workspace.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Workspace {
     /// Tier that replaces the one of the route.
     pub tier: Option<id::Tier>,
@@ -50,7 +52,7 @@
 }
 
 /// What counts against a quota.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Unit {
     /// Each request counts one.
     Requests,
@@ -63,7 +65,7 @@
 }
 
 /// Limit on the use of all nodes together.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Quota {
     /// Units a second.
     pub rate: f64,
@@ -85,7 +87,7 @@
 }
 
 /// Limits towards callers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
     /// Size of a request's head, bytes.
     pub head: usize,
--- a/lib/src/quota.rs
+++ b/lib/src/quota.rs
@@ -148,6 +148,11 @@
         }
     }
 
+    /// Takes over a changed tolerance.
+    pub fn agree(&mut self, tolerance: Tolerance) {
+        self.tolerance = tolerance;
+    }
+
     /// Takes over which other nodes there are.
     pub fn join(&mut self, now: time::Instant, nodes: &[id::Node]) {
         let nodes: BTreeSet<&id::Node> = nodes.iter().collect();
--- a/lib/src/route.rs
+++ b/lib/src/route.rs
@@ -3,11 +3,12 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 
 use crate::id;
 
 /// What may be sent again after an endpoint may have run it.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Repeat {
     /// Nothing: the request runs once at most.
     #[display("never")]
@@ -21,7 +22,7 @@
 }
 
 /// A service that a route leads to.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
     /// The service.
     pub service: id::Service,
@@ -30,7 +31,7 @@
 }
 
 /// One route.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Its name.
     pub name: id::Route,
@@ -78,7 +79,8 @@
 }
 
 /// All routes, by host and prefix.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Vec<Route>", into = "Vec<Route>")]
 pub struct Table {
     hosts: HashMap<String, HashMap<String, Arc<Route>>>,
 }
@@ -131,3 +133,16 @@
         table
     }
 }
+
+impl From<Vec<Route>> for Table {
+    fn from(routes: Vec<Route>) -> Self {
+        routes.into_iter().collect()
+    }
+}
+
+impl From<Table> for Vec<Route> {
+    fn from(table: Table) -> Self {
+        let routes = table.hosts.into_values().flat_map(HashMap::into_values);
+        routes.map(Arc::unwrap_or_clone).collect()
+    }
+}
--- a/node/src/peer.rs
+++ b/node/src/peer.rs
@@ -5,7 +5,7 @@
 mod metrics;
 mod pool;
 mod server;
-mod stream;
+pub mod stream;
 pub mod wire;
 
 use std::future::Future;
