--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -270,7 +270,8 @@
             .map(Member::places)
             .sum();
         let part = f64::from(places) / f64::from(u32::try_from(self.nodes).unwrap_or(u32::MAX));
-        let wait = line.wait(&ask, part);
+        line.arrive(now, &ask);
+        let wait = line.wait(now, &ask, part);
         if line.len() >= MAX_WAITING || line.is_hopeless(now + wait, &ask) {
             let reason = if line.len() >= MAX_WAITING {
                 refusal::Reason::Overload
@@ -499,7 +500,7 @@
         let Some(line) = self.services.get_mut(service) else {
             return;
         };
-        let Some(ask) = line.remove(request) else {
+        let Some(ask) = line.send(now, request) else {
             return;
         };
         let waiting = line.len();
--- a/lib/src/gate/line.rs
+++ b/lib/src/gate/line.rs
@@ -1,7 +1,7 @@
 //! Requests that wait for one service.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
@@ -38,6 +38,26 @@
     work: f64,
 }
 
+/// Work a second, averaged over the recent past.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rate {
+    sum: f64,
+    updated: time::Instant,
+}
+
+impl Rate {
+    fn record(&mut self, now: time::Instant, work: f64) {
+        self.sum = self.get(now) * RATE_SPAN.as_secs_f64() + work;
+        self.updated = now;
+    }
+
+    fn get(&self, now: time::Instant) -> f64 {
+        let span = RATE_SPAN.as_secs_f64();
+        let idle = now.since(self.updated).as_secs_f64();
+        self.sum * (-idle / span).exp() / span
+    }
+}
+
 /// The waiting requests and endpoints of one service.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Line {
@@ -47,6 +67,10 @@
     pub(super) model: Model,
     order: BTreeSet<Rank>,
     entries: HashMap<id::Request, Entry>,
+    /// Work that was sent to endpoints.
+    sent: Rate,
+    /// Work that came in, by rank.
+    arrived: BTreeMap<(id::Tier, id::Tier), Rate>,
 }
 
 impl Line {
@@ -58,6 +82,20 @@
         self.entries.get(&request).map(|entry| &entry.ask)
     }
 
+    /// Records that a request came in.
+    pub(super) fn arrive(&mut self, now: time::Instant, ask: &Ask) {
+        let work = self.model.duration(ask).as_secs_f64();
+        let rank = (ask.tier, self.class(ask));
+        self.arrived.entry(rank).or_default().record(now, work);
+    }
+
+    /// Takes out a request that is sent to an endpoint.
+    pub(super) fn send(&mut self, now: time::Instant, request: id::Request) -> Option<Ask> {
+        let work = self.entries.get(&request)?.work;
+        self.sent.record(now, work);
+        self.remove(request)
+    }
+
     /// Adds a request.
     pub(super) fn push(&mut self, now: time::Instant, request: id::Request, ask: Ask) {
         let rank = self.rank(now, request, &ask);
@@ -120,16 +158,21 @@
         now + seconds(first) > ask.first_by.min(ask.deadline)
     }
 
-    /// Returns the time that a new request would wait, if this many places
-    /// serve this node.
-    pub(super) fn wait(&self, ask: &Ask, places: f64) -> Duration {
-        let mut work = 0.0;
+    /// Returns the time that a new request would wait: the work ahead of it,
+    /// at the rate that is left beside more urgent arrivals. `places` of the
+    /// endpoints serve this node at the least.
+    pub(super) fn wait(&self, now: time::Instant, ask: &Ask, places: f64) -> Duration {
+        let rank = (ask.tier, self.class(ask));
+        let mut ahead = 0.0;
         for entry in self.entries.values() {
-            if entry.ask.tier <= ask.tier {
-                work += entry.work;
+            if (entry.rank.tier, entry.rank.class) <= rank {
+                ahead += entry.work;
             }
         }
-        seconds(work / places.max(0.1))
+        let above = self.arrived.range(..rank);
+        let above: f64 = above.map(|(_, rate)| rate.get(now)).sum();
+        let drain = self.sent.get(now).max(places * LEAST_DRAIN);
+        seconds(ahead / (drain - above).max(drain * LEAST_PART))
     }
 
     fn lane(&self, now: time::Instant, ask: &Ask) -> Lane {
@@ -170,6 +213,15 @@
 /// Part of the typical time of an answer up to which work is short.
 const SHORT_PART: f64 = 0.25;
 
+/// Time over which rates of work are averaged; bursts last some seconds.
+const RATE_SPAN: Duration = Duration::from_secs(2);
+
+/// Part of a node's places that drains the queue before that was observed.
+const LEAST_DRAIN: f64 = 0.5;
+
+/// Part of the rate that less urgent work gets at the least.
+const LEAST_PART: f64 = 0.1;
+
 /// Speed of the fastest endpoints relative to the mean of a service.
 const FASTEST: f64 = 2.0;
 
