gate: the time to come back fits what the caller has left

Callers follow it up to a third of their remaining time; a longer one is not followed, a shorter one meets the same backlog.

--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -63,6 +63,13 @@
 /// Shortest and longest time to come back after a refusal.
 const RETRY: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(4));
 
+/// Time that a backlog needs to go down which kept a request to the end.
+const BACKLOG: Duration = Duration::from_secs(2);
+
+/// Part of its remaining time after which a caller can come back and still be
+/// served.
+const COMEBACK_PART: u32 = 3;
+
 /// What a gate needs to know of its own node.
 #[derive(Clone, Debug, Default)]
 pub struct Settings {
@@ -278,6 +285,7 @@
             } else {
                 refusal::Reason::Deadline
             };
+            let wait = comeback(now, &ask, wait);
             self.refuse(request, reason, wait);
             return std::mem::take(&mut self.effects);
         }
@@ -368,8 +376,9 @@
         for line in self.services.values_mut() {
             hopeless.extend(line.hopeless(now));
         }
-        for request in hopeless {
-            self.refuse(request, refusal::Reason::Deadline, RETRY.0);
+        for (request, ask) in hopeless {
+            let wait = comeback(now, &ask, BACKLOG);
+            self.refuse(request, refusal::Reason::Deadline, wait);
         }
         self.pump_all(now);
         std::mem::take(&mut self.effects)
@@ -597,3 +606,10 @@
     let part = (longest / pause - DISTURBANCE_FROM) / (1.0 - DISTURBANCE_FROM);
     part.clamp(0.0, 1.0) * f64::from(member.running())
 }
+
+/// Returns when a refused caller should come back: once the backlog is gone,
+/// and early enough to be served.
+fn comeback(now: time::Instant, ask: &Ask, wait: Duration) -> Duration {
+    let latest = ask.deadline.since(now) / COMEBACK_PART;
+    wait.min(latest.mul_f64(0.8))
+}
--- a/lib/src/gate/line.rs
+++ b/lib/src/gate/line.rs
@@ -139,17 +139,17 @@
     }
 
     /// Takes out the requests whose answer can't be whole by their deadline.
-    pub(super) fn hopeless(&mut self, now: time::Instant) -> Vec<id::Request> {
+    pub(super) fn hopeless(&mut self, now: time::Instant) -> Vec<(id::Request, Ask)> {
         let mut hopeless = Vec::new();
         for (&request, entry) in &self.entries {
             if self.is_hopeless(now, &entry.ask) {
                 hopeless.push(request);
             }
         }
-        for &request in &hopeless {
-            self.remove(request);
-        }
-        hopeless
+        let taken = hopeless.into_iter();
+        taken
+            .filter_map(|request| Some((request, self.remove(request)?)))
+            .collect()
     }
 
     /// Returns whether a request that gets an endpoint now is of no use.
