--- /dev/null
+++ b/lib/tests/test_budget.rs
@@ -0,0 +1,76 @@
+//! The budget of repeated sends, summed over all nodes.
+
+use std::time::Duration;
+
+use dottereltally_lib::{
+    budget::{Budget, Terms},
+    id, time,
+};
+use rstest::rstest;
+
+const TERMS: Terms = Terms {
+    ratio: 0.2,
+    allowance: 56.0,
+    window: Duration::from_secs(10),
+};
+
+fn at(millis: u64) -> time::Instant {
+    time::Instant::from_micros(millis * 1000)
+}
+
+/// Pattern: every request fails and asks to be sent again, at all nodes.
+#[rstest]
+#[case(1, 100)]
+#[case(8, 20)]
+#[case(87, 8)]
+fn repeats_of_all_nodes_stay_within_each_window(#[case] nodes: usize, #[case] per_second: u64) {
+    let service = id::Service::from("s");
+    let mut budgets = vec![Budget::new(TERMS); nodes];
+    for budget in &mut budgets {
+        budget.share(nodes);
+    }
+    let mut sent = Vec::new();
+    let mut repeated = Vec::new();
+    for millis in (0..60_000).step_by(usize::try_from(1000 / per_second).unwrap()) {
+        for budget in &mut budgets {
+            budget.earn(at(millis), &service);
+            sent.push(millis);
+            if budget.spend(at(millis), &service) {
+                repeated.push(millis);
+            }
+        }
+    }
+    for start in (0..50_000).step_by(500) {
+        let within = |times: &[u64]| {
+            let window = start..start + 10_000_u64;
+            times.iter().filter(|time| window.contains(*time)).count()
+        };
+        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+        let allowed = within(&sent) as f64 * TERMS.ratio + TERMS.allowance;
+        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+        let used = within(&repeated) as f64;
+        assert!(used <= allowed, "{used} of {allowed} from {start} ms");
+    }
+    assert!(!repeated.is_empty(), "some repeats are allowed");
+}
+
+#[test]
+fn services_do_not_share_a_budget() {
+    let (busy, calm) = (id::Service::from("busy"), id::Service::from("calm"));
+    let mut budget = Budget::new(TERMS);
+    while budget.spend(at(0), &busy) {}
+    assert!(budget.spend(at(0), &calm));
+}
+
+#[test]
+fn changed_terms_hold_from_the_next_window() {
+    let service = id::Service::from("s");
+    let mut budget = Budget::new(TERMS);
+    while budget.spend(at(0), &service) {}
+    budget.agree(Terms {
+        allowance: 0.0,
+        ratio: 0.0,
+        ..TERMS
+    });
+    assert!(!budget.spend(at(60_000), &service));
+}
--- /dev/null
+++ b/lib/tests/test_quota.rs
@@ -0,0 +1,238 @@
+//! Quotas of workspaces, as several nodes keep them together.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use dottereltally_lib::{
+    id,
+    plan::{Quota, Unit},
+    quota::{Ledger, Tolerance},
+    time,
+};
+use rstest::rstest;
+
+/// Window over which operators measure.
+const WINDOW_MS: u64 = 8000;
+
+const TOLERANCE: Tolerance = Tolerance {
+    part: 0.1,
+    excess: 140_000.0,
+};
+
+fn quota(rate: f64) -> Quota {
+    Quota {
+        rate,
+        burst: rate,
+        unit: Unit::Tokens { plain: 200 },
+    }
+}
+
+fn at(millis: u64) -> time::Instant {
+    time::Instant::from_micros(millis * 1000)
+}
+
+/// Several ledgers that hear each other's beats.
+struct Fleet {
+    names: Vec<id::Node>,
+    ledgers: Vec<Ledger>,
+    incarnations: Vec<u64>,
+    admitted: Vec<(u64, u64)>,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let names: Vec<id::Node> = (0..count)
+            .map(|number| id::Node::from(format!("n{number}")))
+            .collect();
+        let mut fleet = Self {
+            ledgers: vec![Ledger::new(TOLERANCE); count],
+            incarnations: vec![1; count],
+            admitted: Vec::new(),
+            names,
+        };
+        for index in 0..count {
+            fleet.join(index, 0);
+        }
+        fleet
+    }
+
+    fn join(&mut self, index: usize, millis: u64) {
+        let mut others = self.names.clone();
+        others.remove(index);
+        self.ledgers[index].join(at(millis), &others);
+    }
+
+    fn restart(&mut self, index: usize, millis: u64) {
+        self.ledgers[index] = Ledger::new(TOLERANCE);
+        self.incarnations[index] += 1;
+        self.join(index, millis);
+    }
+
+    /// Exchanges beats between nodes for which `linked` holds.
+    fn beat(&mut self, millis: u64, linked: impl Fn(usize, usize) -> bool) {
+        for from in 0..self.ledgers.len() {
+            let usage = self.ledgers[from].usage(at(millis));
+            for to in 0..self.ledgers.len() {
+                if from != to && linked(from, to) {
+                    let (name, incarnation) = (&self.names[from], self.incarnations[from]);
+                    self.ledgers[to].hear(at(millis), name, incarnation, usage.clone());
+                }
+            }
+        }
+    }
+
+    fn ask(&mut self, index: usize, millis: u64, quota: &Quota, cost: u64) -> bool {
+        let workspace = id::Workspace::from("w");
+        let admitted = self.ledgers[index].admit(at(millis), &workspace, quota, cost);
+        if admitted.is_ok() {
+            self.admitted.push((millis, cost));
+        }
+        admitted.is_ok()
+    }
+
+    fn most_in_a_window(&self) -> u64 {
+        let mut most = 0;
+        for (start, _) in &self.admitted {
+            let window = *start..start + WINDOW_MS;
+            let within = self.admitted.iter().filter(|(at, _)| window.contains(at));
+            most = most.max(within.map(|(_, cost)| cost).sum());
+        }
+        most
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a limit in whole tokens"
+)]
+fn allowed(quota: &Quota) -> u64 {
+    let window = WINDOW_MS as f64 / 1000.0;
+    let usual = quota.rate * window + quota.burst;
+    (usual * (1.0 + TOLERANCE.part) + TOLERANCE.excess) as u64
+}
+
+/// Pattern: one workspace sends many times its usual, most of it to one node,
+/// with a large request from time to time.
+#[rstest]
+#[case::even(8, false)]
+#[case::uneven(8, true)]
+#[case::many(87, false)]
+fn a_hot_workspace_stays_within_its_quota(#[case] nodes: usize, #[case] uneven: bool) {
+    let quota = quota(60_000.0);
+    let mut fleet = Fleet::new(nodes);
+    for step in 0..4000_u64 {
+        let millis = step * 10;
+        if millis % 100 == 0 {
+            fleet.beat(millis, |_, _| true);
+        }
+        let index = if uneven && step % 4 != 0 {
+            0
+        } else {
+            usize::try_from(step).unwrap() % nodes
+        };
+        let cost = if step % 97 == 0 { 50_000 } else { 3000 };
+        fleet.ask(index, millis, &quota, cost);
+    }
+    let most = fleet.most_in_a_window();
+    assert!(most <= allowed(&quota), "{most} of {}", allowed(&quota));
+    assert!(
+        most >= 480_000,
+        "the rate is used while more is asked: {most}"
+    );
+}
+
+/// Pattern: the workspace sends half of its quota, in requests of very unlike
+/// size; nothing is refused.
+#[test]
+fn a_usual_workspace_is_not_refused() {
+    let quota = quota(300_000.0);
+    let mut fleet = Fleet::new(8);
+    for step in 0..4000_u64 {
+        let millis = step * 10;
+        if millis % 100 == 0 {
+            fleet.beat(millis, |_, _| true);
+        }
+        let cost = if step % 50 == 0 { 30_000 } else { 1000 };
+        // The buckets fill within the first second.
+        let index = usize::try_from(step % 8).unwrap();
+        let admitted = fleet.ask(index, millis, &quota, cost);
+        assert!(admitted || millis < 1500, "refused at {millis} ms");
+    }
+}
+
+/// Found on the trouble days: all processes were killed, and a whole window
+/// was admitted once more (2199009 of 2178073).
+#[test]
+fn restarts_of_all_nodes_do_not_renew_a_quota() {
+    let quota = quota(226_000.0);
+    let mut fleet = Fleet::new(8);
+    for step in 0..4000_u64 {
+        let millis = step * 5;
+        if millis % 100 == 0 {
+            fleet.beat(millis, |_, _| true);
+        }
+        if millis == 10_000 {
+            for index in 0..8 {
+                fleet.restart(index, millis);
+            }
+        }
+        fleet.ask(usize::try_from(step % 8).unwrap(), millis, &quota, 6000);
+    }
+    let most = fleet.most_in_a_window();
+    assert!(most <= allowed(&quota), "{most} of {}", allowed(&quota));
+}
+
+/// Pattern: a data centre is cut off while the workspace sends too much to
+/// both sides.
+#[test]
+fn both_sides_of_a_cut_keep_the_quota_together() {
+    let quota = quota(60_000.0);
+    let mut fleet = Fleet::new(8);
+    for step in 0..6000_u64 {
+        let millis = step * 5;
+        if millis % 100 == 0 {
+            let cut = (10_000..20_000).contains(&millis);
+            fleet.beat(millis, |from, to| !cut || (from < 3) == (to < 3));
+        }
+        fleet.ask(usize::try_from(step % 8).unwrap(), millis, &quota, 3000);
+    }
+    let most = fleet.most_in_a_window();
+    assert!(most <= allowed(&quota), "{most} of {}", allowed(&quota));
+}
+
+#[test]
+fn a_refusal_tells_what_it_is_based_on() {
+    let quota = quota(1000.0);
+    let mut ledger = Ledger::new(Tolerance::default());
+    let workspace = id::Workspace::from("w");
+    let exhausted = loop {
+        if let Err(exhausted) = ledger.admit(at(0), &workspace, &quota, 400) {
+            break exhausted;
+        }
+    };
+    assert!(exhausted.level < 400.0);
+    assert!(exhausted.retry_after >= Duration::from_millis(100));
+}
+
+#[test]
+fn requests_without_token_counts_cost_what_the_plan_says() {
+    assert_eq!(quota(1.0).cost(None), 200);
+    assert_eq!(quota(1.0).cost(Some(7)), 7);
+    let requests = Quota {
+        unit: Unit::Requests,
+        ..quota(1.0)
+    };
+    assert_eq!(requests.cost(Some(7)), 1);
+}
+
+#[test]
+fn usage_told_counts_from_the_start_of_the_process() {
+    let quota = quota(100_000.0);
+    let mut ledger = Ledger::new(TOLERANCE);
+    let workspace = id::Workspace::from("w");
+    for millis in [0, 1000, 2000] {
+        ledger.admit(at(millis), &workspace, &quota, 100).unwrap();
+    }
+    let usage: BTreeMap<_, _> = ledger.usage(at(2000));
+    assert!((usage[&workspace].admitted - 300.0).abs() < 1e-9);
+}
