--- a/lib/src/gate/line.rs
+++ b/lib/src/gate/line.rs
@@ -172,7 +172,11 @@
         let above = self.arrived.range(..rank);
         let above: f64 = above.map(|(_, rate)| rate.get(now)).sum();
         let drain = self.sent.get(now).max(places * LEAST_DRAIN);
-        seconds(ahead / (drain - above).max(drain * LEAST_PART))
+        let left = (drain - above).max(drain * LEAST_PART);
+        if ahead <= 0.0 {
+            return Duration::ZERO;
+        }
+        seconds(ahead / left.max(f64::MIN_POSITIVE))
     }
 
     fn lane(&self, now: time::Instant, ask: &Ask) -> Lane {
--- a/lib/src/gate/member.rs
+++ b/lib/src/gate/member.rs
@@ -31,10 +31,6 @@
 /// Bounds of an endpoint's speed relative to the service's mean.
 const SPEED: (f64, f64) = (0.1, 10.0);
 
-/// Requests beyond its places that an endpoint gets, so that a place is taken
-/// at once when it becomes free.
-const OVERFILL: u32 = 1;
-
 /// Time for which an endpoint's own word on its load counts.
 const REPORT_TTL: Duration = Duration::from_millis(500);
 
@@ -112,7 +108,7 @@
         {
             others = others.max(total.saturating_sub(self.own));
         }
-        self.own + others < self.places() + OVERFILL
+        self.own + others < self.places()
     }
 
     /// Returns the requests of all nodes.
--- /dev/null
+++ b/lib/tests/engines/mod.rs
@@ -0,0 +1,296 @@
+//! Engines in virtual time behind one or more gates.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use dottereltally_lib::{
+    endpoint::{Record, Standing},
+    gate::{Ask, Choice, Effect, Flow, Gate, Held, Outcome, Settings},
+    id,
+    refusal::Refusal,
+    time,
+};
+
+/// Time to the first event of an empty prompt at speed one, microseconds.
+const FIRST_MICROS: f64 = 40_000.0;
+/// Reading of a prompt token at speed one, microseconds.
+const TOKEN_MICROS: f64 = 15.0;
+/// Time of an event at speed one, microseconds.
+const EVENT_MICROS: f64 = 25_000.0;
+/// Tokens of an event.
+const STRIDE: u64 = 6;
+/// Time between two beats of a gate.
+const BEAT: Duration = Duration::from_millis(100);
+
+/// One engine.
+pub struct Engine {
+    pub name: id::Endpoint,
+    pub speed: f64,
+    pub places: usize,
+    pub alive: bool,
+    running: usize,
+    queue: Vec<id::Request>,
+}
+
+/// What became of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fate {
+    /// Its first event came after this time.
+    First(Duration),
+    /// It was refused.
+    Refused(Refusal),
+}
+
+struct Job {
+    gate: usize,
+    ask: Ask,
+    arrived: time::Instant,
+    engine: Option<usize>,
+}
+
+/// Engines, gates and the requests between them.
+pub struct World {
+    pub now: time::Instant,
+    pub engines: Vec<Engine>,
+    pub gates: Vec<Gate>,
+    pub fates: HashMap<id::Request, Fate>,
+    pub sent: Vec<(id::Request, Choice)>,
+    jobs: HashMap<id::Request, Job>,
+    events: BTreeMap<(time::Instant, u64), Event>,
+    next: u64,
+    beaten: time::Instant,
+}
+
+enum Event {
+    First(id::Request),
+    End(id::Request),
+}
+
+pub fn at(millis: u64) -> time::Instant {
+    time::Instant::from_micros(millis * 1000)
+}
+
+/// Returns a request of the usual kind: the first event is due within
+/// `objective`, callers leave after eight times that.
+pub fn ask(now: time::Instant, class: u8, prompt: u64, output: u64, objective: Duration) -> Ask {
+    Ask {
+        service: id::Service::from("model"),
+        tier: id::Tier(0),
+        class: id::Tier(class),
+        prompt,
+        output,
+        pause: Some(Duration::from_millis(300)),
+        due: now + objective,
+        first_by: now + objective * 6,
+        deadline: now + Duration::from_secs(15),
+        avoid: Vec::new(),
+    }
+}
+
+impl World {
+    /// Builds engines of these speeds behind this many gates.
+    pub fn new(gates: usize, speeds: &[f64], places: usize) -> Self {
+        let mut engines = Vec::new();
+        for (number, speed) in speeds.iter().enumerate() {
+            engines.push(Engine {
+                name: id::Endpoint::from(format!("e{number}")),
+                speed: *speed,
+                places,
+                alive: true,
+                running: 0,
+                queue: Vec::new(),
+            });
+        }
+        let mut world = Self {
+            now: at(0),
+            engines,
+            gates: Vec::new(),
+            fates: HashMap::new(),
+            sent: Vec::new(),
+            jobs: HashMap::new(),
+            events: BTreeMap::new(),
+            next: 0,
+            beaten: at(0),
+        };
+        for number in 0..gates {
+            let mut gate = Gate::new(Settings {
+                data_centre: id::DataCentre::from("dc"),
+                seed: number as u64,
+            });
+            let names: Vec<id::Node> = (0..gates)
+                .filter(|other| *other != number)
+                .map(|other| id::Node::from(format!("n{other}")))
+                .collect();
+            gate.join(&names);
+            gate.list(world.now, world.records());
+            world.gates.push(gate);
+        }
+        world
+    }
+
+    fn records(&self) -> Vec<Record> {
+        let mut records = Vec::new();
+        for engine in &self.engines {
+            records.push(Record {
+                id: engine.name.clone(),
+                address: "127.0.0.1:1".to_owned(),
+                service: id::Service::from("model"),
+                data_centre: id::DataCentre::from("dc"),
+                standing: Standing::Live,
+                places: u32::try_from(engine.places).ok(),
+            });
+        }
+        records
+    }
+
+    /// Hands a request to a gate.
+    pub fn arrive(&mut self, gate: usize, ask: Ask) -> id::Request {
+        self.next += 1;
+        let request = id::Request(self.next);
+        let job = Job {
+            gate,
+            ask: ask.clone(),
+            arrived: self.now,
+            engine: None,
+        };
+        self.jobs.insert(request, job);
+        let effects = self.gates[gate].arrive(self.now, request, ask);
+        self.apply(gate, effects);
+        request
+    }
+
+    /// Lets time go on.
+    pub fn run(&mut self, until: time::Instant) {
+        while self.now < until {
+            let tick = (self.now + Duration::from_millis(20)).min(until);
+            while let Some(entry) = self.events.first_entry() {
+                if entry.key().0 > tick {
+                    break;
+                }
+                let ((moment, _), event) = entry.remove_entry();
+                self.now = self.now.max(moment);
+                self.happen(&event);
+            }
+            self.now = tick;
+            if self.now.since(self.beaten) >= BEAT {
+                self.beat();
+            }
+            for gate in 0..self.gates.len() {
+                let effects = self.gates[gate].tick(self.now);
+                self.apply(gate, effects);
+            }
+        }
+    }
+
+    /// Returns the part of these requests whose first event was on time.
+    pub fn on_time(&self, requests: &[id::Request], objective: Duration) -> f64 {
+        let punctual = requests.iter().filter(|request| {
+            matches!(self.fates.get(request), Some(Fate::First(took)) if *took <= objective)
+        });
+        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+        let part = punctual.count() as f64 / requests.len().max(1) as f64;
+        part
+    }
+
+    /// Returns the part of these requests that were served at all.
+    pub fn served(&self, requests: &[id::Request]) -> f64 {
+        self.on_time(requests, Duration::MAX)
+    }
+
+    fn beat(&mut self) {
+        self.beaten = self.now;
+        for from in 0..self.gates.len() {
+            let held: HashMap<id::Endpoint, Held> = self.gates[from].held().into_iter().collect();
+            let name = id::Node::from(format!("n{from}"));
+            for to in 0..self.gates.len() {
+                if from == to {
+                    continue;
+                }
+                let effects = self.gates[to].hear(self.now, &name, held.clone());
+                self.apply(to, effects);
+            }
+        }
+    }
+
+    fn apply(&mut self, gate: usize, effects: Vec<Effect>) {
+        let mut effects = effects;
+        while let Some(effect) = effects.pop() {
+            match effect {
+                Effect::Refuse(request, refusal) => {
+                    self.jobs.remove(&request);
+                    self.fates.insert(request, Fate::Refused(refusal));
+                }
+                Effect::Send(request, choice) => {
+                    let index = self.engines.iter();
+                    let index = index
+                        .clone()
+                        .position(|engine| engine.name == choice.endpoint)
+                        .expect("a listed engine");
+                    self.sent.push((request, choice));
+                    if !self.engines[index].alive {
+                        let job = self.jobs.get_mut(&request).expect("a known request");
+                        job.ask.avoid.push(self.engines[index].name.clone());
+                        let ask = job.ask.clone();
+                        let gate_state = &mut self.gates[gate];
+                        effects.extend(gate_state.end(self.now, request, Outcome::Unreachable));
+                        effects.extend(gate_state.arrive(self.now, request, ask));
+                        continue;
+                    }
+                    self.jobs.get_mut(&request).expect("a known request").engine = Some(index);
+                    self.engines[index].queue.push(request);
+                    self.start(index);
+                }
+            }
+        }
+    }
+
+    /// Starts what waits in an engine.
+    fn start(&mut self, index: usize) {
+        while self.engines[index].running < self.engines[index].places
+            && !self.engines[index].queue.is_empty()
+        {
+            let request = self.engines[index].queue.remove(0);
+            self.engines[index].running += 1;
+            let ask = &self.jobs[&request].ask;
+            let speed = self.engines[index].speed;
+            #[expect(clippy::cast_precision_loss, reason = "token counts are small")]
+            let first = (FIRST_MICROS + TOKEN_MICROS * ask.prompt as f64) / speed;
+            #[expect(clippy::cast_precision_loss, reason = "token counts are small")]
+            let rest = EVENT_MICROS * (ask.output / STRIDE) as f64 / speed;
+            self.plan(first, Event::First(request));
+            self.plan(first + rest, Event::End(request));
+        }
+    }
+
+    fn plan(&mut self, micros: f64, event: Event) {
+        self.next += 1;
+        let moment = self.now + Duration::from_secs_f64(micros / 1e6);
+        self.events.insert((moment, self.next), event);
+    }
+
+    fn happen(&mut self, event: &Event) {
+        match event {
+            Event::First(request) => {
+                let job = &self.jobs[request];
+                let took = self.now.since(job.arrived);
+                self.gates[job.gate].start(self.now, *request);
+                self.fates.insert(*request, Fate::First(took));
+            }
+            Event::End(request) => {
+                let job = self.jobs.remove(request).expect("a running request");
+                let index = job.engine.expect("a sent request");
+                self.engines[index].running -= 1;
+                self.start(index);
+                let flow = Flow {
+                    events: job.ask.output / STRIDE + 1,
+                    pause: Duration::from_millis(40),
+                };
+                let outcome = Outcome::Answered(flow);
+                let effects = self.gates[job.gate].end(self.now, *request, outcome);
+                self.apply(job.gate, effects);
+            }
+        }
+    }
+}
