--- /dev/null
+++ b/gateway/tests/common/mod.rs
@@ -0,0 +1,456 @@
+//! A chain over loopback, endpoints that follow a script, and a plain caller.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use dottereltally::{
+    clock::Clock,
+    pool::{Limits, Pool},
+    server,
+    shutdown::Phase,
+};
+use dottereltally_gateway::{
+    admission,
+    chain::Chain,
+    dialect::{Answer, Dialect, Forward, Head, Malformed},
+    metrics::Metrics,
+};
+use dottereltally_lib::{
+    budget::{Budget, Terms},
+    crash,
+    endpoint::{Record, Standing},
+    gate::{Gate, Settings},
+    id,
+    plan::{Plan, Quota, Service, Unit, Workspace, Workspaces},
+    quota::{Ledger, Tolerance},
+    route::{Repeat, Route, Target},
+};
+use http::{HeaderMap, HeaderValue};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::{Notify, watch},
+    time::sleep,
+};
+
+/// Headers with short names of their own.
+pub struct Plain;
+
+fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    let value = headers.get(name)?.to_str().ok()?;
+    Some(value.to_owned())
+}
+
+impl Dialect for Plain {
+    fn read(&self, headers: &HeaderMap) -> Result<Head, Malformed> {
+        let correlation =
+            text(headers, "x-id").ok_or_else(|| Malformed("send `x-id`".to_owned()))?;
+        Ok(Head {
+            correlation,
+            remaining: text(headers, "x-left")
+                .and_then(|left| left.parse().ok())
+                .map(Duration::from_millis),
+            key: text(headers, "x-key"),
+            after: text(headers, "x-after").and_then(|after| after.parse().ok()),
+            ..Head::default()
+        })
+    }
+
+    fn forward(&self, headers: &HeaderMap, forward: &Forward<'_>) -> HeaderMap {
+        let mut headers = headers.clone();
+        headers.remove("x-key");
+        let left = u64::try_from(forward.remaining.as_millis()).unwrap();
+        headers.insert("x-left", HeaderValue::from(left));
+        let endpoint = HeaderValue::from_str(forward.endpoint.as_str()).unwrap();
+        headers.insert("x-expected", endpoint);
+        if let Some(workspace) = forward.workspace {
+            let workspace = HeaderValue::from_str(workspace.as_str()).unwrap();
+            headers.insert("x-workspace", workspace);
+        }
+        if let Some(after) = forward.after {
+            headers.insert("x-after", HeaderValue::from(after));
+        }
+        headers
+    }
+
+    fn answer(&self, headers: &HeaderMap) -> Answer {
+        Answer {
+            correlation: text(headers, "x-id"),
+            sealed: headers.contains_key("x-seal"),
+            not_run: headers.contains_key("x-not-run"),
+            load: None,
+        }
+    }
+
+    fn refuse(&self, headers: &mut HeaderMap, correlation: &str) {
+        if let Ok(value) = HeaderValue::from_str(correlation) {
+            headers.insert("x-id", value);
+        }
+    }
+
+    fn retry_after(&self, delay: Duration) -> HeaderValue {
+        HeaderValue::try_from(format!("{:.3}", delay.as_secs_f64())).unwrap()
+    }
+}
+
+/// What an endpoint does with one request.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Sends bytes; `{id}` is replaced by the id of the request.
+    Send(String),
+    /// Waits until the test says so.
+    Wait(Arc<Notify>),
+    /// Waits until the caller of the endpoint closes the connection.
+    Hang,
+    /// Closes the connection.
+    Close,
+}
+
+/// An endpoint that follows a script, one entry a request.
+pub struct Endpoint {
+    pub address: SocketAddr,
+    requests: Arc<Mutex<Vec<String>>>,
+    closed: Arc<AtomicUsize>,
+}
+
+impl Endpoint {
+    pub async fn start(script: Vec<Vec<Step>>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let requests = Arc::<Mutex<Vec<String>>>::default();
+        let closed = Arc::<AtomicUsize>::default();
+        let script = Arc::new(Mutex::new(script));
+        let endpoint = Self {
+            address,
+            requests: Arc::clone(&requests),
+            closed: Arc::clone(&closed),
+        };
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let requests = Arc::clone(&requests);
+                let closed = Arc::clone(&closed);
+                let script = Arc::clone(&script);
+                tokio::spawn(serve(stream, requests, closed, script));
+            }
+        });
+        endpoint
+    }
+
+    /// Returns an endpoint whose port nobody listens on.
+    pub async fn closed_port() -> Self {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        Self {
+            address,
+            ..Self::start(Vec::new()).await
+        }
+    }
+
+    /// Returns the requests that arrived, heads and bodies.
+    pub fn requests(&self) -> Vec<String> {
+        self.requests.lock().unwrap().clone()
+    }
+
+    /// Waits until the gateway closed a connection on which the endpoint hung.
+    pub async fn closed(&self) {
+        while self.closed.load(Ordering::SeqCst) == 0 {
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    requests: Arc<Mutex<Vec<String>>>,
+    closed: Arc<AtomicUsize>,
+    script: Arc<Mutex<Vec<Vec<Step>>>>,
+) {
+    loop {
+        let Some(request) = read_message(&mut stream).await else {
+            return;
+        };
+        let id = header(&request, "x-id").unwrap_or_default();
+        requests.lock().unwrap().push(request);
+        let steps = {
+            let mut script = script.lock().unwrap();
+            if script.is_empty() {
+                vec![whole(200, "usual")]
+            } else {
+                script.remove(0)
+            }
+        };
+        for step in steps {
+            match step {
+                Step::Send(bytes) => {
+                    let bytes = bytes.replace("{id}", &id);
+                    if stream.write_all(bytes.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+                Step::Wait(signal) => signal.notified().await,
+                Step::Hang => {
+                    let mut rest = [0; 64];
+                    while stream.read(&mut rest).await.is_ok_and(|length| length > 0) {}
+                    closed.fetch_add(1, Ordering::SeqCst);
+                    return;
+                }
+                Step::Close => return,
+            }
+        }
+    }
+}
+
+/// Reads one message with a content length or without a body.
+pub async fn read_message(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    loop {
+        let mut part = [0; 4096];
+        let length = stream.read(&mut part).await.ok()?;
+        if length == 0 {
+            return None;
+        }
+        bytes.extend_from_slice(&part[..length]);
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        let Some(head) = text.find("\r\n\r\n") else {
+            continue;
+        };
+        let expected = header(&text, "content-length").and_then(|value| value.parse().ok());
+        if text.len() >= head + 4 + expected.unwrap_or(0) {
+            return Some(text);
+        }
+    }
+}
+
+/// Returns a header of a message.
+pub fn header(message: &str, name: &str) -> Option<String> {
+    let head = message.split("\r\n\r\n").next()?;
+    for line in head.lines() {
+        let Some((key, value)) = line.split_once(':') else {
+            continue;
+        };
+        if key.eq_ignore_ascii_case(name) {
+            return Some(value.trim().to_owned());
+        }
+    }
+    None
+}
+
+/// Answers whole.
+pub fn whole(status: u16, body: &str) -> Step {
+    Step::Send(format!(
+        "HTTP/1.1 {status} X\r\nx-id: {{id}}\r\nx-seal: s\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    ))
+}
+
+/// Begins a stream.
+pub fn stream_head() -> Step {
+    Step::Send(
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ncontent-type: text/event-stream\r\n\
+         transfer-encoding: chunked\r\n\r\n"
+            .to_owned(),
+    )
+}
+
+/// Sends one event of a stream.
+pub fn event(number: u64) -> Step {
+    chunk(&format!("id: {number}\ndata: d{number}\n\n"))
+}
+
+/// Sends a chunk.
+pub fn chunk(text: &str) -> Step {
+    Step::Send(format!("{:x}\r\n{text}\r\n", text.len()))
+}
+
+/// Ends a stream.
+pub fn stream_end() -> Step {
+    Step::Send("0\r\n\r\n".to_owned())
+}
+
+/// Returns a route of one service.
+pub fn route(prefix: &str, repeat: Repeat, attempts: u32) -> Route {
+    Route {
+        name: id::Route::from(prefix),
+        host: "a.example".to_owned(),
+        prefix: prefix.to_owned(),
+        targets: vec![Target {
+            service: id::Service::from("s"),
+            weight: 1,
+        }],
+        repeat,
+        streaming: repeat == Repeat::Resume,
+        timeout: Duration::from_secs(3),
+        objective: Duration::from_millis(500),
+        pause: None,
+        patience: None,
+        tier: id::Tier(0),
+        attempts,
+        anonymous: false,
+    }
+}
+
+/// The routes that the tests use.
+pub fn plan() -> Plan {
+    let mut streaming = route("/stream/", Repeat::Resume, 3);
+    streaming.streaming = true;
+    let mut once = route("/stream-once/", Repeat::Never, 1);
+    once.streaming = true;
+    let mut short = route("/short/", Repeat::Whole, 2);
+    short.timeout = Duration::from_millis(200);
+    let routes = vec![
+        route("/safe/", Repeat::Whole, 2),
+        route("/once/", Repeat::Never, 2),
+        streaming,
+        once,
+        short,
+    ];
+    let mut plan = Plan {
+        generation: id::Generation(1),
+        routes: routes.into_iter().collect(),
+        ..Plan::default()
+    };
+    plan.services.insert(
+        id::Service::from("s"),
+        Service {
+            connections: 100,
+            engine: false,
+        },
+    );
+    plan.limits.body = 1000;
+    plan
+}
+
+/// Adds keys: `key` belongs to the workspace `w` with a small quota.
+pub fn keyed(mut plan: Plan) -> Plan {
+    let mut workspaces = Workspaces::default();
+    let name = id::Workspace::from("w");
+    workspaces.keys.insert("key".to_owned(), name.clone());
+    let quota = Quota {
+        rate: 1.0,
+        burst: 20.0,
+        unit: Unit::Requests,
+    };
+    workspaces.names.insert(
+        name,
+        Workspace {
+            tier: None,
+            quota: Some(quota),
+        },
+    );
+    plan.workspaces = Some(workspaces);
+    plan
+}
+
+/// A gateway over loopback.
+pub struct Gateway {
+    pub address: SocketAddr,
+    pub chain: Arc<Chain<Plain>>,
+    pub plan: watch::Sender<Option<Arc<Plan>>>,
+}
+
+impl Gateway {
+    pub async fn start(plan: Option<Plan>, endpoints: &[&Endpoint]) -> Self {
+        let clock = Clock::start();
+        let mut gate = Gate::new(Settings {
+            data_centre: id::DataCentre::from("dc"),
+            seed: 1,
+        });
+        let mut records = Vec::new();
+        for (number, endpoint) in endpoints.iter().enumerate() {
+            records.push(Record {
+                id: id::Endpoint::from(format!("e{number}")),
+                address: endpoint.address.to_string(),
+                service: id::Service::from("s"),
+                // Others are farther, so that the first is tried first.
+                data_centre: id::DataCentre::from(if number == 0 { "dc" } else { "far" }),
+                standing: Standing::Live,
+                places: Some(4),
+            });
+        }
+        gate.list(clock.now(), records);
+        let plan = watch::Sender::new(plan.map(Arc::new));
+        let chain = Arc::new(Chain {
+            node: id::Node::from("n"),
+            clock,
+            dialect: Plain,
+            plan: plan.subscribe(),
+            admission: admission::Handle::new(gate, clock),
+            upstream: Pool::new(Limits::default()),
+            ledger: Mutex::new(Ledger::new(Tolerance::default())),
+            budget: Mutex::new(Budget::new(Terms {
+                ratio: 0.2,
+                allowance: 100.0,
+                window: Duration::from_secs(10),
+            })),
+            crashes: Mutex::new(crash::Watch::default()),
+            metrics: Metrics::default(),
+            phase: Phase::default(),
+        });
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let limits = server::Limits {
+            head: 64 * 1024,
+            head_timeout: Duration::from_secs(60),
+            write_timeout: Duration::from_secs(20),
+        };
+        let serving = Arc::clone(&chain);
+        let handler = move |request| Arc::clone(&serving).serve(request);
+        tokio::spawn(server::serve(
+            listener,
+            limits,
+            chain.phase.draining(),
+            handler,
+        ));
+        Self {
+            address,
+            chain,
+            plan,
+        }
+    }
+
+    /// Sends raw bytes and returns all that comes until the connection ends.
+    pub async fn raw(&self, bytes: &str) -> String {
+        let mut stream = TcpStream::connect(self.address).await.unwrap();
+        stream.write_all(bytes.as_bytes()).await.unwrap();
+        let mut answer = Vec::new();
+        // A connection that is reset ends the answer as well.
+        let _ended = stream.read_to_end(&mut answer).await;
+        String::from_utf8_lossy(&answer).into_owned()
+    }
+
+    /// Asks for a path once.
+    pub async fn get(&self, path: &str, headers: &str) -> String {
+        let request = format!(
+            "GET {path} HTTP/1.1\r\nhost: a.example\r\nx-id: one\r\nconnection: close\r\n{headers}\r\n"
+        );
+        self.raw(&request).await
+    }
+}
+
+/// Returns the status of an answer.
+pub fn status(answer: &str) -> u16 {
+    let status = answer.split(' ').nth(1).and_then(|text| text.parse().ok());
+    status.unwrap_or_default()
+}
+
+/// Returns the events of a chunked answer.
+pub fn events(answer: &str) -> Vec<String> {
+    answer
+        .lines()
+        .filter(|line| line.starts_with("data:"))
+        .map(|line| line["data: ".len()..].to_owned())
+        .collect()
+}
+
+/// Returns whether a chunked answer is whole.
+pub fn is_whole(answer: &str) -> bool {
+    answer.ends_with("0\r\n\r\n")
+}
--- /dev/null
+++ b/gateway/tests/test_beat.rs
@@ -0,0 +1,40 @@
+//! Beats on the wire.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use dottereltally_gateway::beat::Beat;
+use dottereltally_lib::{gate::Held, id, quota::Usage};
+
+#[test]
+fn a_beat_comes_as_it_was_sent() {
+    let beat = Beat {
+        node: id::Node::from("n1"),
+        incarnation: 7,
+        sequence: 9,
+        data_centre: id::DataCentre::from("dc"),
+        generation: id::Generation(4),
+        held: vec![(
+            id::Endpoint::from("e"),
+            Held {
+                requests: 3,
+                pending: 1200,
+            },
+        )],
+        usage: BTreeMap::from([(
+            id::Workspace::from("w"),
+            Usage {
+                admitted: 10.5,
+                demand: 2.0,
+            },
+        )]),
+        marks: vec![(id::Fingerprint(5), Duration::from_secs(3))],
+    };
+    let bytes = beat.encode().unwrap();
+    assert_eq!(Beat::decode(&bytes).unwrap(), beat);
+}
+
+#[test]
+fn other_datagrams_are_errors() {
+    assert!(Beat::decode(b"").is_err());
+    assert!(Beat::decode(&[0xff; 40]).is_err());
+}
--- /dev/null
+++ b/gateway/tests/test_relay.rs
@@ -0,0 +1,84 @@
+//! Streams that are passed on, resumed and cut.
+
+mod common;
+
+use common::{
+    Endpoint, Gateway, Step, chunk, event, events, header, is_whole, plan, status, stream_end,
+    stream_head,
+};
+use rstest::rstest;
+
+#[tokio::test]
+async fn a_stream_is_passed_on_whole() {
+    let script = vec![vec![stream_head(), event(1), event(2), stream_end()]];
+    let endpoint = Endpoint::start(script).await;
+    let gateway = Gateway::start(Some(plan()), &[&endpoint]).await;
+    let answer = gateway.get("/stream/x", "").await;
+    assert_eq!(status(&answer), 200);
+    assert_eq!(events(&answer), ["d1", "d2"]);
+    assert!(is_whole(&answer));
+}
+
+#[rstest]
+#[case::between_events(vec![stream_head(), event(1), event(2), Step::Close])]
+#[case::within_an_event(vec![stream_head(), event(1), event(2), chunk("id: 3\nda"), Step::Close])]
+#[case::ended_within_an_event(vec![stream_head(), event(1), event(2), chunk("id: 3\nda"), stream_end()])]
+#[case::with_a_gap(vec![stream_head(), event(1), event(2), event(4), Step::Close])]
+#[case::with_a_repetition(vec![stream_head(), event(1), event(2), event(2), Step::Close])]
+#[tokio::test]
+async fn a_broken_stream_goes_on_elsewhere(#[case] steps: Vec<Step>) {
+    let broken = Endpoint::start(vec![steps]).await;
+    let script = vec![vec![stream_head(), event(3), event(4), stream_end()]];
+    let sound = Endpoint::start(script).await;
+    let gateway = Gateway::start(Some(plan()), &[&broken, &sound]).await;
+    let answer = gateway.get("/stream/x", "").await;
+    assert_eq!(events(&answer), ["d1", "d2", "d3", "d4"]);
+    assert!(is_whole(&answer));
+    let resumed = &sound.requests()[0];
+    assert_eq!(header(resumed, "x-after").as_deref(), Some("2"));
+    assert_eq!(header(resumed, "x-id").as_deref(), Some("one"));
+}
+
+#[tokio::test]
+async fn a_stream_that_may_not_be_resumed_is_cut_so_that_it_shows() {
+    let script = vec![vec![stream_head(), event(1), Step::Close]];
+    let broken = Endpoint::start(script).await;
+    let sound = Endpoint::start(Vec::new()).await;
+    let gateway = Gateway::start(Some(plan()), &[&broken, &sound]).await;
+    let answer = gateway.get("/stream-once/x", "").await;
+    assert_eq!(events(&answer), ["d1"]);
+    assert!(!is_whole(&answer));
+    assert!(sound.requests().is_empty());
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_before_its_first_event_fails_with_a_status() {
+    let script = vec![vec![stream_head(), Step::Close]];
+    let broken = Endpoint::start(script).await;
+    let gateway = Gateway::start(Some(plan()), &[&broken]).await;
+    let answer = gateway.get("/stream-once/x", "").await;
+    assert_eq!(status(&answer), 502);
+    assert!(answer.contains("may-have-run"));
+}
+
+#[tokio::test]
+async fn a_second_endpoint_that_skips_events_does_not_get_through() {
+    let broken = Endpoint::start(vec![vec![stream_head(), event(1), Step::Close]]).await;
+    let wrong = vec![vec![stream_head(), event(5), stream_end()]; 3];
+    let wrong = Endpoint::start(wrong).await;
+    let gateway = Gateway::start(Some(plan()), &[&broken, &wrong]).await;
+    let answer = gateway.get("/stream/x", "").await;
+    assert_eq!(events(&answer), ["d1"]);
+    assert!(!is_whole(&answer));
+}
+
+#[tokio::test]
+async fn a_caller_that_resumes_gets_what_follows() {
+    let script = vec![vec![stream_head(), event(8), stream_end()]];
+    let endpoint = Endpoint::start(script).await;
+    let gateway = Gateway::start(Some(plan()), &[&endpoint]).await;
+    let answer = gateway.get("/stream/x", "x-after: 7\r\n").await;
+    assert_eq!(events(&answer), ["d8"]);
+    let request = &endpoint.requests()[0];
+    assert_eq!(header(request, "x-after").as_deref(), Some("7"));
+}
--- /dev/null
+++ b/gateway/tests/test_settings.rs
@@ -0,0 +1,52 @@
+//! Settings: all faults at once, each with its remedy.
+
+use dottereltally_gateway::settings::parse;
+
+const USUAL: &str = r#"
+node: "n"
+data_centre: "dc"
+listen:
+  callers: "127.0.0.1:1"
+  health: "127.0.0.1:2"
+  peers: "127.0.0.1:3"
+  beats: "127.0.0.1:4"
+  operations: "127.0.0.1:5"
+store: "127.0.0.1:6"
+seeds: ["127.0.0.1:7"]
+bounds:
+  drain_ms: 2000
+  apply_ms: 2000
+  grace_s: 8
+retries:
+  ratio: 0.2
+  allowance: 56
+  window_s: 10
+quotas:
+  tolerated_part: 0.1
+  tolerated_tokens: 140000
+"#;
+
+#[test]
+fn usual_settings_are_read() {
+    let settings = parse(USUAL).unwrap();
+    assert_eq!(settings.seeds.len(), 1);
+    assert_eq!(settings.bounds.grace.as_secs(), 8);
+}
+
+#[test]
+fn every_fault_is_told_at_once() {
+    let faulty = USUAL
+        .replace("127.0.0.1:1\"", "here\"")
+        .replace("allowance: 56", "allowance: -1")
+        .replace("node: \"n\"", "node: \"\"");
+    let faults = parse(&faulty).unwrap_err();
+    let fields: Vec<&str> = faults.iter().map(|fault| fault.field.as_str()).collect();
+    assert_eq!(fields, ["node", "listen.callers", "retries.allowance"]);
+    assert!(faults[1].to_string().contains("write `IP:PORT`"));
+}
+
+#[test]
+fn an_unknown_field_is_a_fault() {
+    let faults = parse(&format!("{USUAL}\nspeed: 3\n")).unwrap_err();
+    assert!(faults[0].to_string().contains("speed"), "{}", faults[0]);
+}
