--- a/cli/src/command.rs
+++ b/cli/src/command.rs
@@ -16,7 +16,7 @@
 
 use crate::{connection::Connection, output::Printer};
 
-/// Exit codes, documented in docs/operations.md.
+/// Exit codes, documented in docs/OPERATIONS.md.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Code {
     /// Done.
