quota: a steady workspace gets rate and burst in each window

Change: rate and burst over the window, and a fifth of the tolerated part, come steadily; the rest of what a window may hold is the bucket. The bound in any window is the same as before.

--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -107,6 +107,7 @@
 struct WireQuotas {
     tolerated_part: f64,
     tolerated_tokens: f64,
+    window_s: f64,
 }
 
 /// Collects every fault of a settings file.
@@ -206,6 +207,7 @@
     let quotas = quota::Tolerance {
         part: check.positive("quotas.tolerated_part", wire.quotas.tolerated_part),
         excess: check.positive("quotas.tolerated_tokens", wire.quotas.tolerated_tokens),
+        window: check.seconds("quotas.window_s", wire.quotas.window_s),
     };
     if !check.faults.is_empty() {
         return Err(check.faults);
--- a/gateway/tests/test_settings.rs
+++ b/gateway/tests/test_settings.rs
@@ -24,6 +24,7 @@
 quotas:
   tolerated_part: 0.1
   tolerated_tokens: 140000
+  window_s: 8
 "#;
 
 #[test]
--- a/lib/src/quota.rs
+++ b/lib/src/quota.rs
@@ -34,6 +34,9 @@
 /// before they hear of each other.
 const EXCESS_PART: f64 = 0.5;
 
+/// Part of the tolerated part that the rate takes.
+const STEADY_PART: f64 = 0.2;
+
 /// Part of the bucket that must be left for a request larger than it.
 const LARGE_PART: f64 = 0.5;
 
@@ -47,17 +50,25 @@
     pub part: f64,
     /// Units beyond that, in each window.
     pub excess: f64,
+    /// The window.
+    pub window: Duration,
 }
 
 impl Tolerance {
     /// Returns the rate and the size of a workspace's bucket.
+    ///
+    /// A workspace that asks for more all the time gets in each window what
+    /// rate and burst give it, and a little of what is tolerated; the bucket
+    /// takes the rest.
     fn bucket(&self, quota: &Quota) -> (f64, f64) {
-        let factor = 1.0 + self.part;
+        let window = self.window.as_secs_f64().max(1.0);
+        let steady = (quota.rate + quota.burst / window) * (1.0 + self.part * STEADY_PART);
         let excess = match quota.unit {
             Unit::Tokens { .. } => self.excess * EXCESS_PART,
             Unit::Requests => 0.0,
         };
-        (quota.rate * factor, quota.burst * factor + excess)
+        let whole = (quota.rate * window + quota.burst) * (1.0 + self.part);
+        (steady, whole - steady * window + excess)
     }
 }
 
--- a/lib/tests/test_quota.rs
+++ b/lib/tests/test_quota.rs
@@ -16,6 +16,7 @@
 const TOLERANCE: Tolerance = Tolerance {
     part: 0.1,
     excess: 140_000.0,
+    window: Duration::from_millis(WINDOW_MS),
 };
 
 fn quota(rate: f64) -> Quota {
