gate: waits by the order in which the queue is served

Change: the work ahead is that of a request's place in the order, first as one on time, then as a late one.

--- a/lib/src/gate/line.rs
+++ b/lib/src/gate/line.rs
@@ -162,21 +162,25 @@
     /// at the rate that is left beside more urgent arrivals. `places` of the
     /// endpoints serve this node at the least.
     pub(super) fn wait(&self, now: time::Instant, ask: &Ask, places: f64) -> Duration {
-        let rank = (ask.tier, self.class(ask));
-        let mut ahead = 0.0;
-        for entry in self.entries.values() {
-            if (entry.rank.tier, entry.rank.class) <= rank {
-                ahead += entry.work;
-            }
-        }
-        let above = self.arrived.range(..rank);
-        let above: f64 = above.map(|(_, rate)| rate.get(now)).sum();
         let drain = self.sent.get(now).max(places * LEAST_DRAIN);
+        let above = self.arrived.range(..(ask.tier, self.class(ask)));
+        let above: f64 = above.map(|(_, rate)| rate.get(now)).sum();
         let left = (drain - above).max(drain * LEAST_PART);
-        if ahead <= 0.0 {
-            return Duration::ZERO;
+        let wait = |rank: &Rank| {
+            let ahead = self.order.range(..rank);
+            let ahead = ahead.filter_map(|rank| self.entries.get(&rank.request));
+            let work: f64 = ahead.map(|entry| entry.work).sum();
+            if work <= 0.0 {
+                return Duration::ZERO;
+            }
+            seconds(work / left.max(f64::MIN_POSITIVE))
+        };
+        let on_time = wait(&self.rank(now, id::Request(u64::MAX), ask));
+        if self.lane(now + on_time, ask) == Lane::OnTime {
+            return on_time;
         }
-        seconds(ahead / left.max(f64::MIN_POSITIVE))
+        // It would be overtaken by what can still be on time.
+        wait(&self.rank(now + on_time, id::Request(u64::MAX), ask))
     }
 
     fn lane(&self, now: time::Instant, ask: &Ask) -> Lane {
