--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -398,7 +398,7 @@
         let address = listener.local_addr().unwrap();
         let limits = server::Limits {
             head: 64 * 1024,
-            head_timeout: Duration::from_secs(60),
+            head_timeout: Duration::from_mins(1),
             write_timeout: Duration::from_secs(20),
         };
         let serving = Arc::clone(&chain);
--- a/gateway/tests/test_settings.rs
+++ b/gateway/tests/test_settings.rs
@@ -36,11 +36,11 @@
 
 #[test]
 fn every_fault_is_told_at_once() {
-    let faulty = USUAL
+    let wrong = USUAL
         .replace("127.0.0.1:1\"", "here\"")
         .replace("allowance: 56", "allowance: -1")
         .replace("node: \"n\"", "node: \"\"");
-    let faults = parse(&faulty).unwrap_err();
+    let faults = parse(&wrong).unwrap_err();
     let fields: Vec<&str> = faults.iter().map(|fault| fault.field.as_str()).collect();
     assert_eq!(fields, ["node", "listen.callers", "retries.allowance"]);
     assert!(faults[1].to_string().contains("write `IP:PORT`"));
--- a/lib/tests/test_quota.rs
+++ b/lib/tests/test_quota.rs
@@ -107,7 +107,7 @@
     reason = "a limit in whole tokens"
 )]
 fn allowed(quota: &Quota) -> u64 {
-    let window = WINDOW_MS as f64 / 1000.0;
+    let window = TOLERANCE.window.as_secs_f64();
     let usual = quota.rate * window + quota.burst;
     (usual * (1.0 + TOLERANCE.part) + TOLERANCE.excess) as u64
 }
