gate, quota: nodes tell each other paces; a quota without tolerance has a bucket

Cause: each node learnt the speed of every endpoint alone, from a few streams (18 endpoints at three speeds; the slow ones get few), so that early streams and long answers went to slow endpoints and were late or cut at their time limit. Change: beats carry the mean pace of the streams that ended; the typical pace is the mean over the endpoints, the same at all nodes.

The tests of the chain, which had not been run since the buckets changed, found that a quota without tolerance had a bucket of no size: nothing was admitted.

--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -10,7 +10,7 @@
 
 use dottereltally::clock::Clock;
 use dottereltally_lib::{
-    gate::{Ask, Choice, Effect, Gate, Outcome},
+    gate::{Ask, Choice, Effect, Gate, Held, Outcome},
     id,
     refusal::Refusal,
 };
@@ -109,6 +109,12 @@
         }
     }
 
+    /// Returns what this node tells the others from here on.
+    #[must_use]
+    pub fn held(&self) -> Vec<(id::Endpoint, Held)> {
+        self.lock().gate.held()
+    }
+
     /// Reads from the gate.
     pub fn read<T>(&self, read: impl FnOnce(&Gate) -> T) -> T {
         read(&self.lock().gate)
--- a/gateway/src/beat.rs
+++ b/gateway/src/beat.rs
@@ -57,6 +57,8 @@
             entry.set_endpoint(endpoint.as_str());
             entry.set_requests(held.requests);
             entry.set_pending(held.pending);
+            let pace = held.pace.unwrap_or_default().as_micros();
+            entry.set_pace_micros(u32::try_from(pace).unwrap_or(u32::MAX));
         }
         let mut list = root.reborrow().init_usage(length(self.usage.len()));
         for (index, (workspace, usage)) in self.usage.iter().enumerate() {
@@ -98,6 +100,8 @@
             let held = Held {
                 requests: entry.get_requests(),
                 pending: entry.get_pending(),
+                pace: (entry.get_pace_micros() > 0)
+                    .then(|| Duration::from_micros(entry.get_pace_micros().into())),
             };
             let endpoint = Endpoint::from(entry.get_endpoint()?.to_str()?);
             beat.held.push((endpoint, held));
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use dottereltally_lib::{gate::Gate, id, time};
+use dottereltally_lib::{id, time};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::net::UdpSocket;
 
@@ -267,7 +267,7 @@
                 .as_ref()
                 .map(|plan| plan.generation)
                 .unwrap_or_default(),
-            held: chain.admission.read(Gate::held),
+            held: chain.admission.held(),
             usage: lock(&chain.ledger).usage(now),
             marks: lock(&chain.crashes).fresh(now),
         }
--- a/gateway/tests/test_beat.rs
+++ b/gateway/tests/test_beat.rs
@@ -18,6 +18,7 @@
             Held {
                 requests: 3,
                 pending: 1200,
+                pace: Some(Duration::from_micros(25_300)),
             },
         )],
         usage: BTreeMap::from([(
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -169,6 +169,9 @@
     pub requests: u32,
     /// Prompt tokens without a first byte yet.
     pub pending: u64,
+    /// Mean time between two events of the streams that ended since this was
+    /// last told.
+    pub pace: Option<Duration>,
 }
 
 /// A request that was sent.
@@ -242,7 +245,13 @@
         node: &id::Node,
         held: HashMap<id::Endpoint, Held>,
     ) -> Vec<Effect> {
+        for (name, held) in &held {
+            if let (Some(member), Some(pace)) = (self.members.get_mut(name), held.pace) {
+                member.pace.record(pace.as_secs_f64());
+            }
+        }
         self.peers.insert(node.clone(), held);
+        self.compare();
         self.count_others();
         self.pump_all(now);
         std::mem::take(&mut self.effects)
@@ -255,12 +264,16 @@
         }
     }
 
-    /// Returns what this node holds.
-    #[must_use]
-    pub fn held(&self) -> Vec<(id::Endpoint, Held)> {
-        let busy = self.members.values().filter(|member| member.own > 0);
-        busy.map(|member| (member.record.id.clone(), member.held()))
-            .collect()
+    /// Returns what this node tells the others from here on.
+    pub fn held(&mut self) -> Vec<(id::Endpoint, Held)> {
+        let mut told = Vec::new();
+        for member in self.members.values_mut() {
+            let held = member.held();
+            if held != Held::default() {
+                told.push((member.record.id.clone(), held));
+            }
+        }
+        told
     }
 
     /// Takes a request in.
@@ -323,8 +336,8 @@
         member.pending = member.pending.saturating_sub(flight.ask.prompt);
         let took = now.since(flight.sent);
         if let Some(line) = self.services.get_mut(&flight.ask.service) {
-            line.model
-                .first(flight.ask.prompt, pending, took, member.speed());
+            let speed = member.speed(line.typical);
+            line.model.first(flight.ask.prompt, pending, took, speed);
         }
     }
 
@@ -356,16 +369,16 @@
                 && let Some(line) = self.services.get_mut(&service)
             {
                 let took = now.since(first);
-                let speed = member.speed();
+                let speed = member.speed(line.typical);
                 if let Some(pace) = line.model.ended(&flight.ask, flow, took, speed) {
-                    member.pace.record(pace);
+                    member.observe(pace);
                 }
-                member.typical = line.model.pace.get();
             }
             if !member.listed && member.own == 0 {
                 self.members.remove(&flight.endpoint);
             }
         }
+        self.compare();
         self.pump(now, &service);
         std::mem::take(&mut self.effects)
     }
@@ -460,7 +473,7 @@
             if ask.avoid.contains(name) {
                 continue;
             }
-            let speed = member.speed();
+            let speed = member.speed(queue.typical);
             let first = queue.model.first_byte(ask.prompt, member.pending(), speed);
             let distance = if member.record.data_centre == self.settings.data_centre {
                 0.0
@@ -549,6 +562,20 @@
         self.effects.push(Effect::Refuse(request, refusal));
     }
 
+    /// Brings the mean pace of each service up to date.
+    fn compare(&mut self) {
+        for line in self.services.values_mut() {
+            let members = line.endpoints.iter();
+            let paces = members.filter_map(|name| self.members.get(name)?.pace.get());
+            let (mut sum, mut count) = (0.0, 0.0);
+            for pace in paces {
+                sum += pace;
+                count += 1.0;
+            }
+            line.typical = (count > 0.0).then_some(sum / count);
+        }
+    }
+
     /// Groups the endpoints by service.
     fn index(&mut self) {
         for line in self.services.values_mut() {
@@ -600,9 +627,8 @@
         return 0.0;
     };
     let pause = pause.as_secs_f64();
-    let longest = line
-        .model
-        .pause(ask.prompt, member.pending(), member.speed());
+    let speed = member.speed(line.typical);
+    let longest = line.model.pause(ask.prompt, member.pending(), speed);
     let part = (longest / pause - DISTURBANCE_FROM) / (1.0 - DISTURBANCE_FROM);
     part.clamp(0.0, 1.0) * f64::from(member.running())
 }
--- a/lib/src/gate/line.rs
+++ b/lib/src/gate/line.rs
@@ -65,6 +65,8 @@
     pub(super) endpoints: Vec<id::Endpoint>,
     /// What was learnt of its answers.
     pub(super) model: Model,
+    /// Mean seconds between two events of a stream, over the endpoints.
+    pub(super) typical: Option<f64>,
     order: BTreeSet<Rank>,
     entries: HashMap<id::Request, Entry>,
     /// Work that was sent to endpoints.
--- a/lib/src/gate/member.rs
+++ b/lib/src/gate/member.rs
@@ -1,6 +1,6 @@
 //! What a gate knows of one endpoint.
 
-use std::time::Duration;
+use std::{mem, time::Duration};
 
 use crate::{
     endpoint::{Record, Standing},
@@ -51,8 +51,8 @@
     pub(super) reported: Option<(time::Instant, u32)>,
     /// Seconds between two events of a stream.
     pub(super) pace: Average,
-    /// The same for the whole service.
-    pub(super) typical: Option<f64>,
+    /// Sum and number of the paces that the others were not told yet.
+    untold: (f64, u32),
     avoided_until: time::Instant,
     misses: u32,
     failures: f64,
@@ -69,7 +69,7 @@
             others: Held::default(),
             reported: None,
             pace: Average::default(),
-            typical: None,
+            untold: (0.0, 0),
             avoided_until: time::Instant::default(),
             misses: 0,
             failures: 0.0,
@@ -126,17 +126,27 @@
         self.pending + self.others.pending
     }
 
-    /// Returns what this node holds.
-    pub(super) fn held(&self) -> Held {
+    /// Learns the seconds between two events of a stream of this node.
+    pub(super) fn observe(&mut self, pace: f64) {
+        self.pace.record(pace);
+        self.untold.0 += pace;
+        self.untold.1 += 1;
+    }
+
+    /// Returns what this node tells the others from here on.
+    pub(super) fn held(&mut self) -> Held {
+        let (sum, count) = mem::take(&mut self.untold);
+        let pace = (count > 0).then(|| Duration::from_secs_f64(sum / f64::from(count)));
         Held {
             requests: self.own,
             pending: self.pending,
+            pace,
         }
     }
 
     /// Returns the speed relative to the service's mean.
-    pub(super) fn speed(&self) -> f64 {
-        let (Some(own), Some(typical)) = (self.pace.get(), self.typical) else {
+    pub(super) fn speed(&self, typical: Option<f64>) -> f64 {
+        let (Some(own), Some(typical)) = (self.pace.get(), typical) else {
             return 1.0;
         };
         (typical / own.max(1e-6)).clamp(SPEED.0, SPEED.1)
--- a/lib/src/quota.rs
+++ b/lib/src/quota.rs
@@ -44,6 +44,9 @@
 /// Part of the tolerated part that the rate takes.
 const STEADY_PART: f64 = 0.2;
 
+/// Part of the burst that the bucket takes at the least.
+const LEAST_BUCKET: f64 = 0.5;
+
 /// Part of the bucket that must be left for a request larger than it.
 const LARGE_PART: f64 = 0.5;
 
@@ -57,7 +60,7 @@
     pub part: f64,
     /// Units beyond that, in each window.
     pub excess: f64,
-    /// The window.
+    /// The window; zero if a quota is a plain bucket.
     pub window: Duration,
 }
 
@@ -68,14 +71,18 @@
     /// rate and burst give it, and a little of what is tolerated; the bucket
     /// takes the rest.
     fn bucket(&self, quota: &Quota) -> (f64, f64) {
-        let window = self.window.as_secs_f64().max(1.0);
+        if self.window.is_zero() {
+            return (quota.rate, quota.burst);
+        }
+        let window = self.window.as_secs_f64();
         let steady = (quota.rate + quota.burst / window) * (1.0 + self.part * STEADY_PART);
         let excess = match quota.unit {
             Unit::Tokens { .. } => self.excess * EXCESS_PART,
             Unit::Requests => 0.0,
         };
-        let whole = (quota.rate * window + quota.burst) * (1.0 + self.part);
-        (steady, whole - steady * window + excess)
+        let whole = (quota.rate * window + quota.burst) * (1.0 + self.part) + excess;
+        let size = (whole - steady * window).max(quota.burst * LEAST_BUCKET);
+        ((whole - size) / window, size)
     }
 }
 
--- a/lib/tests/test_quota.rs
+++ b/lib/tests/test_quota.rs
@@ -257,3 +257,23 @@
         assert!(admitted, "refused at {millis} ms");
     }
 }
+
+/// Found by the tests of the chain: with nothing tolerated the bucket had no
+/// size, and nothing was admitted.
+#[rstest]
+#[case(Tolerance::default())]
+#[case(Tolerance { window: Duration::from_millis(WINDOW_MS), ..Tolerance::default() })]
+fn a_quota_without_tolerance_admits_its_rate(#[case] tolerance: Tolerance) {
+    let quota = Quota {
+        unit: Unit::Requests,
+        ..quota(10.0)
+    };
+    let mut ledger = Ledger::new(tolerance);
+    let workspace = id::Workspace::from("w");
+    let mut admitted = 0;
+    for step in 0..1000 {
+        let result = ledger.admit(at(step * 10), &workspace, &quota, 1);
+        admitted += u32::from(result.is_ok());
+    }
+    assert!((95..=120).contains(&admitted), "{admitted} in ten seconds");
+}
--- a/proto/schema/gateway.capnp
+++ b/proto/schema/gateway.capnp
@@ -22,6 +22,9 @@
   requests @1 :UInt32;
   # Prompt tokens without a first event yet.
   pending @2 :UInt64;
+  # Mean time between two events of the streams that ended since the last
+  # beat, microseconds; zero if none did.
+  paceMicros @3 :UInt32;
 }
 
 # Use of one workspace's quota at the node.
--- a/proto/src/gateway_capnp.rs
+++ b/proto/src/gateway_capnp.rs
@@ -549,6 +549,10 @@
         pub fn get_pending(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
+        #[inline]
+        pub fn get_pace_micros(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -635,6 +639,14 @@
         pub fn set_pending(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(1, value);
         }
+        #[inline]
+        pub fn get_pace_micros(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_pace_micros(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -646,7 +658,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(185, 117, 217, 10, 20, 120, 119, 165),
             ::capnp::word(14, 0, 0, 0, 1, 0, 2, 0),
@@ -656,35 +668,42 @@
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 72, 101),
             ::capnp::word(108, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -711,12 +730,22 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 99, 101, 77, 105, 99, 114),
+            ::capnp::word(111, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -730,9 +759,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,3,2,1];
         pub(crate) const TYPE_ID: u64 = 0xa577_7814_0ad9_75b9;
     }
 }
