--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -33,7 +33,7 @@
 const MARGIN: Duration = Duration::from_millis(15);
 
 /// Time by which an endpoint of another data centre must be faster.
-const DISTANCE: f64 = 0.03;
+const DISTANCE: f64 = 0.07;
 
 /// Random time added to each estimate, so that nodes that know the same do not
 /// all choose the same endpoint, seconds.
