gateway: a node that leaves does not register again; answered suspects are cleared

Found on reading the change: the task that renews the registration went on after SIGTERM and registered the node once more, so that the others kept its part of quotas and budgets for 12 s. Names that nothing used are gone.

--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -41,8 +41,6 @@
 
 /// When to come back to a node without a plan.
 const PLAN_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// When to come back to a node that is shutting down: at once, elsewhere.
-const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Connections that are tried for one request before it is given up.
 const MAX_UNREACHABLE: u32 = 6;
 /// Time before a limit of the caller at which the answer must be on its way.
@@ -50,8 +48,6 @@
 
 /// What the steps work with.
 pub struct Chain<D> {
-    /// The node's name.
-    pub node: id::Node,
     /// The clock of the node.
     pub clock: Clock,
     /// How heads are written.
@@ -66,7 +62,7 @@
     pub ledger: Mutex<Ledger>,
     /// Budget of repeated sends.
     pub budget: Mutex<Budget>,
-    /// Requests that crash endpoints.
+    /// What is known of requests that crash endpoints.
     pub crashes: Mutex<crash::Watch>,
     /// The counters.
     pub metrics: Metrics,
@@ -345,14 +341,14 @@
             }
             let attempt = attempt::send(&self, &job, &choice, None, place).await;
             match self.judge(&job, &choice, &mut progress, attempt) {
-                Verdicted::Answer(whole) => {
+                Next::Answer(whole) => {
                     return Ok(Response::from_parts(whole.parts, Body::full(whole.body)));
                 }
-                Verdicted::Stream(stream) => {
+                Next::Stream(stream) => {
                     return Ok(Relay::new(self, job, progress, choice, *stream).response());
                 }
-                Verdicted::Again(refused) => last = Some(refused),
-                Verdicted::Never(refused) => return Err(refused),
+                Next::Again(refused) => last = Some(refused),
+                Next::Never(refused) => return Err(refused),
             }
         }
         Err(last.unwrap_or_else(|| unreachable_endpoints(progress.may_have_run)))
@@ -405,13 +401,7 @@
     }
 
     /// Decides what follows from an attempt.
-    fn judge(
-        &self,
-        job: &Job,
-        choice: &Choice,
-        progress: &mut Progress,
-        attempt: Attempt,
-    ) -> Verdicted {
+    fn judge(&self, job: &Job, choice: &Choice, progress: &mut Progress, attempt: Attempt) -> Next {
         if let Some(failure) = attempt.failure() {
             self.metrics.attempt_failed(failure);
             tracing::info!(
@@ -430,19 +420,19 @@
                 self.died(&choice.endpoint);
                 progress.unreachable += 1;
                 progress.avoid.push(choice.endpoint.clone());
-                Verdicted::Again(unreachable_endpoints(progress.may_have_run))
+                Next::Again(unreachable_endpoints(progress.may_have_run))
             }
             Attempt::Rejected { place, status } => {
                 place.end(attempt::rejection(status));
                 progress.sent(choice);
-                Verdicted::Again(rejected(progress.may_have_run))
+                Next::Again(rejected(progress.may_have_run))
             }
             Attempt::Broken { place, .. } => {
                 place.end(Outcome::Broken);
                 self.broke(job, &choice.endpoint);
                 progress.sent(choice);
                 progress.may_have_run = true;
-                Verdicted::Again(Refused::lost(
+                Next::Again(Refused::lost(
                     StatusCode::BAD_GATEWAY,
                     Reason::Broken,
                     "the connection to the endpoint broke; send the request again if it is idempotent",
@@ -451,7 +441,7 @@
             Attempt::Expired { place } => {
                 place.end(Outcome::Cancelled);
                 progress.sent(choice);
-                Verdicted::Never(Refused::lost(
+                Next::Never(Refused::lost(
                     StatusCode::GATEWAY_TIMEOUT,
                     Reason::DeadlinePassed,
                     "the deadline passed before the answer came; allow more time",
@@ -466,21 +456,21 @@
                     && left
                     && lock(&self.budget).spend(self.clock.now(), &job.service)
                 {
-                    return Verdicted::Again(unreachable_endpoints(true));
+                    return Next::Again(unreachable_endpoints(true));
                 }
                 self.answered(job, choice, progress, whole.parts.status, Flow::default());
-                Verdicted::Answer(whole)
+                Next::Answer(whole)
             }
             Attempt::Whole { place, whole } => {
                 place.end(Outcome::Answered(Flow::default()));
                 progress.sent(choice);
                 self.answered(job, choice, progress, whole.parts.status, Flow::default());
-                Verdicted::Answer(whole)
+                Next::Answer(whole)
             }
             Attempt::Stream(stream) => {
                 progress.sent(choice);
                 progress.may_have_run = true;
-                Verdicted::Stream(stream)
+                Next::Stream(stream)
             }
         }
     }
@@ -494,7 +484,9 @@
         status: StatusCode,
         flow: Flow,
     ) {
-        let took = self.clock.now().since(job.received);
+        let now = self.clock.now();
+        lock(&self.crashes).answered(now, job.fingerprint);
+        let took = now.since(job.received);
         self.metrics.answered(job.tier, status, took);
         tracing::info!(
             id = job.correlation,
@@ -520,7 +512,7 @@
 }
 
 /// What follows from an attempt.
-enum Verdicted {
+enum Next {
     /// This whole answer.
     Answer(Box<attempt::Whole>),
     /// This stream.
@@ -574,16 +566,6 @@
     })
 }
 
-/// Returns the refusal of a request that comes too late in a shutdown.
-#[must_use]
-pub fn shutting_down() -> Refused {
-    let refusal = refusal::Refusal {
-        reason: refusal::Reason::Shutdown,
-        retry_after: SHUTDOWN_RETRY_AFTER,
-    };
-    Refused::core(refusal).closing()
-}
-
 /// Returns the host that a request names.
 fn host(headers: &HeaderMap) -> Result<&str, Refused> {
     let mut values = headers.get_all(HOST).iter();
--- a/gateway/src/controller/registration.rs
+++ b/gateway/src/controller/registration.rs
@@ -1,12 +1,19 @@
 //! Keeps this node registered, so that others find it.
 
-use std::time::Duration;
+use std::{
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use dottereltally_store::kv::{Error, Lease};
 use rand::Rng;
-use tokio::{sync::watch, time::sleep};
+use tokio::time::sleep;
 
 use crate::{
+    chain::lock,
     directory::{Node, Source},
     metrics::Metrics,
 };
@@ -21,7 +28,8 @@
 pub struct Registration<S> {
     source: S,
     node: Node,
-    lease: watch::Sender<Option<Lease>>,
+    lease: Mutex<Option<Lease>>,
+    left: AtomicBool,
     metrics: Metrics,
 }
 
@@ -32,16 +40,17 @@
         Self {
             source,
             node,
-            lease: watch::Sender::new(None),
+            lease: Mutex::new(None),
+            left: AtomicBool::new(false),
             metrics,
         }
     }
 
-    /// Keeps the node registered for ever.
+    /// Keeps the node registered until it leaves.
     pub async fn run(&self) {
-        loop {
+        while !self.left.load(Ordering::Acquire) {
             self.metrics.store_calls.inc();
-            let held = *self.lease.borrow();
+            let held = *lock(&self.lease);
             let result = match held {
                 None => self.source.register(&self.node, TTL).await.map(Some),
                 Some(lease) => self.source.renew(lease).await.map(|()| Some(lease)),
@@ -51,11 +60,11 @@
                     if held.is_none() {
                         tracing::info!(node = %self.node.name, "node registered");
                     }
-                    self.lease.send_replace(lease);
+                    *lock(&self.lease) = lease;
                 }
                 Err(Error::UnknownLease(lease)) => {
                     tracing::info!(%lease, "registration lapsed");
-                    self.lease.send_replace(None);
+                    *lock(&self.lease) = None;
                     continue;
                 }
                 Err(error) => {
@@ -70,7 +79,8 @@
 
     /// Ends the registration.
     pub async fn leave(&self) {
-        let held = *self.lease.borrow();
+        self.left.store(true, Ordering::Release);
+        let held = lock(&self.lease).take();
         let Some(lease) = held else {
             return;
         };
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -226,7 +226,6 @@
         seed: rand::random(),
     });
     Chain {
-        node: settings.node.clone(),
         clock,
         dialect,
         plan: wires.plan.subscribe(),
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -378,7 +378,6 @@
         gate.list(clock.now(), records);
         let plan = watch::Sender::new(plan.map(Arc::new));
         let chain = Arc::new(Chain {
-            node: id::Node::from("n"),
             clock,
             dialect: Plain,
             plan: plan.subscribe(),
--- /dev/null
+++ b/gateway/tests/test_registration.rs
@@ -0,0 +1,101 @@
+//! Registration of a node, against a source in memory.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use dottereltally_gateway::{
+    controller::Registration,
+    directory::{Changes, Node, Snapshot, Source},
+    metrics::Metrics,
+};
+use dottereltally_lib::id;
+use dottereltally_store::kv::{Error, Lease, Revision};
+use tokio::time::sleep;
+
+/// Leases as a source keeps them.
+#[derive(Clone, Default)]
+struct Leases {
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Default)]
+struct State {
+    next: i64,
+    live: Vec<Lease>,
+}
+
+impl Leases {
+    fn live(&self) -> Vec<Lease> {
+        self.state.lock().unwrap().live.clone()
+    }
+}
+
+impl Source for Leases {
+    async fn snapshot(&self) -> Result<Snapshot, Error> {
+        Ok(Snapshot::default())
+    }
+
+    async fn changes(&self, _: Revision, _: Duration) -> Result<Changes, Error> {
+        Ok(Changes::default())
+    }
+
+    async fn register(&self, _: &Node, _: Duration) -> Result<Lease, Error> {
+        let mut state = self.state.lock().unwrap();
+        state.next += 1;
+        let lease = Lease(state.next);
+        state.live.push(lease);
+        Ok(lease)
+    }
+
+    async fn renew(&self, lease: Lease) -> Result<(), Error> {
+        if self.live().contains(&lease) {
+            return Ok(());
+        }
+        Err(Error::UnknownLease(lease))
+    }
+
+    async fn leave(&self, lease: Lease) -> Result<(), Error> {
+        self.state
+            .lock()
+            .unwrap()
+            .live
+            .retain(|live| *live != lease);
+        Ok(())
+    }
+}
+
+fn registration(leases: &Leases) -> Arc<Registration<Leases>> {
+    let node = Node {
+        name: id::Node::from("n"),
+        address: "127.0.0.1:1".to_owned(),
+        data_centre: id::DataCentre::from("dc"),
+    };
+    Arc::new(Registration::new(leases.clone(), node, Metrics::default()))
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lapsed_registration_is_made_anew() {
+    let leases = Leases::default();
+    let registration = registration(&leases);
+    let keeping = Arc::clone(&registration);
+    tokio::spawn(async move { keeping.run().await });
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(leases.live(), [Lease(1)]);
+    leases.state.lock().unwrap().live.clear();
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(leases.live(), [Lease(2)]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_node_that_left_does_not_register_again() {
+    let leases = Leases::default();
+    let registration = registration(&leases);
+    let keeping = Arc::clone(&registration);
+    let running = tokio::spawn(async move { keeping.run().await });
+    sleep(Duration::from_secs(1)).await;
+    registration.leave().await;
+    running.await.unwrap();
+    assert!(leases.live().is_empty());
+}
