--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,11 +1,15 @@
 //! The daemon.
 
-use std::{env, fs, path::PathBuf, process::ExitCode};
+use std::{
+    env,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use argh::FromArgs;
 use dottereltally::{
     node,
-    settings::{Format, Log, Settings, wire},
+    settings::{self, Format, Log, Settings, wire},
 };
 use eyre::WrapErr;
 use tracing_subscriber::filter::LevelFilter;
@@ -42,18 +46,9 @@
 }
 
 /// Reads the settings; prints every fault if they are unusable.
-fn read(path: &PathBuf) -> Option<Settings> {
-    let content = match fs::read_to_string(path) {
-        Ok(content) => content,
-        Err(error) => {
-            eprintln!(
-                "{}: {error}; name a readable file with `--settings`",
-                path.display()
-            );
-            return None;
-        }
-    };
-    match wire::parse(path, &content, &|name| env::var(name).ok()) {
+fn read(path: &Path) -> Option<Settings> {
+    let parse = |content: &str| wire::parse(path, content, &|name| env::var(name).ok());
+    match settings::read(path, parse) {
         Ok(settings) => Some(settings),
         Err(faults) => {
             for fault in faults {
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -1,6 +1,6 @@
 //! The settings of one process.
 
-use std::time::Duration;
+use std::{fmt, fs, path::Path, time::Duration};
 
 use derive_more::{Display, FromStr};
 use dottereltally_lib::id;
@@ -8,6 +8,24 @@
 mod check;
 pub mod wire;
 
+/// Reads a settings file.
+///
+/// # Errors
+///
+/// Fails with every fault of the file, each with its remedy.
+pub fn read<T, F: fmt::Display>(
+    path: &Path,
+    parse: impl FnOnce(&str) -> Result<T, Vec<F>>,
+) -> Result<T, Vec<String>> {
+    let content = fs::read_to_string(path).map_err(|error| {
+        let path = path.display();
+        vec![format!(
+            "{path}: {error}; name a readable file with `--settings`"
+        )]
+    })?;
+    parse(&content).map_err(|faults| faults.iter().map(F::to_string).collect())
+}
+
 /// Checked settings of a node.
 #[derive(Clone, Debug)]
 pub struct Settings {
