tests: two faults listed as known red

- The burst test of the gate first sent all urgent work to one of three gates.
- A failure that an endpoint tells itself spends a unit of the budget when it is judged and another one before the next send.
With one unit left the caller gets 502 in place of the repeat.

--- a/gateway/tests/test_chain.rs
+++ b/gateway/tests/test_chain.rs
@@ -5,7 +5,7 @@
 use std::{sync::Arc, time::Duration};
 
 use common::{Endpoint, Gateway, Step, header, keyed, plan, read_message, route, status, whole};
-use dottereltally_lib::{id, route::Repeat};
+use dottereltally_lib::{budget::Terms, id, route::Repeat};
 use rstest::rstest;
 use tokio::{io::AsyncWriteExt, net::TcpStream, sync::Notify, time::timeout};
 
@@ -260,3 +260,24 @@
 fn routes_of_the_tests_allow_what_they_say() {
     assert_eq!(route("/x/", Repeat::Never, 1).attempts, 1);
 }
+
+/// One unit of the budget is left: it is enough for one repeat.
+#[tokio::test]
+#[ignore = "known red: a failed answer spends two units of the budget"]
+async fn a_repeat_costs_one_unit_of_the_budget() {
+    let failing = Endpoint::start(vec![vec![whole(500, "oops")]]).await;
+    let sound = Endpoint::start(Vec::new()).await;
+    let gateway = Gateway::start(Some(plan()), &[&failing, &sound]).await;
+    {
+        let mut budget = gateway.chain.budget.lock().unwrap();
+        budget.agree(Terms {
+            ratio: 0.2,
+            allowance: 0.0,
+            window: Duration::from_secs(10),
+        });
+        for _ in 0..7 {
+            budget.earn(gateway.chain.clock.now(), &id::Service::from("s"));
+        }
+    }
+    assert_eq!(status(&gateway.get("/safe/x", "").await), 200);
+}
--- a/lib/tests/test_gate.rs
+++ b/lib/tests/test_gate.rs
@@ -201,3 +201,26 @@
     let part = world.on_time(&requests, OBJECTIVE);
     assert!(part > 0.95, "on time: {part}");
 }
+
+/// Pattern: twice the capacity for some seconds; the urgent class alone would
+/// fit, but all of it comes to one gate.
+#[test]
+#[ignore = "known red: urgent work is not ordered across nodes"]
+fn urgent_work_of_one_gate_stays_on_time_in_a_burst() {
+    let mut world = World::new(3, &UNLIKE, 10);
+    flood(&mut world, (0, 2000, 40), (0, 600, 300));
+    let mut urgent = Vec::new();
+    for step in 0..500_u64 {
+        let millis = 2000 + step * 10;
+        let gate = usize::try_from(step).unwrap() % 3;
+        world.run(at(millis));
+        let now = world.now;
+        if step % 3 == 0 {
+            urgent.push(world.arrive(gate, ask(now, 0, 2000, 360, OBJECTIVE)));
+        }
+        world.arrive(gate, ask(now, 1, 600, 360, OBJECTIVE));
+    }
+    world.run(at(15_000));
+    let first = world.on_time(&urgent, OBJECTIVE);
+    assert!(first > 0.9, "urgent work on time: {first}");
+}
