node: keep-alive probes of connections to endpoints are a second apart

Change: probe_interval is one second, the least that the kernel takes. A lost connection is still found after 1.2 s without an acknowledgement.

Before: no connection between two nodes in test_home (Invalid argument). After: all of its tests pass.

--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -84,7 +84,7 @@
 const UPSTREAM: pool::Limits = pool::Limits {
     connect: Duration::from_millis(250),
     probe: Duration::from_secs(1),
-    probe_interval: Duration::from_millis(500),
+    probe_interval: Duration::from_secs(1),
     unacknowledged: Duration::from_millis(1200),
     idle: Duration::from_secs(5),
 };
