--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -14,12 +14,28 @@
     id,
     refusal::Refusal,
 };
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 
-type Decision = Result<Choice, Refusal>;
+/// What the gate decides on a request.
+pub type Decision = Result<Choice, Refusal>;
+
+/// What the node's home is told.
+#[derive(Debug)]
+pub enum Order {
+    /// A request needs an endpoint.
+    Admit(id::Request, Ask, oneshot::Sender<Decision>),
+    /// The first byte of an answer came.
+    Start(id::Request),
+    /// A request ended at its endpoint, or does not wait any more.
+    End(id::Request, Outcome),
+}
+
+type Orders = mpsc::UnboundedSender<Order>;
 
 struct State {
     gate: Gate,
+    /// Takes orders to the home, while there is one.
+    home: Option<Orders>,
     waiting: HashMap<id::Request, oneshot::Sender<Decision>>,
 }
 
@@ -41,6 +57,7 @@
     pub fn new(gate: Gate, clock: Clock) -> Self {
         let state = State {
             gate,
+            home: None,
             waiting: HashMap::new(),
         };
         Self {
@@ -52,21 +69,34 @@
         }
     }
 
-    /// Waits until the gate has chosen an endpoint.
+    /// Waits until an endpoint is chosen, by the node's home if there is one.
     ///
     /// Dropping the future withdraws the request.
     ///
     /// # Errors
     ///
-    /// Fails with the gate's refusal.
+    /// Fails with the refusal of who decided.
     pub async fn admit(&self, ask: Ask) -> Result<(Choice, Place), Refusal> {
-        let request = id::Request(self.shared.next.fetch_add(1, Ordering::Relaxed));
+        let home = self.lock().home.clone();
+        if let Some(home) = home
+            && let Some(decided) = self.ask_home(home, ask.clone()).await
+        {
+            return decided;
+        }
+        self.decide(ask).await
+    }
+
+    /// Waits until this node's own gate has chosen an endpoint.
+    ///
+    /// Dropping the future withdraws the request.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the gate's refusal.
+    pub async fn decide(&self, ask: Ask) -> Result<(Choice, Place), Refusal> {
+        let request = self.number();
         let (reply, decision) = oneshot::channel();
-        let place = Place {
-            handle: self.clone(),
-            request,
-            ended: false,
-        };
+        let place = self.place(request, None);
         self.lock().waiting.insert(request, reply);
         self.apply(|gate, now| gate.arrive(now, request, ask));
         // The sender lives in the table until it is used.
@@ -82,6 +112,69 @@
         }
     }
 
+    /// Has the home decide; none if it can't, or if its choice can't be used.
+    async fn ask_home(&self, home: Orders, ask: Ask) -> Option<Result<(Choice, Place), Refusal>> {
+        let request = self.number();
+        let (reply, decision) = oneshot::channel();
+        home.send(Order::Admit(request, ask.clone(), reply)).ok()?;
+        // Dropping it takes the request back.
+        let place = self.place(request, Some(home));
+        let Ok(decision) = decision.await else {
+            place.forget();
+            return None;
+        };
+        match decision {
+            Ok(choice) => {
+                let now = self.shared.clock.now();
+                let mut state = self.lock();
+                if !state.gate.adopt(now, request, ask, &choice.endpoint) {
+                    drop(state);
+                    tracing::info!(endpoint = %choice.endpoint, "the home's choice leaves: decided here");
+                    return None;
+                }
+                Some(Ok((choice, place)))
+            }
+            Err(refusal) => {
+                place.forget();
+                Some(Err(refusal))
+            }
+        }
+    }
+
+    /// Takes over who decides: the home at the end of `orders`, or this node.
+    pub fn delegate(&self, orders: Option<Orders>) {
+        let mut state = self.lock();
+        if orders.is_none() {
+            state.gate.reclaim();
+        }
+        state.home = orders;
+    }
+
+    /// Returns whether a home decides for this node.
+    #[must_use]
+    pub fn has_home(&self) -> bool {
+        self.lock().home.is_some()
+    }
+
+    /// Counts this node's requests here again; returns them by endpoint.
+    #[must_use]
+    pub fn reclaim(&self) -> Vec<(id::Endpoint, Held)> {
+        self.lock().gate.reclaim()
+    }
+
+    fn number(&self) -> id::Request {
+        id::Request(self.shared.next.fetch_add(1, Ordering::Relaxed))
+    }
+
+    fn place(&self, request: id::Request, home: Option<Orders>) -> Place {
+        Place {
+            handle: self.clone(),
+            request,
+            home,
+            ended: false,
+        }
+    }
+
     /// Changes the gate and carries out what follows.
     pub fn apply(
         &self,
@@ -133,13 +226,22 @@
 pub struct Place {
     handle: Handle,
     request: id::Request,
+    /// Takes orders to the home that decided, if it was one.
+    home: Option<Orders>,
     ended: bool,
 }
 
 impl Place {
+    /// Returns whether the home decided.
+    #[must_use]
+    pub fn is_delegated(&self) -> bool {
+        self.home.is_some()
+    }
+
     /// Records the first byte of the answer.
     pub fn start(&self) {
         let request = self.request;
+        self.tell(Order::Start(request));
         self.handle.apply(|gate, now| {
             gate.start(now, request);
             Vec::new()
@@ -150,14 +252,22 @@
     pub fn end(mut self, outcome: Outcome) {
         self.ended = true;
         let request = self.request;
+        self.tell(Order::End(request, outcome));
         self.handle
             .apply(|gate, now| gate.end(now, request, outcome));
     }
 
-    /// Forgets a place that the gate has taken back itself.
+    /// Forgets a place that who decided has taken back.
     fn forget(mut self) {
         self.ended = true;
     }
+
+    fn tell(&self, order: Order) {
+        if let Some(home) = &self.home {
+            // A home that is gone has given the place back itself.
+            let _gone = home.send(order);
+        }
+    }
 }
 
 impl Drop for Place {
@@ -166,6 +276,7 @@
             return;
         }
         let request = self.request;
+        self.tell(Order::End(request, Outcome::Cancelled));
         self.handle.lock().waiting.remove(&request);
         self.handle.apply(|gate, now| gate.withdraw(now, request));
     }
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -227,6 +227,7 @@
         others = choice.others,
         places = choice.places,
         waiting = choice.waiting,
+        delegated = place.is_delegated(),
         expected_ms = crate::chain::millis(choice.first),
         waited_ms = crate::chain::millis(now.since(job.received)),
         left_ms = crate::chain::millis(remaining),
--- a/gateway/src/beat.rs
+++ b/gateway/src/beat.rs
@@ -11,7 +11,7 @@
     id::{self, DataCentre, Endpoint, Fingerprint, Generation, Workspace},
     quota::Usage,
 };
-use dottereltally_proto::gateway_capnp::beat;
+use dottereltally_proto::gateway_capnp::{beat, held};
 
 /// Words of the largest beat that is read, 64 KiB.
 const MAX_WORDS: usize = 8 * 1024;
@@ -51,15 +51,10 @@
         root.set_sequence(self.sequence);
         root.set_data_centre(self.data_centre.as_str());
         root.set_generation(self.generation.0);
-        let mut list = root.reborrow().init_held(length(self.held.len()));
-        for (index, (endpoint, held)) in self.held.iter().enumerate() {
-            let mut entry = list.reborrow().get(length(index));
-            entry.set_endpoint(endpoint.as_str());
-            entry.set_requests(held.requests);
-            entry.set_pending(held.pending);
-            let pace = held.pace.unwrap_or_default().as_micros();
-            entry.set_pace_micros(u32::try_from(pace).unwrap_or(u32::MAX));
-        }
+        write_held(
+            &self.held,
+            root.reborrow().init_held(length(self.held.len())),
+        );
         let mut list = root.reborrow().init_usage(length(self.usage.len()));
         for (index, (workspace, usage)) in self.usage.iter().enumerate() {
             let mut entry = list.reborrow().get(length(index));
@@ -96,16 +91,7 @@
             generation: Generation(root.get_generation()),
             ..Self::default()
         };
-        for entry in root.get_held()? {
-            let held = Held {
-                requests: entry.get_requests(),
-                pending: entry.get_pending(),
-                pace: (entry.get_pace_micros() > 0)
-                    .then(|| Duration::from_micros(entry.get_pace_micros().into())),
-            };
-            let endpoint = Endpoint::from(entry.get_endpoint()?.to_str()?);
-            beat.held.push((endpoint, held));
-        }
+        beat.held = read_held(root.get_held()?)?;
         for entry in root.get_usage()? {
             let usage = Usage {
                 admitted: entry.get_admitted(),
@@ -123,6 +109,40 @@
     }
 }
 
-fn length(count: usize) -> u32 {
+/// Writes what a node holds at endpoints.
+pub(crate) fn write_held(
+    entries: &[(Endpoint, Held)],
+    mut list: capnp::struct_list::Builder<'_, held::Owned>,
+) {
+    for (index, (endpoint, held)) in entries.iter().enumerate() {
+        let mut entry = list.reborrow().get(length(index));
+        entry.set_endpoint(endpoint.as_str());
+        entry.set_requests(held.requests);
+        entry.set_pending(held.pending);
+        let pace = held.pace.unwrap_or_default().as_micros();
+        entry.set_pace_micros(u32::try_from(pace).unwrap_or(u32::MAX));
+    }
+}
+
+/// Reads what a node holds at endpoints.
+pub(crate) fn read_held(
+    list: capnp::struct_list::Reader<'_, held::Owned>,
+) -> Result<Vec<(Endpoint, Held)>, capnp::Error> {
+    let mut entries = Vec::new();
+    for entry in list {
+        let pace = entry.get_pace_micros();
+        let held = Held {
+            requests: entry.get_requests(),
+            pending: entry.get_pending(),
+            pace: (pace > 0).then(|| Duration::from_micros(pace.into())),
+        };
+        let endpoint = Endpoint::from(entry.get_endpoint()?.to_str()?);
+        entries.push((endpoint, held));
+    }
+    Ok(entries)
+}
+
+/// Returns a length or index of a list as it is written.
+pub(crate) fn length(count: usize) -> u32 {
     u32::try_from(count).unwrap_or(u32::MAX)
 }
--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -26,6 +26,12 @@
     pub address: String,
     /// Its data centre.
     pub data_centre: id::DataCentre,
+    /// Where it takes calls of other nodes, `ip:port`; empty if it takes none.
+    #[serde(default)]
+    pub calls: String,
+    /// Part of a core that it may use, in thousandths.
+    #[serde(default)]
+    pub share: u32,
 }
 
 /// One thing that changed.
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -1,11 +1,17 @@
-//! What nodes ask of each other while the key-value service is away: the whole
-//! directory, over Cap'n Proto RPC.
+//! What nodes ask of each other over Cap'n Proto RPC: the whole directory while
+//! the key-value service is away, and decisions of the home node.
 
 use std::{io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use capnp::Error;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side};
-use dottereltally::peer::{Metrics, stream};
+use dottereltally::{
+    clock::Clock,
+    peer::{Metrics, stream},
+    pool,
+    shutdown::Phase,
+};
+use dottereltally_lib::id;
 use dottereltally_proto::gateway_capnp::directory;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -14,12 +20,10 @@
     time::{sleep, timeout},
 };
 
-use crate::directory::Snapshot;
+use crate::{admission, beat::read_held, directory::Snapshot, home::Desk, node::UPSTREAM};
 
 /// Time for a node to answer.
 const TIMEOUT: Duration = Duration::from_secs(1);
-/// Time after which a connection is closed; a node asks once on each.
-const LIFETIME: Duration = Duration::from_secs(10);
 /// Pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -40,12 +44,39 @@
     Silent,
 }
 
-/// Serves the directory that this node knows.
-struct Server {
-    snapshot: watch::Receiver<Arc<Snapshot>>,
+/// What a node offers the others.
+#[derive(Clone)]
+pub struct Offer {
+    /// The directory that it knows.
+    pub snapshot: watch::Receiver<Arc<Snapshot>>,
+    /// Decides for nodes whose home it is.
+    pub admission: admission::Handle,
+    /// The clock of the node.
+    pub clock: Clock,
+    /// Whether it takes requests.
+    pub phase: Phase,
 }
 
-impl directory::Server for Server {
+impl directory::Server for Offer {
+    async fn open(
+        self: Rc<Self>,
+        params: directory::OpenParams,
+        mut results: directory::OpenResults,
+    ) -> Result<(), Error> {
+        if self.snapshot.borrow().plan.is_none() || self.phase.is_announced() {
+            return Err(Error::failed("the node is not ready".to_owned()));
+        }
+        let params = params.get()?;
+        let node = id::Node::from(params.get_node()?.to_str()?);
+        let held = read_held(params.get_held()?)?;
+        self.admission
+            .apply(|gate, now| gate.hear(now, &node, held.into_iter().collect()));
+        tracing::info!(%node, "this node decides for another one");
+        let desk = Desk::new(self.admission.clone(), self.clock);
+        results.get().set_desk(capnp_rpc::new_client(desk));
+        Ok(())
+    }
+
     async fn read(
         self: Rc<Self>,
         _: directory::ReadParams,
@@ -63,7 +94,7 @@
 }
 
 /// Serves other nodes for ever.
-pub async fn serve(listener: TcpListener, snapshot: watch::Receiver<Arc<Snapshot>>) {
+pub async fn serve(listener: TcpListener, offer: Offer) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -73,9 +104,11 @@
                 continue;
             }
         };
-        let server = Server {
-            snapshot: snapshot.clone(),
-        };
+        // A node that is gone gives its places back once the probes tell so.
+        if let Err(error) = pool::watch(&stream, &UPSTREAM) {
+            tracing::debug!(%error, "a node's connection closed at once");
+            continue;
+        }
         let network = match stream::network(stream, Side::Server, &Metrics::default()) {
             Ok(network) => network,
             Err(error) => {
@@ -83,11 +116,13 @@
                 continue;
             }
         };
-        let client: directory::Client = capnp_rpc::new_client(server);
+        let client: directory::Client = capnp_rpc::new_client(offer.clone());
         let system = RpcSystem::new(Box::new(network), Some(client.client));
         spawn_local(async move {
-            // The other node closes the connection once it has its answer.
-            let _ended = timeout(LIFETIME, system).await;
+            // The other node closes the connection; TCP finds out if it is gone.
+            if let Err(error) = system.await {
+                tracing::debug!(%error, "a node's connection ended");
+            }
         });
     }
 }
--- /dev/null
+++ b/gateway/src/home.rs
@@ -0,0 +1,40 @@
+//! The home node of a data centre: it decides where the requests of all nodes
+//! there go, so that places are counted exactly and urgent work goes first
+//! whichever node it came to.
+//!
+//! Only decisions are delegated. The node that holds a caller's connection
+//! sends to the endpoint itself, and decides alone while it has no home.
+
+mod desk;
+mod link;
+mod wire;
+
+use std::cmp::Reverse;
+
+use dottereltally_lib::{id, rendezvous};
+
+pub use self::{
+    desk::Desk,
+    link::{Failure, Link},
+};
+use crate::directory::Node;
+
+/// Orders the nodes of a data centre: the first one is the home. Larger hosts
+/// come first; among equals a hash decides, the same at every node.
+#[must_use]
+pub fn rank<'a>(
+    data_centre: &id::DataCentre,
+    nodes: impl IntoIterator<Item = &'a Node>,
+) -> Vec<Node> {
+    let mut ranked = Vec::new();
+    for node in nodes {
+        if node.data_centre == *data_centre && !node.calls.is_empty() {
+            ranked.push(node.clone());
+        }
+    }
+    ranked.sort_by_key(|node| {
+        let weight = rendezvous::weight(data_centre.as_str(), &node.name);
+        Reverse((node.share, weight, node.name.clone()))
+    });
+    ranked
+}
--- /dev/null
+++ b/gateway/src/home/wire.rs
@@ -0,0 +1,156 @@
+//! Translates requests and decisions to and from messages between nodes.
+
+use std::time::Duration;
+
+use capnp::Error;
+use dottereltally_lib::{
+    gate::{Ask, Choice, Flow, Outcome},
+    id,
+    refusal::{self, Refusal},
+    time,
+};
+use dottereltally_proto::gateway_capnp::{self, ask, decision, desk, refusal as answer};
+
+use crate::beat::length;
+
+pub(super) fn write_ask(ask: &Ask, now: time::Instant, mut wire: ask::Builder<'_>) {
+    wire.set_service(ask.service.as_str());
+    wire.set_tier(ask.tier.0);
+    wire.set_class(ask.class.0);
+    wire.set_prompt(ask.prompt);
+    wire.set_output(ask.output);
+    wire.set_pause_micros(micros(ask.pause.unwrap_or_default()));
+    wire.set_due_micros(micros(ask.due.since(now)));
+    wire.set_first_by_micros(micros(ask.first_by.since(now)));
+    wire.set_deadline_micros(micros(ask.deadline.since(now)));
+    let mut avoid = wire.init_avoid(length(ask.avoid.len()));
+    for (index, endpoint) in ask.avoid.iter().enumerate() {
+        avoid.set(length(index), endpoint.as_str());
+    }
+}
+
+pub(super) fn read_ask(wire: ask::Reader<'_>, now: time::Instant) -> Result<Ask, Error> {
+    let pause = Duration::from_micros(wire.get_pause_micros());
+    let mut avoid = Vec::new();
+    for endpoint in wire.get_avoid()? {
+        avoid.push(id::Endpoint::from(endpoint?.to_str()?));
+    }
+    Ok(Ask {
+        service: id::Service::from(wire.get_service()?.to_str()?),
+        tier: id::Tier(wire.get_tier()),
+        class: id::Tier(wire.get_class()),
+        prompt: wire.get_prompt(),
+        output: wire.get_output(),
+        pause: (!pause.is_zero()).then_some(pause),
+        due: now + Duration::from_micros(wire.get_due_micros()),
+        first_by: now + Duration::from_micros(wire.get_first_by_micros()),
+        deadline: now + Duration::from_micros(wire.get_deadline_micros()),
+        avoid,
+    })
+}
+
+pub(super) fn write_decision(decision: &Result<Choice, Refusal>, wire: decision::Builder<'_>) {
+    match decision {
+        Ok(choice) => {
+            let mut wire = wire.init_choice();
+            wire.set_endpoint(choice.endpoint.as_str());
+            wire.set_address(&choice.address);
+            wire.set_data_centre(choice.data_centre.as_str());
+            wire.set_own(choice.own);
+            wire.set_others(choice.others);
+            wire.set_places(choice.places);
+            wire.set_first_micros(micros(choice.first));
+            wire.set_waiting(choice.waiting as u64);
+        }
+        Err(refusal) => {
+            let mut wire = wire.init_refusal();
+            wire.set_reason(reason(refusal.reason));
+            wire.set_retry_micros(micros(refusal.retry_after));
+        }
+    }
+}
+
+pub(super) fn read_decision(wire: decision::Reader<'_>) -> Result<Result<Choice, Refusal>, Error> {
+    match wire.which()? {
+        decision::Which::Choice(choice) => {
+            let choice = choice?;
+            Ok(Ok(Choice {
+                endpoint: id::Endpoint::from(choice.get_endpoint()?.to_str()?),
+                address: choice.get_address()?.to_str()?.to_owned(),
+                data_centre: id::DataCentre::from(choice.get_data_centre()?.to_str()?),
+                own: choice.get_own(),
+                others: choice.get_others(),
+                places: choice.get_places(),
+                first: Duration::from_micros(choice.get_first_micros()),
+                waiting: usize::try_from(choice.get_waiting()).unwrap_or(usize::MAX),
+            }))
+        }
+        decision::Which::Refusal(refusal) => read_refusal(refusal?).map(Err),
+    }
+}
+
+fn read_refusal(wire: answer::Reader<'_>) -> Result<Refusal, Error> {
+    use gateway_capnp::Reason as Wire;
+    let reason = match wire.get_reason()? {
+        Wire::Overload => refusal::Reason::Overload,
+        Wire::Deadline => refusal::Reason::Deadline,
+        Wire::NoEndpoint => refusal::Reason::NoEndpoint,
+        Wire::Limit => refusal::Reason::Limit,
+        Wire::Quarantine => refusal::Reason::Quarantine,
+        Wire::Shutdown => refusal::Reason::Shutdown,
+    };
+    Ok(Refusal {
+        reason,
+        retry_after: Duration::from_micros(wire.get_retry_micros()),
+    })
+}
+
+fn reason(reason: refusal::Reason) -> gateway_capnp::Reason {
+    use gateway_capnp::Reason as Wire;
+    match reason {
+        refusal::Reason::Overload => Wire::Overload,
+        refusal::Reason::Deadline => Wire::Deadline,
+        refusal::Reason::NoEndpoint => Wire::NoEndpoint,
+        refusal::Reason::Limit => Wire::Limit,
+        refusal::Reason::Quarantine => Wire::Quarantine,
+        refusal::Reason::Shutdown => Wire::Shutdown,
+    }
+}
+
+pub(super) fn write_outcome(outcome: Outcome, mut wire: desk::end_params::Builder<'_>) {
+    use gateway_capnp::Outcome as Wire;
+    let kind = match outcome {
+        Outcome::Answered(flow) => {
+            wire.set_events(flow.events);
+            wire.set_pause_micros(micros(flow.pause));
+            Wire::Answered
+        }
+        Outcome::Cancelled => Wire::Cancelled,
+        Outcome::Failed => Wire::Failed,
+        Outcome::Rejected => Wire::Rejected,
+        Outcome::Misdirected => Wire::Misdirected,
+        Outcome::Unreachable => Wire::Unreachable,
+        Outcome::Broken => Wire::Broken,
+    };
+    wire.set_outcome(kind);
+}
+
+pub(super) fn read_outcome(wire: desk::end_params::Reader<'_>) -> Result<Outcome, Error> {
+    use gateway_capnp::Outcome as Wire;
+    Ok(match wire.get_outcome()? {
+        Wire::Answered => Outcome::Answered(Flow {
+            events: wire.get_events(),
+            pause: Duration::from_micros(wire.get_pause_micros()),
+        }),
+        Wire::Cancelled => Outcome::Cancelled,
+        Wire::Failed => Outcome::Failed,
+        Wire::Rejected => Outcome::Rejected,
+        Wire::Misdirected => Outcome::Misdirected,
+        Wire::Unreachable => Outcome::Unreachable,
+        Wire::Broken => Outcome::Broken,
+    })
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod directory;
 pub mod events;
 pub mod exchange;
+pub mod home;
 pub mod journal;
 pub mod metrics;
 pub mod node;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -43,7 +43,8 @@
     controller::{self, Controller, Outlet, Pace, Registration},
     dialect::Dialect,
     directory::{self, Snapshot, Source},
-    exchange,
+    exchange::{self, Offer},
+    home::Link,
     journal::Journal,
     metrics::Metrics,
     peers::{self, Peers},
@@ -79,9 +80,9 @@
     write_timeout: Duration::from_secs(20),
 };
 
-/// Time limits of connections to endpoints: a data centre that is cut off and
+/// Time limits of connections to endpoints and between nodes: a data centre that is cut off and
 /// a connection that fell silent must show well within a caller's patience.
-const UPSTREAM: pool::Limits = pool::Limits {
+pub(crate) const UPSTREAM: pool::Limits = pool::Limits {
     connect: Duration::from_millis(250),
     probe: Duration::from_secs(1),
     probe_interval: Duration::from_secs(1),
@@ -135,6 +136,7 @@
 struct Wires {
     plan: watch::Sender<Option<Arc<Plan>>>,
     nodes: watch::Sender<Vec<directory::Node>>,
+    homes: watch::Sender<Vec<directory::Node>>,
     listed: watch::Sender<bool>,
     snapshot: watch::Sender<Arc<Snapshot>>,
 }
@@ -144,6 +146,7 @@
         Self {
             plan: watch::Sender::new(None),
             nodes: watch::Sender::new(Vec::new()),
+            homes: watch::Sender::new(Vec::new()),
             listed: watch::Sender::new(false),
             snapshot: watch::Sender::new(Arc::new(Snapshot::default())),
         }
@@ -179,9 +182,24 @@
         name: settings.node.clone(),
         address: settings.listen.beats.to_string(),
         data_centre: settings.data_centre.clone(),
+        calls: settings.listen.peers.to_string(),
+        share: thousandths(settings.processor_share),
     };
     let controller = follow(&settings, &parts.source, &chain, &wires).await?;
-    spawn_local(exchange::serve(listeners.peers, wires.snapshot.subscribe()));
+    let offer = Offer {
+        snapshot: wires.snapshot.subscribe(),
+        admission: chain.admission.clone(),
+        clock: chain.clock,
+        phase: chain.phase.clone(),
+    };
+    spawn_local(exchange::serve(listeners.peers, offer));
+    let link = Link::new(
+        own.name.clone(),
+        chain.admission.clone(),
+        chain.clock,
+        wires.homes.subscribe(),
+    );
+    spawn_local(link.run());
     spawn_local(inherit(
         settings.seeds.clone(),
         wires.listed.subscribe(),
@@ -190,7 +208,7 @@
     let registration = Arc::new(Registration::new(parts.source, own.clone(), metrics));
     let keeping = Arc::clone(&registration);
     tokio::spawn(async move { keeping.run().await });
-    meet(own, listeners.beats, &chain, wires.nodes.subscribe()).await?;
+    meet(own, listeners.beats, &chain, &wires).await?;
     let stop = watch::Sender::new(false);
     let state = State::new(&settings, &chain, &wires);
     serve_pages(
@@ -219,6 +237,16 @@
     Ok(())
 }
 
+fn thousandths(part: f64) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "clamped"
+    )]
+    let thousandths = (part * 1000.0).clamp(0.0, 1e6) as u32;
+    thousandths
+}
+
 fn chain<D>(settings: &Settings, dialect: D, wires: &Wires, metrics: &Metrics) -> Chain<D> {
     let clock = Clock::start();
     let gate = Gate::new(gate::Settings {
@@ -303,13 +331,15 @@
     own: directory::Node,
     socket: UdpSocket,
     chain: &Arc<Chain<D>>,
-    mut nodes: watch::Receiver<Vec<directory::Node>>,
+    wires: &Wires,
 ) -> eyre::Result<()> {
+    let mut nodes = wires.nodes.subscribe();
     let socket = Arc::new(socket);
     let arguments = peers::Arguments {
         own,
         socket: Arc::clone(&socket),
         chain: Arc::clone(chain),
+        homes: wires.homes.clone(),
     };
     let (peers, _running) = Actor::spawn(None, Peers::default(), arguments)
         .await
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -12,13 +12,14 @@
 
 use dottereltally_lib::{id, time};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
-use tokio::net::UdpSocket;
+use tokio::{net::UdpSocket, sync::watch};
 
 use crate::{
     beat::Beat,
     chain::{Chain, lock, millis},
     dialect::Dialect,
     directory::Node,
+    home,
 };
 
 /// Time between two looks at who is due.
@@ -28,6 +29,10 @@
 /// another one, where bytes cost more.
 const PERIOD: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(200));
 
+/// Time between two beats of one home to another: each counts what its data
+/// centre has at the endpoints that they share.
+const HOME_PERIOD: Duration = Duration::from_millis(100);
+
 /// Beats that a node sends a second to its own data centre, and to the others,
 /// at the most; in a larger fleet each node hears less often.
 const MAX_RATE: u32 = 50;
@@ -79,6 +84,8 @@
     pub socket: Arc<UdpSocket>,
     /// What the beats tell of, and what they change.
     pub chain: Arc<Chain<D>>,
+    /// Takes the nodes of the data centre, the home first.
+    pub homes: watch::Sender<Vec<Node>>,
 }
 
 /// State of the actor.
@@ -87,7 +94,9 @@
     incarnation: u64,
     sequence: u64,
     peers: BTreeMap<id::Node, Peer>,
-    registered: BTreeSet<id::Node>,
+    registered: BTreeMap<id::Node, Node>,
+    /// The home of each data centre.
+    homes: BTreeSet<id::Node>,
 }
 
 impl<D: Dialect> Actor for Peers<D> {
@@ -106,7 +115,8 @@
             incarnation: rand::random(),
             sequence: 0,
             peers: BTreeMap::new(),
-            registered: BTreeSet::new(),
+            registered: BTreeMap::new(),
+            homes: BTreeSet::new(),
         })
     }
 
@@ -131,7 +141,10 @@
     }
 
     fn register(&mut self, nodes: Vec<Node>) {
-        self.registered = nodes.iter().map(|node| node.name.clone()).collect();
+        let named = nodes.iter();
+        self.registered = named
+            .map(|node| (node.name.clone(), node.clone()))
+            .collect();
         let now = self.now();
         for node in nodes {
             let Ok(address) = node.address.parse() else {
@@ -153,13 +166,13 @@
         // A node that is heard stays, whatever the registrations say.
         let registered = &self.registered;
         self.peers.retain(|name, peer| {
-            registered.contains(name) || (peer.heard.is_some() && !peer.silent)
+            registered.contains_key(name) || (peer.heard.is_some() && !peer.silent)
         });
         self.share();
     }
 
     /// Hands the table of nodes on.
-    fn share(&self) {
+    fn share(&mut self) {
         let now = self.now();
         let names: Vec<id::Node> = self.peers.keys().cloned().collect();
         let chain = &self.arguments.chain;
@@ -169,6 +182,44 @@
             gate.join(&names);
             Vec::new()
         });
+        self.elect();
+    }
+
+    /// Finds the home of each data centre among the nodes that are heard.
+    fn elect(&mut self) {
+        let own = &self.arguments.own;
+        let mut live = vec![own];
+        for (name, node) in &self.registered {
+            let peer = self.peers.get(name);
+            if peer.is_some_and(|peer| peer.heard.is_some() && !peer.silent) {
+                live.push(node);
+            }
+        }
+        let centres: BTreeSet<&id::DataCentre> =
+            live.iter().map(|node| &node.data_centre).collect();
+        let mut homes = BTreeSet::new();
+        for centre in &centres {
+            let ranked = home::rank(centre, live.iter().copied());
+            homes.extend(ranked.first().map(|node| node.name.clone()));
+            if **centre == own.data_centre {
+                self.arguments.homes.send_if_modified(|known| {
+                    let changed = *known != ranked;
+                    *known = ranked;
+                    changed
+                });
+            }
+        }
+        // A home shares the endpoints with the other homes only.
+        let sharing = if homes.contains(&own.name) {
+            centres.len()
+        } else {
+            self.peers.len() + 1
+        };
+        self.arguments.chain.admission.apply(|gate, _| {
+            gate.share(sharing);
+            Vec::new()
+        });
+        self.homes = homes;
     }
 
     fn hear(&mut self, beat: &Beat, from: SocketAddr) {
@@ -190,7 +241,8 @@
         if peer.incarnation == beat.incarnation && beat.sequence <= peer.sequence {
             return;
         }
-        if peer.heard.is_none() || peer.silent || peer.incarnation != beat.incarnation {
+        let returned = peer.heard.is_none() || peer.silent;
+        if returned || peer.incarnation != beat.incarnation {
             tracing::info!(
                 node = %beat.node,
                 address = %from,
@@ -206,6 +258,8 @@
         peer.silent = false;
         if !known {
             self.share();
+        } else if returned {
+            self.elect();
         }
         let chain = &self.arguments.chain;
         lock(&chain.ledger).hear(now, &beat.node, beat.incarnation, beat.usage.clone());
@@ -227,11 +281,18 @@
         );
         self.watch_silence(now, periods);
         let mut due = Vec::new();
-        for peer in self.peers.values_mut() {
+        let is_home = self.homes.contains(&self.arguments.own.name);
+        for (name, peer) in &mut self.peers {
             if peer.due > now {
                 continue;
             }
-            let period = if peer.local { periods.0 } else { periods.1 };
+            let period = if is_home && self.homes.contains(name) {
+                HOME_PERIOD
+            } else if peer.local {
+                periods.0
+            } else {
+                periods.1
+            };
             // Half of a tick, so that a beat does not slip to the next one.
             peer.due = now + period - TICK / 2;
             due.push(peer.address);
@@ -276,6 +337,7 @@
     /// Forgets what silent nodes held.
     fn watch_silence(&mut self, now: time::Instant, periods: (Duration, Duration)) {
         let mut heard = 0;
+        let mut changed = false;
         for (name, peer) in &mut self.peers {
             let period = if peer.local { periods.0 } else { periods.1 };
             let limit = (period * SILENCE.0).max(SILENCE.1);
@@ -290,6 +352,7 @@
                 continue;
             }
             peer.silent = true;
+            changed = true;
             tracing::info!(
                 node = %name,
                 silent_ms = millis(now.since(last)),
@@ -301,6 +364,9 @@
             });
         }
         self.arguments.chain.metrics.peers.set(heard);
+        if changed {
+            self.elect();
+        }
     }
 }
 
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -22,6 +22,8 @@
     pub node: id::Node,
     /// Its data centre.
     pub data_centre: id::DataCentre,
+    /// Part of a core that the node may use.
+    pub processor_share: f64,
     /// Where it listens.
     pub listen: Listen,
     /// Address of the key-value service.
@@ -67,6 +69,8 @@
 struct WireSettings {
     node: String,
     data_centre: String,
+    #[serde(default = "whole_core")]
+    processor_share: f64,
     listen: WireListen,
     store: String,
     #[serde(default)]
@@ -76,6 +80,10 @@
     quotas: WireQuotas,
 }
 
+fn whole_core() -> f64 {
+    1.0
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct WireListen {
@@ -183,6 +191,7 @@
     check.name("node", &wire.node);
     check.name("data_centre", &wire.data_centre);
     check.address("store", &wire.store);
+    let processor_share = check.positive("processor_share", wire.processor_share);
     let listen = Listen {
         callers: check.address("listen.callers", &wire.listen.callers),
         health: check.address("listen.health", &wire.listen.health),
@@ -215,6 +224,7 @@
     Ok(Settings {
         node: id::Node::from(wire.node),
         data_centre: id::DataCentre::from(wire.data_centre),
+        processor_share,
         listen,
         store: wire.store,
         seeds,
--- a/gateway/tests/test_exchange.rs
+++ b/gateway/tests/test_exchange.rs
@@ -5,12 +5,15 @@
 use std::sync::Arc;
 
 use common::plan;
+use dottereltally::{clock::Clock, shutdown::Phase};
 use dottereltally_gateway::{
+    admission::Handle,
     directory::{Entry, Node, Snapshot},
-    exchange,
+    exchange::{self, Offer},
 };
 use dottereltally_lib::{
     endpoint::{Record, Standing},
+    gate::{Gate, Settings},
     id,
 };
 use tokio::{
@@ -40,6 +43,8 @@
             name: id::Node::from("n"),
             address: "127.0.0.1:2".to_owned(),
             data_centre: id::DataCentre::from("dc"),
+            calls: "127.0.0.1:3".to_owned(),
+            share: 250,
         }],
         ..Snapshot::default()
     }
@@ -50,7 +55,14 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (_sender, receiver) = watch::channel(Arc::new(known));
-    spawn_local(exchange::serve(listener, receiver));
+    let clock = Clock::start();
+    let offer = Offer {
+        snapshot: receiver,
+        admission: Handle::new(Gate::new(Settings::default()), clock),
+        clock,
+        phase: Phase::default(),
+    };
+    spawn_local(exchange::serve(listener, offer));
     exchange::ask(address).await.unwrap()
 }
 
--- /dev/null
+++ b/gateway/tests/test_home.rs
@@ -0,0 +1,307 @@
+//! Decisions of a home for another node.
+
+mod common;
+
+use std::{collections::HashMap, future::pending, net::SocketAddr, sync::Arc, time::Duration};
+
+use common::plan;
+use dottereltally::{clock::Clock, shutdown::Phase};
+use dottereltally_gateway::{
+    admission::Handle,
+    directory::{Node, Snapshot},
+    exchange::{self, Offer},
+    home::{self, Link},
+};
+use dottereltally_lib::{
+    endpoint::{Record, Standing},
+    gate::{Ask, Flow, Gate, Held, Outcome, Settings},
+    id,
+};
+use rstest::rstest;
+use tokio::{
+    io::{AsyncReadExt, copy_bidirectional},
+    net::{TcpListener, TcpStream},
+    select,
+    sync::watch,
+    task::{JoinHandle, LocalSet, spawn_local},
+    time::sleep,
+};
+
+const PLACES: u32 = 2;
+
+fn node(name: &str, share: u32, calls: &str) -> Node {
+    Node {
+        name: id::Node::from(name),
+        address: "127.0.0.1:1".to_owned(),
+        data_centre: id::DataCentre::from("dc"),
+        calls: calls.to_owned(),
+        share,
+    }
+}
+
+fn handle(clock: Clock) -> Handle {
+    let mut gate = Gate::new(Settings::default());
+    let record = Record {
+        id: id::Endpoint::from("e"),
+        address: "127.0.0.1:9".to_owned(),
+        service: id::Service::from("s"),
+        data_centre: id::DataCentre::from("dc"),
+        standing: Standing::Live,
+        places: Some(PLACES),
+    };
+    gate.list(clock.now(), vec![record]);
+    Handle::new(gate, clock)
+}
+
+fn ask(clock: Clock) -> Ask {
+    let now = clock.now();
+    let minute = Duration::from_mins(1);
+    Ask {
+        service: id::Service::from("s"),
+        tier: id::Tier(1),
+        class: id::Tier(2),
+        prompt: 100,
+        output: 20,
+        pause: Some(Duration::from_millis(300)),
+        due: now + minute,
+        first_by: now + minute,
+        deadline: now + minute,
+        avoid: Vec::new(),
+    }
+}
+
+/// Passes bytes on between a node and its home.
+struct Proxy {
+    address: String,
+    silence: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+impl Proxy {
+    async fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let silence = watch::Sender::new(false);
+        let mut silenced = silence.subscribe();
+        let task = spawn_local(async move {
+            while let Ok((mut near, _)) = listener.accept().await {
+                let mut far = TcpStream::connect(target).await.unwrap();
+                select! {
+                    _ = copy_bidirectional(&mut near, &mut far) => {}
+                    _ = silenced.wait_for(|silent| *silent) => pending().await,
+                }
+            }
+        });
+        Self {
+            address,
+            silence,
+            task,
+        }
+    }
+}
+
+/// A node and its home.
+struct Pair {
+    clock: Clock,
+    node: Handle,
+    home: Handle,
+    phase: Phase,
+    proxy: Proxy,
+    homes: watch::Sender<Vec<Node>>,
+}
+
+impl Pair {
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let proxy = Proxy::start(listener.local_addr().unwrap()).await;
+        let clock = Clock::start();
+        let (node_handle, home) = (handle(clock), handle(clock));
+        let snapshot = Snapshot {
+            plan: Some(plan()),
+            ..Snapshot::default()
+        };
+        let phase = Phase::default();
+        let offer = Offer {
+            snapshot: watch::Sender::new(Arc::new(snapshot)).subscribe(),
+            admission: home.clone(),
+            clock,
+            phase: phase.clone(),
+        };
+        spawn_local(exchange::serve(listener, offer));
+        let homes = watch::Sender::new(vec![node("home", 1, &proxy.address)]);
+        let link = Link::new(
+            id::Node::from("node"),
+            node_handle.clone(),
+            clock,
+            homes.subscribe(),
+        );
+        spawn_local(link.run());
+        Self {
+            clock,
+            node: node_handle,
+            home,
+            phase,
+            proxy,
+            homes,
+        }
+    }
+
+    async fn linked() -> Self {
+        let pair = Self::start().await;
+        until(|| pair.node.has_home()).await;
+        pair
+    }
+}
+
+/// Waits for an event that the other side causes.
+async fn until(happened: impl Fn() -> bool) {
+    while !happened() {
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Requests that a node has at the endpoint by its own count.
+fn held(handle: &Handle) -> u32 {
+    let held: HashMap<id::Endpoint, Held> = handle.held().into_iter().collect();
+    held.values().map(|held| held.requests).sum()
+}
+
+#[test]
+fn the_largest_host_is_the_home_and_all_nodes_agree() {
+    let mut nodes = vec![
+        node("a", 120, "x"),
+        node("b", 500, "x"),
+        node("c", 500, "x"),
+    ];
+    nodes.push(node("no-calls", 900, ""));
+    let centre = id::DataCentre::from("dc");
+    let ranked = home::rank(&centre, &nodes);
+    assert_eq!(ranked.len(), 3);
+    assert_eq!(ranked[2].name.as_str(), "a");
+    nodes.reverse();
+    assert_eq!(home::rank(&centre, &nodes), ranked);
+    assert!(home::rank(&id::DataCentre::from("other"), &nodes).is_empty());
+}
+
+#[tokio::test]
+async fn a_home_decides_and_counts() {
+    let test = async {
+        let pair = Pair::linked().await;
+        let (choice, place) = pair.node.admit(ask(pair.clock)).await.unwrap();
+        assert_eq!(choice.endpoint.as_str(), "e");
+        assert!(place.is_delegated());
+        assert_eq!((held(&pair.node), held(&pair.home)), (0, 1));
+        place.start();
+        place.end(Outcome::Answered(Flow::default()));
+        until(|| held(&pair.home) == 0).await;
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+#[tokio::test]
+async fn a_request_that_is_taken_back_at_the_home_uses_no_place() {
+    let test = async {
+        let pair = Pair::linked().await;
+        let mut places = Vec::new();
+        for _ in 0..PLACES {
+            places.push(pair.node.admit(ask(pair.clock)).await.unwrap());
+        }
+        let waiting = spawn_local({
+            let (handle, ask) = (pair.node.clone(), ask(pair.clock));
+            async move { handle.admit(ask).await.map(|_| ()) }
+        });
+        until(|| pair.home.read(Gate::waiting) > 0).await;
+        waiting.abort();
+        until(|| pair.home.read(Gate::waiting) == 0).await;
+        drop(places);
+        until(|| pair.home.read(Gate::running) == 0).await;
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// A request that waits at a home which ends, or falls silent, is decided by
+/// the node, which counts what it has from then on.
+#[rstest]
+#[case::ended(false)]
+#[case::silent(true)]
+#[tokio::test]
+async fn a_node_decides_itself_when_its_home_is_gone(#[case] silent: bool) {
+    let test = async {
+        let pair = Pair::linked().await;
+        let mut places = Vec::new();
+        for _ in 0..PLACES {
+            places.push(pair.node.admit(ask(pair.clock)).await.unwrap().1);
+        }
+        let waiting = spawn_local({
+            let (handle, ask) = (pair.node.clone(), ask(pair.clock));
+            async move {
+                handle
+                    .admit(ask)
+                    .await
+                    .map(|(_, place)| place.is_delegated())
+            }
+        });
+        until(|| pair.home.read(Gate::waiting) > 0).await;
+        if silent {
+            pair.proxy.silence.send_replace(true);
+        } else {
+            pair.proxy.task.abort();
+        }
+        until(|| pair.node.read(Gate::waiting) > 0).await;
+        assert_eq!(held(&pair.node), PLACES);
+        places.pop();
+        assert!(!waiting.await.unwrap().unwrap());
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+#[rstest]
+#[case::silent(true)]
+#[case::closing(false)]
+#[tokio::test]
+async fn a_home_that_does_not_answer_is_passed_over(#[case] silent: bool) {
+    let test = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        spawn_local(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let mut bytes = [0; 1024];
+                while silent && stream.read(&mut bytes).await.is_ok_and(|length| length > 0) {}
+            }
+        });
+        let clock = Clock::start();
+        let own = handle(clock);
+        let homes = watch::Sender::new(vec![node("home", 1, &address)]);
+        let link = Link::new(
+            id::Node::from("node"),
+            own.clone(),
+            clock,
+            homes.subscribe(),
+        );
+        spawn_local(link.run());
+        let (_, place) = own.admit(ask(clock)).await.unwrap();
+        assert!(!place.is_delegated());
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+#[tokio::test]
+async fn a_home_that_stops_takes_no_new_node() {
+    let test = async {
+        let pair = Pair::linked().await;
+        pair.phase.announce();
+        let other = handle(pair.clock);
+        let calls = pair.homes.borrow()[0].calls.clone();
+        let homes = watch::Sender::new(vec![node("home", 1, &calls)]);
+        let link = Link::new(
+            id::Node::from("other"),
+            other.clone(),
+            pair.clock,
+            homes.subscribe(),
+        );
+        spawn_local(link.run());
+        let (_, place) = other.admit(ask(pair.clock)).await.unwrap();
+        assert!(!place.is_delegated());
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -186,6 +186,8 @@
     endpoint: id::Endpoint,
     sent: time::Instant,
     first: Option<time::Instant>,
+    /// Whether another node decided on it and counts it.
+    delegated: bool,
 }
 
 /// The gate of one node.
@@ -238,7 +240,7 @@
 
     /// Takes over which other nodes there are.
     pub fn join(&mut self, nodes: &[id::Node]) {
-        self.nodes = nodes.len() + 1;
+        self.share(nodes.len() + 1);
         self.peers.retain(|node, _| nodes.contains(node));
         self.count_others();
     }
@@ -316,6 +318,63 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Takes over a request that another node decided on, which counts it;
+    /// false if the endpoint takes nothing new as far as this node knows.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the request was sent before.
+    pub fn adopt(
+        &mut self,
+        now: time::Instant,
+        request: id::Request,
+        ask: Ask,
+        endpoint: &id::Endpoint,
+    ) -> bool {
+        let Some(member) = self.members.get_mut(endpoint) else {
+            return false;
+        };
+        if !member.listed || member.record.standing == Standing::Leaving {
+            return false;
+        }
+        member.own += 1;
+        member.pending += ask.prompt;
+        member.delegated.0 += 1;
+        member.delegated.1 += ask.prompt;
+        let flight = Flight {
+            ask,
+            endpoint: endpoint.clone(),
+            sent: now,
+            first: None,
+            delegated: true,
+        };
+        let previous = self.flights.insert(request, flight);
+        assert!(previous.is_none(), "request {request} was sent twice");
+        true
+    }
+
+    /// Counts every request at this node again, as the node that decided is
+    /// gone; returns what this node has at the endpoints.
+    pub fn reclaim(&mut self) -> Vec<(id::Endpoint, Held)> {
+        for flight in self.flights.values_mut() {
+            flight.delegated = false;
+        }
+        let mut told = Vec::new();
+        for member in self.members.values_mut() {
+            member.delegated = (0, 0);
+            let load = member.load();
+            if load != Held::default() {
+                told.push((member.record.id.clone(), load));
+            }
+        }
+        told
+    }
+
+    /// Takes over how many nodes share the endpoints.
+    pub fn share(&mut self, nodes: usize) {
+        self.nodes = nodes.max(1);
+    }
+
     /// Forgets a request that waits or was just sent.
     pub fn withdraw(&mut self, now: time::Instant, request: id::Request) -> Vec<Effect> {
         if self.flights.contains_key(&request) {
@@ -343,6 +402,11 @@
         };
         let pending = member.pending;
         member.pending = member.pending.saturating_sub(flight.ask.prompt);
+        if flight.delegated {
+            // Only the node that decided knows what was read beside it.
+            member.delegated.1 = member.delegated.1.saturating_sub(flight.ask.prompt);
+            return;
+        }
         let took = now.since(flight.sent);
         if let Some(line) = self.services.get_mut(&flight.ask.service) {
             let speed = member.speed(line.typical);
@@ -369,12 +433,19 @@
         };
         let service = flight.ask.service.clone();
         if let Some(member) = self.members.get_mut(&flight.endpoint) {
+            let unread = match flight.first {
+                None => flight.ask.prompt,
+                Some(_) => 0,
+            };
             member.own = member.own.saturating_sub(1);
-            if flight.first.is_none() {
-                member.pending = member.pending.saturating_sub(flight.ask.prompt);
+            member.pending = member.pending.saturating_sub(unread);
+            if flight.delegated {
+                let (requests, pending) = member.delegated;
+                member.delegated = (requests.saturating_sub(1), pending.saturating_sub(unread));
             }
             member.learn(now, outcome);
-            if let (Outcome::Answered(flow), Some(first)) = (outcome, flight.first)
+            if !flight.delegated
+                && let (Outcome::Answered(flow), Some(first)) = (outcome, flight.first)
                 && let Some(line) = self.services.get_mut(&service)
             {
                 let took = now.since(first);
@@ -555,6 +626,7 @@
             endpoint: name.clone(),
             sent: now,
             first: None,
+            delegated: false,
         };
         let previous = self.flights.insert(request, flight);
         assert!(previous.is_none(), "request {request} was sent twice");
--- a/lib/src/gate/member.rs
+++ b/lib/src/gate/member.rs
@@ -45,6 +45,8 @@
     pub(super) own: u32,
     /// Prompt tokens of this node that wait for their first byte.
     pub(super) pending: u64,
+    /// The part of both that another node decided on and counts.
+    pub(super) delegated: (u32, u64),
     /// What the other nodes hold.
     pub(super) others: Held,
     /// Requests at the endpoint by its own word.
@@ -66,6 +68,7 @@
             listed: true,
             own: 0,
             pending: 0,
+            delegated: (0, 0),
             others: Held::default(),
             reported: None,
             pace: Average::default(),
@@ -138,9 +141,18 @@
         let (sum, count) = mem::take(&mut self.untold);
         let pace = (count > 0).then(|| Duration::from_secs_f64(sum / f64::from(count)));
         Held {
-            requests: self.own,
-            pending: self.pending,
             pace,
+            ..self.load()
+        }
+    }
+
+    /// Returns what this node has there and counts itself.
+    pub(super) fn load(&self) -> Held {
+        let (requests, pending) = self.delegated;
+        Held {
+            requests: self.own.saturating_sub(requests),
+            pending: self.pending.saturating_sub(pending),
+            pace: None,
         }
     }
 
--- a/lib/tests/engines/mod.rs
+++ b/lib/tests/engines/mod.rs
@@ -57,6 +57,8 @@
     pub gates: Vec<Gate>,
     pub fates: HashMap<id::Request, Fate>,
     pub sent: Vec<(id::Request, Choice)>,
+    /// The gate that decides for all, if one does.
+    home: Option<usize>,
     jobs: HashMap<id::Request, Job>,
     events: BTreeMap<(time::Instant, u64), Event>,
     next: u64,
@@ -109,6 +111,7 @@
             gates: Vec::new(),
             fates: HashMap::new(),
             sent: Vec::new(),
+            home: None,
             jobs: HashMap::new(),
             events: BTreeMap::new(),
             next: 0,
@@ -130,6 +133,13 @@
         world
     }
 
+    /// Has the first gate decide for all of them.
+    pub fn with_home(mut self) -> Self {
+        self.home = Some(0);
+        self.gates[0].share(1);
+        self
+    }
+
     fn records(&self) -> Vec<Record> {
         let mut records = Vec::new();
         for engine in &self.engines {
@@ -156,6 +166,7 @@
             engine: None,
         };
         self.jobs.insert(request, job);
+        let gate = self.home.unwrap_or(gate);
         let effects = self.gates[gate].arrive(self.now, request, ask);
         self.apply(gate, effects);
         request
@@ -238,7 +249,12 @@
                         effects.extend(gate_state.arrive(self.now, request, ask));
                         continue;
                     }
-                    self.jobs.get_mut(&request).expect("a known request").engine = Some(index);
+                    let job = self.jobs.get_mut(&request).expect("a known request");
+                    job.engine = Some(index);
+                    if job.gate != gate {
+                        let (ask, name) = (job.ask.clone(), &self.engines[index].name);
+                        assert!(self.gates[job.gate].adopt(self.now, request, ask, name));
+                    }
                     self.engines[index].queue.push(request);
                     self.start(index);
                 }
@@ -276,6 +292,9 @@
                 let job = &self.jobs[request];
                 let took = self.now.since(job.arrived);
                 self.gates[job.gate].start(self.now, *request);
+                if let Some(home) = self.home {
+                    self.gates[home].start(self.now, *request);
+                }
                 self.fates.insert(*request, Fate::First(took));
             }
             Event::End(request) => {
@@ -290,6 +309,10 @@
                 let outcome = Outcome::Answered(flow);
                 let effects = self.gates[job.gate].end(self.now, *request, outcome);
                 self.apply(job.gate, effects);
+                if let Some(home) = self.home {
+                    let effects = self.gates[home].end(self.now, *request, outcome);
+                    self.apply(home, effects);
+                }
             }
         }
     }
--- a/lib/tests/test_gate.rs
+++ b/lib/tests/test_gate.rs
@@ -218,11 +218,8 @@
 }
 
 /// Pattern: twice the capacity for some seconds; the urgent class alone would
-/// fit, but all of it comes to one gate.
-#[test]
-#[ignore = "known red: urgent work is not ordered across nodes"]
-fn urgent_work_of_one_gate_stays_on_time_in_a_burst() {
-    let mut world = World::new(3, &UNLIKE, 10);
+/// fit, but all of it comes to one gate. Returns its part that is on time.
+fn burst_with_urgent_work_at_one_gate(mut world: World) -> f64 {
     flood(&mut world, (0, 2000, 40), (0, 600, 300));
     let mut urgent = Vec::new();
     for step in 0..500_u64 {
@@ -236,6 +233,59 @@
         world.arrive(gate, ask(now, 1, 600, 360, OBJECTIVE));
     }
     world.run(at(15_000));
-    let first = world.on_time(&urgent, OBJECTIVE);
+    world.on_time(&urgent, OBJECTIVE)
+}
+
+/// Each gate decides for itself, as while there is no home.
+#[test]
+#[ignore = "known red: urgent work is not ordered across nodes without a home"]
+fn urgent_work_of_one_gate_stays_on_time_in_a_burst() {
+    let first = burst_with_urgent_work_at_one_gate(World::new(3, &UNLIKE, 10));
+    assert!(first > 0.9, "urgent work on time: {first}");
+}
+
+#[test]
+fn a_home_keeps_urgent_work_of_one_gate_on_time_in_a_burst() {
+    let world = World::new(3, &UNLIKE, 10).with_home();
+    let first = burst_with_urgent_work_at_one_gate(world);
     assert!(first > 0.9, "urgent work on time: {first}");
 }
+
+/// Pattern: many nodes before few places, which hear of each other seldom; with
+/// a home no engine gets more than it runs at once.
+#[test]
+fn a_home_overfills_no_engine() {
+    let mut world = World::new(30, &[1.0; 6], 4).with_home();
+    flood(&mut world, (0, 6000, 20), (0, 600, 300));
+    let taken = world.sent.iter();
+    let most = taken.map(|(_, choice)| choice.own + choice.others).max();
+    assert!(most <= Some(4), "{most:?} at an engine with four places");
+}
+
+/// What a home decided on is counted by it; once it is gone, by the node.
+#[test]
+fn a_node_counts_its_requests_itself_once_the_home_is_gone() {
+    let mut world = World::new(2, &[1.0], 10).with_home();
+    world.arrive(1, ask(world.now, 0, 600, 60, OBJECTIVE));
+    let engine = world.engines[0].name.clone();
+    assert!(world.gates[1].held().is_empty(), "told twice");
+    let reclaimed = world.gates[1].reclaim();
+    assert_eq!(reclaimed.len(), 1);
+    assert_eq!((&reclaimed[0].0, reclaimed[0].1.requests), (&engine, 1));
+    assert_eq!(world.gates[1].held(), reclaimed);
+    world.run(at(5000));
+    assert!(world.gates[1].held().is_empty(), "it has ended");
+}
+
+/// The home may not have heard yet that an endpoint leaves.
+#[test]
+fn a_choice_that_leaves_is_not_adopted() {
+    let mut world = World::new(1, &[1.0], 10);
+    let now = world.now;
+    let engine = world.engines[0].name.clone();
+    let gate = &mut world.gates[0];
+    gate.list(now, Vec::new());
+    let request = id::Request(1);
+    assert!(!gate.adopt(now, request, ask(now, 0, 600, 60, OBJECTIVE), &engine));
+    assert!(gate.held().is_empty());
+}
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -112,7 +112,11 @@
 }
 
 /// Lets the host end a connection that the network has lost track of.
-fn watch(stream: &TcpStream, limits: &Limits) -> io::Result<()> {
+///
+/// # Errors
+///
+/// Fails if the connection is already closed.
+pub fn watch(stream: &TcpStream, limits: &Limits) -> io::Result<()> {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(limits.probe)
--- a/proto/schema/gateway.capnp
+++ b/proto/schema/gateway.capnp
@@ -42,8 +42,80 @@
   validMs @1 :UInt64;
 }
 
-# What a node that can't reach the key-value service asks of another one.
+# What nodes ask of each other.
 interface Directory {
   # Returns what the node knows, as JSON; empty if it knows nothing.
   read @0 () -> (snapshot :Data);
+  # Has the node decide for the caller of this method, which has these requests
+  # at endpoints. Fails if the node is not ready.
+  open @1 (node :Text, held :List(Held)) -> (desk :Desk);
+}
+
+# Decides where the requests of one other node go; closing the connection gives
+# every place back.
+interface Desk {
+  # Waits for an endpoint; the node that asks chooses the number.
+  admit @0 (request :UInt64, ask :Ask) -> (decision :Decision);
+  # Tells of the first byte of an answer.
+  start @1 (request :UInt64);
+  # Gives a place back, or takes back what still waits.
+  end @2 (request :UInt64, outcome :Outcome, events :UInt64, pauseMicros :UInt64);
+  ping @3 ();
+}
+
+# A request that needs an endpoint; times are what is left.
+struct Ask {
+  service @0 :Text;
+  tier @1 :UInt8;
+  class @2 :UInt8;
+  prompt @3 :UInt64;
+  output @4 :UInt64;
+  # Longest pause between two events; zero if there is no limit.
+  pauseMicros @5 :UInt64;
+  dueMicros @6 :UInt64;
+  firstByMicros @7 :UInt64;
+  deadlineMicros @8 :UInt64;
+  avoid @9 :List(Text);
+}
+
+struct Decision {
+  union {
+    choice @0 :Choice;
+    refusal @1 :Refusal;
+  }
+}
+
+struct Choice {
+  endpoint @0 :Text;
+  address @1 :Text;
+  dataCentre @2 :Text;
+  own @3 :UInt32;
+  others @4 :UInt32;
+  places @5 :UInt32;
+  firstMicros @6 :UInt64;
+  waiting @7 :UInt64;
+}
+
+struct Refusal {
+  reason @0 :Reason;
+  retryMicros @1 :UInt64;
+}
+
+enum Reason {
+  overload @0;
+  deadline @1;
+  noEndpoint @2;
+  limit @3;
+  quarantine @4;
+  shutdown @5;
+}
+
+enum Outcome {
+  answered @0;
+  cancelled @1;
+  failed @2;
+  rejected @3;
+  misdirected @4;
+  unreachable @5;
+  broken @6;
 }
--- a/proto/src/gateway_capnp.rs
+++ b/proto/src/gateway_capnp.rs
@@ -1260,6 +1260,8 @@
     #![allow(unused_variables)]
     pub type ReadParams<> = ::capnp::capability::Params<crate::gateway_capnp::directory::read_params::Owned>;
     pub type ReadResults<> = ::capnp::capability::Results<crate::gateway_capnp::directory::read_results::Owned>;
+    pub type OpenParams<> = ::capnp::capability::Params<crate::gateway_capnp::directory::open_params::Owned>;
+    pub type OpenResults<> = ::capnp::capability::Results<crate::gateway_capnp::directory::open_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -1312,9 +1314,13 @@
         pub fn read_request(&self) -> ::capnp::capability::Request<crate::gateway_capnp::directory::read_params::Owned,crate::gateway_capnp::directory::read_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
         }
+        pub fn open_request(&self) -> ::capnp::capability::Request<crate::gateway_capnp::directory::open_params::Owned,crate::gateway_capnp::directory::open_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn read(self: ::capnp::capability::Rc<Self>, _: ReadParams<>, _: ReadResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method directory::Server::read not implemented".to_string()))) }
+        fn open(self: ::capnp::capability::Rc<Self>, _: OpenParams<>, _: OpenResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method directory::Server::open not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -1345,6 +1351,7 @@
         pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
             match method_id {
                 0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::read(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::open(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -1726,4 +1733,3769 @@
             pub(crate) const TYPE_ID: u64 = 0xcf2a_8128_cce7_54ea;
         }
     }
+
+    pub mod open_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_node(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_node(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_held(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::gateway_capnp::held::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_held(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_node(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_node(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_node(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_node(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_held(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::gateway_capnp::held::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_held(&mut self, value: ::capnp::struct_list::Reader<'_,crate::gateway_capnp::held::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            }
+            #[inline]
+            pub fn init_held(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::gateway_capnp::held::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+            }
+            #[inline]
+            pub fn has_held(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(35, 62, 57, 141, 245, 16, 6, 235),
+                ::capnp::word(24, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 68, 105),
+                ::capnp::word(114, 101, 99, 116, 111, 114, 121, 46),
+                ::capnp::word(111, 112, 101, 110, 36, 80, 97, 114),
+                ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(110, 111, 100, 101, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 101, 108, 100, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(185, 117, 217, 10, 20, 120, 119, 165),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::struct_list::Owned<crate::gateway_capnp::held::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0xeb06_10f5_8d39_3e23;
+        }
+    }
+
+    pub mod open_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_desk(self) -> ::capnp::Result<crate::gateway_capnp::desk::Client> {
+                match self.reader.get_pointer_field(0).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            }
+            #[inline]
+            pub fn has_desk(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_desk(self) -> ::capnp::Result<crate::gateway_capnp::desk::Client> {
+                match self.builder.get_pointer_field(0).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            }
+            #[inline]
+            pub fn set_desk(&mut self, value: crate::gateway_capnp::desk::Client)  {
+                self.builder.reborrow().get_pointer_field(0).set_capability(value.client.hook);
+            }
+            #[inline]
+            pub fn has_desk(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+            pub fn get_desk(&self) -> crate::gateway_capnp::desk::Client {
+                ::capnp::capability::FromClientHook::new(self._typeless.get_pointer_field(0).as_cap())
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(41, 48, 145, 119, 201, 10, 137, 238),
+                ::capnp::word(24, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 68, 105),
+                ::capnp::word(114, 101, 99, 116, 111, 114, 121, 46),
+                ::capnp::word(111, 112, 101, 110, 36, 82, 101, 115),
+                ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 101, 115, 107, 0, 0, 0, 0),
+                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(89, 204, 197, 57, 66, 47, 253, 135),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::gateway_capnp::desk::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xee89_0ac9_7791_3029;
+        }
+    }
+}
+
+
+pub mod desk {
+    #![allow(unused_variables)]
+    pub type AdmitParams<> = ::capnp::capability::Params<crate::gateway_capnp::desk::admit_params::Owned>;
+    pub type AdmitResults<> = ::capnp::capability::Results<crate::gateway_capnp::desk::admit_results::Owned>;
+    pub type StartParams<> = ::capnp::capability::Params<crate::gateway_capnp::desk::start_params::Owned>;
+    pub type StartResults<> = ::capnp::capability::Results<crate::gateway_capnp::desk::start_results::Owned>;
+    pub type EndParams<> = ::capnp::capability::Params<crate::gateway_capnp::desk::end_params::Owned>;
+    pub type EndResults<> = ::capnp::capability::Results<crate::gateway_capnp::desk::end_results::Owned>;
+    pub type PingParams<> = ::capnp::capability::Params<crate::gateway_capnp::desk::ping_params::Owned>;
+    pub type PingResults<> = ::capnp::capability::Results<crate::gateway_capnp::desk::ping_results::Owned>;
+
+    pub struct Client {
+        pub client: ::capnp::capability::Client,
+    }
+    impl  ::capnp::capability::FromClientHook for Client {
+        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
+            Self { client: ::capnp::capability::Client::new(hook),  }
+        }
+        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
+            self.client.hook
+        }
+        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
+            &*self.client.hook
+        }
+    }
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Capability.into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Client; type Builder<'a> = Client; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Client; }
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Client<>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(reader.get_capability()?))
+        }
+    }
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Client<>  {
+        fn init_pointer(_builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            unimplemented!()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(builder.get_capability()?))
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Client<>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, from: Self, _canonicalize: bool) -> ::capnp::Result<()> {
+            pointer.set_capability(from.client.hook);
+            ::core::result::Result::Ok(())
+        }
+    }
+    impl  ::capnp::traits::HasTypeId for Client {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl  Clone for Client {
+        fn clone(&self) -> Self {
+            Self { client: self.client.clone(),  }
+        }
+    }
+    impl  Client {
+        pub fn admit_request(&self) -> ::capnp::capability::Request<crate::gateway_capnp::desk::admit_params::Owned,crate::gateway_capnp::desk::admit_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
+        }
+        pub fn start_request(&self) -> ::capnp::capability::Request<crate::gateway_capnp::desk::start_params::Owned,crate::gateway_capnp::desk::start_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
+        }
+        pub fn end_request(&self) -> ::capnp::capability::Request<crate::gateway_capnp::desk::end_params::Owned,crate::gateway_capnp::desk::end_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
+        }
+        pub fn ping_request(&self) -> ::capnp::capability::Request<crate::gateway_capnp::desk::ping_params::Owned,crate::gateway_capnp::desk::ping_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
+        }
+    }
+    pub trait Server<> : 'static  {
+        fn admit(self: ::capnp::capability::Rc<Self>, _: AdmitParams<>, _: AdmitResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method desk::Server::admit not implemented".to_string()))) }
+        fn start(self: ::capnp::capability::Rc<Self>, _: StartParams<>, _: StartResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method desk::Server::start not implemented".to_string()))) }
+        fn end(self: ::capnp::capability::Rc<Self>, _: EndParams<>, _: EndResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method desk::Server::end not implemented".to_string()))) }
+        fn ping(self: ::capnp::capability::Rc<Self>, _: PingParams<>, _: PingResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method desk::Server::ping not implemented".to_string()))) }
+    }
+    pub struct ServerDispatch<_T,> {
+        pub server: ::capnp::capability::Rc<_T>,
+    }
+    impl <_S: Server + 'static, > ::capnp::capability::FromServer<_S> for Client   {
+        type Dispatch = ServerDispatch<_S, >;
+        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S, > {
+            ServerDispatch { server: s,  }
+        }
+    }
+    impl <_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
+        type Target = _T;
+        fn deref(&self) -> &_T { &self.server}
+    }
+    impl <_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
+        fn clone(&self) -> Self { Self { server: self.server.clone(),  } }
+    }
+    impl <_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
+        fn dispatch_call(self, interface_id: u64, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match interface_id {
+                _private::TYPE_ID => Self::dispatch_call_internal(self.server, method_id, params, results),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+        fn as_ptr(&self) -> usize { ::capnp::capability::Rc::as_ptr(&self.server) as usize }
+    }
+    impl <_T :Server> ServerDispatch<_T> {
+        pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match method_id {
+                0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::admit(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::start(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::end(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::ping(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+    }
+    pub(crate) mod _private {
+        pub(crate) const TYPE_ID: u64 = 0x87fd_2f42_39c5_cc59;
+    }
+
+    pub mod admit_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_request(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_ask(self) -> ::capnp::Result<crate::gateway_capnp::ask::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_ask(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_request(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_request(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_ask(self) -> ::capnp::Result<crate::gateway_capnp::ask::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_ask(&mut self, value: crate::gateway_capnp::ask::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_ask(self, ) -> crate::gateway_capnp::ask::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_ask(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+            pub fn get_ask(&self) -> crate::gateway_capnp::ask::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(132, 159, 195, 107, 91, 84, 26, 244),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 68, 101),
+                ::capnp::word(115, 107, 46, 97, 100, 109, 105, 116),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 115, 107, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(51, 53, 238, 254, 49, 35, 72, 165),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <crate::gateway_capnp::ask::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0xf41a_545b_6bc3_9f84;
+        }
+    }
+
+    pub mod admit_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_decision(self) -> ::capnp::Result<crate::gateway_capnp::decision::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_decision(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_decision(self) -> ::capnp::Result<crate::gateway_capnp::decision::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_decision(&mut self, value: crate::gateway_capnp::decision::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_decision(self, ) -> crate::gateway_capnp::decision::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_decision(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+            pub fn get_decision(&self) -> crate::gateway_capnp::decision::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(148, 207, 130, 163, 229, 151, 192, 162),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 68, 101),
+                ::capnp::word(115, 107, 46, 97, 100, 109, 105, 116),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 101, 99, 105, 115, 105, 111, 110),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(23, 28, 2, 196, 92, 223, 150, 255),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::gateway_capnp::decision::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xa2c0_97e5_a382_cf94;
+        }
+    }
+
+    pub mod start_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_request(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_request(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_request(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(162, 20, 16, 237, 15, 84, 147, 176),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 68, 101),
+                ::capnp::word(115, 107, 46, 115, 116, 97, 114, 116),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xb093_540f_ed10_14a2;
+        }
+    }
+
+    pub mod start_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(217, 247, 4, 247, 236, 254, 236, 165),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 68, 101),
+                ::capnp::word(115, 107, 46, 115, 116, 97, 114, 116),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xa5ec_feec_f704_f7d9;
+        }
+    }
+
+    pub mod end_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_request(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_outcome(self) -> ::core::result::Result<crate::gateway_capnp::Outcome,::capnp::NotInSchema> {
+                ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(4))
+            }
+            #[inline]
+            pub fn get_events(self) -> u64 {
+                self.reader.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn get_pause_micros(self) -> u64 {
+                self.reader.get_data_field::<u64>(3)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_request(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_request(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_outcome(self) -> ::core::result::Result<crate::gateway_capnp::Outcome,::capnp::NotInSchema> {
+                ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(4))
+            }
+            #[inline]
+            pub fn set_outcome(&mut self, value: crate::gateway_capnp::Outcome)  {
+                self.builder.set_data_field::<u16>(4, value as u16);
+            }
+            #[inline]
+            pub fn get_events(self) -> u64 {
+                self.builder.get_data_field::<u64>(2)
+            }
+            #[inline]
+            pub fn set_events(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(2, value);
+            }
+            #[inline]
+            pub fn get_pause_micros(self) -> u64 {
+                self.builder.get_data_field::<u64>(3)
+            }
+            #[inline]
+            pub fn set_pause_micros(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(3, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(10, 71, 185, 118, 172, 154, 231, 226),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 68, 101),
+                ::capnp::word(115, 107, 46, 101, 110, 100, 36, 80),
+                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(111, 117, 116, 99, 111, 109, 101, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(250, 51, 35, 151, 90, 207, 223, 229),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 118, 101, 110, 116, 115, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 97, 117, 115, 101, 77, 105, 99),
+                ::capnp::word(114, 111, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <crate::gateway_capnp::Outcome as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,3,0];
+            pub(crate) const TYPE_ID: u64 = 0xe2e7_9aac_76b9_470a;
+        }
+    }
+
+    pub mod end_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(43, 0, 223, 122, 173, 37, 46, 130),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 68, 101),
+                ::capnp::word(115, 107, 46, 101, 110, 100, 36, 82),
+                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0x822e_25ad_7adf_002b;
+        }
+    }
+
+    pub mod ping_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(86, 216, 156, 63, 189, 80, 184, 153),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 68, 101),
+                ::capnp::word(115, 107, 46, 112, 105, 110, 103, 36),
+                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0x99b8_50bd_3f9c_d856;
+        }
+    }
+
+    pub mod ping_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(28, 171, 118, 54, 62, 24, 68, 137),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+                ::capnp::word(99, 97, 112, 110, 112, 58, 68, 101),
+                ::capnp::word(115, 107, 46, 112, 105, 110, 103, 36),
+                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0x8944_183e_3676_ab1c;
+        }
+    }
+}
+
+pub mod ask {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_tier(self) -> u8 {
+            self.reader.get_data_field::<u8>(0)
+        }
+        #[inline]
+        pub fn get_class(self) -> u8 {
+            self.reader.get_data_field::<u8>(1)
+        }
+        #[inline]
+        pub fn get_prompt(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_output(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_pause_micros(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn get_due_micros(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn get_first_by_micros(self) -> u64 {
+            self.reader.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn get_deadline_micros(self) -> u64 {
+            self.reader.get_data_field::<u64>(6)
+        }
+        #[inline]
+        pub fn get_avoid(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_avoid(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_tier(self) -> u8 {
+            self.builder.get_data_field::<u8>(0)
+        }
+        #[inline]
+        pub fn set_tier(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(0, value);
+        }
+        #[inline]
+        pub fn get_class(self) -> u8 {
+            self.builder.get_data_field::<u8>(1)
+        }
+        #[inline]
+        pub fn set_class(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(1, value);
+        }
+        #[inline]
+        pub fn get_prompt(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_prompt(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_output(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_output(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_pause_micros(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_pause_micros(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
+        #[inline]
+        pub fn get_due_micros(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_due_micros(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
+        #[inline]
+        pub fn get_first_by_micros(self) -> u64 {
+            self.builder.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn set_first_by_micros(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(5, value);
+        }
+        #[inline]
+        pub fn get_deadline_micros(self) -> u64 {
+            self.builder.get_data_field::<u64>(6)
+        }
+        #[inline]
+        pub fn set_deadline_micros(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(6, value);
+        }
+        #[inline]
+        pub fn get_avoid(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_avoid(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_avoid(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_avoid(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 175] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(51, 53, 238, 254, 49, 35, 72, 165),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 7, 0),
+            ::capnp::word(39, 106, 78, 201, 208, 163, 248, 177),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 65, 115),
+            ::capnp::word(107, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
