home: a node tries three nodes of the order at the most

Ruled out: links that break under load; between 2 s and 22 s there were 12, all when nodes were killed at 8 s.

Change: the first three of the order are tried; a node without a home decides alone and tries again after a second or when the order changes.

After: few_nodes_are_tried_while_none_is_ready (three of twelve; all of them before).

--- a/gateway/src/home/link.rs
+++ b/gateway/src/home/link.rs
@@ -49,6 +49,10 @@
 /// Time between two looks at the home.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Nodes of the order that are tried; while all of a data centre start, none is
+/// ready, and a node decides alone as well.
+const CANDIDATES: usize = 3;
+
 /// Time for which a home that failed is passed over.
 const PASS_OVER: Duration = Duration::from_secs(1);
 
@@ -130,7 +134,7 @@
     fn home(&self) -> Option<Node> {
         let now = Instant::now();
         let homes = self.homes.borrow();
-        let mut homes = homes.iter();
+        let mut homes = homes.iter().take(CANDIDATES);
         let home = homes.find(|node| {
             let until = self.passed_over.get(&node.name);
             until.is_none_or(|until| *until <= now)
--- a/gateway/tests/test_home.rs
+++ b/gateway/tests/test_home.rs
@@ -2,7 +2,15 @@
 
 mod common;
 
-use std::{collections::HashMap, future::pending, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{BTreeSet, HashMap},
+    future::pending,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use common::plan;
 use dottereltally::{clock::Clock, shutdown::Phase};
@@ -305,3 +313,38 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Pattern: all nodes of a data centre start at once and none is ready; a node
+/// does not try every other one.
+#[tokio::test]
+async fn few_nodes_are_tried_while_none_is_ready() {
+    let test = async {
+        let mut nodes = Vec::new();
+        let tried = Rc::<RefCell<BTreeSet<u32>>>::default();
+        for number in 0..12 {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap().to_string();
+            nodes.push(node(&format!("n{number}"), 1, &address));
+            let tried = Rc::clone(&tried);
+            spawn_local(async move {
+                while listener.accept().await.is_ok() {
+                    tried.borrow_mut().insert(number);
+                }
+            });
+        }
+        let clock = Clock::start();
+        let own = handle(clock);
+        let homes = watch::Sender::new(nodes);
+        let name = id::Node::from("node");
+        let link = Link::new(name, own.clone(), clock, homes.subscribe());
+        spawn_local(link.run());
+        until(|| tried.borrow().len() >= 3).await;
+        // Wakes the link, which has passed the first ones over.
+        for _ in 0..20 {
+            homes.send_modify(|_| {});
+            sleep(Duration::from_millis(1)).await;
+        }
+        assert_eq!(tried.borrow().len(), 3);
+    };
+    LocalSet::new().run_until(test).await;
+}
