exchange, home: one function connects to another node

The link of a home repeated how a connection between nodes is built and why it fails. Behaviour stays: the question for the directory now has the same probes on its connection as the link.

--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -16,7 +16,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
-    task::spawn_local,
+    task::{JoinSet, spawn_local},
     time::{sleep, timeout},
 };
 
@@ -27,7 +27,7 @@
 /// Pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
-/// Why a node told nothing.
+/// Why another node can't be asked.
 #[derive(Debug, thiserror::Error)]
 pub enum Failure {
     /// The connection failed.
@@ -139,20 +139,33 @@
 }
 
 async fn read(address: SocketAddr) -> Result<Option<Snapshot>, Failure> {
+    let connection = connect(address).await?;
+    let response = connection.client.read_request().send().promise.await?;
+    let bytes = response.get()?.get_snapshot()?;
+    if bytes.is_empty() {
+        return Ok(None);
+    }
+    Ok(Some(serde_json::from_slice(bytes)?))
+}
+
+/// A connection to another node; dropping it closes it.
+pub(crate) struct Connection {
+    /// What the other node offers.
+    pub(crate) client: directory::Client,
+    _driver: JoinSet<Result<(), Error>>,
+}
+
+/// Connects to another node; needs a local task set.
+pub(crate) async fn connect(address: SocketAddr) -> Result<Connection, Failure> {
     let stream = TcpStream::connect(address).await?;
+    pool::watch(&stream, &UPSTREAM)?;
     let network = stream::network(stream, Side::Client, &Metrics::default())?;
     let mut system = RpcSystem::new(Box::new(network), None);
-    let client: directory::Client = system.bootstrap(Side::Server);
-    let driver = spawn_local(system);
-    let result = async {
-        let response = client.read_request().send().promise.await?;
-        let bytes = response.get()?.get_snapshot()?;
-        if bytes.is_empty() {
-            return Ok(None);
-        }
-        Ok(Some(serde_json::from_slice(bytes)?))
-    }
-    .await;
-    driver.abort();
-    result
+    let client = system.bootstrap(Side::Server);
+    let mut driver = JoinSet::new();
+    driver.spawn_local(system);
+    Ok(Connection {
+        client,
+        _driver: driver,
+    })
 }
--- a/gateway/src/home/link.rs
+++ b/gateway/src/home/link.rs
@@ -3,23 +3,16 @@
 use std::{
     cell::Cell,
     collections::HashMap,
-    io,
     net::{AddrParseError, SocketAddr},
     rc::Rc,
     time::Duration,
 };
 
 use capnp::Error;
-use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side};
-use dottereltally::{
-    clock::Clock,
-    peer::{Metrics, stream},
-    pool,
-};
+use dottereltally::clock::Clock;
 use dottereltally_lib::id;
-use dottereltally_proto::gateway_capnp::{desk, directory};
+use dottereltally_proto::gateway_capnp::desk;
 use tokio::{
-    net::TcpStream,
     select,
     sync::{mpsc, watch},
     task::JoinSet,
@@ -30,8 +23,8 @@
     admission::{self, Order},
     beat::{length, write_held},
     directory::Node,
+    exchange,
     home::wire,
-    node::UPSTREAM,
 };
 
 /// Time for a connection and for the first answer; the way there and back
@@ -59,23 +52,23 @@
 /// Why a home does not decide any more.
 #[derive(Debug, thiserror::Error)]
 pub enum Failure {
-    /// The connection failed.
-    #[error("no connection: {0}; check the link between the nodes")]
-    Connection(#[from] io::Error),
-    /// A call failed.
-    #[error("no answer: {0}; check the other node's log")]
-    Call(#[from] Error),
+    /// It can't be asked.
+    #[error(transparent)]
+    Unreachable(#[from] exchange::Failure),
     /// Its address can't be read.
     #[error("unreadable address: {0}; run the same version on all nodes")]
     Address(#[from] AddrParseError),
-    /// It does not answer.
-    #[error("no answer in time; check the link between the nodes")]
-    Silent,
     /// Another node is the home now.
     #[error("another node is the home")]
     Replaced,
 }
 
+impl From<Error> for Failure {
+    fn from(error: Error) -> Self {
+        exchange::Failure::from(error).into()
+    }
+}
+
 /// A node's side of the delegation.
 pub struct Link {
     own: id::Node,
@@ -145,20 +138,15 @@
     /// Has a home decide until it fails or another one takes its place.
     async fn follow(&self, home: &Node) -> Result<(), Failure> {
         let address: SocketAddr = home.calls.parse()?;
-        let connecting = timeout(OPEN, TcpStream::connect(address));
-        let stream = connecting.await.map_err(|_| Failure::Silent)??;
-        pool::watch(&stream, &UPSTREAM)?;
-        let network = stream::network(stream, Side::Client, &Metrics::default())?;
-        let mut system = RpcSystem::new(Box::new(network), None);
-        let client: directory::Client = system.bootstrap(Side::Server);
-        let mut driver = JoinSet::new();
-        driver.spawn_local(system);
-        let mut open = client.open_request();
+        let silent = |_| exchange::Failure::Silent;
+        let connecting = timeout(OPEN, exchange::connect(address));
+        let connection = connecting.await.map_err(silent)??;
+        let mut open = connection.client.open_request();
         open.get().set_node(self.own.as_str());
         let held = self.admission.reclaim();
         write_held(&held, open.get().init_held(length(held.len())));
         let opening = timeout(OPEN, open.send().promise);
-        let desk = opening.await.map_err(|_| Failure::Silent)??;
+        let desk = opening.await.map_err(silent)??;
         let desk = desk.get()?.get_desk()?;
         tracing::info!(home = %home.name, %address, "home decides for this node");
         let (orders, queue) = mpsc::unbounded_channel();
@@ -194,7 +182,7 @@
                         return Err(Failure::Replaced);
                     }
                     if watch.is_silent() {
-                        return Err(Failure::Silent);
+                        return Err(exchange::Failure::Silent.into());
                     }
                     if watch.is_due() {
                         watch.asked.set(Some(Instant::now()));
