admission: a choice is counted here if its home is gone meanwhile

Cause: found on reading. The home's answer can arrive just before the link ends and be used just after: the request was then marked as counted by a home that had given its place back, and no node told of it until it ended.

Change: the request counts as delegated only while the link over which it was decided is in use. After: a_choice_of_a_home_that_is_gone_is_counted_by_the_node.

--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -118,7 +118,7 @@
         let (reply, decision) = oneshot::channel();
         home.send(Order::Admit(request, ask.clone(), reply)).ok()?;
         // Dropping it takes the request back.
-        let place = self.place(request, Some(home));
+        let place = self.place(request, Some(home.clone()));
         let Ok(decision) = decision.await else {
             place.forget();
             return None;
@@ -127,7 +127,11 @@
             Ok(choice) => {
                 let now = self.shared.clock.now();
                 let mut state = self.lock();
-                if !state.gate.adopt(now, request, ask, &choice.endpoint) {
+                // The link may have ended since the home decided.
+                let current = state.home.as_ref();
+                let linked = current.is_some_and(|current| current.same_channel(&home));
+                let endpoint = &choice.endpoint;
+                if !state.gate.adopt(now, request, ask, endpoint, linked) {
                     drop(state);
                     tracing::info!(endpoint = %choice.endpoint, "the home's choice leaves: decided here");
                     return None;
--- a/lib/src/gate.rs
+++ b/lib/src/gate.rs
@@ -323,8 +323,9 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// Takes over a request that another node decided on, which counts it;
-    /// false if the endpoint takes nothing new as far as this node knows.
+    /// Takes over a request that another node decided on; `delegated` tells
+    /// whether that node still counts it. False if the endpoint takes nothing
+    /// new as far as this node knows.
     ///
     /// # Panics
     ///
@@ -335,6 +336,7 @@
         request: id::Request,
         ask: Ask,
         endpoint: &id::Endpoint,
+        delegated: bool,
     ) -> bool {
         let Some(member) = self.members.get_mut(endpoint) else {
             return false;
@@ -344,14 +346,16 @@
         }
         member.own += 1;
         member.pending += ask.prompt;
-        member.delegated.0 += 1;
-        member.delegated.1 += ask.prompt;
+        if delegated {
+            member.delegated.0 += 1;
+            member.delegated.1 += ask.prompt;
+        }
         let flight = Flight {
             ask,
             endpoint: endpoint.clone(),
             sent: now,
             first: None,
-            delegated: true,
+            delegated,
         };
         let previous = self.flights.insert(request, flight);
         assert!(previous.is_none(), "request {request} was sent twice");
--- a/lib/tests/engines/mod.rs
+++ b/lib/tests/engines/mod.rs
@@ -253,7 +253,7 @@
                     job.engine = Some(index);
                     if job.gate != gate {
                         let (ask, name) = (job.ask.clone(), &self.engines[index].name);
-                        assert!(self.gates[job.gate].adopt(self.now, request, ask, name));
+                        assert!(self.gates[job.gate].adopt(self.now, request, ask, name, true));
                     }
                     self.engines[index].queue.push(request);
                     self.start(index);
--- a/lib/tests/test_gate.rs
+++ b/lib/tests/test_gate.rs
@@ -286,7 +286,7 @@
     let gate = &mut world.gates[0];
     gate.list(now, Vec::new());
     let request = id::Request(1);
-    assert!(!gate.adopt(now, request, ask(now, 0, 600, 60, OBJECTIVE), &engine));
+    assert!(!gate.adopt(now, request, ask(now, 0, 600, 60, OBJECTIVE), &engine, true));
     assert!(gate.held().is_empty());
 }
 
@@ -306,3 +306,21 @@
     let most = late.map(|(_, choice)| choice.own + choice.others).max();
     assert_eq!(most, Some(expected));
 }
+
+/// The link to the home ended between its decision and the send.
+#[test]
+fn a_choice_of_a_home_that_is_gone_is_counted_by_the_node() {
+    let mut world = World::new(1, &[1.0], 10);
+    let now = world.now;
+    let engine = world.engines[0].name.clone();
+    let gate = &mut world.gates[0];
+    let request = id::Request(1);
+    assert!(gate.adopt(
+        now,
+        request,
+        ask(now, 0, 600, 60, OBJECTIVE),
+        &engine,
+        false
+    ));
+    assert_eq!(gate.held().len(), 1);
+}
