tests: the link has tried its home before the tests ask who decides

Cause: found on reading. a_home_that_does_not_answer_is_passed_over and a_home_that_stops_takes_no_new_node asked for an endpoint before the link had opened a connection, so that they would have passed without the mechanism.

Change: both wait until the home was tried a second time, which comes after the first try has failed; the assertions stay. Four tests built the link alike: one function does. One comment of the home's desk said something else than the code.

--- a/gateway/src/home/desk.rs
+++ b/gateway/src/home/desk.rs
@@ -1,6 +1,6 @@
 //! The home's side: decides for one other node.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc};
+use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
 use capnp::Error;
 use dottereltally::clock::Clock;
@@ -13,11 +13,10 @@
     home::wire,
 };
 
-/// Time after which a request that was taken back may come again; nobody
-/// waits for this answer.
+/// Answer to a request that was taken back; nobody waits for it.
 const TAKEN_BACK: Refusal = Refusal {
     reason: refusal::Reason::Shutdown,
-    retry_after: std::time::Duration::ZERO,
+    retry_after: Duration::ZERO,
 };
 
 /// A request of the other node.
--- a/gateway/tests/test_home.rs
+++ b/gateway/tests/test_home.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeSet, HashMap},
     future::pending,
     net::SocketAddr,
@@ -78,10 +78,19 @@
     }
 }
 
-/// Passes bytes on between a node and its home.
+/// Links a node to the first of these; dropping the sender ends the link.
+fn link(name: &str, own: &Handle, clock: Clock, nodes: Vec<Node>) -> watch::Sender<Vec<Node>> {
+    let homes = watch::Sender::new(nodes);
+    let name = id::Node::from(name);
+    spawn_local(Link::new(name, own.clone(), clock, homes.subscribe()).run());
+    homes
+}
+
+/// Passes bytes on between a node and its home, one connection after another.
 struct Proxy {
     address: String,
     silence: watch::Sender<bool>,
+    accepted: Rc<Cell<u32>>,
     task: JoinHandle<()>,
 }
 
@@ -91,8 +100,11 @@
         let address = listener.local_addr().unwrap().to_string();
         let silence = watch::Sender::new(false);
         let mut silenced = silence.subscribe();
+        let accepted = Rc::<Cell<u32>>::default();
+        let counted = Rc::clone(&accepted);
         let task = spawn_local(async move {
             while let Ok((mut near, _)) = listener.accept().await {
+                counted.set(counted.get() + 1);
                 let mut far = TcpStream::connect(target).await.unwrap();
                 select! {
                     _ = copy_bidirectional(&mut near, &mut far) => {}
@@ -103,6 +115,7 @@
         Self {
             address,
             silence,
+            accepted,
             task,
         }
     }
@@ -114,14 +127,17 @@
     node: Handle,
     home: Handle,
     phase: Phase,
+    /// The home itself.
+    address: SocketAddr,
     proxy: Proxy,
-    homes: watch::Sender<Vec<Node>>,
+    _homes: watch::Sender<Vec<Node>>,
 }
 
 impl Pair {
     async fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let proxy = Proxy::start(listener.local_addr().unwrap()).await;
+        let address = listener.local_addr().unwrap();
+        let proxy = Proxy::start(address).await;
         let clock = Clock::start();
         let (node_handle, home) = (handle(clock), handle(clock));
         let snapshot = Snapshot {
@@ -136,21 +152,20 @@
             phase: phase.clone(),
         };
         spawn_local(exchange::serve(listener, offer));
-        let homes = watch::Sender::new(vec![node("home", 1, &proxy.address)]);
-        let link = Link::new(
-            id::Node::from("node"),
-            node_handle.clone(),
+        let homes = link(
+            "node",
+            &node_handle,
             clock,
-            homes.subscribe(),
+            vec![node("home", 1, &proxy.address)],
         );
-        spawn_local(link.run());
         Self {
             clock,
             node: node_handle,
             home,
             phase,
+            address,
             proxy,
-            homes,
+            _homes: homes,
         }
     }
 
@@ -271,22 +286,20 @@
     let test = async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap().to_string();
+        let tries = Rc::<Cell<u32>>::default();
+        let counted = Rc::clone(&tries);
         spawn_local(async move {
             while let Ok((mut stream, _)) = listener.accept().await {
+                counted.set(counted.get() + 1);
                 let mut bytes = [0; 1024];
                 while silent && stream.read(&mut bytes).await.is_ok_and(|length| length > 0) {}
             }
         });
         let clock = Clock::start();
         let own = handle(clock);
-        let homes = watch::Sender::new(vec![node("home", 1, &address)]);
-        let link = Link::new(
-            id::Node::from("node"),
-            own.clone(),
-            clock,
-            homes.subscribe(),
-        );
-        spawn_local(link.run());
+        let _homes = link("node", &own, clock, vec![node("home", 1, &address)]);
+        // The second try comes after the first one has failed.
+        until(|| tries.get() >= 2).await;
         let (_, place) = own.admit(ask(clock)).await.unwrap();
         assert!(!place.is_delegated());
     };
@@ -299,15 +312,15 @@
         let pair = Pair::linked().await;
         pair.phase.announce();
         let other = handle(pair.clock);
-        let calls = pair.homes.borrow()[0].calls.clone();
-        let homes = watch::Sender::new(vec![node("home", 1, &calls)]);
-        let link = Link::new(
-            id::Node::from("other"),
-            other.clone(),
+        let proxy = Proxy::start(pair.address).await;
+        let _homes = link(
+            "other",
+            &other,
             pair.clock,
-            homes.subscribe(),
+            vec![node("home", 1, &proxy.address)],
         );
-        spawn_local(link.run());
+        // The second try comes after the first one was refused.
+        until(|| proxy.accepted.get() >= 2).await;
         let (_, place) = other.admit(ask(pair.clock)).await.unwrap();
         assert!(!place.is_delegated());
     };
@@ -334,10 +347,7 @@
         }
         let clock = Clock::start();
         let own = handle(clock);
-        let homes = watch::Sender::new(nodes);
-        let name = id::Node::from("node");
-        let link = Link::new(name, own.clone(), clock, homes.subscribe());
-        spawn_local(link.run());
+        let homes = link("node", &own, clock, nodes);
         until(|| tried.borrow().len() >= 3).await;
         // Wakes the link, which has passed the first ones over.
         for _ in 0..20 {
