gateway: log and count the evidence about crashing requests

No line said that a connection broke with a request in flight, that no death followed from it, that a request was marked or that a mark came from another node. Each now has a line with the request's fingerprint, and the counter crash_evidence. Which requests are marked or refused is unchanged.

--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -35,7 +35,7 @@
     admission::{self, Permit},
     attempt::{self, Attempt, Template},
     dialect::{Dialect, Head},
-    metrics::Metrics,
+    metrics::{Evidence, Metrics},
     refusal::Refused,
     relay::Relay,
 };
@@ -263,7 +263,7 @@
             refused.with_retry_after(DEFAULT_RETRY_AFTER)
         })?;
         let fingerprint = fingerprint(&parts, &head, &body);
-        self.check_quarantine(fingerprint)?;
+        self.check_quarantine(&head.correlation_id, fingerprint)?;
         let tier = self.charge(&plan, route, workspace.as_ref(), &head)?;
         let time_limit = head
             .remaining
@@ -286,11 +286,16 @@
     }
 
     /// Refuses requests that are known to crash endpoints.
-    fn check_quarantine(&self, fingerprint: id::Fingerprint) -> Result<(), Refused> {
+    fn check_quarantine(
+        &self,
+        correlation_id: &str,
+        fingerprint: id::Fingerprint,
+    ) -> Result<(), Refused> {
         let verdict = lock(&self.crashes).verdict(self.clock.now(), fingerprint);
         if verdict != Verdict::Confirmed {
             return Ok(());
         }
+        tracing::info!(id = correlation_id, %fingerprint, "request is quarantined");
         Err(Refused::from_core(refusal::Refusal {
             reason: refusal::Reason::Quarantine,
             retry_after: Duration::from_secs(10),
@@ -426,16 +431,40 @@
     /// Records that the connection broke while an endpoint may have been running
     /// the request.
     pub fn record_broken_connection(&self, job: &Job, endpoint: &id::Endpoint) {
-        lock(&self.crashes).record_broken(self.clock.now(), endpoint, job.fingerprint);
+        let kept = lock(&self.crashes).record_broken(self.clock.now(), endpoint, job.fingerprint);
+        self.metrics.crash_evidence(Evidence::Break);
+        tracing::info!(
+            id = job.correlation_id,
+            fingerprint = %job.fingerprint,
+            %endpoint,
+            kept,
+            "connection broke with a request in flight"
+        );
+    }
+
+    /// Logs the broken connections whose endpoint was not found dead in time.
+    pub fn expire_breaks(&self) {
+        let expired = lock(&self.crashes).expire_breaks(self.clock.now());
+        for (fingerprint, endpoint) in expired {
+            self.metrics.crash_evidence(Evidence::Unexplained);
+            tracing::info!(%fingerprint, %endpoint, "no death follows from a broken connection");
+        }
     }
 
     /// Records that an endpoint can't be reached, so that it is taken for dead;
     /// requests whose connections to it broke shortly before are suspected of
     /// having crashed it.
     pub fn record_unreachable(&self, endpoint: &id::Endpoint) {
-        let suspects = lock(&self.crashes).record_death(self.clock.now(), endpoint);
-        if suspects > 0 {
-            tracing::info!(%endpoint, suspects, "endpoint died with requests in flight");
+        let now = self.clock.now();
+        let suspects = lock(&self.crashes).record_death(now, endpoint);
+        if suspects.is_empty() {
+            return;
+        }
+        tracing::info!(%endpoint, suspects = suspects.len(), "endpoint died with requests in flight");
+        for fingerprint in suspects {
+            self.metrics.crash_evidence(Evidence::Death);
+            let confirmed = lock(&self.crashes).verdict(now, fingerprint) == Verdict::Confirmed;
+            tracing::info!(%fingerprint, %endpoint, confirmed, "request suspected of crashing endpoints");
         }
     }
 
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -6,7 +6,7 @@
 use dottereltally_lib::id;
 use http::StatusCode;
 use prometheus_client::{
-    encoding::EncodeLabelSet,
+    encoding::{EncodeLabelSet, EncodeLabelValue},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::{Registry, Unit},
 };
@@ -38,12 +38,31 @@
     failure: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EvidenceLabels {
+    evidence: Evidence,
+}
+
+/// Evidence about requests that may crash endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Evidence {
+    /// A connection broke with a request in flight.
+    Break,
+    /// A request was in flight at a death.
+    Death,
+    /// No death was found for a broken connection.
+    Unexplained,
+    /// An unknown mark came from another node.
+    Received,
+}
+
 /// The metrics; clones share them.
 #[derive(Clone, Debug)]
 pub struct Metrics {
     answers: Family<AnswerLabels, Counter>,
     refusals: Family<RefusalLabels, Counter>,
     failures: Family<FailureLabels, Counter>,
+    crash_evidence: Family<EvidenceLabels, Counter>,
     first_event: Family<TierLabels, Histogram, fn() -> Histogram>,
     answer_duration: Family<TierLabels, Histogram, fn() -> Histogram>,
     /// Streams that were resumed at another endpoint.
@@ -80,6 +99,7 @@
             answers: Family::default(),
             refusals: Family::default(),
             failures: Family::default(),
+            crash_evidence: Family::default(),
             first_event: Family::new_with_constructor(latency_histogram),
             answer_duration: Family::new_with_constructor(latency_histogram),
             resumed: Counter::default(),
@@ -115,6 +135,11 @@
             "Sends without a usable answer",
             self.failures.clone(),
         );
+        registry.register(
+            "crash_evidence",
+            "Evidence about requests that may crash endpoints",
+            self.crash_evidence.clone(),
+        );
         registry.register_with_unit(
             "first_event",
             "Time from a request to the first event of its answer",
@@ -199,4 +224,10 @@
         let labels = FailureLabels { failure };
         self.failures.get_or_create(&labels).inc();
     }
+
+    /// Records evidence about a request that may crash endpoints.
+    pub fn crash_evidence(&self, evidence: Evidence) {
+        let labels = EvidenceLabels { evidence };
+        self.crash_evidence.get_or_create(&labels).inc();
+    }
 }
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -235,11 +235,7 @@
         &stop,
     );
     tokio::spawn(tick_dispatcher(chain.admission.clone()));
-    tokio::spawn(update_gauges(
-        chain.admission.clone(),
-        chain.metrics.clone(),
-        log,
-    ));
+    tokio::spawn(update_gauges(Arc::clone(&chain), log));
     let serving = Arc::clone(&chain);
     let handler = move |request| Arc::clone(&serving).serve(request);
     let serving = tokio::spawn(server::serve(
@@ -473,7 +469,8 @@
     }
 }
 
-async fn update_gauges(admission: admission::Handle, metrics: Metrics, log: Log) {
+async fn update_gauges<D: Dialect>(chain: Arc<Chain<D>>, log: Log) {
+    let (admission, metrics) = (&chain.admission, &chain.metrics);
     let mut ticks = interval(GAUGE_INTERVAL);
     let mut dropped = 0;
     loop {
@@ -485,6 +482,7 @@
         metrics
             .running
             .set(gauge(admission.read(Dispatcher::running)));
+        chain.expire_breaks();
         let total = log.dropped();
         metrics.dropped_lines.set(gauge(total));
         if total > dropped {
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -21,6 +21,7 @@
     dialect::Dialect,
     directory::Node,
     heartbeat::Heartbeat,
+    metrics::Evidence,
 };
 
 /// Interval at which due heartbeats and silent nodes are looked for.
@@ -281,7 +282,10 @@
             heartbeat.usage.clone(),
         );
         for (mark, valid) in &heartbeat.marks {
-            lock(&chain.crashes).apply_mark(now, *mark, *valid);
+            if lock(&chain.crashes).apply_mark(now, *mark, *valid) {
+                chain.metrics.crash_evidence(Evidence::Received);
+                tracing::info!(%mark, node = %heartbeat.node, "quarantine mark received");
+            }
         }
         let loads = heartbeat.loads.iter().cloned().collect();
         chain
--- a/lib/src/crash.rs
+++ b/lib/src/crash.rs
@@ -47,28 +47,46 @@
         self.marks.verdict(now, fingerprint)
     }
 
-    /// Records that a request's connection broke. It is not recorded while
-    /// `MAX_BREAKS` are kept.
+    /// Records that a request's connection broke; returns false if it is not
+    /// recorded, because `MAX_BREAKS` are kept.
     pub fn record_broken(
         &mut self,
         now: time::Instant,
         endpoint: &id::Endpoint,
         fingerprint: id::Fingerprint,
-    ) {
-        self.breaks
-            .retain(|connection| now.since(connection.at) < MAX_DETECTION_DELAY);
-        if self.breaks.len() < MAX_BREAKS {
-            self.breaks.push(Break {
-                endpoint: endpoint.clone(),
-                fingerprint,
-                at: now,
-            });
+    ) -> bool {
+        if self.breaks.len() >= MAX_BREAKS {
+            return false;
         }
+        self.breaks.push(Break {
+            endpoint: endpoint.clone(),
+            fingerprint,
+            at: now,
+        });
+        true
+    }
+
+    /// Drops the broken connections whose endpoint was not found dead in time, and
+    /// returns the request and the endpoint of each.
+    pub fn expire_breaks(&mut self, now: time::Instant) -> Vec<(id::Fingerprint, id::Endpoint)> {
+        let mut expired = Vec::new();
+        self.breaks.retain(|connection| {
+            let kept = now.since(connection.at) < MAX_DETECTION_DELAY;
+            if !kept {
+                expired.push((connection.fingerprint, connection.endpoint.clone()));
+            }
+            kept
+        });
+        expired
     }
 
-    /// Records the death of an endpoint and returns the number of requests that
-    /// were in flight there.
-    pub fn record_death(&mut self, now: time::Instant, endpoint: &id::Endpoint) -> usize {
+    /// Records the death of an endpoint and returns the requests that were in
+    /// flight there.
+    pub fn record_death(
+        &mut self,
+        now: time::Instant,
+        endpoint: &id::Endpoint,
+    ) -> Vec<id::Fingerprint> {
         let mut suspects = Vec::new();
         self.breaks.retain(|connection| {
             if connection.endpoint != *endpoint {
@@ -84,7 +102,7 @@
                 self.to_share.push((mark, now + MARK_SEND_TIME));
             }
         }
-        suspects.len()
+        suspects
     }
 
     /// Records that a request was answered completely.
@@ -100,8 +118,15 @@
         marks.map(|(mark, _)| (*mark, MARK_TTL)).collect()
     }
 
-    /// Applies a mark received from another node.
-    pub fn apply_mark(&mut self, now: time::Instant, mark: id::Fingerprint, valid: Duration) {
+    /// Applies a mark received from another node; returns whether it was unknown.
+    pub fn apply_mark(
+        &mut self,
+        now: time::Instant,
+        mark: id::Fingerprint,
+        valid: Duration,
+    ) -> bool {
+        let known = self.marks.is_marked(now, mark);
         self.marks.add(now, mark, valid);
+        !known
     }
 }
--- a/lib/tests/test_crash.rs
+++ b/lib/tests/test_crash.rs
@@ -42,7 +42,7 @@
 fn a_broken_connection_alone_is_no_death() {
     let mut detector = Detector::default();
     detector.record_broken(at(0), &endpoint("a"), REQUEST);
-    assert_eq!(detector.record_death(at(5000), &endpoint("a")), 0);
+    assert!(detector.record_death(at(5000), &endpoint("a")).is_empty());
     assert_eq!(detector.verdict(at(5000), REQUEST), Verdict::Clear);
 }
 
