--- /dev/null
+++ b/gateway/tests/common/fragile.rs
@@ -0,0 +1,207 @@
+//! Endpoints that end when they begin to run a marked request, and return.
+
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use dottereltally_gateway::chain::Chain;
+use dottereltally_lib::{
+    endpoint::{Record, Standing},
+    id,
+};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+    sync::Notify,
+    task::JoinSet,
+    time::sleep,
+};
+
+use super::{TestHeaders, header, read_message};
+
+/// A request with this text in its path ends the endpoint that runs it.
+pub const FATAL: &str = "fatal";
+
+/// A request with this text in its path loses its answer; its endpoint lives on.
+pub const UNANSWERED: &str = "unanswered";
+
+/// How an endpoint ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Its connections are reset and its port refuses new ones.
+    Reset,
+    /// Its connections are closed and its port refuses new ones.
+    Close,
+    /// It sends nothing more; its connections stay open.
+    Silent,
+    /// It sends the start of its answer, then its connections are closed.
+    AfterPart,
+}
+
+/// When and how an endpoint returns.
+#[derive(Clone, Copy, Debug)]
+pub struct Return {
+    /// Time from its end to its next start; `None` if it never returns.
+    pub after: Option<Duration>,
+    /// Whether it keeps its id.
+    pub same_id: bool,
+}
+
+/// One endpoint as it is listed.
+struct Listed {
+    record: Record,
+    /// Number of its process, counted from one.
+    process: u64,
+}
+
+struct Shared {
+    listed: Mutex<Vec<Listed>>,
+    chains: Mutex<Vec<Arc<Chain<TestHeaders>>>>,
+    end: End,
+    back: Return,
+    ended: AtomicUsize,
+    served: AtomicUsize,
+}
+
+/// Endpoints of the service `s`; clones share them.
+#[derive(Clone)]
+pub struct Fleet {
+    shared: Arc<Shared>,
+}
+
+impl Fleet {
+    /// Starts endpoints, half of them in each of the data centres `dc` and `far`.
+    pub async fn start(count: usize, end: End, back: Return) -> Self {
+        let shared = Arc::new(Shared {
+            listed: Mutex::default(),
+            chains: Mutex::default(),
+            end,
+            back,
+            ended: AtomicUsize::default(),
+            served: AtomicUsize::default(),
+        });
+        for number in 0..count {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            shared.listed.lock().unwrap().push(Listed {
+                record: Record {
+                    id: id::Endpoint::from(format!("f{number}")),
+                    address: listener.local_addr().unwrap().to_string(),
+                    service: id::Service::from("s"),
+                    data_centre: id::DataCentre::from(if number % 2 == 0 { "dc" } else { "far" }),
+                    standing: Standing::Live,
+                    capacity: Some(4),
+                },
+                process: 1,
+            });
+            tokio::spawn(run_endpoint(Arc::clone(&shared), number, listener));
+        }
+        Self { shared }
+    }
+
+    /// Lists the endpoints at a node, now and whenever they change.
+    pub fn list_at(&self, chain: &Arc<Chain<TestHeaders>>) {
+        self.shared.chains.lock().unwrap().push(Arc::clone(chain));
+        self.shared.publish();
+    }
+
+    /// Returns how often an endpoint ended.
+    pub fn ended(&self) -> usize {
+        self.shared.ended.load(Ordering::SeqCst)
+    }
+
+    /// Returns how many other requests were answered.
+    pub fn served(&self) -> usize {
+        self.shared.served.load(Ordering::SeqCst)
+    }
+}
+
+impl Shared {
+    fn publish(&self) {
+        let listed = self.listed.lock().unwrap();
+        for chain in self.chains.lock().unwrap().iter() {
+            let records = listed.iter().map(|listed| listed.record.clone()).collect();
+            let set = |dispatcher: &mut dottereltally_lib::dispatcher::Dispatcher, now| {
+                dispatcher.set_endpoints(now, records)
+            };
+            chain.admission.apply(set);
+        }
+    }
+}
+
+/// Runs the processes of one endpoint, one after the other.
+async fn run_endpoint(shared: Arc<Shared>, number: usize, mut listener: TcpListener) {
+    loop {
+        let ending = Arc::<Notify>::default();
+        let mut connections = JoinSet::new();
+        let name = shared.listed.lock().unwrap()[number].record.id.clone();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((stream, _)) = accepted else { return };
+                    let ending = Arc::clone(&ending);
+                    connections.spawn(serve(Arc::clone(&shared), name.clone(), stream, ending));
+                }
+                () = ending.notified() => break,
+            }
+        }
+        shared.ended.fetch_add(1, Ordering::SeqCst);
+        // A silent endpoint keeps its port and its connections open.
+        let silent = (shared.end == End::Silent).then_some((listener, connections));
+        let Some(after) = shared.back.after else {
+            std::future::pending::<()>().await;
+            return;
+        };
+        sleep(after).await;
+        drop(silent);
+        listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        {
+            let mut listed = shared.listed.lock().unwrap();
+            let listed = &mut listed[number];
+            listed.process += 1;
+            listed.record.address = listener.local_addr().unwrap().to_string();
+            if !shared.back.same_id {
+                listed.record.id = id::Endpoint::from(format!("f{number}-{}", listed.process));
+            }
+        }
+        shared.publish();
+    }
+}
+
+async fn serve(
+    shared: Arc<Shared>,
+    name: id::Endpoint,
+    mut stream: TcpStream,
+    ending: Arc<Notify>,
+) {
+    let _no_wait = stream.set_nodelay(true);
+    while let Some(request) = read_message(&mut stream).await {
+        let path = request.split(' ').nth(1).unwrap_or_default();
+        let id = header(&request, "x-id").unwrap_or_default();
+        if path.contains(FATAL) {
+            if shared.end == End::AfterPart {
+                let part = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ncontent-");
+                let _sent = stream.write_all(part.as_bytes()).await;
+            }
+            if shared.end == End::Reset {
+                // Closing a socket with this option resets the connection.
+                let _reset = stream.set_zero_linger();
+            }
+            ending.notify_one();
+            return std::future::pending().await;
+        }
+        if path.contains(UNANSWERED) {
+            return;
+        }
+        shared.served.fetch_add(1, Ordering::SeqCst);
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\nx-endpoint: {name}\r\ncontent-length: 5\r\n\r\nusual"
+        );
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod fragile;
+
 use std::{
     net::SocketAddr,
     sync::{
