--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -25,6 +25,7 @@
 use crate::{
     admission::Permit,
     chain::{Chain, Job, end_to_end_headers},
+    crashes::Flight,
     dialect::{Dialect, Forward, Head},
     events::{Batch, Splitter},
 };
@@ -216,6 +217,7 @@
     choice: &Choice,
     last_event_id: Option<u64>,
     permit: Permit,
+    flight: &Flight,
 ) -> Attempt {
     let now = chain.clock.now();
     let remaining = job.deadline.since(now);
@@ -257,6 +259,7 @@
         }
         Err(_) => return first_event_overdue(permit, deadline),
     };
+    flight.record_heard();
     read_answer(
         chain,
         job,
--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -13,11 +13,9 @@
 };
 use dottereltally_lib::{
     budget::Budget,
-    crash,
     dispatcher::{self, Choice, Outcome, Timing},
     id,
     plan::Plan,
-    quarantine::Verdict,
     quota::Limiter,
     refusal,
     route::{Retry, Route},
@@ -34,8 +32,9 @@
 use crate::{
     admission::{self, Permit},
     attempt::{self, Attempt, Template},
+    crashes::{self, Flight},
     dialect::{Dialect, Head},
-    metrics::{Evidence, Metrics},
+    metrics::Metrics,
     refusal::Refused,
     relay::Relay,
 };
@@ -66,7 +65,7 @@
     /// Retry budget.
     pub budget: Mutex<Budget>,
     /// Finds requests that crash endpoints.
-    pub crashes: Mutex<crash::Detector>,
+    pub crashes: crashes::Handle,
     /// Metrics of the request path.
     pub metrics: Metrics,
     /// Phase of the shutdown.
@@ -291,14 +290,21 @@
         correlation_id: &str,
         fingerprint: id::Fingerprint,
     ) -> Result<(), Refused> {
-        let verdict = lock(&self.crashes).verdict(self.clock.now(), fingerprint);
-        if verdict != Verdict::Confirmed {
+        let refused_for = self
+            .crashes
+            .read(|detector, now| detector.refused_for(now, fingerprint));
+        let Some(retry_after) = refused_for else {
             return Ok(());
-        }
-        tracing::info!(id = correlation_id, %fingerprint, "request is quarantined");
+        };
+        tracing::info!(
+            id = correlation_id,
+            %fingerprint,
+            refused_for_ms = millis(retry_after),
+            "request not sent: it may crash endpoints"
+        );
         Err(Refused::from_core(refusal::Refusal {
             reason: refusal::Reason::Quarantine,
-            retry_after: Duration::from_secs(10),
+            retry_after,
         }))
     }
 
@@ -358,16 +364,18 @@
                     break;
                 }
             };
+            let flight = self.crashes.start(&job.service, job.fingerprint, &choice);
             if progress.sends == 0 {
                 lock(&self.budget).record_request(self.clock.now(), &job.service);
             }
-            let attempt = attempt::send(&self, &job, &choice, None, permit).await;
-            match self.finish_attempt(&job, &choice, &mut progress, attempt) {
+            let attempt = attempt::send(&self, &job, &choice, None, permit, &flight).await;
+            match self.finish_attempt(&job, &choice, &mut progress, attempt, flight) {
                 Next::Answer(answer) => {
                     return Ok(Response::from_parts(answer.parts, Body::full(answer.body)));
                 }
-                Next::Stream(stream) => {
-                    return Ok(Relay::new(self, job, progress, choice, *stream).response());
+                Next::Stream(stream, flight) => {
+                    let relay = Relay::new(self, job, progress, choice, *stream, flight);
+                    return Ok(relay.response());
                 }
                 Next::Retry(newer) => fallback = Some(Fallback::prefer_answer(fallback, newer)),
                 Next::Refuse(refused) => return Err(refused),
@@ -428,46 +436,6 @@
         })
     }
 
-    /// Records that the connection broke while an endpoint may have been running
-    /// the request.
-    pub fn record_broken_connection(&self, job: &Job, endpoint: &id::Endpoint) {
-        let kept = lock(&self.crashes).record_broken(self.clock.now(), endpoint, job.fingerprint);
-        self.metrics.crash_evidence(Evidence::Break);
-        tracing::info!(
-            id = job.correlation_id,
-            fingerprint = %job.fingerprint,
-            %endpoint,
-            kept,
-            "connection broke with a request in flight"
-        );
-    }
-
-    /// Logs the broken connections whose endpoint was not found dead in time.
-    pub fn expire_breaks(&self) {
-        let expired = lock(&self.crashes).expire_breaks(self.clock.now());
-        for (fingerprint, endpoint) in expired {
-            self.metrics.crash_evidence(Evidence::Unexplained);
-            tracing::info!(%fingerprint, %endpoint, "no death follows from a broken connection");
-        }
-    }
-
-    /// Records that an endpoint can't be reached, so that it is taken for dead;
-    /// requests whose connections to it broke shortly before are suspected of
-    /// having crashed it.
-    pub fn record_unreachable(&self, endpoint: &id::Endpoint) {
-        let now = self.clock.now();
-        let suspects = lock(&self.crashes).record_death(now, endpoint);
-        if suspects.is_empty() {
-            return;
-        }
-        tracing::info!(%endpoint, suspects = suspects.len(), "endpoint died with requests in flight");
-        for fingerprint in suspects {
-            self.metrics.crash_evidence(Evidence::Death);
-            let confirmed = lock(&self.crashes).verdict(now, fingerprint) == Verdict::Confirmed;
-            tracing::info!(%fingerprint, %endpoint, confirmed, "request suspected of crashing endpoints");
-        }
-    }
-
     /// Ends an attempt: releases its permit, records its result and decides what
     /// follows.
     fn finish_attempt(
@@ -476,6 +444,7 @@
         choice: &Choice,
         progress: &mut Progress,
         attempt: Attempt,
+        flight: Flight,
     ) -> Next {
         if let Some(failure) = attempt.failure() {
             self.metrics.attempt_failed(failure);
@@ -483,6 +452,7 @@
                 id = job.correlation_id,
                 endpoint = %choice.endpoint,
                 address = choice.address,
+                fingerprint = %job.fingerprint,
                 failure,
                 cause = attempt.cause(),
                 sends = progress.sends + 1,
@@ -492,19 +462,19 @@
         match attempt {
             Attempt::Unsent { permit, .. } => {
                 permit.end(Outcome::Unreachable);
-                self.record_unreachable(&choice.endpoint);
+                flight.finish();
                 progress.connect_failures += 1;
                 progress.tried.push(choice.endpoint.clone());
                 Next::Retry(refuse_unreachable(progress.may_have_run).into())
             }
             Attempt::Rejected { permit, status } => {
                 permit.end(attempt::rejection_outcome(status));
+                flight.finish();
                 progress.record_send(choice);
                 Next::Retry(refuse_rejected(progress.may_have_run).into())
             }
             Attempt::Broken { permit, .. } => {
                 permit.end(Outcome::Broken);
-                self.record_broken_connection(job, &choice.endpoint);
                 progress.record_send(choice);
                 progress.may_have_run = true;
                 let refused = Refused::may_have_run(
@@ -525,6 +495,7 @@
             }
             Attempt::Failed { permit, answer } => {
                 permit.end(Outcome::Failed);
+                flight.finish();
                 progress.record_send(choice);
                 progress.may_have_run = true;
                 if job.route.retry == Retry::Whole {
@@ -541,6 +512,8 @@
             }
             Attempt::Answered { permit, answer } => {
                 permit.end(Outcome::Answered(Timing::default()));
+                flight.finish();
+                self.crashes.record_answered(job.fingerprint);
                 progress.record_send(choice);
                 self.record_answer(
                     job,
@@ -554,7 +527,7 @@
             Attempt::Stream(stream) => {
                 progress.record_send(choice);
                 progress.may_have_run = true;
-                Next::Stream(stream)
+                Next::Stream(stream, flight)
             }
         }
     }
@@ -568,9 +541,7 @@
         status: StatusCode,
         timing: Timing,
     ) {
-        let now = self.clock.now();
-        lock(&self.crashes).record_answered(now, job.fingerprint);
-        let took = now.since(job.received);
+        let took = self.clock.now().since(job.received);
         self.metrics.answered(job.tier, status, took);
         tracing::info!(
             id = job.correlation_id,
@@ -626,7 +597,7 @@
     /// Return this answer.
     Answer(Box<attempt::Buffered>),
     /// Relay this stream.
-    Stream(Box<attempt::Stream>),
+    Stream(Box<attempt::Stream>, Flight),
     /// Try again, or return this if no attempt is left.
     Retry(Fallback),
     /// Return this refusal without another attempt.
@@ -737,7 +708,8 @@
 
 /// Returns a hash that is equal when the same caller sends the same request
 /// again.
-fn fingerprint(parts: &Parts, head: &Head, body: &Bytes) -> id::Fingerprint {
+#[must_use]
+pub fn fingerprint(parts: &Parts, head: &Head, body: &Bytes) -> id::Fingerprint {
     let key = head.key.as_deref().unwrap_or_default();
     let target = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     id::Fingerprint(hash(&[
--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -15,9 +15,10 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::watch;
 
+use self::endpoints::Observation;
 pub use self::{endpoints::Endpoints, follow::PollInterval, registration::Registration};
 use crate::{
-    admission,
+    admission, crashes,
     directory::{Change, Changes, Node, Snapshot},
     metrics::Metrics,
 };
@@ -60,6 +61,8 @@
     pub metrics: Metrics,
     /// Name of this node.
     pub own_name: id::Node,
+    /// Learns from the directory which endpoints died.
+    pub crashes: crashes::Handle,
 }
 
 /// Actor that owns the directory.
@@ -113,6 +116,7 @@
                         endpoints = snapshot.endpoints.len(),
                         "key-value service available again"
                     );
+                    self.outputs.crashes.set_directory_available(true);
                 }
                 self.outputs.endpoints_known.send_replace(true);
                 self.apply_snapshot(*snapshot, true);
@@ -140,6 +144,7 @@
                         revision = changes.revision.0,
                         "key-value service available again"
                     );
+                    self.outputs.crashes.set_directory_available(true);
                 }
                 for change in changes.changes {
                     self.apply_change(change);
@@ -147,6 +152,7 @@
             }
             Message::SourceFailed(cause) => {
                 if self.endpoints.begin_outage(now) {
+                    self.outputs.crashes.set_directory_available(false);
                     tracing::warn!(cause, "key-value service unavailable");
                 }
             }
@@ -229,6 +235,15 @@
     /// nodes with them.
     fn publish_endpoints(&mut self) {
         let now = self.outputs.clock.now();
+        for observation in self.endpoints.take_observations() {
+            match observation {
+                Observation::Started(endpoint, started_ms) => {
+                    self.outputs.crashes.record_started(&endpoint, started_ms);
+                }
+                Observation::Replaced(endpoint) => self.outputs.crashes.record_replaced(&endpoint),
+                Observation::Removed(endpoint) => self.outputs.crashes.forget(&endpoint),
+            }
+        }
         let Some(records) = self.endpoints.take_changed(now) else {
             return;
         };
--- a/gateway/src/controller/endpoints.rs
+++ b/gateway/src/controller/endpoints.rs
@@ -37,6 +37,18 @@
     /// End of the last outage of the source; `None` if there was none.
     outage_end: Option<time::Instant>,
     changed: bool,
+    observations: Vec<Observation>,
+}
+
+/// What the directory shows about an endpoint's process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Observation {
+    /// It started at this time, in milliseconds since the Unix epoch.
+    Started(id::Endpoint, u64),
+    /// Another endpoint has its address.
+    Replaced(id::Endpoint),
+    /// It is no longer listed.
+    Removed(id::Endpoint),
 }
 
 impl Endpoints {
@@ -102,6 +114,16 @@
             );
             self.changed = true;
         }
+        if let Some(started_ms) = entry.started_ms {
+            let started = Observation::Started(name.clone(), started_ms);
+            self.observations.push(started);
+        }
+        for (other, known) in &self.tracked {
+            if *other != name && known.entry.record.address == entry.record.address {
+                let replaced = Observation::Replaced(other.clone());
+                self.observations.push(replaced);
+            }
+        }
         let missing = false;
         self.tracked.insert(name, Tracked { entry, missing });
     }
@@ -123,6 +145,7 @@
             return;
         }
         self.tracked.remove(name);
+        self.observations.push(Observation::Removed(name.clone()));
         self.changed = true;
         tracing::info!(endpoint = %name, "endpoint removed");
     }
@@ -139,6 +162,13 @@
         Some(known.map(|known| known.entry.record.clone()).collect())
     }
 
+    /// Returns what the directory showed about the endpoints' processes since the
+    /// last call.
+    #[must_use]
+    pub fn take_observations(&mut self) -> Vec<Observation> {
+        mem::take(&mut self.observations)
+    }
+
     /// Makes the next [`Self::take_changed`] return the records even if they
     /// did not change.
     pub fn mark_changed(&mut self) {
@@ -156,8 +186,10 @@
 
     fn remove_missing(&mut self) {
         let before = self.tracked.len();
+        let observations = &mut self.observations;
         self.tracked.retain(|name, known| {
             if known.missing {
+                observations.push(Observation::Removed(name.clone()));
                 tracing::info!(
                     endpoint = %name,
                     "endpoint removed: its description was not renewed after an outage"
--- /dev/null
+++ b/gateway/src/crashes.rs
@@ -0,0 +1,256 @@
+//! Follows requests at endpoints, to find those that crash them.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use dottereltally::clock::Clock;
+use dottereltally_lib::{
+    crash::{self, Change, Detector},
+    dispatcher::Choice,
+    id,
+    quarantine::Verdict,
+    suspicion::Mark,
+    time,
+};
+use tokio::sync::mpsc;
+
+use crate::metrics::{Evidence, Metrics};
+
+/// An endpoint to examine.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// The endpoint.
+    pub endpoint: id::Endpoint,
+    /// Its address, `ip:port`.
+    pub address: String,
+    /// Its data centre.
+    pub data_centre: id::DataCentre,
+    /// Its service.
+    pub service: id::Service,
+    /// When a request was lost there.
+    pub lost: time::Instant,
+}
+
+/// Receives the endpoints to examine.
+pub type Targets = mpsc::UnboundedReceiver<Target>;
+
+struct Shared {
+    detector: Mutex<Detector>,
+    clock: Clock,
+    metrics: Metrics,
+    targets: mpsc::UnboundedSender<Target>,
+}
+
+/// Handle of the node's detector of crashing requests; clones share the detector.
+#[derive(Clone)]
+pub struct Handle {
+    shared: Arc<Shared>,
+}
+
+impl Handle {
+    /// Creates a detector, and the channel that names the endpoints to examine;
+    /// each is named once until its examination has ended.
+    #[must_use]
+    pub fn new(clock: Clock, metrics: Metrics) -> (Self, Targets) {
+        let (targets, receiver) = mpsc::unbounded_channel();
+        let shared = Arc::new(Shared {
+            detector: Mutex::default(),
+            clock,
+            metrics,
+            targets,
+        });
+        (Self { shared }, receiver)
+    }
+
+    /// Reads from the detector.
+    pub fn read<T>(&self, read: impl FnOnce(&Detector, time::Instant) -> T) -> T {
+        read(&self.lock(), self.shared.clock.now())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Detector> {
+        self.shared
+            .detector
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that a request is about to be sent to the chosen endpoint.
+    #[must_use]
+    pub fn start(
+        &self,
+        service: &id::Service,
+        fingerprint: id::Fingerprint,
+        choice: &Choice,
+    ) -> Flight {
+        let now = self.shared.clock.now();
+        let attempt = self.lock().start(now, fingerprint, &choice.endpoint);
+        let target = Target {
+            endpoint: choice.endpoint.clone(),
+            address: choice.address.clone(),
+            data_centre: choice.data_centre.clone(),
+            service: service.clone(),
+            lost: now,
+        };
+        Flight {
+            handle: self.clone(),
+            inner: Some((attempt, target)),
+        }
+    }
+
+    /// Returns the suspicions to report to the other nodes.
+    #[must_use]
+    pub fn marks_to_share(&self) -> Vec<Mark> {
+        let now = self.shared.clock.now();
+        self.lock().marks_to_share(now)
+    }
+
+    /// Forgets an endpoint that is no longer listed.
+    pub fn forget(&self, endpoint: &id::Endpoint) {
+        self.lock().forget(endpoint);
+    }
+
+    /// Sets whether the directory can be read.
+    pub fn set_directory_available(&self, available: bool) {
+        let now = self.shared.clock.now();
+        self.lock().set_directory_available(now, available);
+    }
+
+    /// Records that a request was answered completely, so that it does not crash
+    /// endpoints.
+    pub fn record_answered(&self, fingerprint: id::Fingerprint) {
+        let now = self.shared.clock.now();
+        let change = self.lock().clear(now, fingerprint);
+        self.log(change, "answered");
+    }
+
+    /// Records that an endpoint was heard.
+    pub fn record_heard(&self, endpoint: &id::Endpoint, data_centre: &id::DataCentre) {
+        let now = self.shared.clock.now();
+        let changes = self.lock().record_heard(now, endpoint, data_centre);
+        self.log(changes, "its endpoint lives");
+    }
+
+    /// Records when an endpoint's process started, in milliseconds since the Unix
+    /// epoch.
+    pub fn record_started(&self, endpoint: &id::Endpoint, started_ms: u64) {
+        let now = self.shared.clock.now();
+        let changes = self.lock().record_started(now, endpoint, started_ms);
+        self.log(changes, "its endpoint started again");
+    }
+
+    /// Records that another endpoint took over an endpoint's address.
+    pub fn record_replaced(&self, endpoint: &id::Endpoint) {
+        let now = self.shared.clock.now();
+        let changes = self.lock().record_replaced(now, endpoint);
+        self.log(changes, "its endpoint's address has another one");
+    }
+
+    /// Applies the marks of a heartbeat from a node of a data centre.
+    pub fn apply_marks(&self, node: &id::Node, data_centre: &id::DataCentre, marks: &[Mark]) {
+        let now = self.shared.clock.now();
+        self.lock().record_data_centre_heard(now, data_centre);
+        for mark in marks {
+            let change = self.lock().apply_mark(now, *mark);
+            let Some(change) = change else {
+                continue;
+            };
+            self.shared.metrics.crash_evidence(Evidence::Received);
+            // The node that suspects the request has a line of its own for it.
+            if change.decisive {
+                self.log([change], node.as_str());
+            }
+        }
+    }
+
+    /// Ends the examination of an endpoint that started at `started`; returns
+    /// whether it must be examined again.
+    #[must_use]
+    pub fn conclude(
+        &self,
+        target: &Target,
+        started: time::Instant,
+        finding: crash::Finding,
+    ) -> bool {
+        let now = self.shared.clock.now();
+        self.shared.metrics.endpoint_examined(finding);
+        let (changes, again) = self
+            .lock()
+            .conclude(now, &target.endpoint, started, finding);
+        for _ in &changes {
+            self.shared.metrics.crash_evidence(Evidence::Death);
+        }
+        self.log(changes, target.endpoint.as_str());
+        again
+    }
+
+    /// Logs evidence that was dropped for lack of space.
+    pub fn log_dropped(&self) {
+        let dropped = self.lock().take_dropped();
+        if dropped > 0 {
+            self.shared.metrics.crash_evidence_dropped(dropped);
+            tracing::warn!(dropped, "evidence about crashing requests dropped");
+        }
+    }
+
+    /// Logs what changed about requests, with the cause: an event, the endpoint
+    /// that died, or the node that reported it.
+    fn log(&self, changes: impl IntoIterator<Item = Change>, cause: &str) {
+        for change in changes {
+            let message = match change.verdict {
+                Verdict::Clear => "request no longer suspected of crashing endpoints",
+                Verdict::Suspect => "request suspected of crashing endpoints",
+                Verdict::Confirmed => "request quarantined: it crashes endpoints",
+            };
+            if change.verdict == Verdict::Clear {
+                self.shared.metrics.crash_evidence(Evidence::Withdrawn);
+            }
+            tracing::info!(
+                fingerprint = %change.fingerprint,
+                died = change.count.died,
+                silent = change.count.silent,
+                cause,
+                "{message}"
+            );
+        }
+    }
+}
+
+/// A request at an endpoint; dropping it records that no answer came.
+pub struct Flight {
+    handle: Handle,
+    inner: Option<(crash::Attempt, Target)>,
+}
+
+impl Flight {
+    /// Records that the attempt ended with an answer, or that it did not run.
+    pub fn finish(mut self) {
+        self.inner = None;
+    }
+
+    /// Records that its endpoint was heard.
+    pub fn record_heard(&self) {
+        if let Some((_, target)) = &self.inner {
+            self.handle
+                .record_heard(&target.endpoint, &target.data_centre);
+        }
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        let Some((attempt, mut target)) = self.inner.take() else {
+            return;
+        };
+        let shared = &self.handle.shared;
+        let now = shared.clock.now();
+        shared.metrics.crash_evidence(Evidence::Loss);
+        let fingerprint = attempt.fingerprint();
+        if !self.handle.lock().lose(now, attempt) {
+            return;
+        }
+        target.lost = now;
+        let endpoint = target.endpoint.clone();
+        if shared.targets.send(target).is_err() {
+            tracing::error!(%endpoint, %fingerprint, "nothing examines the endpoint of a lost request");
+        }
+    }
+}
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -59,6 +59,8 @@
     pub not_run: bool,
     /// Requests that are running and waiting at the endpoint, if it reports them.
     pub load: Option<(u32, u32)>,
+    /// The endpoint that answers, if it names itself.
+    pub endpoint: Option<id::Endpoint>,
 }
 
 /// Translates headers from and to the types of this module.
--- a/gateway/src/heartbeat.rs
+++ b/gateway/src/heartbeat.rs
@@ -8,8 +8,9 @@
 };
 use dottereltally_lib::{
     dispatcher::Load,
-    id::{self, DataCentre, Endpoint, Fingerprint, Generation, Workspace},
+    id::{self, DataCentre, Endpoint, Fingerprint, Generation, Incarnation, Workspace},
     quota::Usage,
+    suspicion::{Kind, Mark},
 };
 use dottereltally_proto::gateway_capnp::{beat, held};
 
@@ -33,9 +34,8 @@
     pub loads: Vec<(Endpoint, Load)>,
     /// Its use of the quotas.
     pub usage: BTreeMap<Workspace, Usage>,
-    /// Requests that may crash endpoints, each with the time for which it stays
-    /// marked.
-    pub marks: Vec<(Fingerprint, Duration)>,
+    /// Suspicions against requests that may crash endpoints.
+    pub marks: Vec<Mark>,
 }
 
 impl Heartbeat {
@@ -64,10 +64,12 @@
             entry.set_demand(usage.demand);
         }
         let mut list = root.init_marks(list_length(self.marks.len()));
-        for (index, (fingerprint, valid)) in self.marks.iter().enumerate() {
+        for (index, mark) in self.marks.iter().enumerate() {
             let mut entry = list.reborrow().get(list_length(index));
-            entry.set_fingerprint(fingerprint.0);
-            entry.set_valid_ms(u64::try_from(valid.as_millis()).unwrap_or(u64::MAX));
+            entry.set_fingerprint(mark.fingerprint.0);
+            entry.set_valid_ms(u64::try_from(mark.valid.as_millis()).unwrap_or(u64::MAX));
+            entry.set_incarnation(mark.incarnation.0);
+            entry.set_kind(write_kind(mark.kind));
         }
         let mut bytes = Vec::new();
         serialize_packed::write_message(&mut bytes, &message)?;
@@ -102,15 +104,38 @@
             heartbeat.usage.insert(workspace, usage);
         }
         for entry in root.get_marks()? {
-            let valid = Duration::from_millis(entry.get_valid_ms());
-            heartbeat
-                .marks
-                .push((Fingerprint(entry.get_fingerprint()), valid));
+            // A node of an older version names no kind that is known here.
+            let Some(kind) = read_kind(entry.get_kind()) else {
+                continue;
+            };
+            heartbeat.marks.push(Mark {
+                fingerprint: Fingerprint(entry.get_fingerprint()),
+                incarnation: Incarnation(entry.get_incarnation()),
+                kind,
+                valid: Duration::from_millis(entry.get_valid_ms()),
+            });
         }
         Ok(heartbeat)
     }
 }
 
+fn write_kind(kind: Kind) -> u8 {
+    match kind {
+        Kind::Silent => 1,
+        Kind::Died => 2,
+        Kind::Withdrawn => 3,
+    }
+}
+
+fn read_kind(number: u8) -> Option<Kind> {
+    match number {
+        1 => Some(Kind::Silent),
+        2 => Some(Kind::Died),
+        3 => Some(Kind::Withdrawn),
+        _ => None,
+    }
+}
+
 /// Encodes the load of a node on each endpoint.
 pub(crate) fn write_loads(
     entries: &[(Endpoint, Load)],
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use dottereltally::problem::Reason;
-use dottereltally_lib::id;
+use dottereltally_lib::{crash::Finding, id};
 use http::StatusCode;
 use prometheus_client::{
     encoding::{EncodeLabelSet, EncodeLabelValue},
@@ -43,17 +43,24 @@
     evidence: Evidence,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ExaminationLabels {
+    finding: String,
+}
+
 /// Evidence about requests that may crash endpoints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum Evidence {
-    /// A connection broke with a request in flight.
-    Break,
-    /// A request was in flight at a death.
+    /// A request got no answer.
+    Loss,
+    /// A request was at the death of an endpoint.
     Death,
-    /// No death was found for a broken connection.
-    Unexplained,
-    /// An unknown mark came from another node.
+    /// Another node reported a suspicion.
     Received,
+    /// A suspicion was withdrawn.
+    Withdrawn,
+    /// Evidence was dropped for lack of space.
+    Dropped,
 }
 
 /// The metrics; clones share them.
@@ -63,6 +70,7 @@
     refusals: Family<RefusalLabels, Counter>,
     failures: Family<FailureLabels, Counter>,
     crash_evidence: Family<EvidenceLabels, Counter>,
+    examinations: Family<ExaminationLabels, Counter>,
     first_event: Family<TierLabels, Histogram, fn() -> Histogram>,
     answer_duration: Family<TierLabels, Histogram, fn() -> Histogram>,
     /// Streams that were resumed at another endpoint.
@@ -100,6 +108,7 @@
             refusals: Family::default(),
             failures: Family::default(),
             crash_evidence: Family::default(),
+            examinations: Family::default(),
             first_event: Family::new_with_constructor(latency_histogram),
             answer_duration: Family::new_with_constructor(latency_histogram),
             resumed: Counter::default(),
@@ -140,6 +149,11 @@
             "Evidence about requests that may crash endpoints",
             self.crash_evidence.clone(),
         );
+        registry.register(
+            "examinations",
+            "Examinations of endpoints at which requests were lost",
+            self.examinations.clone(),
+        );
         registry.register_with_unit(
             "first_event",
             "Time from a request to the first event of its answer",
@@ -230,4 +244,19 @@
         let labels = EvidenceLabels { evidence };
         self.crash_evidence.get_or_create(&labels).inc();
     }
+
+    /// Records that evidence was dropped for lack of space.
+    pub fn crash_evidence_dropped(&self, dropped: u64) {
+        let evidence = Evidence::Dropped;
+        let labels = EvidenceLabels { evidence };
+        self.crash_evidence.get_or_create(&labels).inc_by(dropped);
+    }
+
+    /// Records the examination of an endpoint.
+    pub fn endpoint_examined(&self, finding: Finding) {
+        let labels = ExaminationLabels {
+            finding: finding.to_string(),
+        };
+        self.examinations.get_or_create(&labels).inc();
+    }
 }
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -19,7 +19,6 @@
 };
 use dottereltally_lib::{
     budget::Budget,
-    crash,
     dispatcher::{self, Dispatcher},
     id,
     plan::Plan,
@@ -42,8 +41,10 @@
     chain::{Chain, lock},
     controller::{self, Controller, Outputs, PollInterval, Registration},
     coordinator::Link,
+    crashes::{self, Targets},
     dialect::Dialect,
     directory::{self, Snapshot, Source},
+    examiner,
     logging::Log,
     metrics::Metrics,
     peers::{self, Peers},
@@ -184,12 +185,9 @@
     registry.register_collector(Box::new(Process));
     metrics.register(&mut registry);
     let channels = Channels::default();
-    let chain = Arc::new(build_chain(
-        &settings,
-        adapters.dialect,
-        &channels,
-        &metrics,
-    ));
+    let (chain, lost) = build_chain(&settings, adapters.dialect, &channels, &metrics);
+    let chain = Arc::new(chain);
+    tokio::spawn(examiner::run(Arc::clone(&chain), lost));
     let own_node = directory::Node {
         name: settings.node.clone(),
         address: settings.listen.heartbeats.to_string(),
@@ -265,13 +263,14 @@
     dialect: D,
     channels: &Channels,
     metrics: &Metrics,
-) -> Chain<D> {
+) -> (Chain<D>, Targets) {
     let clock = Clock::start();
     let dispatcher = Dispatcher::new(dispatcher::Settings {
         data_centre: settings.data_centre.clone(),
         seed: rand::random(),
     });
-    Chain {
+    let (crashes, lost) = crashes::Handle::new(clock, metrics.clone());
+    let chain = Chain {
         clock,
         dialect,
         plan: channels.plan.subscribe(),
@@ -279,10 +278,11 @@
         upstream: Pool::new(UPSTREAM_LIMITS),
         limiter: Mutex::new(Limiter::new(settings.quotas)),
         budget: Mutex::new(Budget::new(settings.retries)),
-        crashes: Mutex::new(crash::Detector::default()),
+        crashes,
         metrics: metrics.clone(),
         phase: Phase::default(),
-    }
+    };
+    (chain, lost)
 }
 
 /// Starts the controller of the directory and the task that follows the source.
@@ -301,6 +301,7 @@
         snapshot: channels.snapshot.clone(),
         metrics: chain.metrics.clone(),
         own_name: settings.node.clone(),
+        crashes: chain.crashes.clone(),
     };
     let (controller, _running) = Actor::spawn(None, Controller, outputs)
         .await
@@ -482,7 +483,7 @@
         metrics
             .running
             .set(gauge(admission.read(Dispatcher::running)));
-        chain.expire_breaks();
+        chain.crashes.log_dropped();
         let total = log.dropped();
         metrics.dropped_lines.set(gauge(total));
         if total > dropped {
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -21,7 +21,6 @@
     dialect::Dialect,
     directory::Node,
     heartbeat::Heartbeat,
-    metrics::Evidence,
 };
 
 /// Interval at which due heartbeats and silent nodes are looked for.
@@ -281,12 +280,9 @@
             heartbeat.incarnation,
             heartbeat.usage.clone(),
         );
-        for (mark, valid) in &heartbeat.marks {
-            if lock(&chain.crashes).apply_mark(now, *mark, *valid) {
-                chain.metrics.crash_evidence(Evidence::Received);
-                tracing::info!(%mark, node = %heartbeat.node, "quarantine mark received");
-            }
-        }
+        chain
+            .crashes
+            .apply_marks(&heartbeat.node, &heartbeat.data_centre, &heartbeat.marks);
         let loads = heartbeat.loads.iter().cloned().collect();
         chain
             .admission
@@ -352,7 +348,7 @@
                 .unwrap_or_default(),
             loads: chain.admission.take_load(),
             usage: lock(&chain.limiter).take_usage(now),
-            marks: lock(&chain.crashes).marks_to_share(now),
+            marks: chain.crashes.marks_to_share(),
         }
     }
 
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -22,6 +22,7 @@
     admission::Permit,
     attempt::{self, Attempt, Stream},
     chain::{Chain, Job, Progress, millis},
+    crashes::Flight,
     dialect::Dialect,
     events::{Batch, Splitter},
 };
@@ -55,6 +56,7 @@
     body: pool::Body,
     splitter: Splitter,
     permit: Permit,
+    flight: Flight,
     timing: Timing,
     /// When its last event arrived.
     last_event_at: Instant,
@@ -105,6 +107,7 @@
         progress: Progress,
         choice: Choice,
         stream: Stream,
+        flight: Flight,
     ) -> Self {
         let deadline = Instant::now() + job.deadline.since(chain.clock.now());
         let last_event_id = job.template.last_event_id();
@@ -125,6 +128,7 @@
                 body: stream.body,
                 splitter: stream.splitter,
                 permit: stream.permit,
+                flight,
                 timing: Timing::default(),
                 last_event_at: Instant::now(),
             }),
@@ -211,6 +215,7 @@
         self.events += batch.events;
         if let Some(upstream) = &mut self.upstream {
             let now = Instant::now();
+            upstream.flight.record_heard();
             upstream.timing.events += batch.events;
             upstream.timing.longest_pause = upstream
                 .timing
@@ -226,8 +231,6 @@
     async fn resume(&mut self, cause: &str) -> bool {
         if let Some(upstream) = self.upstream.take() {
             upstream.permit.end(Outcome::Broken);
-            self.chain
-                .record_broken_connection(&self.job, &self.choice.endpoint);
         }
         let chain = Arc::clone(&self.chain);
         while self.can_resume() && chain.acquire_retry(&self.job, &mut self.progress) {
@@ -246,9 +249,12 @@
                 cause,
                 "stream is resumed at another endpoint"
             );
+            let flight = chain
+                .crashes
+                .start(&self.job.service, self.job.fingerprint, &choice);
             chain.metrics.resumed.inc();
-            let attempt =
-                attempt::send(&chain, &self.job, &choice, self.last_event_id, permit).await;
+            let after = self.last_event_id;
+            let attempt = attempt::send(&chain, &self.job, &choice, after, permit, &flight).await;
             let (permit, outcome) = match attempt {
                 Attempt::Stream(stream) => {
                     self.progress.record_send(&choice);
@@ -257,6 +263,7 @@
                         body: stream.body,
                         splitter: stream.splitter,
                         permit: stream.permit,
+                        flight,
                         timing: Timing::default(),
                         last_event_at: Instant::now(),
                     });
@@ -265,19 +272,18 @@
                 }
                 Attempt::Unsent { permit, .. } => {
                     permit.end(Outcome::Unreachable);
-                    chain.record_unreachable(&choice.endpoint);
+                    flight.finish();
                     self.progress.tried.push(choice.endpoint);
                     continue;
                 }
                 Attempt::Rejected { permit, status } => {
+                    flight.finish();
                     (permit, attempt::rejection_outcome(status))
                 }
-                Attempt::Broken { permit, .. } => {
-                    chain.record_broken_connection(&self.job, &choice.endpoint);
-                    (permit, Outcome::Broken)
-                }
+                Attempt::Broken { permit, .. } => (permit, Outcome::Broken),
                 Attempt::Expired { permit } => (permit, Outcome::Cancelled),
                 Attempt::Failed { permit, .. } | Attempt::Answered { permit, .. } => {
+                    flight.finish();
                     (permit, Outcome::Failed)
                 }
             };
@@ -295,6 +301,8 @@
         };
         let timing = upstream.timing;
         upstream.permit.end(Outcome::Answered(timing));
+        upstream.flight.finish();
+        self.chain.crashes.record_answered(self.job.fingerprint);
         self.chain.record_answer(
             &self.job,
             &self.choice,
--- /dev/null
+++ b/gateway/tests/common/cluster.rs
@@ -0,0 +1,63 @@
+//! Gateways that exchange heartbeats.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use dottereltally_gateway::{
+    directory::Node,
+    peers::{self, Peers},
+};
+use dottereltally_lib::id;
+use ractor::{Actor, ActorRef};
+use tokio::{net::UdpSocket, sync::watch};
+
+use super::{Gateway, plan};
+
+/// Nodes that know each other.
+#[derive(Default)]
+pub struct Cluster {
+    pub gateways: Vec<Gateway>,
+    nodes: Vec<(Node, ActorRef<peers::Message>)>,
+}
+
+impl Cluster {
+    pub async fn start(count: usize) -> Self {
+        let mut cluster = Self::default();
+        for _ in 0..count {
+            cluster.add().await;
+        }
+        cluster
+    }
+
+    /// Starts another node, which the others learn of.
+    pub async fn add(&mut self) {
+        let gateway = Gateway::start(Some(plan()), &[]).await;
+        let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
+        let address: SocketAddr = socket.local_addr().unwrap();
+        let node = Node {
+            name: id::Node::from(format!("n{}", self.nodes.len())),
+            address: address.to_string(),
+            data_centre: id::DataCentre::from("dc"),
+            rpc_address: String::new(),
+            millicores: 0,
+        };
+        let arguments = peers::Arguments {
+            own_node: node.clone(),
+            socket: Arc::clone(&socket),
+            chain: Arc::clone(&gateway.chain),
+            ranked_nodes: watch::Sender::new(Vec::new()),
+        };
+        let (actor, _running) = Actor::spawn(None, Peers::default(), arguments)
+            .await
+            .unwrap();
+        tokio::spawn(peers::listen(socket, actor.clone()));
+        self.gateways.push(gateway);
+        self.nodes.push((node, actor));
+        for (node, actor) in &self.nodes {
+            let others = self.nodes.iter().map(|(other, _)| other.clone());
+            let others = others.filter(|other| other.name != node.name).collect();
+            actor
+                .send_message(peers::Message::Registered(others))
+                .unwrap();
+        }
+    }
+}
--- a/gateway/tests/common/fragile.rs
+++ b/gateway/tests/common/fragile.rs
@@ -29,6 +29,9 @@
 /// A request with this text in its path loses its answer; its endpoint lives on.
 pub const UNANSWERED: &str = "unanswered";
 
+/// A request with this text in its path is answered never.
+pub const SLOW: &str = "slow";
+
 /// How an endpoint ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -56,6 +59,8 @@
     record: Record,
     /// Number of its process, counted from one.
     process: u64,
+    /// Ends its process.
+    end: Arc<Notify>,
 }
 
 struct Shared {
@@ -64,7 +69,7 @@
     end: End,
     back: Return,
     ended: AtomicUsize,
-    served: AtomicUsize,
+    held: AtomicUsize,
 }
 
 /// Endpoints of the service `s`; clones share them.
@@ -82,7 +87,7 @@
             end,
             back,
             ended: AtomicUsize::default(),
-            served: AtomicUsize::default(),
+            held: AtomicUsize::default(),
         });
         for number in 0..count {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -96,6 +101,7 @@
                     capacity: Some(4),
                 },
                 process: 1,
+                end: Arc::default(),
             });
             tokio::spawn(run_endpoint(Arc::clone(&shared), number, listener));
         }
@@ -108,14 +114,38 @@
         self.shared.publish();
     }
 
+    /// Ends or silences all endpoints of a data centre, as [`End`] says; returns
+    /// once they have ended.
+    pub async fn end_data_centre(&self, name: &str) {
+        let before = self.ended();
+        let mut ending = 0;
+        for listed in self.shared.listed.lock().unwrap().iter() {
+            if listed.record.data_centre.as_str() == name {
+                listed.end.notify_one();
+                ending += 1;
+            }
+        }
+        while self.ended() < before + ending {
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Lists all endpoints as leaving.
+    pub fn drain(&self) {
+        for listed in self.shared.listed.lock().unwrap().iter_mut() {
+            listed.record.standing = Standing::Leaving;
+        }
+        self.shared.publish();
+    }
+
     /// Returns how often an endpoint ended.
     pub fn ended(&self) -> usize {
         self.shared.ended.load(Ordering::SeqCst)
     }
 
-    /// Returns how many other requests were answered.
-    pub fn served(&self) -> usize {
-        self.shared.served.load(Ordering::SeqCst)
+    /// Returns how many requests run that are never answered.
+    pub fn held(&self) -> usize {
+        self.shared.held.load(Ordering::SeqCst)
     }
 }
 
@@ -127,6 +157,11 @@
             let set = |dispatcher: &mut dottereltally_lib::dispatcher::Dispatcher, now| {
                 dispatcher.set_endpoints(now, records)
             };
+            for listed in listed.iter() {
+                chain
+                    .crashes
+                    .record_started(&listed.record.id, listed.process);
+            }
             chain.admission.apply(set);
         }
     }
@@ -135,9 +170,11 @@
 /// Runs the processes of one endpoint, one after the other.
 async fn run_endpoint(shared: Arc<Shared>, number: usize, mut listener: TcpListener) {
     loop {
-        let ending = Arc::<Notify>::default();
         let mut connections = JoinSet::new();
-        let name = shared.listed.lock().unwrap()[number].record.id.clone();
+        let (name, ending) = {
+            let listed = &shared.listed.lock().unwrap()[number];
+            (listed.record.id.clone(), Arc::clone(&listed.end))
+        };
         loop {
             tokio::select! {
                 accepted = listener.accept() => {
@@ -196,7 +233,10 @@
         if path.contains(UNANSWERED) {
             return;
         }
-        shared.served.fetch_add(1, Ordering::SeqCst);
+        if path.contains(SLOW) {
+            shared.held.fetch_add(1, Ordering::SeqCst);
+            return std::future::pending().await;
+        }
         let answer = format!(
             "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\nx-endpoint: {name}\r\ncontent-length: 5\r\n\r\nusual"
         );
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod cluster;
 pub mod fragile;
 
 use std::{
@@ -22,12 +23,13 @@
 use dottereltally_gateway::{
     admission,
     chain::Chain,
+    crashes,
     dialect::{Answer, Dialect, Forward, Head, Malformed},
+    examiner,
     metrics::Metrics,
 };
 use dottereltally_lib::{
     budget::{self, Budget},
-    crash,
     dispatcher::{Dispatcher, Settings},
     endpoint::{Record, Standing},
     id,
@@ -89,6 +91,7 @@
             sealed: headers.contains_key("x-seal"),
             not_run: headers.contains_key("x-not-run"),
             load: None,
+            endpoint: text(headers, "x-endpoint").map(id::Endpoint::from),
         }
     }
 
@@ -325,6 +328,7 @@
         Service {
             connections: 100,
             engine: false,
+            health_path: "/health".to_owned(),
         },
     );
     plan.limits.body = 1000;
@@ -382,6 +386,8 @@
         }
         dispatcher.set_endpoints(clock.now(), records);
         let plan = watch::Sender::new(plan.map(Arc::new));
+        let metrics = Metrics::default();
+        let (crashes, lost) = crashes::Handle::new(clock, metrics.clone());
         let chain = Arc::new(Chain {
             clock,
             dialect: TestHeaders,
@@ -394,10 +400,11 @@
                 allowance: 100.0,
                 window: Duration::from_secs(10),
             })),
-            crashes: Mutex::new(crash::Detector::default()),
-            metrics: Metrics::default(),
+            crashes,
+            metrics,
             phase: Phase::default(),
         });
+        tokio::spawn(examiner::run(Arc::clone(&chain), lost));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let limits = server::Limits {
@@ -422,23 +429,33 @@
 
     /// Sends raw bytes and returns all that arrives until the connection ends.
     pub async fn send_raw(&self, bytes: &str) -> String {
-        let mut stream = TcpStream::connect(self.address).await.unwrap();
-        stream.write_all(bytes.as_bytes()).await.unwrap();
-        let mut answer = Vec::new();
-        // A connection that is reset ends the answer as well.
-        let _ended = stream.read_to_end(&mut answer).await;
-        String::from_utf8_lossy(&answer).into_owned()
+        send_raw(self.address, bytes).await
     }
 
     /// Sends a `GET` request on a connection of its own.
     pub async fn get(&self, path: &str, headers: &str) -> String {
-        let request = format!(
-            "GET {path} HTTP/1.1\r\nhost: a.example\r\nx-id: one\r\nconnection: close\r\n{headers}\r\n"
-        );
-        self.send_raw(&request).await
+        get(self.address, path, headers).await
     }
 }
 
+/// Sends raw bytes and returns all that arrives until the connection ends.
+pub async fn send_raw(address: SocketAddr, bytes: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(bytes.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    // A connection that is reset ends the answer as well.
+    let _ended = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Sends a `GET` request on a connection of its own.
+pub async fn get(address: SocketAddr, path: &str, headers: &str) -> String {
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nhost: a.example\r\nx-id: one\r\nconnection: close\r\n{headers}\r\n"
+    );
+    send_raw(address, &request).await
+}
+
 /// Returns the status of an answer.
 pub fn status(answer: &str) -> u16 {
     let status = answer.split(' ').nth(1).and_then(|text| text.parse().ok());
--- a/gateway/tests/test_heartbeat.rs
+++ b/gateway/tests/test_heartbeat.rs
@@ -3,7 +3,12 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use dottereltally_gateway::heartbeat::Heartbeat;
-use dottereltally_lib::{dispatcher::Load, id, quota::Usage};
+use dottereltally_lib::{
+    dispatcher::Load,
+    id,
+    quota::Usage,
+    suspicion::{Kind, Mark},
+};
 
 #[test]
 fn a_heartbeat_survives_encoding_and_decoding() {
@@ -28,7 +33,14 @@
                 demand: 2.0,
             },
         )]),
-        marks: vec![(id::Fingerprint(5), Duration::from_secs(3))],
+        marks: [Kind::Silent, Kind::Died, Kind::Withdrawn]
+            .map(|kind| Mark {
+                fingerprint: id::Fingerprint(5),
+                incarnation: id::Incarnation(6),
+                kind,
+                valid: Duration::from_secs(3),
+            })
+            .to_vec(),
     };
     let bytes = heartbeat.encode().unwrap();
     assert_eq!(Heartbeat::decode(&bytes).unwrap(), heartbeat);
--- a/lib/src/crash.rs
+++ b/lib/src/crash.rs
@@ -1,132 +1,419 @@
 //! Detects requests that crash the endpoints they run on.
 //!
-//! A request whose connection broke shortly before its endpoint was found dead
-//! counts as in flight at that death. [`crate::quarantine`] decides what
-//! follows from it.
+//! A request that got no answer is a loss. Its endpoint is then examined: if the
+//! endpoint died or fell silent, the request is suspected
+//! ([`crate::suspicion`]). Whatever else shows the endpoint's death, such as
+//! another process under its name, counts as well.
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
+
+use derive_more::Display;
 
 use crate::{
     id,
-    quarantine::{MARK_TTL, Marks, Verdict},
+    quarantine::Verdict,
+    suspicion::{Count, Kind, Mark, Register, SUSPICION_TTL},
     time,
 };
 
-/// Maximum time between a broken connection and the detection that its endpoint
-/// is dead.
-const MAX_DETECTION_DELAY: Duration = Duration::from_secs(3);
+/// Time for which a loss is kept for evidence that its endpoint died.
+const LOSS_TTL: Duration = Duration::from_secs(10);
 
-/// Time for which a new mark is sent to the other nodes.
-const MARK_SEND_TIME: Duration = Duration::from_secs(2);
+/// Most losses that are kept.
+const MAX_LOSSES: usize = 1000;
 
-/// Maximum number of broken connections kept.
-const MAX_BREAKS: usize = 1000;
+/// Time after a death within which the directory names the next process of the
+/// endpoint, if there is one. What is heard under its name later comes from the
+/// process that was taken for dead.
+const RESTART_NOTICE: Duration = Duration::from_secs(5);
 
-/// A connection that broke with a request in flight.
-#[derive(Clone, Debug)]
-struct Break {
+/// A request that runs at an endpoint.
+#[derive(Debug)]
+pub struct Attempt {
+    fingerprint: id::Fingerprint,
     endpoint: id::Endpoint,
+    incarnation: id::Incarnation,
+    started: time::Instant,
+}
+
+impl Attempt {
+    /// Returns the request.
+    #[must_use]
+    pub fn fingerprint(&self) -> id::Fingerprint {
+        self.fingerprint
+    }
+}
+
+/// Result of the examination of an endpoint.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum Finding {
+    /// Its process answered.
+    #[display("alive")]
+    Alive,
+    /// Nothing or another process answers at its address.
+    #[display("dead")]
+    Dead,
+    /// It does not respond, while others in its data centre do.
+    #[display("silent")]
+    Silent,
+    /// Nothing in its data centre responds, so that it can't be judged.
+    #[display("unreachable")]
+    Unreachable,
+    /// It was leaving, so that its end has another cause.
+    #[display("leaving")]
+    Leaving,
+}
+
+impl Finding {
+    /// Returns what it means for the requests lost at the endpoint.
+    fn kind(self) -> Option<Kind> {
+        match self {
+            Self::Dead => Some(Kind::Died),
+            Self::Silent => Some(Kind::Silent),
+            Self::Alive | Self::Unreachable | Self::Leaving => None,
+        }
+    }
+}
+
+/// A request that got no answer.
+#[derive(Clone, Debug)]
+struct Loss {
+    attempt_started: time::Instant,
     fingerprint: id::Fingerprint,
+    endpoint: id::Endpoint,
+    incarnation: id::Incarnation,
     at: time::Instant,
+    /// Whether the endpoint has been examined since.
+    examined: bool,
+}
+
+/// A change of what is known about a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The request.
+    pub fingerprint: id::Fingerprint,
+    /// Whether it changes whether the request is refused.
+    pub decisive: bool,
+    /// What is known now.
+    pub verdict: Verdict,
+    /// The deaths at which it ran.
+    pub count: Count,
 }
 
 /// One node's record of requests that may crash endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct Detector {
-    marks: Marks,
-    /// Recent breaks, of endpoints that have not been found dead.
-    breaks: Vec<Break>,
-    /// New marks, with the time until which each is sent to the other nodes.
-    to_share: Vec<(id::Fingerprint, time::Instant)>,
+    register: Register,
+    losses: VecDeque<Loss>,
+    /// Losses that were dropped for lack of space.
+    dropped_losses: u64,
+    /// Endpoints that are being examined.
+    examined: BTreeSet<id::Endpoint>,
+    /// Start time of each endpoint's process, milliseconds since the Unix epoch.
+    started: BTreeMap<id::Endpoint, u64>,
+    /// When each endpoint was last heard.
+    heard: BTreeMap<id::Endpoint, time::Instant>,
+    /// When anything in each data centre was last heard.
+    heard_data_centres: BTreeMap<id::DataCentre, time::Instant>,
+    /// When each dead endpoint process was found dead, and how.
+    dead: BTreeMap<id::Incarnation, (time::Instant, Kind)>,
+    /// While the directory can't be read, restarts go unnoticed.
+    directory: Directory,
+}
+
+/// Whether the directory can be read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Directory {
+    #[default]
+    Available,
+    Unavailable,
+    /// It is available again since this time.
+    Restored(time::Instant),
 }
 
 impl Detector {
     /// Returns whether the request is known or suspected to crash endpoints.
     #[must_use]
     pub fn verdict(&self, now: time::Instant, fingerprint: id::Fingerprint) -> Verdict {
-        self.marks.verdict(now, fingerprint)
+        self.register.verdict(now, fingerprint)
+    }
+
+    /// Returns for how long a request is still refused; `None` if it is not.
+    #[must_use]
+    pub fn refused_for(
+        &self,
+        now: time::Instant,
+        fingerprint: id::Fingerprint,
+    ) -> Option<Duration> {
+        self.register.refused_for(now, fingerprint)
     }
 
-    /// Records that a request's connection broke; returns false if it is not
-    /// recorded, because `MAX_BREAKS` are kept.
-    pub fn record_broken(
+    /// Records that a request is about to be sent to an endpoint.
+    pub fn start(
         &mut self,
         now: time::Instant,
-        endpoint: &id::Endpoint,
         fingerprint: id::Fingerprint,
-    ) -> bool {
-        if self.breaks.len() >= MAX_BREAKS {
-            return false;
-        }
-        self.breaks.push(Break {
-            endpoint: endpoint.clone(),
+        endpoint: &id::Endpoint,
+    ) -> Attempt {
+        Attempt {
             fingerprint,
+            endpoint: endpoint.clone(),
+            incarnation: self.incarnation(endpoint),
+            started: now,
+        }
+    }
+
+    /// Records that an attempt ended without a complete answer; returns whether
+    /// the examination of its endpoint must now start (see [`Self::conclude`]).
+    pub fn lose(&mut self, now: time::Instant, attempt: Attempt) -> bool {
+        if self.losses.len() >= MAX_LOSSES {
+            self.losses.pop_front();
+            self.dropped_losses += 1;
+        }
+        let endpoint = attempt.endpoint.clone();
+        self.losses.push_back(Loss {
+            attempt_started: attempt.started,
+            fingerprint: attempt.fingerprint,
+            endpoint: attempt.endpoint,
+            incarnation: attempt.incarnation,
             at: now,
+            examined: false,
         });
-        true
+        self.examined.insert(endpoint)
+    }
+
+    /// Records that a request was answered completely, which clears it; returns
+    /// the change, if it was suspected.
+    pub fn clear(&mut self, now: time::Instant, fingerprint: id::Fingerprint) -> Option<Change> {
+        let previous = self.verdict(now, fingerprint);
+        let withdrawn = self.register.withdraw_request(now, fingerprint);
+        withdrawn.then(|| self.change(now, fingerprint, previous))
+    }
+
+    /// Records that an endpoint was heard. Returns the requests that are cleared
+    /// because it had been taken for dead.
+    pub fn record_heard(
+        &mut self,
+        now: time::Instant,
+        endpoint: &id::Endpoint,
+        data_centre: &id::DataCentre,
+    ) -> Vec<Change> {
+        insert(&mut self.heard, endpoint, now);
+        self.record_data_centre_heard(now, data_centre);
+        if self.dead.is_empty() {
+            return Vec::new();
+        }
+        let incarnation = self.incarnation(endpoint);
+        let Some((died, _)) = self.dead.get(&incarnation) else {
+            return Vec::new();
+        };
+        if now.since(*died) < RESTART_NOTICE || !self.is_directory_current(now) {
+            return Vec::new();
+        }
+        self.dead.remove(&incarnation);
+        let mut changes = Vec::new();
+        for fingerprint in self.register.suspects(now, incarnation) {
+            let previous = self.verdict(now, fingerprint);
+            self.register.withdraw_death(now, fingerprint, incarnation);
+            changes.push(self.change(now, fingerprint, previous));
+        }
+        changes
     }
 
-    /// Drops the broken connections whose endpoint was not found dead in time, and
-    /// returns the request and the endpoint of each.
-    pub fn expire_breaks(&mut self, now: time::Instant) -> Vec<(id::Fingerprint, id::Endpoint)> {
-        let mut expired = Vec::new();
-        self.breaks.retain(|connection| {
-            let kept = now.since(connection.at) < MAX_DETECTION_DELAY;
-            if !kept {
-                expired.push((connection.fingerprint, connection.endpoint.clone()));
+    /// Records that an endpoint or a node of a data centre was heard.
+    pub fn record_data_centre_heard(&mut self, now: time::Instant, data_centre: &id::DataCentre) {
+        insert(&mut self.heard_data_centres, data_centre, now);
+    }
+
+    /// Returns whether an endpoint was heard after a time.
+    #[must_use]
+    pub fn is_heard_since(&self, endpoint: &id::Endpoint, since: time::Instant) -> bool {
+        self.heard.get(endpoint).is_some_and(|at| *at > since)
+    }
+
+    /// Returns whether anything in a data centre was heard after a time.
+    #[must_use]
+    pub fn is_data_centre_heard_since(
+        &self,
+        data_centre: &id::DataCentre,
+        since: time::Instant,
+    ) -> bool {
+        let heard = self.heard_data_centres.get(data_centre);
+        heard.is_some_and(|at| *at > since)
+    }
+
+    /// Returns whether the current process of an endpoint is taken for dead.
+    #[must_use]
+    pub fn is_dead(&self, endpoint: &id::Endpoint) -> bool {
+        self.dead.contains_key(&self.incarnation(endpoint))
+    }
+
+    /// Returns the number of endpoints that are being examined.
+    #[must_use]
+    pub fn examinations(&self) -> usize {
+        self.examined.len()
+    }
+
+    /// Applies the finding of an examination that started at `started`. Returns
+    /// the changes, and whether the endpoint must be examined again, because a
+    /// request was lost after it was found alive.
+    pub fn conclude(
+        &mut self,
+        now: time::Instant,
+        endpoint: &id::Endpoint,
+        started: time::Instant,
+        finding: Finding,
+    ) -> (Vec<Change>, bool) {
+        self.expire(now);
+        let Some(kind) = finding.kind() else {
+            let mut again = false;
+            for loss in &mut self.losses {
+                if loss.endpoint != *endpoint || loss.examined {
+                    continue;
+                }
+                loss.examined = loss.at <= started || finding != Finding::Alive;
+                again |= !loss.examined;
+            }
+            if !again {
+                self.examined.remove(endpoint);
             }
-            kept
+            return (Vec::new(), again);
+        };
+        self.examined.remove(endpoint);
+        let changes = self.record_death(now, kind, |loss| {
+            loss.endpoint == *endpoint && !loss.examined
         });
-        expired
+        (changes, false)
     }
 
-    /// Records the death of an endpoint and returns the requests that were in
-    /// flight there.
-    pub fn record_death(
+    /// Records when an endpoint's process started, in milliseconds since the Unix
+    /// epoch, as the directory names it. Returns the changes, if the process
+    /// replaces another one, which thus died.
+    pub fn record_started(
         &mut self,
         now: time::Instant,
         endpoint: &id::Endpoint,
-    ) -> Vec<id::Fingerprint> {
-        let mut suspects = Vec::new();
-        self.breaks.retain(|connection| {
-            if connection.endpoint != *endpoint {
-                return true;
+        started_ms: u64,
+    ) -> Vec<Change> {
+        let previous = self.started.insert(endpoint.clone(), started_ms);
+        if previous.is_none_or(|previous| previous == started_ms) {
+            return Vec::new();
+        }
+        let incarnation = id::Incarnation::new(endpoint, previous);
+        self.record_death(now, Kind::Died, |loss| loss.incarnation == incarnation)
+    }
+
+    /// Records that another endpoint took over an endpoint's address, which thus
+    /// died; returns the changes.
+    pub fn record_replaced(&mut self, now: time::Instant, endpoint: &id::Endpoint) -> Vec<Change> {
+        self.record_death(now, Kind::Died, |loss| loss.endpoint == *endpoint)
+    }
+
+    /// Forgets an endpoint that is no longer listed.
+    pub fn forget(&mut self, endpoint: &id::Endpoint) {
+        self.started.remove(endpoint);
+        self.heard.remove(endpoint);
+    }
+
+    /// Sets whether the directory can be read.
+    pub fn set_directory_available(&mut self, now: time::Instant, available: bool) {
+        self.directory = match (available, self.directory) {
+            (false, _) => Directory::Unavailable,
+            (true, Directory::Unavailable) => Directory::Restored(now),
+            (true, state) => state,
+        };
+    }
+
+    /// Returns the suspicions to report to the other nodes.
+    pub fn marks_to_share(&mut self, now: time::Instant) -> Vec<Mark> {
+        self.register.share(now)
+    }
+
+    /// Applies a mark received from another node; returns the change, if there is
+    /// one.
+    pub fn apply_mark(&mut self, now: time::Instant, mark: Mark) -> Option<Change> {
+        let previous = self.verdict(now, mark.fingerprint);
+        let changed = self.register.apply(now, mark);
+        changed.then(|| self.change(now, mark.fingerprint, previous))
+    }
+
+    /// Returns how many losses and suspicions were dropped for lack of space since
+    /// the last call.
+    pub fn take_dropped(&mut self) -> u64 {
+        std::mem::take(&mut self.dropped_losses) + self.register.take_dropped()
+    }
+
+    /// Suspects the requests whose losses match of an endpoint's death, and drops
+    /// these losses.
+    fn record_death(
+        &mut self,
+        now: time::Instant,
+        kind: Kind,
+        matches: impl Fn(&Loss) -> bool,
+    ) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for loss in std::mem::take(&mut self.losses) {
+            if !matches(&loss) {
+                self.losses.push_back(loss);
+                continue;
             }
-            if now.since(connection.at) < MAX_DETECTION_DELAY {
-                suspects.push(connection.fingerprint);
+            let (died, _) = *self.dead.entry(loss.incarnation).or_insert((now, kind));
+            // A process that was dead before did not run the request.
+            if loss.attempt_started > died {
+                continue;
             }
-            false
-        });
-        for fingerprint in &suspects {
-            for mark in self.marks.record_death(now, *fingerprint, endpoint) {
-                self.to_share.push((mark, now + MARK_SEND_TIME));
+            let (fingerprint, incarnation) = (loss.fingerprint, loss.incarnation);
+            let previous = self.verdict(now, fingerprint);
+            if self.register.record(now, fingerprint, incarnation, kind) {
+                changes.push(self.change(now, fingerprint, previous));
             }
         }
-        suspects
+        changes
     }
 
-    /// Records that a request was answered completely.
-    pub fn record_answered(&mut self, now: time::Instant, fingerprint: id::Fingerprint) {
-        self.marks.record_answer(now, fingerprint);
+    fn incarnation(&self, endpoint: &id::Endpoint) -> id::Incarnation {
+        id::Incarnation::new(endpoint, self.started.get(endpoint).copied())
     }
 
-    /// Returns the marks to send to the other nodes, with their validity; each is
-    /// returned for `MARK_SEND_TIME`.
-    pub fn marks_to_share(&mut self, now: time::Instant) -> Vec<(id::Fingerprint, Duration)> {
-        self.to_share.retain(|(_, until)| *until > now);
-        let marks = self.to_share.iter();
-        marks.map(|(mark, _)| (*mark, MARK_TTL)).collect()
+    fn is_directory_current(&self, now: time::Instant) -> bool {
+        match self.directory {
+            Directory::Available => true,
+            Directory::Unavailable => false,
+            Directory::Restored(at) => now.since(at) >= RESTART_NOTICE,
+        }
     }
 
-    /// Applies a mark received from another node; returns whether it was unknown.
-    pub fn apply_mark(
-        &mut self,
+    fn change(
+        &self,
         now: time::Instant,
-        mark: id::Fingerprint,
-        valid: Duration,
-    ) -> bool {
-        let known = self.marks.is_marked(now, mark);
-        self.marks.add(now, mark, valid);
-        !known
+        fingerprint: id::Fingerprint,
+        previous: Verdict,
+    ) -> Change {
+        let verdict = self.verdict(now, fingerprint);
+        let refused = |verdict| verdict == Verdict::Confirmed;
+        Change {
+            fingerprint,
+            decisive: refused(previous) != refused(verdict),
+            verdict,
+            count: self.register.count(now, fingerprint),
+        }
+    }
+
+    fn expire(&mut self, now: time::Instant) {
+        self.losses.retain(|loss| now.since(loss.at) < LOSS_TTL);
+        self.dead
+            .retain(|_, (died, _)| now.since(*died) < SUSPICION_TTL);
+    }
+}
+
+/// Inserts a time; allocates only for a new key.
+fn insert<K: Clone + Ord>(times: &mut BTreeMap<K, time::Instant>, key: &K, now: time::Instant) {
+    if let Some(at) = times.get_mut(key) {
+        *at = now;
+    } else {
+        times.insert(key.clone(), now);
     }
 }
--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -545,6 +545,31 @@
         self.members.values().filter(|member| member.listed).count()
     }
 
+    /// Returns whether an endpoint may get new requests; `None` if it is not
+    /// listed.
+    #[must_use]
+    pub fn standing(&self, endpoint: &id::Endpoint) -> Option<Standing> {
+        let member = self.members.get(endpoint)?;
+        member.listed.then_some(member.record.standing)
+    }
+
+    /// Returns the listed endpoints of a data centre that take new requests.
+    #[must_use]
+    pub fn live_endpoints(&self, data_centre: &id::DataCentre) -> Vec<endpoint::Record> {
+        let mut live = Vec::new();
+        for member in self.members.values() {
+            let record = &member.record;
+            if !member.listed
+                || record.standing != Standing::Live
+                || record.data_centre != *data_centre
+            {
+                continue;
+            }
+            live.push(record.clone());
+        }
+        live
+    }
+
     fn dispatch_all(&mut self, now: time::Instant) {
         let busy = self.queues.iter().filter(|(_, queue)| queue.len() > 0);
         let busy: Vec<id::Service> = busy.map(|(service, _)| service.clone()).collect();
--- a/lib/src/id.rs
+++ b/lib/src/id.rs
@@ -2,6 +2,7 @@
 
 use derive_more::{AsRef, Display, From, FromStr};
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
 
 /// Declares a newtype over `String` for the names of one kind of entity.
 macro_rules! name {
@@ -123,6 +124,22 @@
 #[serde(transparent)]
 pub struct Fingerprint(pub u64);
 
+/// Identifies one process of an endpoint: an endpoint that starts again has
+/// another one, also if it keeps its name.
+#[derive(Clone, Copy, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[display("{_0:016x}")]
+pub struct Incarnation(pub u64);
+
+impl Incarnation {
+    /// Returns the process of an endpoint that started at this time, in
+    /// milliseconds since the Unix epoch; `None` if the time is unknown.
+    #[must_use]
+    pub fn new(endpoint: &Endpoint, started_ms: Option<u64>) -> Self {
+        let seed = started_ms.unwrap_or_default();
+        Self(xxh3::xxh3_64_with_seed(endpoint.as_str().as_bytes(), seed))
+    }
+}
+
 /// Hash of the leading blocks of a prompt; equal prefixes have equal hashes.
 #[derive(
     Clone, Copy, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod scheduler;
 pub mod size;
 mod suspects;
+pub mod suspicion;
 pub mod time;
 pub mod tree;
 pub mod window;
--- a/lib/src/plan.rs
+++ b/lib/src/plan.rs
@@ -32,6 +32,14 @@
     pub connections: u32,
     /// Whether its endpoints are model engines.
     pub engine: bool,
+    /// Path at which its endpoints answer health checks.
+    #[serde(default = "default_health_path")]
+    pub health_path: String,
+}
+
+/// Returns the health check path of a service for which none is set.
+fn default_health_path() -> String {
+    "/health".to_owned()
 }
 
 /// All workspaces.
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -151,9 +151,7 @@
         self.cleared.retain(|_, until| *until > now);
     }
 
-    /// Returns whether a mark is known and valid.
-    #[must_use]
-    pub fn is_marked(&self, now: time::Instant, mark: id::Fingerprint) -> bool {
+    fn is_marked(&self, now: time::Instant, mark: id::Fingerprint) -> bool {
         self.marks.get(&mark).is_some_and(|until| *until > now)
     }
 
--- /dev/null
+++ b/lib/src/suspicion.rs
@@ -0,0 +1,324 @@
+//! Requests suspected of crashing endpoints, as known to one node.
+//!
+//! Each suspicion is one request at the death of one endpoint process. Nodes share
+//! their suspicions and take over those of others, so that each of them counts the
+//! deaths of the whole cluster, in whatever order they become known.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use derive_more::Display;
+
+use crate::{id, quarantine::Verdict, time};
+
+/// Time for which a suspicion is kept.
+pub const SUSPICION_TTL: Duration = Duration::from_mins(10);
+
+/// Time for which a request is refused that was at two deaths. It may have been
+/// there by chance, so it then runs again; a third death settles it.
+const TRIAL_DELAY: Duration = Duration::from_secs(30);
+
+/// Deaths and silences after which a request is refused for as long as they are
+/// known.
+const CONFIRMING_LOSSES: usize = 3;
+
+/// Deaths after which a request is refused for [`TRIAL_DELAY`].
+const SUSPICIOUS_DEATHS: usize = 2;
+
+/// Most suspicions that are kept.
+const MAX_SUSPICIONS: usize = 4096;
+
+/// Time for which a new suspicion is shared in every report.
+const NEWS_TIME: Duration = Duration::from_secs(2);
+
+/// Most suspicions in one report.
+const MAX_SHARED: usize = 32;
+
+/// Shortest validity of a suspicion that is taken over from another node. What
+/// expires here is thus not restored by a node on which it expires a little later.
+const MIN_VALIDITY: Duration = Duration::from_secs(1);
+
+/// What is known about an endpoint that ran the request; a later one replaces an
+/// earlier one.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    /// The endpoint fell silent; it may have died or be cut off.
+    #[display("silent")]
+    Silent,
+    /// The endpoint died.
+    #[display("died")]
+    Died,
+    /// The endpoint lives, or the request was answered elsewhere.
+    #[display("withdrawn")]
+    Withdrawn,
+}
+
+/// A suspicion in the form in which nodes share it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Mark {
+    /// The request.
+    pub fingerprint: id::Fingerprint,
+    /// The endpoint process that it ran on.
+    pub incarnation: id::Incarnation,
+    /// What is known about that process.
+    pub kind: Kind,
+    /// Time for which the suspicion is kept.
+    pub valid: Duration,
+}
+
+/// Numbers of the deaths at which a request ran.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Count {
+    /// Endpoints that died.
+    pub died: usize,
+    /// Endpoints that fell silent.
+    pub silent: usize,
+}
+
+type Key = (id::Fingerprint, id::Incarnation);
+
+#[derive(Clone, Copy, Debug)]
+struct Suspicion {
+    kind: Kind,
+    /// When this node first knew of it.
+    since: time::Instant,
+    /// When it is dropped.
+    expires: time::Instant,
+    /// Until when it is in every report.
+    news_until: time::Instant,
+}
+
+/// The suspicions known to one node.
+#[derive(Clone, Debug, Default)]
+pub struct Register {
+    suspicions: BTreeMap<Key, Suspicion>,
+    /// Where the next report continues.
+    next_news: Option<Key>,
+    /// Suspicions that were dropped for lack of space.
+    dropped: u64,
+}
+
+impl Register {
+    /// Returns what is known about a request.
+    #[must_use]
+    pub fn verdict(&self, now: time::Instant, fingerprint: id::Fingerprint) -> Verdict {
+        let count = self.count(now, fingerprint);
+        if self.refused_for(now, fingerprint).is_some() {
+            return Verdict::Confirmed;
+        }
+        if count == Count::default() {
+            return Verdict::Clear;
+        }
+        Verdict::Suspect
+    }
+
+    /// Returns for how long a request is still refused; `None` if it is not.
+    #[must_use]
+    pub fn refused_for(
+        &self,
+        now: time::Instant,
+        fingerprint: id::Fingerprint,
+    ) -> Option<Duration> {
+        let count = self.count(now, fingerprint);
+        let valid = || self.valid(now, fingerprint);
+        let until = if count.died + count.silent >= CONFIRMING_LOSSES {
+            // Refused until too few of them are left.
+            let mut ends: Vec<time::Instant> = valid().map(|known| known.expires).collect();
+            ends.sort_unstable();
+            ends[ends.len() - CONFIRMING_LOSSES]
+        } else if count.died >= SUSPICIOUS_DEATHS {
+            valid().map(|known| known.since).max()? + TRIAL_DELAY
+        } else {
+            return None;
+        };
+        (until > now).then(|| until.since(now))
+    }
+
+    /// Returns the numbers of deaths and silences at which a request ran.
+    #[must_use]
+    pub fn count(&self, now: time::Instant, fingerprint: id::Fingerprint) -> Count {
+        let mut count = Count::default();
+        for known in self.valid(now, fingerprint) {
+            match known.kind {
+                Kind::Died => count.died += 1,
+                Kind::Silent => count.silent += 1,
+                Kind::Withdrawn => {}
+            }
+        }
+        count
+    }
+
+    /// Records that a request ran on an endpoint process when it died or fell
+    /// silent; returns whether that was unknown.
+    pub fn record(
+        &mut self,
+        now: time::Instant,
+        fingerprint: id::Fingerprint,
+        incarnation: id::Incarnation,
+        kind: Kind,
+    ) -> bool {
+        self.apply(
+            now,
+            Mark {
+                fingerprint,
+                incarnation,
+                kind,
+                valid: SUSPICION_TTL,
+            },
+        )
+    }
+
+    /// Takes over a mark; returns whether that changes what this node knows.
+    pub fn apply(&mut self, now: time::Instant, mark: Mark) -> bool {
+        if mark.valid < MIN_VALIDITY {
+            return false;
+        }
+        let key = (mark.fingerprint, mark.incarnation);
+        let news_until = now + NEWS_TIME;
+        if let Some(known) = self.suspicions.get_mut(&key)
+            && known.expires > now
+        {
+            if mark.kind < known.kind {
+                // The other node missed the news.
+                known.news_until = news_until;
+            }
+            if mark.kind <= known.kind {
+                return false;
+            }
+            known.kind = mark.kind;
+            known.news_until = news_until;
+            return true;
+        }
+        let suspicion = Suspicion {
+            kind: mark.kind,
+            since: now,
+            expires: now + mark.valid.min(SUSPICION_TTL),
+            news_until,
+        };
+        self.suspicions.insert(key, suspicion);
+        self.limit(now);
+        mark.kind != Kind::Withdrawn
+    }
+
+    /// Withdraws the suspicions against a request; returns whether there were any.
+    pub fn withdraw_request(&mut self, now: time::Instant, fingerprint: id::Fingerprint) -> bool {
+        let mut changed = false;
+        for (_, known) in self.suspicions.range_mut(keys(fingerprint)) {
+            changed |= known.withdraw(now);
+        }
+        changed
+    }
+
+    /// Withdraws the suspicion against a request at the death of an endpoint
+    /// process, which lives.
+    pub fn withdraw_death(
+        &mut self,
+        now: time::Instant,
+        fingerprint: id::Fingerprint,
+        incarnation: id::Incarnation,
+    ) {
+        if let Some(known) = self.suspicions.get_mut(&(fingerprint, incarnation)) {
+            known.withdraw(now);
+        }
+    }
+
+    /// Returns the requests that are suspected at the death of an endpoint process.
+    #[must_use]
+    pub fn suspects(
+        &self,
+        now: time::Instant,
+        incarnation: id::Incarnation,
+    ) -> Vec<id::Fingerprint> {
+        let mut suspects = Vec::new();
+        for ((fingerprint, at), known) in &self.suspicions {
+            if *at == incarnation && known.holds(now) {
+                suspects.push(*fingerprint);
+            }
+        }
+        suspects
+    }
+
+    /// Returns the new suspicions, for the next report to the other nodes.
+    pub fn share(&mut self, now: time::Instant) -> Vec<Mark> {
+        self.suspicions.retain(|_, known| known.expires > now);
+        let mut news = Vec::new();
+        for (key, known) in &self.suspicions {
+            if known.news_until > now {
+                news.push((*key, known.mark(now, *key)));
+            }
+        }
+        take_turn(news, &mut self.next_news, MAX_SHARED)
+    }
+
+    /// Returns how many suspicions were dropped for lack of space since the last
+    /// call.
+    pub fn take_dropped(&mut self) -> u64 {
+        std::mem::take(&mut self.dropped)
+    }
+
+    /// Drops the oldest suspicions beyond [`MAX_SUSPICIONS`].
+    fn limit(&mut self, now: time::Instant) {
+        if self.suspicions.len() <= MAX_SUSPICIONS {
+            return;
+        }
+        self.suspicions.retain(|_, known| known.expires > now);
+        while self.suspicions.len() > MAX_SUSPICIONS {
+            let oldest = self.suspicions.iter().min_by_key(|(_, known)| known.since);
+            let Some((&key, _)) = oldest else {
+                return;
+            };
+            self.suspicions.remove(&key);
+            self.dropped += 1;
+        }
+    }
+
+    /// Returns the suspicions against a request that hold.
+    fn valid(
+        &self,
+        now: time::Instant,
+        fingerprint: id::Fingerprint,
+    ) -> impl Iterator<Item = &Suspicion> {
+        let known = self.suspicions.range(keys(fingerprint));
+        known
+            .map(|(_, known)| known)
+            .filter(move |known| known.holds(now))
+    }
+}
+
+impl Suspicion {
+    /// Returns whether it counts against its request.
+    fn holds(&self, now: time::Instant) -> bool {
+        self.expires > now && self.kind != Kind::Withdrawn
+    }
+
+    fn withdraw(&mut self, now: time::Instant) -> bool {
+        if self.kind == Kind::Withdrawn {
+            return false;
+        }
+        self.kind = Kind::Withdrawn;
+        self.news_until = now + NEWS_TIME;
+        true
+    }
+
+    fn mark(&self, now: time::Instant, (fingerprint, incarnation): Key) -> Mark {
+        Mark {
+            fingerprint,
+            incarnation,
+            kind: self.kind,
+            valid: self.expires.since(now),
+        }
+    }
+}
+
+/// Returns the range of all keys of a request.
+fn keys(fingerprint: id::Fingerprint) -> std::ops::RangeInclusive<Key> {
+    (fingerprint, id::Incarnation(u64::MIN))..=(fingerprint, id::Incarnation(u64::MAX))
+}
+
+/// Returns up to `room` of the marks, which are sorted by key, beginning at `next`;
+/// sets `next` to the first that is left.
+fn take_turn(mut marks: Vec<(Key, Mark)>, next: &mut Option<Key>, room: usize) -> Vec<Mark> {
+    let start = marks.partition_point(|(key, _)| next.is_some_and(|next| *key < next));
+    marks.rotate_left(start);
+    *next = marks.get(room).map(|(key, _)| *key);
+    marks.into_iter().take(room).map(|(_, mark)| mark).collect()
+}
--- a/proto/schema/gateway.capnp
+++ b/proto/schema/gateway.capnp
@@ -36,10 +36,15 @@
   demand @2 :Float64;
 }
 
-# A request that may crash endpoints.
+# A request that may crash endpoints, at the death of one of them.
 struct Mark {
   fingerprint @0 :UInt64;
   validMs @1 :UInt64;
+  # Process of that endpoint.
+  incarnation @2 :UInt64;
+  # 1: it fell silent; 2: it died; 3: the suspicion is withdrawn. Zero comes from
+  # nodes that know no kinds, and is left out.
+  kind @3 :UInt8;
 }
 
 # What nodes ask of each other.
--- a/proto/src/gateway_capnp.rs
+++ b/proto/src/gateway_capnp.rs
@@ -1100,11 +1100,19 @@
         pub fn get_valid_ms(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_kind(self) -> u8 {
+            self.reader.get_data_field::<u8>(24)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1170,6 +1178,22 @@
         pub fn set_valid_ms(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(1, value);
         }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_kind(self) -> u8 {
+            self.builder.get_data_field::<u8>(24)
+        }
+        #[inline]
+        pub fn set_kind(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(24, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1181,38 +1205,52 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(99, 137, 134, 190, 193, 1, 142, 151),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(39, 106, 78, 201, 208, 163, 248, 177),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 77, 97),
             ::capnp::word(114, 107, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 24, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
             ::capnp::word(105, 110, 116, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -1230,11 +1268,30 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 105, 110, 100, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1248,9 +1305,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,3,1];
         pub(crate) const TYPE_ID: u64 = 0x978e_01c1_be86_8963;
     }
 }
