chain: read the verdict before each send

A request that was confirmed to crash endpoints while it waited, or while an earlier attempt ran, was retried or resumed all the same, and several copies of a suspect ran at once.

Cause: the verdict was read when the request was received, and never again.

Now it is read before each send, also before a retry and a resumption. A suspect is not sent while another copy of it runs at the node, or while its last endpoint is still being examined: callers get 503 with a second to wait if nothing ran, an endpoint's own error if there is one, 502 otherwise.

a_request_found_out_while_it_runs_is_not_sent_again fails before in both cases: the other endpoint gets the request after three deaths are known.

--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -16,6 +16,7 @@
     dispatcher::{self, Choice, Outcome, Timing},
     id,
     plan::Plan,
+    quarantine::Verdict,
     quota::Limiter,
     refusal,
     route::{Retry, Route},
@@ -42,6 +43,9 @@
 /// Retry delay of refusals for which no better one is known, such as those of a
 /// node that has no plan yet.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Retry delay of a request that is suspected of crashing endpoints while another
+/// copy of it runs.
+const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Failed connection attempts after which a request is abandoned.
 const MAX_CONNECT_FAILURES: u32 = 6;
 /// Subtracted from the caller's time limits, so that the answer reaches it in
@@ -290,22 +294,62 @@
         correlation_id: &str,
         fingerprint: id::Fingerprint,
     ) -> Result<(), Refused> {
+        let verdict = self
+            .crashes
+            .read(|detector, now| detector.verdict(now, fingerprint));
+        if verdict != Verdict::Confirmed {
+            return Ok(());
+        }
+        Err(self.refuse_quarantined(correlation_id, fingerprint, false))
+    }
+
+    /// Refuses a request that may crash endpoints, which was not sent now; an
+    /// earlier attempt may have run it.
+    fn refuse_quarantined(
+        &self,
+        correlation_id: &str,
+        fingerprint: id::Fingerprint,
+        may_have_run: bool,
+    ) -> Refused {
         let refused_for = self
             .crashes
             .read(|detector, now| detector.refused_for(now, fingerprint));
-        let Some(retry_after) = refused_for else {
-            return Ok(());
-        };
         tracing::info!(
             id = correlation_id,
             %fingerprint,
-            refused_for_ms = millis(retry_after),
+            refused_for_ms = refused_for.map(millis),
+            may_have_run,
             "request not sent: it may crash endpoints"
         );
-        Err(Refused::from_core(refusal::Refusal {
+        if may_have_run {
+            return Refused::may_have_run(
+                StatusCode::BAD_GATEWAY,
+                Reason::Core(refusal::Reason::Quarantine),
+                "endpoints died while they ran this request; do not send it again unchanged",
+            );
+        }
+        Refused::from_core(refusal::Refusal {
             reason: refusal::Reason::Quarantine,
-            retry_after,
-        }))
+            retry_after: refused_for.unwrap_or(SUSPECT_RETRY_AFTER),
+        })
+    }
+
+    /// Records that a request is about to be sent to the chosen endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Fails with a refusal if the request may crash endpoints and must not be
+    /// sent now.
+    pub fn start_flight(
+        &self,
+        job: &Job,
+        choice: &Choice,
+        progress: &Progress,
+    ) -> Result<Flight, Refused> {
+        let started = self.crashes.start(&job.service, job.fingerprint, choice);
+        started.map_err(|_verdict| {
+            self.refuse_quarantined(&job.correlation_id, job.fingerprint, progress.may_have_run)
+        })
     }
 
     /// Charges a request against its workspace's quota; returns its tier.
@@ -364,7 +408,13 @@
                     break;
                 }
             };
-            let flight = self.crashes.start(&job.service, job.fingerprint, &choice);
+            let flight = match self.start_flight(&job, &choice, &progress) {
+                Ok(flight) => flight,
+                Err(refused) => {
+                    fallback = Some(Fallback::prefer_answer(fallback, refused.into()));
+                    break;
+                }
+            };
             if progress.sends == 0 {
                 lock(&self.budget).record_request(self.clock.now(), &job.service);
             }
--- a/gateway/src/crashes.rs
+++ b/gateway/src/crashes.rs
@@ -74,15 +74,18 @@
     }
 
     /// Records that a request is about to be sent to the chosen endpoint.
-    #[must_use]
+    ///
+    /// # Errors
+    ///
+    /// Fails with the verdict if it must not be sent.
     pub fn start(
         &self,
         service: &id::Service,
         fingerprint: id::Fingerprint,
         choice: &Choice,
-    ) -> Flight {
+    ) -> Result<Flight, Verdict> {
         let now = self.shared.clock.now();
-        let attempt = self.lock().start(now, fingerprint, &choice.endpoint);
+        let attempt = self.lock().start(now, fingerprint, &choice.endpoint)?;
         let target = Target {
             endpoint: choice.endpoint.clone(),
             address: choice.address.clone(),
@@ -90,10 +93,10 @@
             service: service.clone(),
             lost: now,
         };
-        Flight {
+        Ok(Flight {
             handle: self.clone(),
             inner: Some((attempt, target)),
-        }
+        })
     }
 
     /// Returns the suspicions to report to the other nodes.
@@ -223,7 +226,9 @@
 impl Flight {
     /// Records that the attempt ended with an answer, or that it did not run.
     pub fn finish(mut self) {
-        self.inner = None;
+        if let Some((attempt, _)) = self.inner.take() {
+            self.handle.lock().finish(&attempt);
+        }
     }
 
     /// Records that its endpoint was heard.
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -249,9 +249,9 @@
                 cause,
                 "stream is resumed at another endpoint"
             );
-            let flight = chain
-                .crashes
-                .start(&self.job.service, self.job.fingerprint, &choice);
+            let Ok(flight) = chain.start_flight(&self.job, &choice, &self.progress) else {
+                return false;
+            };
             chain.metrics.resumed.inc();
             let after = self.last_event_id;
             let attempt = attempt::send(&chain, &self.job, &choice, after, permit, &flight).await;
--- a/gateway/tests/test_quarantine.rs
+++ b/gateway/tests/test_quarantine.rs
@@ -2,19 +2,28 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use common::{
-    Gateway,
+    Endpoint, Gateway, Step, answer_with,
     cluster::Cluster,
+    event, events,
     fragile::{End, Fleet, Return},
-    plan, status,
+    is_complete, plan, status, stream_head,
 };
 use dottereltally_gateway::{chain, dialect::Head};
-use dottereltally_lib::{id, quarantine::Verdict};
+use dottereltally_lib::{
+    id,
+    quarantine::Verdict,
+    suspicion::{Kind, Mark},
+};
 use rstest::rstest;
-use tokio::{task::JoinSet, time::sleep};
+use tokio::{
+    sync::Notify,
+    task::JoinSet,
+    time::{sleep, timeout},
+};
 
 /// Endpoints that a crashing request may end: three, and the three retries that
 /// the users' rules allow after the third.
@@ -120,9 +129,7 @@
     }
     first.join_all().await;
     for gateway in &cluster.gateways {
-        while verdict(gateway, fingerprint_of("/safe/fatal")) != Verdict::Confirmed {
-            sleep(Duration::from_millis(10)).await;
-        }
+        wait_until_confirmed(gateway, fingerprint_of("/safe/fatal")).await;
     }
     let ended = fleet.ended();
     for gateway in &cluster.gateways {
@@ -140,13 +147,66 @@
     fleet.list_at(&gateway.chain);
     for _ in 0..10 {
         let calling = gateway.get("/once/fatal", "");
-        let _left = tokio::time::timeout(Duration::from_millis(200), calling).await;
+        let _left = timeout(Duration::from_millis(200), calling).await;
         sleep(Duration::from_millis(500)).await;
     }
     let ended = fleet.ended();
     assert!(ended <= MOST_ENDED, "{ended} endpoints ended");
 }
 
+/// Guards against a verdict that is read on arrival only: a request that is found
+/// out while it runs is neither retried nor resumed.
+#[rstest]
+#[case::whole("/safe/x")]
+#[case::stream("/stream/x")]
+#[tokio::test]
+async fn a_request_found_out_while_it_runs_is_not_sent_again(#[case] path: &str) {
+    let release = Arc::<Notify>::default();
+    let steps = if path.contains("stream") {
+        let wait = Step::Wait(Arc::clone(&release));
+        vec![stream_head(), event(1), wait, Step::Close]
+    } else {
+        vec![Step::Wait(Arc::clone(&release)), answer_with(500, "oops")]
+    };
+    let endpoint = Endpoint::start(vec![steps]).await;
+    let other = Endpoint::start(Vec::new()).await;
+    let gateway = Gateway::start(Some(plan()), &[&endpoint, &other]).await;
+    let address = gateway.address;
+    let wanted = path.to_owned();
+    let calling = tokio::spawn(async move { common::get(address, &wanted, "").await });
+    while endpoint.requests().is_empty() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let fingerprint = fingerprint_of(path);
+    for incarnation in 0..3 {
+        let mark = Mark {
+            fingerprint,
+            incarnation: id::Incarnation(incarnation),
+            kind: Kind::Died,
+            valid: Duration::from_mins(1),
+        };
+        let node = id::Node::from("n");
+        let data_centre = id::DataCentre::from("dc");
+        gateway
+            .chain
+            .crashes
+            .apply_marks(&node, &data_centre, &[mark]);
+    }
+    release.notify_one();
+    let answer = calling.await.unwrap();
+    if path.contains("stream") {
+        assert_eq!(events(&answer), ["d1"]);
+        assert!(!is_complete(&answer));
+    } else {
+        assert_eq!(status(&answer), 500, "the endpoint's own answer");
+    }
+    let sent = other.requests();
+    assert!(
+        !sent.iter().any(|request| request.contains(path)),
+        "{sent:?}"
+    );
+}
+
 /// An endpoint that loses answers, but lives, makes no request suspect.
 #[tokio::test]
 async fn a_request_whose_answers_are_lost_is_not_refused() {
@@ -237,3 +297,15 @@
     let crashes = &gateway.chain.crashes;
     crashes.read(|detector, now| detector.verdict(now, fingerprint))
 }
+
+/// Waits until a node refuses a request.
+async fn wait_until_confirmed(gateway: &Gateway, fingerprint: id::Fingerprint) {
+    let waiting = async {
+        while verdict(gateway, fingerprint) != Verdict::Confirmed {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(Duration::from_secs(30), waiting)
+        .await
+        .expect("the node learns of the crashing request");
+}
--- a/lib/src/crash.rs
+++ b/lib/src/crash.rs
@@ -32,6 +32,7 @@
 
 /// A request that runs at an endpoint.
 #[derive(Debug)]
+#[must_use = "an attempt that is not ended counts as running"]
 pub struct Attempt {
     fingerprint: id::Fingerprint,
     endpoint: id::Endpoint,
@@ -107,6 +108,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Detector {
     register: Register,
+    /// Numbers of copies of each request that this node runs.
+    running: BTreeMap<id::Fingerprint, usize>,
     losses: VecDeque<Loss>,
     /// Losses that were dropped for lack of space.
     dropped_losses: u64,
@@ -152,23 +155,51 @@
     }
 
     /// Records that a request is about to be sent to an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the verdict if the request must not be sent: it is known to
+    /// crash endpoints, or is suspected and already runs at this node, or was lost
+    /// at an endpoint that is still being examined.
     pub fn start(
         &mut self,
         now: time::Instant,
         fingerprint: id::Fingerprint,
         endpoint: &id::Endpoint,
-    ) -> Attempt {
-        Attempt {
+    ) -> Result<Attempt, Verdict> {
+        let verdict = self.verdict(now, fingerprint);
+        let refused = match verdict {
+            Verdict::Clear => false,
+            Verdict::Suspect => self.is_unsettled(fingerprint),
+            Verdict::Confirmed => true,
+        };
+        if refused {
+            return Err(verdict);
+        }
+        *self.running.entry(fingerprint).or_default() += 1;
+        Ok(Attempt {
             fingerprint,
             endpoint: endpoint.clone(),
             incarnation: self.incarnation(endpoint),
             started: now,
+        })
+    }
+
+    /// Records that an attempt ended with an answer, or that it did not run.
+    pub fn finish(&mut self, attempt: &Attempt) {
+        let Some(running) = self.running.get_mut(&attempt.fingerprint) else {
+            return;
+        };
+        *running -= 1;
+        if *running == 0 {
+            self.running.remove(&attempt.fingerprint);
         }
     }
 
     /// Records that an attempt ended without a complete answer; returns whether
     /// the examination of its endpoint must now start (see [`Self::conclude`]).
     pub fn lose(&mut self, now: time::Instant, attempt: Attempt) -> bool {
+        self.finish(&attempt);
         if self.losses.len() >= MAX_LOSSES {
             self.losses.pop_front();
             self.dropped_losses += 1;
@@ -374,6 +405,14 @@
         changes
     }
 
+    /// Returns whether a request runs at this node or was lost at an endpoint that
+    /// is still being examined.
+    fn is_unsettled(&self, fingerprint: id::Fingerprint) -> bool {
+        let mut losses = self.losses.iter();
+        self.running.contains_key(&fingerprint)
+            || losses.any(|loss| loss.fingerprint == fingerprint && !loss.examined)
+    }
+
     fn incarnation(&self, endpoint: &id::Endpoint) -> id::Incarnation {
         id::Incarnation::new(endpoint, self.started.get(endpoint).copied())
     }
--- a/lib/tests/test_crash.rs
+++ b/lib/tests/test_crash.rs
@@ -23,7 +23,8 @@
 }
 
 fn start(detector: &mut Detector, millis: u64, name: &str) -> Attempt {
-    detector.start(at(millis), REQUEST, &endpoint(name))
+    let started = detector.start(at(millis), REQUEST, &endpoint(name));
+    started.expect("the request may be sent")
 }
 
 /// Loses the request at an endpoint; the examination 500 ms later has this finding.
@@ -142,6 +143,31 @@
     assert_eq!(detector.verdict(at(500_000), REQUEST), Verdict::Confirmed);
 }
 
+#[test]
+fn a_suspect_runs_once_at_a_time() {
+    let mut detector = Detector::default();
+    crash(&mut detector, 1000, "a");
+    let first = start(&mut detector, 2000, "b");
+    let second = detector.start(at(2000), REQUEST, &endpoint("c"));
+    assert_eq!(second.err(), Some(Verdict::Suspect));
+    detector.finish(&first);
+    assert!(detector.start(at(2100), REQUEST, &endpoint("c")).is_ok());
+}
+
+/// Guards against a retry that crashes one more endpoint before the death of the
+/// last one is known.
+#[test]
+fn a_suspect_waits_for_the_examination_of_its_last_endpoint() {
+    let mut detector = Detector::default();
+    crash(&mut detector, 1000, "a");
+    let attempt = start(&mut detector, 2000, "b");
+    detector.lose(at(2100), attempt);
+    let retried = detector.start(at(2110), REQUEST, &endpoint("c"));
+    assert_eq!(retried.err(), Some(Verdict::Suspect));
+    detector.conclude(at(2200), &endpoint("b"), at(2100), Finding::Alive);
+    assert!(detector.start(at(2300), REQUEST, &endpoint("c")).is_ok());
+}
+
 /// Guards against a death that goes uncounted as the endpoint is back at once: the
 /// examination already reaches its next process.
 #[rstest]
@@ -210,7 +236,7 @@
 fn a_request_sent_after_a_death_did_not_cause_it() {
     let mut detector = Detector::default();
     let other = id::Fingerprint(8);
-    let attempt = detector.start(at(1000), other, &endpoint("a"));
+    let attempt = detector.start(at(1000), other, &endpoint("a")).unwrap();
     detector.lose(at(1100), attempt);
     detector.conclude(at(1200), &endpoint("a"), at(1100), Finding::Dead);
     crash(&mut detector, 1300, "a");
@@ -267,7 +293,7 @@
     let mut detector = Detector::default();
     for number in 0..5000 {
         let request = id::Fingerprint(number);
-        let attempt = detector.start(at(1000), request, &endpoint("a"));
+        let attempt = detector.start(at(1000), request, &endpoint("a")).unwrap();
         detector.lose(at(1000), attempt);
     }
     assert_eq!(detector.take_dropped(), 4000);
