suspicion: repeat the suspicions against crashing requests

A node that was cut off, paused or starting when a request was found out went on sending it to endpoints.

Cause: marks were in heartbeats for 2 s after they were set, and never again; a heartbeat is a datagram that may be lost. The class of fault: state that is told once and not repaired.

Now the suspicions against requests at two or more deaths are in every heartbeat, in turn where they are many; a node that reports one which was withdrawn is told so again.

--- a/gateway/tests/test_quarantine.rs
+++ b/gateway/tests/test_quarantine.rs
@@ -96,10 +96,10 @@
 }
 
 /// Guards against a crashing request that each node has to find out about by
-/// itself.
+/// itself, a node that started after it was found included.
 #[tokio::test]
 async fn a_crashing_request_is_refused_by_every_node() {
-    let cluster = Cluster::start(3).await;
+    let mut cluster = Cluster::start(3).await;
     let fleet = Fleet::start(24, End::Close, BACK).await;
     for gateway in &cluster.gateways {
         fleet.list_at(&gateway.chain);
@@ -112,6 +112,12 @@
     }
     let ended = fleet.ended();
     assert!(ended <= MOST_ENDED, "{ended} endpoints ended");
+    cluster.add().await;
+    let late = cluster.gateways.last().unwrap();
+    fleet.list_at(&late.chain);
+    let fingerprint = fingerprint_of("/safe/fatal");
+    wait_until_confirmed(late, fingerprint).await;
+    assert!(late.get("/safe/fatal", "").await.contains("quarantine"));
     assert_eq!(fleet.ended(), ended);
 }
 
--- a/lib/src/suspicion.rs
+++ b/lib/src/suspicion.rs
@@ -28,7 +28,7 @@
 const MAX_SUSPICIONS: usize = 4096;
 
 /// Time for which a new suspicion is shared in every report.
-const NEWS_TIME: Duration = Duration::from_secs(2);
+const NEWS_TIME: Duration = Duration::from_secs(5);
 
 /// Most suspicions in one report.
 const MAX_SHARED: usize = 32;
@@ -91,7 +91,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Register {
     suspicions: BTreeMap<Key, Suspicion>,
-    /// Where the next report continues.
+    /// Where the next report continues with requests at several deaths.
+    next_repeated: Option<Key>,
+    /// Where the next report continues with the other new suspicions.
     next_news: Option<Key>,
     /// Suspicions that were dropped for lack of space.
     dropped: u64,
@@ -237,16 +239,30 @@
         suspects
     }
 
-    /// Returns the new suspicions, for the next report to the other nodes.
+    /// Returns the suspicions for the next report to the other nodes: in turn those
+    /// against requests at two or more deaths, which nodes that were cut off or
+    /// started since must know, and the new ones.
     pub fn share(&mut self, now: time::Instant) -> Vec<Mark> {
         self.suspicions.retain(|_, known| known.expires > now);
+        let mut repeated = Vec::new();
         let mut news = Vec::new();
-        for (key, known) in &self.suspicions {
-            if known.news_until > now {
-                news.push((*key, known.mark(now, *key)));
+        let all: Vec<(Key, Suspicion)> = self.suspicions.iter().map(|(k, v)| (*k, *v)).collect();
+        for of_request in all.chunk_by(|((left, _), _), ((right, _), _)| left == right) {
+            let holding = of_request.iter().filter(|(_, known)| known.holds(now));
+            let deaths = holding.count();
+            for (key, known) in of_request {
+                if deaths >= SUSPICIOUS_DEATHS && known.holds(now) {
+                    repeated.push((*key, known.mark(now, *key)));
+                } else if known.news_until > now {
+                    news.push((*key, known.mark(now, *key)));
+                }
             }
         }
-        take_turn(news, &mut self.next_news, MAX_SHARED)
+        let room = MAX_SHARED - news.len().min(MAX_SHARED / 4);
+        let mut marks = take_turn(repeated, &mut self.next_repeated, room);
+        let room = MAX_SHARED - marks.len();
+        marks.extend(take_turn(news, &mut self.next_news, room));
+        marks
     }
 
     /// Returns how many suspicions were dropped for lack of space since the last
--- a/lib/tests/test_crash.rs
+++ b/lib/tests/test_crash.rs
@@ -89,6 +89,21 @@
     assert_eq!(other.verdict(at(2800), REQUEST), Verdict::Confirmed);
 }
 
+/// Guards against nodes that never learn of a crashing request, because they were
+/// cut off, paused or not yet started when it was found.
+#[test]
+fn a_node_that_starts_a_minute_later_learns_of_a_crashing_request() {
+    let mut detector = Detector::default();
+    for (number, name) in ["a", "b", "c"].into_iter().enumerate() {
+        let mut finder = Detector::default();
+        crash(&mut finder, 1000 + number as u64, name);
+        share(&mut finder, &mut detector, 1700);
+    }
+    let mut late = Detector::default();
+    share(&mut detector, &mut late, 61_000);
+    assert_eq!(late.verdict(at(61_100), REQUEST), Verdict::Confirmed);
+}
+
 /// Guards against deaths that count only at the node that found them.
 #[test]
 fn deaths_found_by_different_nodes_at_once_add_up() {
@@ -120,6 +135,22 @@
     assert_eq!(other.verdict(at(2200), REQUEST), Verdict::Clear);
 }
 
+/// A node that missed a clearance reports the suspicion again, long after the
+/// clearance was news.
+#[test]
+fn a_missed_clearance_is_repeated() {
+    let mut one = Detector::default();
+    let mut other = Detector::default();
+    crash(&mut one, 1000, "a");
+    crash(&mut one, 1700, "b");
+    share(&mut one, &mut other, 2400);
+    one.clear(at(2500), REQUEST);
+    share(&mut other, &mut one, 60_000);
+    assert_eq!(one.verdict(at(60_100), REQUEST), Verdict::Clear);
+    share(&mut one, &mut other, 60_100);
+    assert_eq!(other.verdict(at(60_200), REQUEST), Verdict::Clear);
+}
+
 #[test]
 fn two_silent_endpoints_do_not_confirm_but_three_do() {
     let mut detector = Detector::default();
@@ -288,6 +319,33 @@
     assert_eq!(other.verdict(at(620_000), REQUEST), Verdict::Clear);
 }
 
+/// One report stays within the size of a datagram, and what it leaves out follows.
+#[test]
+fn reports_are_bounded_and_name_every_crashing_request_in_turn() {
+    let mut detector = Detector::default();
+    for number in 0..100 {
+        let request = id::Fingerprint(number);
+        for name in ["a", "b"] {
+            let name = endpoint(&format!("{name}{number}"));
+            let attempt = detector.start(at(1000), request, &name).unwrap();
+            detector.lose(at(1000), attempt);
+            detector.conclude(at(1000), &name, at(1000), Finding::Dead);
+        }
+    }
+    let mut late = Detector::default();
+    for report in 0..20 {
+        let marks = detector.marks_to_share(at(20_000 + report));
+        assert!(marks.len() <= 32);
+        for mark in marks {
+            late.apply_mark(at(20_000 + report), mark);
+        }
+    }
+    for number in 0..100 {
+        let verdict = late.verdict(at(20_100), id::Fingerprint(number));
+        assert_eq!(verdict, Verdict::Confirmed, "request {number}");
+    }
+}
+
 #[test]
 fn evidence_is_bounded_and_what_is_dropped_is_counted() {
     let mut detector = Detector::default();
