--- a/gateway/tests/test_heartbeat.rs
+++ b/gateway/tests/test_heartbeat.rs
@@ -4,10 +4,12 @@
 
 use dottereltally_gateway::heartbeat::Heartbeat;
 use dottereltally_lib::{
+    crash::Detector,
     dispatcher::Load,
     id,
     quota::Usage,
     suspicion::{Kind, Mark},
+    time,
 };
 
 #[test]
@@ -51,3 +53,31 @@
     assert!(Heartbeat::decode(b"").is_err());
     assert!(Heartbeat::decode(&[0xff; 40]).is_err());
 }
+
+/// A report of suspicions leaves most of a datagram to the rest of the heartbeat.
+#[test]
+fn a_full_report_of_suspicions_is_small() {
+    let mut detector = Detector::default();
+    let now = time::Instant::from_micros(1);
+    for number in 0..200_u64 {
+        let incarnation = id::Incarnation(number.wrapping_mul(u64::MAX / 3));
+        detector.apply_mark(
+            now,
+            Mark {
+                fingerprint: id::Fingerprint((number / 2).wrapping_mul(u64::MAX / 7)),
+                incarnation,
+                kind: Kind::Died,
+                valid: Duration::from_mins(10),
+            },
+        );
+    }
+    let marks = detector.marks_to_share(now);
+    let heartbeat = Heartbeat {
+        marks,
+        ..Heartbeat::default()
+    };
+    let full = heartbeat.encode().unwrap().len();
+    let empty = Heartbeat::default().encode().unwrap().len();
+    assert!(full - empty < 1024, "{full} and {empty} bytes");
+    println!("{} bytes for {} marks", full - empty, heartbeat.marks.len());
+}
