suspects: add up the deaths that different nodes saw

A request that two nodes sent at the same time, each to an endpoint that died, was not refused: it waited as a suspect and ended a third endpoint.

Cause: the mark of a confirmed request was only set by a node that saw a death while it already knew of another one.

Now a node that receives marks counts at how many endpoints' deaths a suspect is marked, and confirms it itself. Marks, messages and their sizes are unchanged. deaths_seen_by_two_nodes_at_once_add_up fails before: the request is not refused.

--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -151,6 +151,19 @@
         self.cleared.retain(|_, until| *until > now);
     }
 
+    /// Returns at how many of these endpoints' deaths the request is marked as in
+    /// flight.
+    #[must_use]
+    pub fn count_deaths<'a>(
+        &self,
+        now: time::Instant,
+        fingerprint: id::Fingerprint,
+        endpoints: impl Iterator<Item = &'a id::Endpoint>,
+    ) -> usize {
+        let deaths = endpoints.map(|endpoint| death_mark(fingerprint, endpoint));
+        deaths.filter(|death| self.is_marked(now, *death)).count()
+    }
+
     fn is_marked(&self, now: time::Instant, mark: id::Fingerprint) -> bool {
         self.marks.get(&mark).is_some_and(|until| *until > now)
     }
--- a/lib/src/suspects.rs
+++ b/lib/src/suspects.rs
@@ -9,7 +9,7 @@
     flight::Waiting,
     health::DEATH_SPAN,
     id,
-    quarantine::Verdict,
+    quarantine::{self, Verdict},
     refusal::Reason,
     rendezvous,
     scheduler::Scheduler,
@@ -27,6 +27,9 @@
 /// death still marks the requests in flight.
 const MAX_OTHER_DEATHS: usize = 1;
 
+/// Number of deaths that confirm a suspect.
+const CONFIRMING_DEATHS: usize = 2;
+
 impl Scheduler {
     /// Applies marks received from a peer.
     pub(crate) fn apply_marks(
@@ -34,12 +37,32 @@
         now: time::Instant,
         marks: Vec<(id::Fingerprint, Duration)>,
     ) {
-        for (mark, valid) in marks {
-            self.marks.add(now, mark, valid);
+        for (mark, valid) in &marks {
+            self.marks.add(now, *mark, *valid);
+        }
+        for (mark, _) in marks {
+            self.confirm(now, mark);
         }
         self.refuse_confirmed(now);
     }
 
+    /// Confirms a suspect if it was in flight at two deaths, each of which may
+    /// have been seen by another node.
+    fn confirm(&mut self, now: time::Instant, fingerprint: id::Fingerprint) {
+        if self.marks.verdict(now, fingerprint) != Verdict::Suspect {
+            return;
+        }
+        let slots = self.fleet.slots().into_iter();
+        let endpoints = slots.filter_map(|slot| self.fleet.get(slot));
+        let names = endpoints.map(|endpoint| &endpoint.record.id);
+        if self.marks.count_deaths(now, fingerprint, names) < CONFIRMING_DEATHS {
+            return;
+        }
+        let mark = quarantine::confirmed_mark(fingerprint);
+        self.marks.add(now, mark, quarantine::MARK_TTL);
+        self.effects.push(Effect::Quarantine(mark));
+    }
+
     /// Queues a suspect until an endpoint can be reserved for it.
     pub(crate) fn queue_suspect(
         &mut self,
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -218,3 +218,23 @@
     }
     assert!(endpoint.is_some());
 }
+
+/// Guards against deaths that count only at the node that saw them: each of two
+/// nodes sees one, and neither knew of the other's at the time.
+#[test]
+fn deaths_seen_by_two_nodes_at_once_add_up() {
+    let mut one = core(Policy::TwoChoices, 10_000, 4);
+    let mut two = core(Policy::TwoChoices, 10_000, 4);
+    let first = admitted(&arrive(&mut one, 0, 1, with_fingerprint(0, 7)), 1).expect("admitted");
+    two.handle(at(0), Event::Probed(first.clone(), false));
+    let second = admitted(&arrive(&mut two, 1, 1, with_fingerprint(0, 7)), 1).expect("admitted");
+    assert_ne!(first, second);
+    let marks_of_one = kill_endpoint(&mut one, 10, first.as_str(), &[1]);
+    let marks_of_two = kill_endpoint(&mut two, 10, second.as_str(), &[1]);
+    share_marks(&mut one, 200, &marks_of_two);
+    share_marks(&mut two, 200, &marks_of_one);
+    for node in [&mut one, &mut two] {
+        let effects = arrive(node, 300, 2, with_fingerprint(0, 7));
+        assert_eq!(refused(&effects, 2).expect("refused").0, Reason::Quarantine);
+    }
+}
