suspects: mark a request that is at many deaths

A crashing request was never suspected if two other endpoints had died within the last five seconds: all deaths were then ascribed to the network, and nobody was marked.

Cause: the guard for victims of the network looked at the number of deaths only. What tells a cause from a victim is that it is in flight at one death after the other.

--- a/lib/src/health.rs
+++ b/lib/src/health.rs
@@ -201,6 +201,10 @@
     pub(crate) fn tick(&mut self, now: time::Instant) {
         self.marks.expire(now);
         self.deaths.retain(|_, at| now.since(*at) <= DEATH_SPAN);
+        self.unmarked_deaths.retain(|_, deaths| {
+            deaths.retain(|_, at| now.since(*at) <= DEATH_SPAN);
+            !deaths.is_empty()
+        });
         self.probe_due_endpoints(now);
         self.check_overdue_first_tokens(now);
         let services: Vec<id::Service> = self.backlogs.keys().cloned().collect();
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -61,6 +61,8 @@
     pub(crate) marks: Marks,
     /// Last death of each endpoint that died recently.
     pub(crate) deaths: BTreeMap<Slot, time::Instant>,
+    /// Recent deaths, ascribed to the network, at which each request was in flight.
+    pub(crate) unmarked_deaths: BTreeMap<id::Fingerprint, BTreeMap<id::Endpoint, time::Instant>>,
     /// The live nodes, this one included, with their data centres.
     pub(crate) members: Vec<(id::Node, id::DataCentre)>,
     pub(crate) rng: SmallRng,
@@ -88,6 +90,7 @@
             isolation: Isolation::default(),
             marks: Marks::default(),
             deaths: BTreeMap::new(),
+            unmarked_deaths: BTreeMap::new(),
             members: Vec::new(),
             rng,
             round_robin_turn: 0,
--- a/lib/src/suspects.rs
+++ b/lib/src/suspects.rs
@@ -27,6 +27,10 @@
 /// death still marks the requests in flight.
 const MAX_OTHER_DEATHS: usize = 1;
 
+/// Number of deaths, among more than [`MAX_OTHER_DEATHS`], at which a request must
+/// have been in flight to be marked.
+const MIN_REPEATED_DEATHS: usize = 3;
+
 /// Number of deaths that confirm a suspect.
 const CONFIRMING_DEATHS: usize = 2;
 
@@ -185,8 +189,9 @@
         }
     }
 
-    /// Marks the requests that were in flight at an endpoint's death, unless so
-    /// many endpoints died that the network is the likely cause.
+    /// Marks the requests that were in flight at an endpoint's death. If so many
+    /// endpoints died that the network is the likely cause, only those are marked
+    /// that were in flight at several of these deaths.
     pub(crate) fn record_death(&mut self, now: time::Instant, slot: Slot) {
         self.deaths.insert(slot, now);
         let mut others = 0;
@@ -200,9 +205,6 @@
         };
         let name = endpoint.record.id.clone();
         let mut suspects = std::mem::take(&mut endpoint.broken_fingerprints);
-        if others > MAX_OTHER_DEATHS {
-            return;
-        }
         for in_flight in self
             .in_flight
             .values()
@@ -211,13 +213,41 @@
             suspects.insert(in_flight.waiting.profile.fingerprint);
         }
         for fingerprint in suspects {
-            for mark in self.marks.record_death(now, fingerprint, &name) {
-                self.effects.push(Effect::Quarantine(mark));
+            if others <= MAX_OTHER_DEATHS {
+                self.mark_death(now, fingerprint, &name);
+                continue;
+            }
+            // The network ends many endpoints, but only with different requests.
+            let deaths = self.unmarked_deaths.entry(fingerprint).or_default();
+            deaths.insert(name.clone(), now);
+            if deaths.len() < MIN_REPEATED_DEATHS {
+                continue;
+            }
+            for name in self
+                .unmarked_deaths
+                .remove(&fingerprint)
+                .into_iter()
+                .flatten()
+            {
+                self.mark_death(now, fingerprint, &name.0);
             }
         }
         self.refuse_confirmed(now);
     }
 
+    /// Marks a request as in flight at the death of an endpoint, here and at the
+    /// other nodes.
+    fn mark_death(
+        &mut self,
+        now: time::Instant,
+        fingerprint: id::Fingerprint,
+        endpoint: &id::Endpoint,
+    ) {
+        for mark in self.marks.record_death(now, fingerprint, endpoint) {
+            self.effects.push(Effect::Quarantine(mark));
+        }
+    }
+
     /// Reserves an endpoint for a suspect.
     fn reserve(&mut self, now: time::Instant, request: id::Request) -> Option<Slot> {
         let waiting = self.waiting.get(&request)?;
--- a/lib/tests/test_quarantine.rs
+++ b/lib/tests/test_quarantine.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use dottereltally_lib::{
     balance::Policy,
@@ -219,6 +219,46 @@
     assert!(endpoint.is_some());
 }
 
+/// Guards against a crashing request that is taken for a victim of the network, as
+/// other endpoints die at the same time.
+#[test]
+fn a_request_at_three_of_many_deaths_is_refused() {
+    let mut core = core(Policy::RoundRobin, 10_000, 6);
+    let mut running = Vec::new();
+    for request in 0..6 {
+        let fingerprint = if request < 2 { 100 + request } else { 7 };
+        let effects = arrive(&mut core, 0, request, with_fingerprint(0, fingerprint));
+        let endpoint = admitted(&effects, request).expect("admitted");
+        running.push((endpoint, request));
+    }
+    let endpoints: BTreeSet<_> = running.iter().map(|(endpoint, _)| endpoint).collect();
+    assert_eq!(endpoints.len(), 6, "one request at each endpoint");
+    for (endpoint, request) in &running {
+        core.handle(at(5), Event::Probed(endpoint.clone(), true));
+        kill_endpoint(&mut core, 10 + request, endpoint.as_str(), &[*request]);
+    }
+    for (endpoint, _) in &running {
+        core.handle(at(2000), Event::Probed(endpoint.clone(), true));
+    }
+    let effects = arrive(&mut core, 2100, 10, with_fingerprint(0, 7));
+    assert_eq!(
+        refused(&effects, 10).expect("refused").0,
+        Reason::Quarantine
+    );
+    for fingerprint in [100, 101] {
+        let effects = arrive(
+            &mut core,
+            2200,
+            fingerprint,
+            with_fingerprint(0, fingerprint),
+        );
+        assert!(
+            refused(&effects, fingerprint).is_none(),
+            "a victim is served"
+        );
+    }
+}
+
 /// Guards against deaths that count only at the node that saw them: each of two
 /// nodes sees one, and neither knew of the other's at the time.
 #[test]
