controller: keep what is known about refused requests

After all nodes had been killed at once, a request that was known to crash endpoints was sent to endpoints again.

Cause: suspicions were only in the memory of the nodes. The class: knowledge that must last kept where it can't.

Now a node that found out one of the deaths writes the suspicions to the platform's store once, when it begins to refuse the request, under a lease that ends with them: two calls for each such request, none for any other. Every node reads them with the directory, at its start and as they change.

Without the two lines of the controller that apply them, a_crashing_request_is_known_after_all_nodes_ended fails in both cases: the next node learns nothing within 30 s.

--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -6,6 +6,7 @@
 
 mod endpoints;
 pub mod follow;
+mod quarantine;
 mod registration;
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
@@ -16,7 +17,9 @@
 use tokio::sync::watch;
 
 use self::endpoints::Observation;
-pub use self::{endpoints::Endpoints, follow::PollInterval, registration::Registration};
+pub use self::{
+    endpoints::Endpoints, follow::PollInterval, quarantine::keep, registration::Registration,
+};
 use crate::{
     admission, crashes,
     directory::{Change, Changes, Node, Snapshot},
@@ -167,6 +170,7 @@
         if let Some(plan) = snapshot.plan {
             self.adopt_plan(plan);
         }
+        self.outputs.crashes.apply_kept_marks(&snapshot.marks);
         let now = self.outputs.clock.now();
         self.endpoints.replace(now, snapshot.endpoints);
         if !authoritative {
@@ -190,6 +194,7 @@
                 self.nodes.insert(node.name.clone(), node);
                 self.publish_nodes();
             }
+            Change::Quarantined(marks) => self.outputs.crashes.apply_kept_marks(&marks),
             Change::NodeRemoved(name) => {
                 if self.nodes.remove(&name).is_some() {
                     tracing::info!(node = %name, "registration of a node ended");
--- a/gateway/src/crashes.rs
+++ b/gateway/src/crashes.rs
@@ -30,14 +30,24 @@
     pub lost: time::Instant,
 }
 
-/// Receives the endpoints to examine.
-pub type Targets = mpsc::UnboundedReceiver<Target>;
+/// Most refused requests that wait to be kept in the key-value service.
+const MAX_REFUSED: usize = 256;
+
+/// What the detector leaves to other tasks.
+pub struct Tasks {
+    /// The endpoints to examine; each is named once until its examination has ended.
+    pub lost: mpsc::UnboundedReceiver<Target>,
+    /// The requests that this node refuses from now on, to be kept in the key-value
+    /// service.
+    pub refused: mpsc::Receiver<id::Fingerprint>,
+}
 
 struct Shared {
     detector: Mutex<Detector>,
     clock: Clock,
     metrics: Metrics,
-    targets: mpsc::UnboundedSender<Target>,
+    lost: mpsc::UnboundedSender<Target>,
+    refused: mpsc::Sender<id::Fingerprint>,
 }
 
 /// Handle of the node's detector of crashing requests; clones share the detector.
@@ -47,18 +57,23 @@
 }
 
 impl Handle {
-    /// Creates a detector, and the channel that names the endpoints to examine;
-    /// each is named once until its examination has ended.
+    /// Creates a detector.
     #[must_use]
-    pub fn new(clock: Clock, metrics: Metrics) -> (Self, Targets) {
-        let (targets, receiver) = mpsc::unbounded_channel();
+    pub fn new(clock: Clock, metrics: Metrics) -> (Self, Tasks) {
+        let (lost, lost_receiver) = mpsc::unbounded_channel();
+        let (refused, refused_receiver) = mpsc::channel(MAX_REFUSED);
         let shared = Arc::new(Shared {
             detector: Mutex::default(),
             clock,
             metrics,
-            targets,
+            lost,
+            refused,
         });
-        (Self { shared }, receiver)
+        let tasks = Tasks {
+            lost: lost_receiver,
+            refused: refused_receiver,
+        };
+        (Self { shared }, tasks)
     }
 
     /// Reads from the detector.
@@ -151,6 +166,17 @@
     pub fn apply_marks(&self, node: &id::Node, data_centre: &id::DataCentre, marks: &[Mark]) {
         let now = self.shared.clock.now();
         self.lock().record_data_centre_heard(now, data_centre);
+        self.take_over(marks, node.as_str());
+    }
+
+    /// Applies marks that a node kept in the key-value service.
+    pub fn apply_kept_marks(&self, marks: &[Mark]) {
+        self.take_over(marks, "kept in the key-value service");
+    }
+
+    /// Applies marks of other nodes, with the cause for the log.
+    fn take_over(&self, marks: &[Mark], cause: &str) {
+        let now = self.shared.clock.now();
         for mark in marks {
             let change = self.lock().apply_mark(now, *mark);
             let Some(change) = change else {
@@ -159,7 +185,7 @@
             self.shared.metrics.crash_evidence(Evidence::Received);
             // The node that suspects the request has a line of its own for it.
             if change.decisive {
-                self.log([change], node.as_str());
+                self.log([change], cause);
             }
         }
     }
@@ -203,6 +229,13 @@
                 Verdict::Suspect => "request suspected of crashing endpoints",
                 Verdict::Confirmed => "request quarantined: it crashes endpoints",
             };
+            if change.decisive
+                && change.own
+                && change.verdict == Verdict::Confirmed
+                && self.shared.refused.try_send(change.fingerprint).is_err()
+            {
+                tracing::warn!(fingerprint = %change.fingerprint, "quarantine not kept: too many requests wait for it");
+            }
             if change.verdict == Verdict::Clear {
                 self.shared.metrics.crash_evidence(Evidence::Withdrawn);
             }
@@ -254,7 +287,7 @@
         }
         target.lost = now;
         let endpoint = target.endpoint.clone();
-        if shared.targets.send(target).is_err() {
+        if shared.lost.send(target).is_err() {
             tracing::error!(%endpoint, %fingerprint, "nothing examines the endpoint of a lost request");
         }
     }
--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::BTreeMap, future::Future, time::Duration};
 
-use dottereltally_lib::{endpoint, id, plan::Plan};
+use dottereltally_lib::{endpoint, id, plan::Plan, suspicion::Mark};
 use dottereltally_store::kv::{Error, Lease, Revision};
 use serde::{Deserialize, Serialize};
 
@@ -51,6 +51,8 @@
     Node(Node),
     /// A node's registration ended.
     NodeRemoved(id::Node),
+    /// A node kept the suspicions against a request that it refuses.
+    Quarantined(Vec<Mark>),
 }
 
 /// The whole directory at one revision.
@@ -66,6 +68,10 @@
     pub endpoints: BTreeMap<id::Endpoint, Entry>,
     /// The registered nodes.
     pub nodes: Vec<Node>,
+    /// The kept suspicions; nodes report them to each other in heartbeats, so they
+    /// are not sent here.
+    #[serde(skip)]
+    pub marks: Vec<Mark>,
 }
 
 /// Changes up to a revision.
@@ -99,6 +105,18 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Changes, Error>> + Send;
 
+    /// Keeps the suspicions against a request until the last of them expires, so
+    /// that a node learns of them even if all others have ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service can't be reached or does not answer in time.
+    fn quarantine(
+        &self,
+        fingerprint: id::Fingerprint,
+        marks: &[Mark],
+    ) -> impl Future<Output = Result<(), Error>> + Send;
+
     /// Registers this node under a new lease, which expires `ttl` after its last
     /// renewal.
     ///
--- a/gateway/src/examiner.rs
+++ b/gateway/src/examiner.rs
@@ -14,13 +14,14 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::TcpStream,
+    sync::mpsc,
     task::JoinSet,
     time::{sleep, timeout},
 };
 
 use crate::{
     chain::{Chain, millis},
-    crashes::{Target, Targets},
+    crashes::Target,
     dialect::Dialect,
 };
 
@@ -43,7 +44,7 @@
 const MAX_EXAMINATIONS: usize = 64;
 
 /// Examines each endpoint that is received; ends with the channel.
-pub async fn run<D: Dialect>(chain: Arc<Chain<D>>, mut targets: Targets) {
+pub async fn run<D: Dialect>(chain: Arc<Chain<D>>, mut targets: mpsc::UnboundedReceiver<Target>) {
     let mut examinations = JoinSet::new();
     loop {
         tokio::select! {
--- a/gateway/src/heartbeat.rs
+++ b/gateway/src/heartbeat.rs
@@ -69,7 +69,7 @@
             entry.set_fingerprint(mark.fingerprint.0);
             entry.set_valid_ms(u64::try_from(mark.valid.as_millis()).unwrap_or(u64::MAX));
             entry.set_incarnation(mark.incarnation.0);
-            entry.set_kind(write_kind(mark.kind));
+            entry.set_kind(mark.kind.into());
         }
         let mut bytes = Vec::new();
         serialize_packed::write_message(&mut bytes, &message)?;
@@ -105,7 +105,7 @@
         }
         for entry in root.get_marks()? {
             // A node of an older version names no kind that is known here.
-            let Some(kind) = read_kind(entry.get_kind()) else {
+            let Ok(kind) = Kind::try_from(entry.get_kind()) else {
                 continue;
             };
             heartbeat.marks.push(Mark {
@@ -119,23 +119,6 @@
     }
 }
 
-fn write_kind(kind: Kind) -> u8 {
-    match kind {
-        Kind::Silent => 1,
-        Kind::Died => 2,
-        Kind::Withdrawn => 3,
-    }
-}
-
-fn read_kind(number: u8) -> Option<Kind> {
-    match number {
-        1 => Some(Kind::Silent),
-        2 => Some(Kind::Died),
-        3 => Some(Kind::Withdrawn),
-        _ => None,
-    }
-}
-
 /// Encodes the load of a node on each endpoint.
 pub(crate) fn write_loads(
     entries: &[(Endpoint, Load)],
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -41,7 +41,7 @@
     chain::{Chain, lock},
     controller::{self, Controller, Outputs, PollInterval, Registration},
     coordinator::Link,
-    crashes::{self, Targets},
+    crashes,
     dialect::Dialect,
     directory::{self, Snapshot, Source},
     examiner,
@@ -185,9 +185,15 @@
     registry.register_collector(Box::new(Process));
     metrics.register(&mut registry);
     let channels = Channels::default();
-    let (chain, lost) = build_chain(&settings, adapters.dialect, &channels, &metrics);
+    let (chain, tasks) = build_chain(&settings, adapters.dialect, &channels, &metrics);
     let chain = Arc::new(chain);
-    tokio::spawn(examiner::run(Arc::clone(&chain), lost));
+    tokio::spawn(examiner::run(Arc::clone(&chain), tasks.lost));
+    tokio::spawn(controller::keep(
+        adapters.source.clone(),
+        chain.crashes.clone(),
+        tasks.refused,
+        metrics.clone(),
+    ));
     let own_node = directory::Node {
         name: settings.node.clone(),
         address: settings.listen.heartbeats.to_string(),
@@ -263,13 +269,13 @@
     dialect: D,
     channels: &Channels,
     metrics: &Metrics,
-) -> (Chain<D>, Targets) {
+) -> (Chain<D>, crashes::Tasks) {
     let clock = Clock::start();
     let dispatcher = Dispatcher::new(dispatcher::Settings {
         data_centre: settings.data_centre.clone(),
         seed: rand::random(),
     });
-    let (crashes, lost) = crashes::Handle::new(clock, metrics.clone());
+    let (crashes, tasks) = crashes::Handle::new(clock, metrics.clone());
     let chain = Chain {
         clock,
         dialect,
@@ -282,7 +288,7 @@
         metrics: metrics.clone(),
         phase: Phase::default(),
     };
-    (chain, lost)
+    (chain, tasks)
 }
 
 /// Starts the controller of the directory and the task that follows the source.
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -41,7 +41,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    sync::{Notify, watch},
+    sync::{Notify, mpsc, watch},
     time::sleep,
 };
 
@@ -362,6 +362,8 @@
     pub address: SocketAddr,
     pub chain: Arc<Chain<TestHeaders>>,
     pub plan: watch::Sender<Option<Arc<Plan>>>,
+    /// The requests that the node refuses from now on.
+    pub refused: mpsc::Receiver<id::Fingerprint>,
 }
 
 impl Gateway {
@@ -387,7 +389,7 @@
         dispatcher.set_endpoints(clock.now(), records);
         let plan = watch::Sender::new(plan.map(Arc::new));
         let metrics = Metrics::default();
-        let (crashes, lost) = crashes::Handle::new(clock, metrics.clone());
+        let (crashes, tasks) = crashes::Handle::new(clock, metrics.clone());
         let chain = Arc::new(Chain {
             clock,
             dialect: TestHeaders,
@@ -404,7 +406,7 @@
             metrics,
             phase: Phase::default(),
         });
-        tokio::spawn(examiner::run(Arc::clone(&chain), lost));
+        tokio::spawn(examiner::run(Arc::clone(&chain), tasks.lost));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let limits = server::Limits {
@@ -424,6 +426,7 @@
             address,
             chain,
             plan,
+            refused: tasks.refused,
         }
     }
 
--- /dev/null
+++ b/gateway/tests/test_kept_quarantine.rs
@@ -0,0 +1,201 @@
+//! Suspicions that are kept in the key-value service.
+
+mod common;
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use common::{
+    Gateway,
+    fragile::{End, Fleet, Return},
+    plan,
+};
+use dottereltally_gateway::{
+    chain::{self, Chain},
+    controller::{self, Controller, Message, Outputs},
+    dialect::Head,
+    directory::{Change, Changes, Node, Snapshot, Source},
+};
+use dottereltally_lib::{
+    id,
+    quarantine::Verdict,
+    suspicion::{Kind, Mark},
+};
+use dottereltally_store::kv::{Error, Lease, Revision};
+use ractor::{Actor, ActorRef};
+use rstest::rstest;
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
+
+/// Source that keeps only suspicions; the first calls fail.
+#[derive(Clone, Default)]
+struct Kept {
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Default)]
+struct State {
+    failures: usize,
+    kept: Vec<(id::Fingerprint, Vec<Mark>)>,
+}
+
+impl Kept {
+    fn kept(&self) -> Vec<(id::Fingerprint, Vec<Mark>)> {
+        self.state.lock().unwrap().kept.clone()
+    }
+}
+
+impl Source for Kept {
+    async fn snapshot(&self) -> Result<Snapshot, Error> {
+        Ok(Snapshot::default())
+    }
+
+    async fn changes(&self, _: Revision, _: Duration) -> Result<Changes, Error> {
+        Ok(Changes::default())
+    }
+
+    async fn quarantine(&self, fingerprint: id::Fingerprint, marks: &[Mark]) -> Result<(), Error> {
+        let mut state = self.state.lock().unwrap();
+        if state.failures > 0 {
+            state.failures -= 1;
+            return Err(Error::Lost("the service is away".to_owned()));
+        }
+        state.kept.push((fingerprint, marks.to_vec()));
+        Ok(())
+    }
+
+    async fn register(&self, _: &Node, _: Duration) -> Result<Lease, Error> {
+        Ok(Lease(1))
+    }
+
+    async fn renew(&self, _: Lease) -> Result<(), Error> {
+        Ok(())
+    }
+
+    async fn deregister(&self, _: Lease) -> Result<(), Error> {
+        Ok(())
+    }
+}
+
+/// Starts the directory's controller of a gateway.
+async fn start_controller(chain: &Chain<common::TestHeaders>) -> ActorRef<Message> {
+    let outputs = Outputs {
+        clock: chain.clock,
+        plan: watch::Sender::new(None),
+        admission: chain.admission.clone(),
+        nodes: watch::Sender::new(Vec::new()),
+        endpoints_known: watch::Sender::new(false),
+        snapshot: watch::Sender::new(Arc::default()),
+        metrics: chain.metrics.clone(),
+        own_name: id::Node::from("n"),
+        crashes: chain.crashes.clone(),
+    };
+    let (controller, _running) = Actor::spawn(None, Controller, outputs).await.unwrap();
+    controller
+}
+
+fn fatal() -> id::Fingerprint {
+    let parts = http::Request::get("/safe/fatal").body(()).unwrap();
+    chain::fingerprint(
+        &parts.into_parts().0,
+        &Head::default(),
+        &bytes::Bytes::new(),
+    )
+}
+
+/// Guards against a crashing request that is forgotten when all nodes end at once:
+/// what is known about it outlives them in the key-value service.
+#[rstest]
+#[case::read_at_start(true)]
+#[case::read_as_a_change(false)]
+#[tokio::test]
+async fn a_crashing_request_is_known_after_all_nodes_ended(#[case] at_start: bool) {
+    let source = Kept::default();
+    source.state.lock().unwrap().failures = 1;
+    let back = Return {
+        after: Some(Duration::from_millis(500)),
+        same_id: false,
+    };
+    let fleet = Fleet::start(12, End::Close, back).await;
+    let first = Gateway::start(Some(plan()), &[]).await;
+    fleet.list_at(&first.chain);
+    let keeping = controller::keep(
+        source.clone(),
+        first.chain.crashes.clone(),
+        first.refused,
+        first.chain.metrics.clone(),
+    );
+    tokio::spawn(keeping);
+    let address = first.address;
+    let finding = async {
+        while source.kept().is_empty() {
+            common::get(address, "/safe/fatal", "").await;
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(Duration::from_secs(30), finding)
+        .await
+        .expect("the quarantine is kept");
+    let ended = fleet.ended();
+    assert!(ended <= 3, "{ended} endpoints ended");
+
+    let next = Gateway::start(Some(plan()), &[]).await;
+    fleet.list_at(&next.chain);
+    let controller = start_controller(&next.chain).await;
+    let (fingerprint, marks) = source.kept().remove(0);
+    assert_eq!(fingerprint, fatal());
+    let message = if at_start {
+        Message::Snapshot(Box::new(Snapshot {
+            marks,
+            ..Snapshot::default()
+        }))
+    } else {
+        Message::Changes(Changes {
+            revision: Revision(1),
+            changes: vec![Change::Quarantined(marks)],
+        })
+    };
+    controller.send_message(message).unwrap();
+    let learning = async {
+        let crashes = &next.chain.crashes;
+        while crashes.read(|detector, now| detector.verdict(now, fatal())) != Verdict::Confirmed {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(Duration::from_secs(30), learning)
+        .await
+        .expect("the next node learns of the request");
+    let answer = next.get("/safe/fatal", "").await;
+    assert!(answer.contains("quarantine"), "{answer}");
+    assert_eq!(fleet.ended(), ended);
+}
+
+/// Nodes that only learned of a crashing request leave it to those that found it
+/// out.
+#[tokio::test]
+async fn a_node_keeps_only_what_it_found_out() {
+    let mut gateway = Gateway::start(Some(plan()), &[]).await;
+    let node = id::Node::from("n");
+    let data_centre = id::DataCentre::from("dc");
+    for incarnation in 0..3 {
+        let mark = Mark {
+            fingerprint: fatal(),
+            incarnation: id::Incarnation(incarnation),
+            kind: Kind::Died,
+            valid: Duration::from_mins(1),
+        };
+        gateway
+            .chain
+            .crashes
+            .apply_marks(&node, &data_centre, &[mark]);
+    }
+    let verdict = |crashes: &dottereltally_gateway::crashes::Handle| {
+        crashes.read(|detector, now| detector.verdict(now, fatal()))
+    };
+    assert_eq!(verdict(&gateway.chain.crashes), Verdict::Confirmed);
+    assert!(gateway.refused.try_recv().is_err());
+}
--- a/gateway/tests/test_registration.rs
+++ b/gateway/tests/test_registration.rs
@@ -10,7 +10,7 @@
     directory::{Changes, Node, Snapshot, Source},
     metrics::Metrics,
 };
-use dottereltally_lib::id;
+use dottereltally_lib::{id, suspicion::Mark};
 use dottereltally_store::kv::{Error, Lease, Revision};
 use tokio::time::sleep;
 
@@ -41,6 +41,10 @@
         Ok(Changes::default())
     }
 
+    async fn quarantine(&self, _: id::Fingerprint, _: &[Mark]) -> Result<(), Error> {
+        unreachable!("a registration keeps no suspicions")
+    }
+
     async fn register(&self, _: &Node, _: Duration) -> Result<Lease, Error> {
         let mut state = self.state.lock().unwrap();
         state.next += 1;
--- a/lib/src/crash.rs
+++ b/lib/src/crash.rs
@@ -102,6 +102,8 @@
     pub verdict: Verdict,
     /// The deaths at which it ran.
     pub count: Count,
+    /// Whether this node found out one of them itself.
+    pub own: bool,
 }
 
 /// One node's record of requests that may crash endpoints.
@@ -363,6 +365,12 @@
         self.register.share(now)
     }
 
+    /// Returns the suspicions against a request.
+    #[must_use]
+    pub fn marks(&self, now: time::Instant, fingerprint: id::Fingerprint) -> Vec<Mark> {
+        self.register.marks(now, fingerprint)
+    }
+
     /// Applies a mark received from another node; returns the change, if there is
     /// one.
     pub fn apply_mark(&mut self, now: time::Instant, mark: Mark) -> Option<Change> {
@@ -438,6 +446,7 @@
             decisive: refused(previous) != refused(verdict),
             verdict,
             count: self.register.count(now, fingerprint),
+            own: self.register.is_own(now, fingerprint),
         }
     }
 
--- a/lib/src/suspicion.rs
+++ b/lib/src/suspicion.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use derive_more::Display;
+use derive_more::{Display, Error};
 
 use crate::{id, quarantine::Verdict, time};
 
@@ -52,6 +52,34 @@
     Withdrawn,
 }
 
+impl From<Kind> for u8 {
+    fn from(kind: Kind) -> Self {
+        match kind {
+            Kind::Silent => 1,
+            Kind::Died => 2,
+            Kind::Withdrawn => 3,
+        }
+    }
+}
+
+/// A number that stands for no [`Kind`].
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("no kind of suspicion has the number {_0}; run the same version on all nodes")]
+pub struct UnknownKind(#[error(not(source))] pub u8);
+
+impl TryFrom<u8> for Kind {
+    type Error = UnknownKind;
+
+    fn try_from(number: u8) -> Result<Self, UnknownKind> {
+        match number {
+            1 => Ok(Self::Silent),
+            2 => Ok(Self::Died),
+            3 => Ok(Self::Withdrawn),
+            _ => Err(UnknownKind(number)),
+        }
+    }
+}
+
 /// A suspicion in the form in which nodes share it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Mark {
@@ -85,6 +113,8 @@
     expires: time::Instant,
     /// Until when it is in every report.
     news_until: time::Instant,
+    /// Whether this node found it out itself.
+    own: bool,
 }
 
 /// The suspicions known to one node.
@@ -158,15 +188,17 @@
         incarnation: id::Incarnation,
         kind: Kind,
     ) -> bool {
-        self.apply(
-            now,
-            Mark {
-                fingerprint,
-                incarnation,
-                kind,
-                valid: SUSPICION_TTL,
-            },
-        )
+        let mark = Mark {
+            fingerprint,
+            incarnation,
+            kind,
+            valid: SUSPICION_TTL,
+        };
+        let changed = self.apply(now, mark);
+        if let Some(known) = self.suspicions.get_mut(&(fingerprint, incarnation)) {
+            known.own = true;
+        }
+        changed
     }
 
     /// Takes over a mark; returns whether that changes what this node knows.
@@ -195,12 +227,27 @@
             since: now,
             expires: now + mark.valid.min(SUSPICION_TTL),
             news_until,
+            own: false,
         };
         self.suspicions.insert(key, suspicion);
         self.limit(now);
         mark.kind != Kind::Withdrawn
     }
 
+    /// Returns whether this node found out a suspicion against a request itself.
+    #[must_use]
+    pub fn is_own(&self, now: time::Instant, fingerprint: id::Fingerprint) -> bool {
+        self.valid(now, fingerprint).any(|known| known.own)
+    }
+
+    /// Returns the suspicions against a request.
+    #[must_use]
+    pub fn marks(&self, now: time::Instant, fingerprint: id::Fingerprint) -> Vec<Mark> {
+        let known = self.suspicions.range(keys(fingerprint));
+        let holding = known.filter(|(_, known)| known.holds(now));
+        holding.map(|(key, known)| known.mark(now, *key)).collect()
+    }
+
     /// Withdraws the suspicions against a request; returns whether there were any.
     pub fn withdraw_request(&mut self, now: time::Instant, fingerprint: id::Fingerprint) -> bool {
         let mut changed = false;
