crash: an answer settles the losses before it

A request lost at one endpoint and answered by another could still be suspected, if the first was found dead after the answer. Evidence now also expires while no examination ends, so that what was heard of unlisted endpoints is not kept for good. an_answer_settles_the_losses_before_it fails before.

--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -6,7 +6,7 @@
 
 mod endpoints;
 pub mod follow;
-mod quarantine;
+pub mod quarantine;
 mod registration;
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
@@ -17,9 +17,7 @@
 use tokio::sync::watch;
 
 use self::endpoints::Observation;
-pub use self::{
-    endpoints::Endpoints, follow::PollInterval, quarantine::keep, registration::Registration,
-};
+pub use self::{endpoints::Endpoints, follow::PollInterval, registration::Registration};
 use crate::{
     admission, crashes,
     directory::{Change, Changes, Node, Snapshot},
--- a/gateway/src/crashes.rs
+++ b/gateway/src/crashes.rs
@@ -211,9 +211,11 @@
         again
     }
 
-    /// Logs evidence that was dropped for lack of space.
-    pub fn log_dropped(&self) {
-        let dropped = self.lock().take_dropped();
+    /// Drops expired evidence, and logs what was dropped for lack of space; to be
+    /// called periodically.
+    pub fn maintain(&self) {
+        let now = self.shared.clock.now();
+        let dropped = self.lock().maintain(now);
         if dropped > 0 {
             self.shared.metrics.crash_evidence_dropped(dropped);
             tracing::warn!(dropped, "evidence about crashing requests dropped");
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -188,7 +188,7 @@
     let (chain, tasks) = build_chain(&settings, adapters.dialect, &channels, &metrics);
     let chain = Arc::new(chain);
     tokio::spawn(examiner::run(Arc::clone(&chain), tasks.lost));
-    tokio::spawn(controller::keep(
+    tokio::spawn(controller::quarantine::keep(
         adapters.source.clone(),
         chain.crashes.clone(),
         tasks.refused,
@@ -489,7 +489,7 @@
         metrics
             .running
             .set(gauge(admission.read(Dispatcher::running)));
-        chain.crashes.log_dropped();
+        chain.crashes.maintain();
         let total = log.dropped();
         metrics.dropped_lines.set(gauge(total));
         if total > dropped {
--- a/gateway/tests/test_kept_quarantine.rs
+++ b/gateway/tests/test_kept_quarantine.rs
@@ -123,7 +123,7 @@
     let fleet = Fleet::start(12, End::Close, back).await;
     let first = Gateway::start(Some(plan()), &[]).await;
     fleet.list_at(&first.chain);
-    let keeping = controller::keep(
+    let keeping = controller::quarantine::keep(
         source.clone(),
         first.chain.crashes.clone(),
         first.refused,
--- a/lib/src/crash.rs
+++ b/lib/src/crash.rs
@@ -116,15 +116,15 @@
     /// Losses that were dropped for lack of space.
     dropped_losses: u64,
     /// Endpoints that are being examined.
-    examined: BTreeSet<id::Endpoint>,
+    examining: BTreeSet<id::Endpoint>,
     /// Start time of each endpoint's process, milliseconds since the Unix epoch.
     started: BTreeMap<id::Endpoint, u64>,
     /// When each endpoint was last heard.
     heard: BTreeMap<id::Endpoint, time::Instant>,
     /// When anything in each data centre was last heard.
     heard_data_centres: BTreeMap<id::DataCentre, time::Instant>,
-    /// When each dead endpoint process was found dead, and how.
-    dead: BTreeMap<id::Incarnation, (time::Instant, Kind)>,
+    /// When each endpoint process that died or fell silent was found so.
+    dead: BTreeMap<id::Incarnation, time::Instant>,
     /// While the directory can't be read, restarts go unnoticed.
     directory: Directory,
 }
@@ -215,13 +215,14 @@
             at: now,
             examined: false,
         });
-        self.examined.insert(endpoint)
+        self.examining.insert(endpoint)
     }
 
     /// Records that a request was answered completely, which clears it; returns
     /// the change, if it was suspected.
     pub fn clear(&mut self, now: time::Instant, fingerprint: id::Fingerprint) -> Option<Change> {
         let previous = self.verdict(now, fingerprint);
+        self.losses.retain(|loss| loss.fingerprint != fingerprint);
         let withdrawn = self.register.withdraw_request(now, fingerprint);
         withdrawn.then(|| self.change(now, fingerprint, previous))
     }
@@ -240,7 +241,7 @@
             return Vec::new();
         }
         let incarnation = self.incarnation(endpoint);
-        let Some((died, _)) = self.dead.get(&incarnation) else {
+        let Some(died) = self.dead.get(&incarnation) else {
             return Vec::new();
         };
         if now.since(*died) < RESTART_NOTICE || !self.is_directory_current(now) {
@@ -287,7 +288,7 @@
     /// Returns the number of endpoints that are being examined.
     #[must_use]
     pub fn examinations(&self) -> usize {
-        self.examined.len()
+        self.examining.len()
     }
 
     /// Applies the finding of an examination that started at `started`. Returns
@@ -300,7 +301,6 @@
         started: time::Instant,
         finding: Finding,
     ) -> (Vec<Change>, bool) {
-        self.expire(now);
         let Some(kind) = finding.kind() else {
             let mut again = false;
             for loss in &mut self.losses {
@@ -311,11 +311,11 @@
                 again |= !loss.examined;
             }
             if !again {
-                self.examined.remove(endpoint);
+                self.examining.remove(endpoint);
             }
             return (Vec::new(), again);
         };
-        self.examined.remove(endpoint);
+        self.examining.remove(endpoint);
         let changes = self.record_death(now, kind, |loss| {
             loss.endpoint == *endpoint && !loss.examined
         });
@@ -379,9 +379,12 @@
         changed.then(|| self.change(now, mark.fingerprint, previous))
     }
 
-    /// Returns how many losses and suspicions were dropped for lack of space since
-    /// the last call.
-    pub fn take_dropped(&mut self) -> u64 {
+    /// Drops what has expired; to be called periodically. Returns how many losses
+    /// and suspicions were dropped for lack of space since the last call.
+    pub fn maintain(&mut self, now: time::Instant) -> u64 {
+        self.losses.retain(|loss| now.since(loss.at) < LOSS_TTL);
+        self.heard.retain(|_, at| now.since(*at) < LOSS_TTL);
+        self.dead.retain(|_, died| now.since(*died) < SUSPICION_TTL);
         std::mem::take(&mut self.dropped_losses) + self.register.take_dropped()
     }
 
@@ -399,7 +402,7 @@
                 self.losses.push_back(loss);
                 continue;
             }
-            let (died, _) = *self.dead.entry(loss.incarnation).or_insert((now, kind));
+            let died = *self.dead.entry(loss.incarnation).or_insert(now);
             // A process that was dead before did not run the request.
             if loss.attempt_started > died {
                 continue;
@@ -449,12 +452,6 @@
             own: self.register.is_own(now, fingerprint),
         }
     }
-
-    fn expire(&mut self, now: time::Instant) {
-        self.losses.retain(|loss| now.since(loss.at) < LOSS_TTL);
-        self.dead
-            .retain(|_, (died, _)| now.since(*died) < SUSPICION_TTL);
-    }
 }
 
 /// Inserts a time; allocates only for a new key.
--- a/lib/tests/test_crash.rs
+++ b/lib/tests/test_crash.rs
@@ -220,6 +220,28 @@
     assert_eq!(detector.verdict(at(4000), REQUEST), Verdict::Confirmed);
 }
 
+/// A request that was answered elsewhere did not end the endpoint that lost it.
+#[test]
+fn an_answer_settles_the_losses_before_it() {
+    let mut detector = Detector::default();
+    let attempt = start(&mut detector, 1000, "a");
+    detector.lose(at(1100), attempt);
+    detector.clear(at(1200), REQUEST);
+    detector.conclude(at(1300), &endpoint("a"), at(1100), Finding::Dead);
+    assert_eq!(detector.verdict(at(1400), REQUEST), Verdict::Clear);
+}
+
+/// A loss is evidence for a while only.
+#[test]
+fn a_restart_long_after_a_loss_is_unrelated() {
+    let mut detector = Detector::default();
+    detector.record_started(at(0), &endpoint("a"), 1);
+    lose(&mut detector, 1000, "a", Finding::Alive);
+    detector.maintain(at(20_000));
+    let changes = detector.record_started(at(20_000), &endpoint("a"), 2);
+    assert!(changes.is_empty());
+}
+
 /// Each process of an endpoint dies once.
 #[test]
 fn an_endpoint_that_keeps_its_name_counts_for_each_process() {
@@ -354,8 +376,8 @@
         let attempt = detector.start(at(1000), request, &endpoint("a")).unwrap();
         detector.lose(at(1000), attempt);
     }
-    assert_eq!(detector.take_dropped(), 4000);
-    assert_eq!(detector.take_dropped(), 0);
+    assert_eq!(detector.maintain(at(1050)), 4000);
+    assert_eq!(detector.maintain(at(1050)), 0);
     detector.conclude(at(1100), &endpoint("a"), at(1000), Finding::Dead);
     // The newest losses are kept.
     let verdict = detector.verdict(at(1200), id::Fingerprint(4999));
