--- /dev/null
+++ b/testutils/examples/fragile_endpoint.rs
@@ -0,0 +1,69 @@
+//! Back end of the users' platform that aborts when it begins to run a request with
+//! `fatal` in its path; `--id` is its id. Prints its address when it is ready.
+
+use std::process;
+
+use argh::FromArgs;
+use eyre::Result;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+/// Answers each request with `usual`.
+#[derive(FromArgs)]
+struct Arguments {
+    /// id of the back end
+    #[argh(option)]
+    id: String,
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> Result<()> {
+    let arguments: Arguments = argh::from_env();
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?.to_string();
+    println!("{}", serde_json::json!({ "address": address }));
+    loop {
+        let (stream, _) = listener.accept().await?;
+        tokio::spawn(serve(stream, arguments.id.clone()));
+    }
+}
+
+/// Serves one connection; requests have no body.
+async fn serve(mut stream: TcpStream, id: String) {
+    let mut bytes = Vec::new();
+    loop {
+        let end = bytes.windows(4).position(|part| part == b"\r\n\r\n");
+        let Some(end) = end else {
+            let Ok(1..) = stream.read_buf(&mut bytes).await else {
+                return;
+            };
+            continue;
+        };
+        let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+        bytes.drain(..end + 4);
+        if head
+            .lines()
+            .next()
+            .is_some_and(|line| line.contains("fatal"))
+        {
+            process::abort();
+        }
+        let mut attempt = "";
+        for line in head.lines() {
+            if let Some((name, value)) = line.split_once(':')
+                && name.eq_ignore_ascii_case("attempt-id")
+            {
+                attempt = value.trim();
+            }
+        }
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nattempt-id: {attempt}\r\nresponse-seal: s\r\n\
+             replica-id: {id}\r\ncontent-length: 5\r\n\r\nusual"
+        );
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
