examiner: later losses need later signs of life

An endpoint that was examined again counted as heard if it was heard before the later loss. A stream was logged as resumed although the verdict then kept it from being sent.

--- a/gateway/src/examiner.rs
+++ b/gateway/src/examiner.rs
@@ -63,7 +63,7 @@
     }
 }
 
-async fn examine_until_settled<D: Dialect>(chain: Arc<Chain<D>>, target: Target) {
+async fn examine_until_settled<D: Dialect>(chain: Arc<Chain<D>>, mut target: Target) {
     loop {
         let started = chain.clock.now();
         let (finding, cause) = examine(&chain, &target).await;
@@ -78,6 +78,8 @@
         if !chain.crashes.conclude(&target, started, finding) {
             return;
         }
+        // What was heard before does not speak for the later losses.
+        target.lost = chain.clock.now();
     }
 }
 
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -241,6 +241,9 @@
             let Ok((choice, permit)) = chain.admission.admit(request).await else {
                 return false;
             };
+            let Ok(flight) = chain.start_flight(&self.job, &choice, &self.progress) else {
+                return false;
+            };
             tracing::info!(
                 id = self.job.correlation_id,
                 from = %self.choice.endpoint,
@@ -249,9 +252,6 @@
                 cause,
                 "stream is resumed at another endpoint"
             );
-            let Ok(flight) = chain.start_flight(&self.job, &choice, &self.progress) else {
-                return false;
-            };
             chain.metrics.resumed.inc();
             let after = self.last_event_id;
             let attempt = attempt::send(&chain, &self.job, &choice, after, permit, &flight).await;
