endpoints: a successor shows the death of a live endpoint only

A request whose answer was lost while its endpoint drained could be suspected when another endpoint took over the address, or the endpoint started again under its name.

Cause: the directory's view of a restart counted as a death, planned or not, and losses of a planned end were kept.

Now the successor of a leaving endpoint is no evidence, and a loss at a leaving endpoint is dropped. a_planned_end_settles_the_losses_before_it and the leaving case of a_successor_shows_the_death_of_a_live_endpoint_only fail before.

--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -16,8 +16,11 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::watch;
 
-use self::endpoints::Observation;
-pub use self::{endpoints::Endpoints, follow::PollInterval, registration::Registration};
+pub use self::{
+    endpoints::{Endpoints, Observation},
+    follow::PollInterval,
+    registration::Registration,
+};
 use crate::{
     admission, crashes,
     directory::{Change, Changes, Node, Snapshot},
--- a/gateway/src/controller/endpoints.rs
+++ b/gateway/src/controller/endpoints.rs
@@ -114,18 +114,29 @@
             );
             self.changed = true;
         }
+        self.observe(&name, &entry);
+        let missing = false;
+        self.tracked.insert(name, Tracked { entry, missing });
+    }
+
+    /// Notes what a description shows about processes that it replaces.
+    fn observe(&mut self, name: &id::Endpoint, entry: &Entry) {
+        let leaving = |known: &Tracked| known.entry.record.standing == Standing::Leaving;
+        // The next process of an endpoint that left is no sign of a crash.
+        if self.tracked.get(name).is_some_and(leaving) {
+            self.observations.push(Observation::Removed(name.clone()));
+        }
         if let Some(started_ms) = entry.started_ms {
             let started = Observation::Started(name.clone(), started_ms);
             self.observations.push(started);
         }
         for (other, known) in &self.tracked {
-            if *other != name && known.entry.record.address == entry.record.address {
+            let same_address = known.entry.record.address == entry.record.address;
+            if *other != *name && same_address && !leaving(known) {
                 let replaced = Observation::Replaced(other.clone());
                 self.observations.push(replaced);
             }
         }
-        let missing = false;
-        self.tracked.insert(name, Tracked { entry, missing });
     }
 
     /// Applies the removal of a description.
--- a/gateway/tests/test_endpoints.rs
+++ b/gateway/tests/test_endpoints.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use dottereltally_gateway::{controller::Endpoints, directory::Entry};
+use dottereltally_gateway::{
+    controller::{Endpoints, Observation},
+    directory::Entry,
+};
 use dottereltally_lib::{
     endpoint::{Record, Standing},
     id, time,
@@ -145,3 +148,31 @@
     assert_eq!(endpoints.end_outage(at(3000)).unwrap().as_millis(), 2000);
     assert_eq!(endpoints.end_outage(at(3100)), None);
 }
+
+/// Another process under the name, or another endpoint at the address, shows that a
+/// live endpoint died; that of a leaving one ended as planned.
+#[rstest]
+#[case::live(Standing::Live, true)]
+#[case::leaving(Standing::Leaving, false)]
+fn a_successor_shows_the_death_of_a_live_endpoint_only(
+    #[case] standing: Standing,
+    #[case] died: bool,
+) {
+    let mut endpoints = with_live_endpoint();
+    endpoints.update(at(500), endpoint(), Some(entry(standing, Some(100), 6)));
+    let _before = endpoints.take_observations();
+    let successor = entry(Standing::Live, Some(200), 1);
+    endpoints.update(at(1000), endpoint(), Some(successor.clone()));
+    let forgotten = Observation::Removed(endpoint());
+    let started = Observation::Started(endpoint(), 200);
+    let observed = endpoints.take_observations();
+    assert_eq!(observed.contains(&forgotten), !died);
+    assert_eq!(observed.last(), Some(&started));
+
+    let mut endpoints = with_live_endpoint();
+    endpoints.update(at(500), endpoint(), Some(entry(standing, Some(100), 6)));
+    let _before = endpoints.take_observations();
+    endpoints.update(at(1000), id::Endpoint::from("other"), Some(successor));
+    let replaced = Observation::Replaced(endpoint());
+    assert_eq!(endpoints.take_observations().contains(&replaced), died);
+}
--- a/lib/src/crash.rs
+++ b/lib/src/crash.rs
@@ -301,6 +301,9 @@
         started: time::Instant,
         finding: Finding,
     ) -> (Vec<Change>, bool) {
+        if finding == Finding::Leaving {
+            self.losses.retain(|loss| loss.endpoint != *endpoint);
+        }
         let Some(kind) = finding.kind() else {
             let mut again = false;
             for loss in &mut self.losses {
--- a/lib/tests/test_crash.rs
+++ b/lib/tests/test_crash.rs
@@ -231,6 +231,20 @@
     assert_eq!(detector.verdict(at(1400), REQUEST), Verdict::Clear);
 }
 
+/// A request that was lost as its endpoint left is not suspected when another
+/// endpoint takes over the address.
+#[test]
+fn a_planned_end_settles_the_losses_before_it() {
+    let mut detector = Detector::default();
+    lose(&mut detector, 1000, "a", Finding::Leaving);
+    assert!(
+        detector
+            .record_replaced(at(3000), &endpoint("a"))
+            .is_empty()
+    );
+    assert_eq!(detector.verdict(at(3100), REQUEST), Verdict::Clear);
+}
+
 /// A loss is evidence for a while only.
 #[test]
 fn a_restart_long_after_a_loss_is_unrelated() {
