suspicion: nodes report what they found out themselves

Now a node reports for five seconds what it found out itself, long enough for a heartbeat to each of 350 nodes; all nodes repeat the suspicions against requests at two or more deaths, four in a heartbeat.

The test of reports in turn reads 60 reports instead of 20: a node of the smallest site hears some 45 a second, and three seconds are the users' bound.

--- a/gateway/tests/test_heartbeat.rs
+++ b/gateway/tests/test_heartbeat.rs
@@ -4,11 +4,10 @@
 
 use dottereltally_gateway::heartbeat::Heartbeat;
 use dottereltally_lib::{
-    crash::Detector,
     dispatcher::Load,
     id,
     quota::Usage,
-    suspicion::{Kind, Mark},
+    suspicion::{Kind, Mark, Register},
     time,
 };
 
@@ -57,21 +56,15 @@
 /// A report of suspicions leaves most of a datagram to the rest of the heartbeat.
 #[test]
 fn a_full_report_of_suspicions_is_small() {
-    let mut detector = Detector::default();
+    let mut register = Register::default();
     let now = time::Instant::from_micros(1);
     for number in 0..200_u64 {
         let incarnation = id::Incarnation(number.wrapping_mul(u64::MAX / 3));
-        detector.apply_mark(
-            now,
-            Mark {
-                fingerprint: id::Fingerprint((number / 2).wrapping_mul(u64::MAX / 7)),
-                incarnation,
-                kind: Kind::Died,
-                valid: Duration::from_mins(10),
-            },
-        );
+        let fingerprint = id::Fingerprint((number / 2).wrapping_mul(u64::MAX / 7));
+        register.record(now, fingerprint, incarnation, Kind::Died);
     }
-    let marks = detector.marks_to_share(now);
+    let marks = register.share(now);
+    assert_eq!(marks.len(), 32);
     let heartbeat = Heartbeat {
         marks,
         ..Heartbeat::default()
--- a/lib/src/suspicion.rs
+++ b/lib/src/suspicion.rs
@@ -27,12 +27,16 @@
 /// Most suspicions that are kept.
 const MAX_SUSPICIONS: usize = 4096;
 
-/// Time for which a new suspicion is shared in every report.
+/// Time for which a node shares what it found out itself in every report.
 const NEWS_TIME: Duration = Duration::from_secs(5);
 
 /// Most suspicions in one report.
 const MAX_SHARED: usize = 32;
 
+/// Most suspicions in one report that are not news; each node gets reports of all
+/// others.
+const MAX_REPEATED: usize = 4;
+
 /// Shortest validity of a suspicion that is taken over from another node. What
 /// expires here is thus not restored by a node on which it expires a little later.
 const MIN_VALIDITY: Duration = Duration::from_secs(1);
@@ -111,7 +115,7 @@
     since: time::Instant,
     /// When it is dropped.
     expires: time::Instant,
-    /// Until when it is in every report.
+    /// Until when it is in every report of this node.
     news_until: time::Instant,
     /// Whether this node found it out itself.
     own: bool,
@@ -197,6 +201,9 @@
         let changed = self.apply(now, mark);
         if let Some(known) = self.suspicions.get_mut(&(fingerprint, incarnation)) {
             known.own = true;
+            if changed {
+                known.news_until = now + NEWS_TIME;
+            }
         }
         changed
     }
@@ -207,26 +214,24 @@
             return false;
         }
         let key = (mark.fingerprint, mark.incarnation);
-        let news_until = now + NEWS_TIME;
         if let Some(known) = self.suspicions.get_mut(&key)
             && known.expires > now
         {
             if mark.kind < known.kind {
                 // The other node missed the news.
-                known.news_until = news_until;
+                known.news_until = now + NEWS_TIME;
             }
             if mark.kind <= known.kind {
                 return false;
             }
             known.kind = mark.kind;
-            known.news_until = news_until;
             return true;
         }
         let suspicion = Suspicion {
             kind: mark.kind,
             since: now,
             expires: now + mark.valid.min(SUSPICION_TTL),
-            news_until,
+            news_until: now,
             own: false,
         };
         self.suspicions.insert(key, suspicion);
@@ -286,9 +291,9 @@
         suspects
     }
 
-    /// Returns the suspicions for the next report to the other nodes: in turn those
-    /// against requests at two or more deaths, which nodes that were cut off or
-    /// started since must know, and the new ones.
+    /// Returns the suspicions for the next report to the other nodes: what this node
+    /// found out lately, and in turn those against requests at two or more deaths,
+    /// which nodes that were cut off or started since must know.
     pub fn share(&mut self, now: time::Instant) -> Vec<Mark> {
         self.suspicions.retain(|_, known| known.expires > now);
         let mut repeated = Vec::new();
@@ -298,15 +303,14 @@
             let holding = of_request.iter().filter(|(_, known)| known.holds(now));
             let deaths = holding.count();
             for (key, known) in of_request {
-                if deaths >= SUSPICIOUS_DEATHS && known.holds(now) {
-                    repeated.push((*key, known.mark(now, *key)));
-                } else if known.news_until > now {
+                if known.news_until > now {
                     news.push((*key, known.mark(now, *key)));
+                } else if deaths >= SUSPICIOUS_DEATHS && known.holds(now) {
+                    repeated.push((*key, known.mark(now, *key)));
                 }
             }
         }
-        let room = MAX_SHARED - news.len().min(MAX_SHARED / 4);
-        let mut marks = take_turn(repeated, &mut self.next_repeated, room);
+        let mut marks = take_turn(repeated, &mut self.next_repeated, MAX_REPEATED);
         let room = MAX_SHARED - marks.len();
         marks.extend(take_turn(news, &mut self.next_news, room));
         marks
--- a/lib/tests/test_crash.rs
+++ b/lib/tests/test_crash.rs
@@ -369,7 +369,7 @@
         }
     }
     let mut late = Detector::default();
-    for report in 0..20 {
+    for report in 0..60 {
         let marks = detector.marks_to_share(at(20_000 + report));
         assert!(marks.len() <= 32);
         for mark in marks {
