budget: retries can be given back

`Budget::refund` takes back a unit that was spent for a send which did not happen, up to the most that a bucket may hold anyway; `is_available` tells whether one is left without taking it, so that a search for another endpoint needs to hold none while it waits.

--- a/lib/src/budget.rs
+++ b/lib/src/budget.rs
@@ -67,9 +67,12 @@
     /// Records the first attempt of a request, which earns a part of a retry.
     pub fn record_request(&mut self, now: time::Instant, service: &id::Service) {
         let earned = self.limits.ratio * EARNED_FRACTION;
-        let cap = self.cap() + earned * self.limits.window.as_secs_f64();
-        let bucket = self.refilled_bucket(now, service);
-        bucket.level = (bucket.level + earned).min(cap);
+        self.add(now, service, earned);
+    }
+
+    /// Returns whether a retry is left.
+    pub fn is_available(&mut self, now: time::Instant, service: &id::Service) -> bool {
+        self.refilled_bucket(now, service).level >= 1.0
     }
 
     /// Takes one retry from the budget. Returns false if none is left.
@@ -82,6 +85,19 @@
         true
     }
 
+    /// Gives back a retry that was taken but not sent.
+    pub fn refund(&mut self, now: time::Instant, service: &id::Service) {
+        self.add(now, service, 1.0);
+    }
+
+    /// Adds retries to a bucket, up to the most that it may hold.
+    fn add(&mut self, now: time::Instant, service: &id::Service, retries: f64) {
+        let earned = self.limits.ratio * EARNED_FRACTION;
+        let most = self.cap() + earned * self.limits.window.as_secs_f64();
+        let bucket = self.refilled_bucket(now, service);
+        bucket.level = (bucket.level + retries).min(most);
+    }
+
     /// Returns the retries of the allowance that this node may use at once.
     fn cap(&self) -> f64 {
         self.limits.allowance * ALLOWANCE_FRACTION / self.nodes
--- a/lib/tests/test_budget.rs
+++ b/lib/tests/test_budget.rs
@@ -77,3 +77,35 @@
     });
     assert!(!budget.spend(at(60_000), &service));
 }
+
+/// Guards against searches for another endpoint that find none and use up the budget.
+#[test]
+fn a_retry_that_was_not_sent_can_be_given_back() {
+    let service = id::Service::from("s");
+    let mut budget = Budget::new(LIMITS);
+    while budget.spend(at(0), &service) {}
+    assert!(!budget.is_available(at(0), &service));
+    budget.refund(at(0), &service);
+    assert!(budget.is_available(at(0), &service));
+    assert!(budget.spend(at(0), &service));
+    assert!(!budget.spend(at(0), &service));
+}
+
+#[test]
+fn retries_given_back_do_not_raise_the_most_that_is_left() {
+    let service = id::Service::from("s");
+    let mut budget = Budget::new(LIMITS);
+    let mut left = 0;
+    while budget.spend(at(0), &service) {
+        left += 1;
+    }
+    for _ in 0..10 * left {
+        budget.refund(at(0), &service);
+    }
+    let mut again = 0;
+    while budget.spend(at(0), &service) {
+        again += 1;
+    }
+    // What requests of a window may earn on top of the allowance.
+    assert!(again <= left + 2, "{again} of {left}");
+}
