pool: a connection can be taken before the request is sent

`Pool::connect` returns a connection for one request, `Ready::send` sends it. A caller that looks for a second endpoint learns with it whether that one can be reached before the request is at both. `Client::send` is the two in turn and behaves as before.

--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -182,35 +182,46 @@
         }
     }
 
-    async fn connection(&self, address: &str, reuse: Reuse) -> io::Result<Connection> {
-        if reuse == Reuse::Idle
-            && let Some(connection) = self.take(address).await
-        {
-            return Ok(connection);
-        }
-        Connection::open(address, &self.limits).await
+    /// Takes an idle connection to an endpoint, or opens one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the endpoint can't be reached.
+    pub async fn connect(&self, address: &str, reuse: Reuse) -> io::Result<Ready> {
+        let idle = match reuse {
+            Reuse::Idle => self.take(address).await,
+            Reuse::Never => None,
+        };
+        let connection = match idle {
+            Some(connection) => connection,
+            None => Connection::open(address, &self.limits).await?,
+        };
+        Ok(Ready {
+            pool: self.clone(),
+            address: address.to_owned(),
+            connection,
+        })
     }
 }
 
-impl Client for Pool {
-    type Body = Body;
+/// An open connection that is used for one request.
+#[derive(Debug)]
+pub struct Ready {
+    pool: Pool,
+    address: String,
+    connection: Connection,
+}
 
-    async fn send(
-        &self,
-        address: &str,
-        message: Message,
-        reuse: Reuse,
-    ) -> Result<Response<Body>, Failure> {
-        let mut connection = match self.connection(address, reuse).await {
-            Ok(connection) => connection,
-            Err(error) => {
-                return Err(Failure::Unsent {
-                    message: Box::new(message),
-                    cause: error.to_string(),
-                });
-            }
-        };
-        let response = match connection.sender.try_send_request(message).await {
+impl Ready {
+    /// Sends a request and waits for the head of the response.
+    ///
+    /// Dropping the future cancels the request.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Failure::Unsent`] only if nothing was sent.
+    pub async fn send(mut self, message: Message) -> Result<Response<Body>, Failure> {
+        let response = match self.connection.sender.try_send_request(message).await {
             Ok(response) => response,
             Err(mut error) => {
                 let cause = error.error().to_string();
@@ -223,13 +234,14 @@
                 });
             }
         };
-        let idle = keep_alive_timeout(response.headers()).map_or(self.limits.idle, |timeout| {
-            self.limits.idle.min(timeout.mul_f64(KEEP_ALIVE_FRACTION))
+        let longest_idle = self.pool.limits.idle;
+        let idle = keep_alive_timeout(response.headers()).map_or(longest_idle, |timeout| {
+            longest_idle.min(timeout.mul_f64(KEEP_ALIVE_FRACTION))
         });
         let lease = Lease {
-            pool: self.clone(),
-            address: address.to_owned(),
-            connection,
+            pool: self.pool,
+            address: self.address,
+            connection: self.connection,
             idle,
         };
         Ok(response.map(|body| Body {
@@ -239,6 +251,25 @@
     }
 }
 
+impl Client for Pool {
+    type Body = Body;
+
+    async fn send(
+        &self,
+        address: &str,
+        message: Message,
+        reuse: Reuse,
+    ) -> Result<Response<Body>, Failure> {
+        match self.connect(address, reuse).await {
+            Ok(ready) => ready.send(message).await,
+            Err(error) => Err(Failure::Unsent {
+                message: Box::new(message),
+                cause: error.to_string(),
+            }),
+        }
+    }
+}
+
 /// Returns the `timeout` parameter of the keep-alive header.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get(KEEP_ALIVE_HEADER)?.to_str().ok()?;
