test_endless: endpoints that send bytes without end

An endpoint in trouble may send bytes that are no answer without end, in a head, a body or a stream, until the gateway closes the connection.

--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -106,6 +106,12 @@
     }
 }
 
+/// Bytes that a step without end writes at once.
+const BLOCK_BYTES: usize = 16 * 1024;
+
+/// Time between two writes of a slow step without end.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(2);
+
 /// What an endpoint does with one request.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -113,6 +119,12 @@
     Send(String),
     /// Waits until the test sends the signal.
     Wait(Arc<Notify>),
+    /// Sends the bytes this many times.
+    Repeat(String, usize),
+    /// Sends the bytes again and again until the gateway closes the connection.
+    Endless(String),
+    /// The same, slowly.
+    Trickle(String),
     /// Waits until the gateway closes the connection.
     Hang,
     /// Closes the connection.
@@ -165,7 +177,8 @@
         self.requests.lock().unwrap().clone()
     }
 
-    /// Waits until the gateway has closed a connection at a [`Step::Hang`].
+    /// Waits until the gateway has closed a connection at a step that lasts until
+    /// then.
     pub async fn wait_for_close(&self) {
         while self.closed.load(Ordering::SeqCst) == 0 {
             sleep(Duration::from_millis(5)).await;
@@ -201,6 +214,26 @@
                         return;
                     }
                 }
+                Step::Repeat(bytes, times) => {
+                    for _ in 0..times {
+                        if stream.write_all(bytes.as_bytes()).await.is_err() {
+                            return;
+                        }
+                    }
+                }
+                Step::Endless(bytes) => {
+                    let block = bytes.repeat(BLOCK_BYTES.div_ceil(bytes.len()));
+                    while stream.write_all(block.as_bytes()).await.is_ok() {}
+                    closed.fetch_add(1, Ordering::SeqCst);
+                    return;
+                }
+                Step::Trickle(bytes) => {
+                    while stream.write_all(bytes.as_bytes()).await.is_ok() {
+                        sleep(TRICKLE_INTERVAL).await;
+                    }
+                    closed.fetch_add(1, Ordering::SeqCst);
+                    return;
+                }
                 Step::Wait(signal) => signal.notified().await,
                 Step::Hang => {
                     let mut rest = [0; 64];
