inbound: bound what another host sends on a connection

Callers saw 504 at the time limit of their route where an endpoint sent interim answers, the digits of a chunk's size or spaces behind them without end: hyper reads these as they come, and no limit of size applies. The request was not sent to another endpoint, the attempt counted as cancelled, and a processor was busy with the bytes for as long. A stream of cache events that held only comments or nonsense was read for ever.

The clients of endpoints (pool, observer, examiner) and of the outside systems (http) open their connections through inbound::handshake now. The errors name their sources.

Whole answers of the outside systems are copied into segments, as each frame of a body may keep a read buffer alive, and take their memory from a pool. The observer's connections are closed when dropped.

--- a/gateway/src/examiner.rs
+++ b/gateway/src/examiner.rs
@@ -8,10 +8,9 @@
     endpoint::{Record, Standing},
     id,
 };
+use dottereltally_store::inbound;
 use http::{Request, header::HOST};
 use http_body_util::Empty;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use tokio::{
     net::TcpStream,
     sync::mpsc,
@@ -165,7 +164,7 @@
         .body(Empty::<Bytes>::new())
         .map_err(io::Error::other)?;
     let answering = async {
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let (mut sender, connection, _progress) = inbound::handshake(stream).await?;
         tokio::select! {
             response = sender.send_request(request) => response,
             // A connection that ends also ends the request, with the cause.
--- a/node/src/observer/cache.rs
+++ b/node/src/observer/cache.rs
@@ -158,8 +158,8 @@
     dispatcher: &impl dispatcher::Handle,
     metrics: &Metrics,
 ) -> End {
-    let mut body = match open(&record.address).await {
-        Ok(body) => body,
+    let (connection, mut body) = match open(&record.address).await {
+        Ok(open) => open,
         Err(end) => return end,
     };
     metrics.streams.inc();
@@ -180,6 +180,8 @@
             else {
                 continue;
             };
+            // Only valid events count, so that a stream of anything else ends.
+            connection.record(event.len());
             metrics.events.inc();
             metrics.gaps.inc_by(u64::from(gap));
             dispatcher.send(Event::Cached(record.id.clone(), cache));
@@ -190,15 +192,15 @@
     }
 }
 
-async fn open(address: &str) -> Result<Incoming, End> {
-    let mut sender = load::open(address).await.map_err(|_| End::Failed)?;
-    let request = load::get(address, PATH);
-    let response = timeout(HEAD_TIMEOUT, sender.send_request(request))
+async fn open(address: &str) -> Result<(load::Connection, Incoming), End> {
+    let connection = load::Connection::open(address).await;
+    let mut connection = connection.map_err(|_| End::Failed)?;
+    let response = timeout(HEAD_TIMEOUT, connection.get(address, PATH))
         .await
         .map_err(|_| End::Failed)?
         .map_err(|_| End::Failed)?;
     match response.status() {
-        StatusCode::OK => Ok(response.into_body()),
+        StatusCode::OK => Ok((connection, response.into_body())),
         StatusCode::NOT_FOUND => Err(End::Absent),
         _ => Err(End::Failed),
     }
--- a/node/src/observer/load.rs
+++ b/node/src/observer/load.rs
@@ -4,12 +4,12 @@
 
 use bytes::Bytes;
 use dottereltally_lib::{endpoint, id, size};
-use http::{Request, StatusCode, header::HOST};
+use dottereltally_store::inbound::{self, Progress};
+use http::{Request, Response, StatusCode, header::HOST};
 use http_body_util::{BodyExt, Empty, Limited};
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
+use hyper::{body::Incoming, client::conn::http1::SendRequest};
 use serde::Deserialize;
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
 /// Path of the load page.
 const PATH: &str = "/load";
@@ -32,7 +32,7 @@
     #[error("the load page did not arrive in time; check the endpoint's load")]
     Timeout,
     /// The HTTP exchange failed.
-    #[error("the load page can't be read: {0}; check the endpoint's log")]
+    #[error("the load page can't be read: {}; check the endpoint's log", inbound::cause(.0))]
     Http(#[from] hyper::Error),
     /// The page broke off or is too large.
     #[error(
@@ -47,8 +47,61 @@
     Malformed(#[from] serde_json::Error),
 }
 
-/// A connection that is reused by the next poll.
-pub type Connection = SendRequest<Empty<Bytes>>;
+/// A connection that is reused by the next poll; dropping it closes it.
+pub struct Connection {
+    sender: SendRequest<Empty<Bytes>>,
+    progress: Progress,
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Connection {
+    /// Opens a connection to an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the endpoint does not accept it in time.
+    pub(super) async fn open(address: &str) -> Result<Self, Error> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+            .await
+            .map_err(|_| Error::Timeout)??;
+        let (sender, connection, progress) = inbound::handshake(stream).await?;
+        let task = tokio::spawn(async move {
+            // The request in progress receives the error.
+            let _ = connection.await;
+        });
+        Ok(Self {
+            sender,
+            progress,
+            task: task.abort_handle(),
+        })
+    }
+
+    /// Sends a GET request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks.
+    pub(super) async fn get(
+        &mut self,
+        address: &str,
+        path: &str,
+    ) -> Result<Response<Incoming>, Error> {
+        self.sender.ready().await?;
+        self.progress.restart();
+        Ok(self.sender.send_request(get(address, path)).await?)
+    }
+
+    /// Records content that was taken from the answer.
+    pub(super) fn record(&self, bytes: usize) {
+        self.progress.record(bytes);
+    }
+}
 
 /// A load page on the wire.
 #[derive(Debug, Deserialize)]
@@ -105,41 +158,22 @@
 }
 
 async fn fetch(address: &str, connection: &mut Option<Connection>) -> Result<Bytes, Error> {
-    let mut sender = match connection.take() {
-        Some(sender) if !sender.is_closed() => sender,
-        _ => open(address).await?,
+    let mut open = match connection.take() {
+        Some(open) if !open.sender.is_closed() => open,
+        _ => Connection::open(address).await?,
     };
-    sender.ready().await?;
-    let request = get(address, PATH);
-    let response = sender.send_request(request).await?;
+    let response = open.get(address, PATH).await?;
     if response.status() != StatusCode::OK {
         return Err(Error::Status(response.status()));
     }
     let body = Limited::new(response.into_body(), MAX_PAGE_BYTES);
     let page = body.collect().await.map_err(|_| Error::Body)?.to_bytes();
-    *connection = Some(sender);
+    *connection = Some(open);
     Ok(page)
 }
 
-/// Opens a connection to an endpoint.
-///
-/// # Errors
-///
-/// Fails if the endpoint does not accept it in time.
-pub(super) async fn open(address: &str) -> Result<Connection, Error> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-        .await
-        .map_err(|_| Error::Timeout)??;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    tokio::spawn(async move {
-        // The request in progress receives the error.
-        let _ = connection.await;
-    });
-    Ok(sender)
-}
-
 /// Builds a GET request.
-pub(super) fn get(address: &str, path: &str) -> Request<Empty<Bytes>> {
+fn get(address: &str, path: &str) -> Request<Empty<Bytes>> {
     let mut request = Request::new(Empty::new());
     if let Ok(uri) = path.parse() {
         *request.uri_mut() = uri;
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -10,14 +10,11 @@
 };
 
 use bytes::Bytes;
+use dottereltally_store::inbound::{self, Progress};
 use http::{HeaderMap, Response};
 use http_body::{Frame, SizeHint};
 use http_body_util::Full;
-use hyper::{
-    body::Incoming,
-    client::conn::http1::{self, SendRequest},
-};
-use hyper_util::rt::TokioIo;
+use hyper::{body::Incoming, client::conn::http1::SendRequest};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
@@ -83,6 +80,7 @@
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    progress: Progress,
     task: JoinHandle<()>,
 }
 
@@ -98,12 +96,16 @@
         let stream = timeout(limits.connect, connect).await??;
         stream.set_nodelay(true)?;
         set_keepalive(&stream, limits)?;
-        let handshake = http1::handshake(TokioIo::new(stream));
-        let (sender, connection) = handshake.await.map_err(io::Error::other)?;
+        let handshake = inbound::handshake(stream);
+        let (sender, connection, progress) = handshake.await.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             let _ = connection.await;
         });
-        Ok(Self { sender, task })
+        Ok(Self {
+            sender,
+            progress,
+            task,
+        })
     }
 
     async fn is_usable(&mut self) -> bool {
@@ -210,10 +212,11 @@
                 });
             }
         };
+        connection.progress.restart();
         let response = match connection.sender.try_send_request(message).await {
             Ok(response) => response,
             Err(mut error) => {
-                let cause = error.error().to_string();
+                let cause = inbound::cause(error.error());
                 return Err(match error.take_message() {
                     Some(message) => Failure::Unsent {
                         message: Box::new(message),
@@ -279,10 +282,15 @@
             return Poll::Pending;
         };
         match frame {
-            Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
+            Some(Ok(frame)) => {
+                if let (Some(lease), Some(data)) = (&self.lease, frame.data_ref()) {
+                    lease.connection.progress.record(data.len());
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
             Some(Err(error)) => {
                 self.lease = None;
-                let cause = error.to_string();
+                let cause = inbound::cause(&error);
                 Poll::Ready(Some(Err(Broken { cause })))
             }
             None => {
--- a/store/src/http.rs
+++ b/store/src/http.rs
@@ -12,14 +12,18 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{
-    body::Incoming,
-    client::conn::http1::{self, SendRequest},
+    body::{Body as _, Incoming},
+    client::conn::http1::SendRequest,
 };
-use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time};
 
+use crate::{
+    buffer,
+    inbound::{self, Progress},
+};
+
 /// Maximum number of idle connections that are kept.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
@@ -73,6 +77,7 @@
 /// One open connection; dropping it closes it.
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    progress: Progress,
     task: AbortHandle,
 }
 
@@ -87,14 +92,15 @@
         let unsent = |error: io::Error| Error::Unsent(error.to_string());
         let stream = TcpStream::connect(address).await.map_err(unsent)?;
         stream.set_nodelay(true).map_err(unsent)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection, progress) = inbound::handshake(stream)
             .await
-            .map_err(|error| Error::Unsent(error.to_string()))?;
+            .map_err(|error| Error::Unsent(inbound::cause(&error)))?;
         let task = tokio::spawn(async move {
             let _closed = connection.await;
         });
         Ok(Self {
             sender,
+            progress,
             task: task.abort_handle(),
         })
     }
@@ -103,12 +109,13 @@
         self.sender
             .ready()
             .await
-            .map_err(|error| Error::Unsent(error.to_string()))?;
+            .map_err(|error| Error::Unsent(inbound::cause(&error)))?;
+        self.progress.restart();
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
-                let cause = error.into_error().to_string();
+                let cause = inbound::cause(&error.into_error());
                 if unsent {
                     return Err(Error::Unsent(cause));
                 }
@@ -117,16 +124,30 @@
         }
     }
 
-    async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<Answer, Error> {
+    async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        memory: &buffer::Pool,
+    ) -> Result<Answer, Error> {
+        let full = |error: buffer::Full| Error::Lost(error.to_string());
         let response = self.send(request).await?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
-            .collect()
-            .await
-            .map_err(|error| Error::Lost(error.to_string()))?;
+        let mut body = response.into_body();
+        let mut answer = buffer::Answer::new(memory.reserve(MAX_ANSWER_BYTES));
+        answer
+            .check_length(body.size_hint().lower())
+            .map_err(full)?;
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| Error::Lost(inbound::cause(&error)))?;
+            let Ok(part) = frame.into_data() else {
+                continue;
+            };
+            self.progress.record(part.len());
+            answer.append(&part).map_err(full)?;
+        }
         Ok(Answer {
             status,
-            body: body.to_bytes(),
+            body: answer.finish(),
         })
     }
 }
@@ -136,7 +157,7 @@
 pub struct Stream {
     body: Incoming,
     status: StatusCode,
-    _connection: Connection,
+    connection: Connection,
 }
 
 impl Stream {
@@ -153,8 +174,9 @@
     /// Fails if the connection is lost.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Error> {
         while let Some(frame) = self.body.frame().await {
-            let frame = frame.map_err(|error| Error::Lost(error.to_string()))?;
+            let frame = frame.map_err(|error| Error::Lost(inbound::cause(&error)))?;
             if let Ok(bytes) = frame.into_data() {
+                self.connection.progress.record(bytes.len());
                 return Ok(Some(bytes));
             }
         }
@@ -196,6 +218,7 @@
 pub struct Client {
     address: String,
     idle: Mutex<Vec<Idle>>,
+    memory: buffer::Pool,
 }
 
 impl Client {
@@ -205,6 +228,7 @@
         Self {
             address,
             idle: Mutex::default(),
+            memory: buffer::Pool::default(),
         }
     }
 
@@ -235,7 +259,7 @@
                 Some(connection) => connection,
                 None => self.open(deadlines.connect).await?,
             };
-            let exchange = connection.exchange(request.clone());
+            let exchange = connection.exchange(request.clone(), &self.memory);
             let result = time::timeout_at(deadlines.answer, exchange)
                 .await
                 .unwrap_or_else(|_| Err(Error::Lost("timed out".to_owned())));
@@ -269,7 +293,7 @@
         Ok(Stream {
             status: response.status(),
             body: response.into_body(),
-            _connection: connection,
+            connection,
         })
     }
 
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -3,10 +3,12 @@
 //! Both are traits, each with a network client and an in-memory implementation
 //! for tests.
 
+pub mod buffer;
 pub mod etcd;
 pub mod host;
 pub mod host_list;
 pub mod http;
+pub mod inbound;
 pub mod kv;
 pub mod layout;
 pub mod memory;
