events: comments and blank lines are no events

A stream of comments or blank lines without end counted as one of events: it was relayed to the caller until the time limit, and each comment moved the time by which the next event is due.

The splitter keeps comments until the event that follows, within the limit of an event, so that the stream counts as silent and goes on at another endpoint. Comments after the last event are passed on at the end. Lines are searched once.

--- a/gateway/src/events.rs
+++ b/gateway/src/events.rs
@@ -1,10 +1,14 @@
 //! Splits a stream of server-sent events into complete events.
 
 use bytes::{Bytes, BytesMut};
+use dottereltally_store::buffer::{Full, Pool, Reservation};
 
-/// Largest event that is buffered.
+/// Most bytes without the end of an event.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// First byte of a comment.
+const COMMENT: u8 = b':';
+
 /// One or more complete events.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Batch {
@@ -19,41 +23,92 @@
 }
 
 /// Buffers bytes until events are complete.
-#[derive(Debug, Default)]
+///
+/// Comments and blank lines are no events. They are kept for the event that
+/// follows, so that they do not pass for progress.
+#[derive(Debug)]
 pub struct Splitter {
     buffer: BytesMut,
+    reservation: Reservation,
+    /// Start of the line that is unfinished.
+    line_start: usize,
+    /// Bytes that were searched for the end of that line.
+    searched: usize,
+    /// Whether an event started before that line and has not ended.
+    in_event: bool,
 }
 
-/// An event is larger than the limit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("an event is larger than {MAX_EVENT_BYTES} bytes; check the endpoint")]
-pub struct TooLarge;
+impl Default for Splitter {
+    fn default() -> Self {
+        Self::new(&Pool::default())
+    }
+}
 
 impl Splitter {
+    /// Returns a splitter that buffers in the memory of a pool.
+    #[must_use]
+    pub fn new(memory: &Pool) -> Self {
+        Self {
+            buffer: BytesMut::new(),
+            reservation: memory.reserve(MAX_EVENT_BYTES),
+            line_start: 0,
+            searched: 0,
+            in_event: false,
+        }
+    }
+
     /// Takes the next bytes; returns the events that ended in them.
     ///
     /// # Errors
     ///
-    /// Fails if an event is too large to be buffered.
-    pub fn feed(&mut self, bytes: &[u8]) -> Result<Option<Batch>, TooLarge> {
-        // A blank line, `\r\n\r\n` at the longest, may start in the bytes of
-        // earlier calls.
-        let search_start = self.buffer.len().saturating_sub(3);
+    /// Fails if too much arrived since the last event to be buffered.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Option<Batch>, Full> {
         self.buffer.extend_from_slice(bytes);
-        let Some(end) = last_event_end(&self.buffer, search_start) else {
-            if self.buffer.len() > MAX_EVENT_BYTES {
-                return Err(TooLarge);
-            }
-            return Ok(None);
-        };
-        let bytes = self.buffer.split_to(end).freeze();
-        Ok(Some(Batch::parse(bytes)))
+        let end = self.end_of_last_event();
+        let batch = end.map(|end| self.split_to(end));
+        self.reservation.resize(self.buffer.len())?;
+        Ok(batch)
     }
 
     /// Returns whether no unfinished event is buffered.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.buffer.is_empty()
+        let line = &self.buffer[self.line_start..];
+        !self.in_event && (line.is_empty() || line[0] == COMMENT)
+    }
+
+    /// Returns the comments and blank lines after the last event, if there are any.
+    pub fn take_rest(&mut self) -> Option<Batch> {
+        let end = self.buffer.len();
+        (end > 0 && self.is_empty()).then(|| self.split_to(end))
+    }
+
+    /// Searches the lines that are new; returns the end of the last event in them.
+    fn end_of_last_event(&mut self) -> Option<usize> {
+        let mut end = None;
+        while let Some(length) = find(&self.buffer[self.searched..], b'\n') {
+            let line_end = self.searched + length;
+            let line = &self.buffer[self.line_start..line_end];
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            if line.is_empty() {
+                if self.in_event {
+                    end = Some(line_end + 1);
+                }
+                self.in_event = false;
+            } else if line[0] != COMMENT {
+                self.in_event = true;
+            }
+            self.line_start = line_end + 1;
+            self.searched = self.line_start;
+        }
+        self.searched = self.buffer.len();
+        end
+    }
+
+    fn split_to(&mut self, end: usize) -> Batch {
+        self.line_start = self.line_start.saturating_sub(end);
+        self.searched = self.searched.saturating_sub(end);
+        Batch::parse(self.buffer.split_to(end).freeze())
     }
 }
 
@@ -72,7 +127,7 @@
                 blank = true;
                 continue;
             }
-            if blank {
+            if blank && line[0] != COMMENT {
                 batch.events += 1;
                 blank = false;
             }
@@ -94,22 +149,6 @@
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
 
-/// Returns the end of the last blank line that ends after `search_start`; `None`
-/// if there is none.
-fn last_event_end(bytes: &[u8], search_start: usize) -> Option<usize> {
-    let mut end = bytes.len();
-    while end > search_start {
-        let newline = bytes[..end].iter().rposition(|byte| *byte == b'\n')?;
-        if newline < search_start {
-            return None;
-        }
-        let before = bytes[..newline]
-            .strip_suffix(b"\r")
-            .unwrap_or(&bytes[..newline]);
-        if before.last() == Some(&b'\n') {
-            return Some(newline + 1);
-        }
-        end = newline;
-    }
-    None
+fn find(bytes: &[u8], byte: u8) -> Option<usize> {
+    bytes.iter().position(|found| *found == byte)
 }
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -81,7 +81,12 @@
             let frame = match timeout_at(event_deadline, self.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(error))) => return Received::Broken(error.cause),
-                Ok(None) if self.splitter.is_empty() => return Received::End,
+                Ok(None) if self.splitter.is_empty() => {
+                    return self
+                        .splitter
+                        .take_rest()
+                        .map_or(Received::End, Received::Events);
+                }
                 Ok(None) => return Received::Broken("the stream ended within an event".to_owned()),
                 Err(_) if Instant::now() >= deadline => return Received::Expired,
                 Err(_) => return Received::Broken("no event in the expected time".to_owned()),
