answer: an endless answer is its endpoint's failure

An answer over the limit counted as `cancelled`, in the metrics and for the core, as if its caller had left: the endpoint was not held to have failed. A stream of comments, or of one event without end, was forwarded until the deadline of its call, as each byte moved the inactivity limit.

Failed before: outcomes [Cancelled] instead of [Broken] for an answer over the limit; [Stalled] instead of [Broken] for streams without events, only after the bytes had ended.

Buffered answers share one pool of memory. An event stream is cut after 4 MiB without a data event.

--- a/node/src/answer.rs
+++ b/node/src/answer.rs
@@ -1,7 +1,8 @@
 //! Filter: returns the endpoint's response to the caller, streamed or buffered.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use dottereltally_lib::{id, size::Tokens};
+use dottereltally_store::buffer;
 use http::{
     HeaderMap, HeaderValue, Response,
     header::{CONTENT_LENGTH, CONTENT_TYPE},
@@ -18,6 +19,7 @@
     server::REQUEST_HEADER,
     sse,
     stream::Forward,
+    tracker::Tracker,
     upstream::Broken,
 };
 
@@ -53,13 +55,16 @@
     Response::from_parts(parts, Body::stream(body))
 }
 
-/// Buffers the whole response before any of it is sent to the caller.
+/// Buffers the whole response in this memory before any of it is sent to the
+/// caller.
 ///
 /// # Errors
 ///
-/// Fails if the response is incomplete or its body is longer than `limit` bytes.
+/// Fails if the response is incomplete, or its body longer than `limit` bytes or
+/// than the memory allows.
 pub async fn buffer<B, D>(
     running: Running<B, D>,
+    memory: &buffer::Pool,
     limit: usize,
     request: id::Request,
 ) -> Result<Response<Bytes>, Problem>
@@ -75,14 +80,18 @@
     } = running;
     let (mut parts, mut body) = response.into_parts();
     tracker.record_status(parts.status);
-    let mut content = BytesMut::new();
+    let mut content = buffer::Answer::new(memory.reserve(limit));
+    if let Err(full) = content.check_length(body.size_hint().lower()) {
+        return Err(too_large(tracker, full));
+    }
     loop {
         let frame = match first.take() {
             Some(frame) => frame,
             None => match timeout_at(limits.next_timeout(Instant::now()), body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(None) => break,
-                Ok(Some(Err(_))) => {
+                Ok(Some(Err(broken))) => {
+                    tracing::info!(request = %request, cause = %broken, "answer broke");
                     tracker.broken();
                     return Err(failure(Reason::Broken));
                 }
@@ -99,13 +108,11 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if content.len() + data.len() > limit {
-            // Dropping the tracker reports the request as cancelled.
-            return Err(failure(Reason::AnswerTooLarge));
+        if let Err(full) = content.append(&data) {
+            return Err(too_large(tracker, full));
         }
-        content.extend_from_slice(&data);
     }
-    let content = content.freeze();
+    let content = content.finish();
     if is_event_stream(&parts.headers) && !is_complete_stream(&content) {
         tracker.broken();
         return Err(failure(Reason::Broken));
@@ -119,6 +126,13 @@
     Ok(Response::from_parts(parts, content))
 }
 
+/// Ends a request whose response can't be buffered.
+fn too_large<D: Handle>(tracker: Tracker<D>, full: buffer::Full) -> Problem {
+    tracing::info!(request = %tracker.id(), cause = %full, "answer too large");
+    tracker.too_large();
+    failure(Reason::AnswerTooLarge)
+}
+
 /// Returns whether an event stream contains its final `[DONE]` event.
 fn is_complete_stream(content: &[u8]) -> bool {
     let mut scanner = sse::Scanner::default();
--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -27,7 +27,7 @@
     problem::{Problem, Reason},
     stream::Limits,
     tracker::Tracker,
-    upstream::{Client, Failure, Message, Reuse},
+    upstream::{Broken, Client, Failure, Message, Reuse},
 };
 
 /// Header that correlates a response with its request.
@@ -257,7 +257,7 @@
                 message: *message,
             }));
         }
-        Ok(Err(Failure::Broken(_))) => return Err(broken(tracker)),
+        Ok(Err(Failure::Broken(cause))) => return Err(broken(tracker, &cause)),
         Err(_) => return Err(timed_out(tracker, &limits)),
     };
     let echo = response.headers().get(CORRELATION_HEADER);
@@ -267,7 +267,7 @@
     let (parts, mut body) = response.into_parts();
     let first = match timeout_at(limits.next_timeout(Instant::now()), body.frame()).await {
         Ok(Some(Ok(frame))) => Some(frame),
-        Ok(Some(Err(_))) => return Err(broken(tracker)),
+        Ok(Some(Err(cause))) => return Err(broken(tracker, &cause)),
         Ok(None) => None,
         Err(_) => return Err(timed_out(tracker, &limits)),
     };
@@ -282,7 +282,8 @@
 }
 
 /// Ends a request whose connection broke.
-fn broken<D: Handle, C>(tracker: Tracker<D>) -> Error<C> {
+fn broken<D: Handle, C>(tracker: Tracker<D>, cause: &Broken) -> Error<C> {
+    tracing::info!(request = %tracker.id(), %cause, "answer broke");
     tracker.broken();
     Error::Failed(failure(Reason::Broken))
 }
@@ -323,7 +324,7 @@
         ),
         Reason::AnswerTooLarge => (
             StatusCode::BAD_GATEWAY,
-            "the answer is over the limit that can be kept; ask for less or raise `limits.body`",
+            "the answer is larger than can be kept; ask for less, raise `limits.body`, or send the request again if it is idempotent",
         ),
         _ => (
             StatusCode::BAD_GATEWAY,
--- a/node/src/filter.rs
+++ b/node/src/filter.rs
@@ -16,6 +16,7 @@
     configuration, id,
     request::{Received, Request},
 };
+use dottereltally_store::buffer;
 use http::{HeaderValue, Response, StatusCode, header::HeaderMap, request::Parts};
 use http_body_util::BodyExt;
 use tokio::time::timeout;
@@ -60,6 +61,8 @@
     pub resolve: Resolve,
     /// Connections to the endpoints.
     pub upstream: U,
+    /// Memory for answers that are buffered.
+    pub answers: buffer::Pool,
     /// Acquires the claims of idempotency keys.
     pub keeper: K,
     /// The counters.
@@ -202,7 +205,7 @@
             if class.kind == configuration::Kind::Plain || is_streamed(&running.response) {
                 return Ok(answer::forward(running, id));
             }
-            let buffered = answer::buffer(running, self.limits.body, id).await;
+            let buffered = answer::buffer(running, &self.answers, self.limits.body, id).await;
             return buffered
                 .map(|response| response.map(Body::full))
                 .map_err(refuse);
--- a/node/src/idempotency.rs
+++ b/node/src/idempotency.rs
@@ -123,7 +123,7 @@
         Err(Error::ClaimExpired) => return Err(claim_expired()),
         Err(Error::Failed(problem)) => return Err(problem),
     };
-    let response = answer::buffer(running, chain.limits.body, id).await?;
+    let response = answer::buffer(running, &chain.answers, chain.limits.body, id).await?;
     dispatched.complete(to_stored(&response));
     Ok(response.map(Body::full))
 }
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -41,6 +41,9 @@
     /// The connection to the endpoint broke.
     #[display("broken")]
     Broken,
+    /// The response was larger than can be kept.
+    #[display("answer-too-large")]
+    TooLarge,
     /// The endpoint stopped responding.
     #[display("stalled")]
     Stalled,
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -7,6 +7,7 @@
 };
 
 use dottereltally_lib::{event::Event, id};
+use dottereltally_store::buffer;
 use eyre::WrapErr;
 use prometheus_client::registry::Registry;
 use serde::Serialize;
@@ -121,6 +122,7 @@
             dispatcher: controllers.dispatcher.clone(),
             resolve: controllers.book.resolver(),
             upstream: Pool::default(),
+            answers: buffer::Pool::with_room_for(settings.limits.body),
             keeper: controllers.keeper.clone(),
             metrics,
             next_request: AtomicU64::new(first_request_number()),
--- a/node/src/sse.rs
+++ b/node/src/sse.rs
@@ -59,6 +59,8 @@
     overlong: bool,
     last_data: Vec<u8>,
     events: u64,
+    /// Bytes since the last data event ended.
+    bytes_since_event: usize,
     done: bool,
 }
 
@@ -66,7 +68,8 @@
     /// Scans the next bytes of the stream; returns the number of data events
     /// that ended in them.
     pub fn feed(&mut self, mut bytes: &[u8]) -> u64 {
-        let before = self.events;
+        let before = (self.events, self.done);
+        let length = bytes.len();
         while let Some(end) = bytes.iter().position(|byte| *byte == b'\n') {
             let (head, rest) = bytes.split_at(end);
             bytes = &rest[1..];
@@ -84,7 +87,18 @@
             self.overlong = false;
         }
         self.buffer(bytes);
-        self.events - before
+        if (self.events, self.done) == before {
+            self.bytes_since_event = self.bytes_since_event.saturating_add(length);
+        } else {
+            self.bytes_since_event = 0;
+        }
+        self.events - before.0
+    }
+
+    /// Returns the number of bytes since the last data event.
+    #[must_use]
+    pub fn bytes_since_event(&self) -> usize {
+        self.bytes_since_event
     }
 
     /// Returns whether the final `[DONE]` event was received.
--- a/node/src/stream.rs
+++ b/node/src/stream.rs
@@ -24,6 +24,9 @@
 /// connection is aborted.
 const ABORT_DELAY: Duration = Duration::from_millis(50);
 
+/// Most bytes of a stream without a data event; comments are none.
+const MAX_BYTES_WITHOUT_EVENT: usize = 4 << 20;
+
 /// Time limits of one response.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -147,7 +150,10 @@
         if let Poll::Ready(frame) = polled {
             return Poll::Ready(match frame {
                 Some(Ok(frame)) => Ok(Some(frame)),
-                Some(Err(_)) => Err(Reason::Broken),
+                Some(Err(cause)) => {
+                    tracing::info!(%cause, "answer broke");
+                    Err(Reason::Broken)
+                }
                 None => Ok(None),
             });
         }
@@ -178,6 +184,12 @@
         open.tracker.progress(tokens.unwrap_or_default());
     }
 
+    /// Returns whether too much of an event stream holds no event.
+    fn is_without_event(&self) -> bool {
+        let scanner = self.scanner.as_ref();
+        scanner.is_some_and(|scanner| scanner.bytes_since_event() > MAX_BYTES_WITHOUT_EVENT)
+    }
+
     /// Ends the response as the endpoint ended it; an event stream without its
     /// final event is truncated.
     fn finish(&mut self) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
@@ -252,6 +264,13 @@
         match ready!(this.poll_upstream(context)) {
             Ok(Some(frame)) => {
                 this.record(&frame);
+                if this.is_without_event() {
+                    tracing::info!(
+                        cause = "the stream has no event in too many bytes; check the endpoint",
+                        "answer broke"
+                    );
+                    return this.truncate(Reason::Broken);
+                }
                 Poll::Ready(Some(Ok(frame)))
             }
             Ok(None) => this.finish(),
--- a/node/src/tracker.rs
+++ b/node/src/tracker.rs
@@ -141,6 +141,12 @@
         self.end(Outcome::Broken, Completion::Broken);
     }
 
+    /// Reports that the response was larger than can be kept; the endpoint may send
+    /// bytes without end.
+    pub fn too_large(self) {
+        self.end(Outcome::Broken, Completion::TooLarge);
+    }
+
     /// Reports that the endpoint stopped responding.
     pub fn stalled(self) {
         self.end(Outcome::Stalled, Completion::Stalled);
--- a/node/tests/chain/mod.rs
+++ b/node/tests/chain/mod.rs
@@ -34,7 +34,7 @@
     id, refusal,
     request::{Admitted, Claimed, Request},
 };
-use dottereltally_store::{layout, memory::Store};
+use dottereltally_store::{buffer, layout, memory::Store};
 use http::{Response, StatusCode, header::CONTENT_TYPE};
 use http_body::Frame;
 use http_body_util::{BodyExt, Full};
@@ -410,6 +410,7 @@
             dispatcher: dispatcher.clone(),
             resolve: Arc::new(|endpoint| Some(format!("{endpoint}:80"))),
             upstream: endpoints.clone(),
+            answers: buffer::Pool::default(),
             keeper,
             metrics,
             next_request: AtomicU64::new(7),
--- a/node/tests/test_path_random.rs
+++ b/node/tests/test_path_random.rs
@@ -35,7 +35,10 @@
     scheduler::{Scheduler, Settings},
     size::Tokens,
 };
-use dottereltally_store::memory::{Fault, Store};
+use dottereltally_store::{
+    buffer,
+    memory::{Fault, Store},
+};
 use faulty::{Endpoints, History};
 use http_body_util::Full;
 use prometheus_client::{encoding::text::encode, registry::Registry};
@@ -155,6 +158,7 @@
         dispatcher: start_dispatcher(clock, seed).await,
         resolve: Arc::new(|endpoint| Some(endpoint.to_string())),
         upstream: endpoints.clone(),
+        answers: buffer::Pool::default(),
         keeper,
         metrics,
         next_request: AtomicU64::new(1),
