--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -99,7 +99,9 @@
         let frame = match timeout_at(deadline, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(error))) => return Received::Broken(error.cause),
-            Ok(None) if splitter.is_empty() => return Received::End,
+            Ok(None) if splitter.is_empty() => {
+                return splitter.take_rest().map_or(Received::End, Received::Events);
+            }
             Ok(None) => return Received::Broken("the stream ended within an event".to_owned()),
             Err(_) => return Received::Expired,
         };
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -37,6 +37,7 @@
     quota::{Limiter, Tolerance},
     route::{Retry, Route, Target},
 };
+use dottereltally_store::buffer;
 use http::{HeaderMap, HeaderValue};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -106,6 +107,12 @@
     }
 }
 
+/// Bytes that a step without end writes at once.
+const BLOCK_BYTES: usize = 16 * 1024;
+
+/// Time between two writes of a slow step without end.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(2);
+
 /// What an endpoint does with one request.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -115,6 +122,12 @@
     Wait(Arc<Notify>),
     /// Sends nothing for this time.
     Pause(Duration),
+    /// Sends the bytes this many times.
+    Repeat(String, usize),
+    /// Sends the bytes again and again until the gateway closes the connection.
+    Endless(String),
+    /// The same, slowly.
+    Trickle(String),
     /// Waits until the gateway closes the connection.
     Hang,
     /// Closes the connection.
@@ -178,7 +191,8 @@
         }
     }
 
-    /// Waits until the gateway has closed a connection at a [`Step::Hang`].
+    /// Waits until the gateway has closed a connection at a step that lasts until
+    /// then.
     pub async fn wait_for_close(&self) {
         while self.closed.load(Ordering::SeqCst) == 0 {
             sleep(Duration::from_millis(5)).await;
@@ -214,6 +228,26 @@
                         return;
                     }
                 }
+                Step::Repeat(bytes, times) => {
+                    for _ in 0..times {
+                        if stream.write_all(bytes.as_bytes()).await.is_err() {
+                            return;
+                        }
+                    }
+                }
+                Step::Endless(bytes) => {
+                    let block = bytes.repeat(BLOCK_BYTES.div_ceil(bytes.len()));
+                    while stream.write_all(block.as_bytes()).await.is_ok() {}
+                    closed.fetch_add(1, Ordering::SeqCst);
+                    return;
+                }
+                Step::Trickle(bytes) => {
+                    while stream.write_all(bytes.as_bytes()).await.is_ok() {
+                        sleep(TRICKLE_INTERVAL).await;
+                    }
+                    closed.fetch_add(1, Ordering::SeqCst);
+                    return;
+                }
                 Step::Wait(signal) => signal.notified().await,
                 Step::Pause(silence) => sleep(silence).await,
                 Step::Hang => {
@@ -410,6 +444,7 @@
             plan: plan.subscribe(),
             admission: admission::Handle::new(dispatcher, clock),
             upstream: Pool::new(Limits::default()),
+            answers: buffer::Pool::default(),
             limiter: Mutex::new(Limiter::new(Tolerance::default())),
             budget: Mutex::new(Budget::new(budget::Limits {
                 ratio: 0.2,
