node: a host that acknowledges nothing for a second keeps its connections

What callers saw: 502 for safe and unsafe requests, and streams that break, at an endpoint whose host or link answers nothing for a little over a second.

Cause: `user_timeout` of 1.2 s. It ends a connection with unacknowledged data, and it also decides at each keep-alive probe (first after 1 s, then each second) whether the connection is dead, so that one lost probe is enough.

Streams don't wait for it, as another endpoint is sought after 1.2 s of silence; safe requests to a data centre that is cut off are sent elsewhere a second later. 3.2 s would double that price.

A process that is stopped while its kernel acknowledges (SIGSTOP) meets none of these limits: by tcp(7) data that the kernel took are acknowledged, and probes are answered. The tests with silent endpoints cover it, as theirs acknowledge too. Not tested: a host that is suspended and answers late what it got meanwhile, a link that loses one direction only, the users' network.

--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -83,13 +83,16 @@
     write_timeout: Duration::from_secs(20),
 };
 
-/// Time limits of connections to endpoints and between nodes: a data centre that is cut off and
-/// a connection that stopped responding must be detected well before callers give up.
+/// Time limits of connections to endpoints and between nodes. A data centre that is cut off
+/// must be detected before callers give up, and a host that acknowledges nothing for a
+/// second must not be taken for gone: the kernel compares `user_timeout` with the time
+/// without traffic at each keep-alive probe, so that it must exceed two intervals for two
+/// probes to be lost.
 pub(crate) const UPSTREAM_LIMITS: pool::Limits = pool::Limits {
     connect: Duration::from_millis(250),
     keepalive_time: Duration::from_secs(1),
     keepalive_interval: Duration::from_secs(1),
-    user_timeout: Duration::from_millis(1200),
+    user_timeout: Duration::from_millis(2200),
     idle: Duration::from_secs(5),
 };
 
