watch: end a watch that sends too much without a change

A key-value service that sends blank lines, messages without a change or a line without end kept a watch, and a processor, busy: the bytes left of each line were moved to the front, and each frame searched a line from its start. Failed before: all three were still read after 60 s, and the line had not reached its limit of 16 MiB.

A watch fails after 32 MiB without a change and lines are searched once, so that its reader starts a new one, as after any error.

--- a/store/src/etcd/watch.rs
+++ b/store/src/etcd/watch.rs
@@ -1,5 +1,7 @@
 //! Watches, which are streams of JSON messages, one per line.
 
+use bytes::BytesMut;
+
 use crate::{
     etcd::{
         error::{from_body, unreadable},
@@ -12,29 +14,39 @@
 /// Maximum size of one message of a watch, in bytes.
 const MAX_MESSAGE_BYTES: usize = 16 << 20;
 
+/// Maximum size of a message with a change and of all that was sent since the
+/// change before, in bytes.
+const MAX_SKIPPED_BYTES: usize = 2 * MAX_MESSAGE_BYTES;
+
 /// Watch of one key.
 pub struct Watch {
     stream: Stream,
     /// Bytes that were received but not yet returned as a line.
-    pending: Vec<u8>,
+    pending: BytesMut,
+    /// How many of them were searched for the end of a line.
+    searched: usize,
 }
 
 impl Watch {
     pub(super) fn new(stream: Stream) -> Self {
         Self {
             stream,
-            pending: Vec::new(),
+            pending: BytesMut::new(),
+            searched: 0,
         }
     }
 
     /// Waits for the next line of the stream, and returns it without its end.
-    async fn line(&mut self) -> Result<Vec<u8>, Error> {
+    async fn line(&mut self) -> Result<BytesMut, Error> {
         loop {
-            if let Some(end) = self.pending.iter().position(|byte| *byte == b'\n') {
-                let mut line: Vec<u8> = self.pending.drain(..=end).collect();
-                line.pop();
+            let unsearched = &self.pending[self.searched..];
+            if let Some(length) = unsearched.iter().position(|byte| *byte == b'\n') {
+                let mut line = self.pending.split_to(self.searched + length + 1);
+                line.truncate(line.len() - 1);
+                self.searched = 0;
                 return Ok(line);
             }
+            self.searched = self.pending.len();
             if self.pending.len() > MAX_MESSAGE_BYTES {
                 return Err(Error::Unreadable(
                     "a message of the watch is too long".to_owned(),
@@ -55,8 +67,15 @@
 
 impl kv::Watch for Watch {
     async fn next(&mut self) -> Result<Vec<Change>, Error> {
+        let mut skipped = 0;
         loop {
             let line = self.line().await?;
+            skipped += line.len() + 1;
+            if skipped > MAX_SKIPPED_BYTES {
+                return Err(Error::Unreadable(
+                    "the watch sends too much without a change".to_owned(),
+                ));
+            }
             if line.iter().all(u8::is_ascii_whitespace) {
                 continue;
             }
--- a/store/tests/test_endless.rs
+++ b/store/tests/test_endless.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use dottereltally_store::{
     buffer::{Answer, Full, Pool},
+    etcd::Store,
     http::{Client, Deadlines, Error},
+    kv::{Revision, Store as _, Watch as _},
 };
 use eyre::Result;
 use http::Request;
@@ -38,7 +40,10 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?.to_string();
         let (sender, closed) = mpsc::unbounded_channel();
-        let (start, part) = (start.to_owned(), part.repeat(16_384 / part.len()));
+        let (start, part) = (
+            start.to_owned(),
+            part.repeat(16_384_usize.div_ceil(part.len())),
+        );
         tokio::spawn(async move {
             while let Ok((mut stream, _)) = listener.accept().await {
                 let (start, part, sender) = (start.clone(), part.clone(), sender.clone());
@@ -117,6 +122,30 @@
     Ok(())
 }
 
+/// A watch of one key.
+#[rstest]
+#[case::line("x", "too long")]
+#[case::blank_lines("\n", "without a change")]
+#[case::messages("{\"result\": {}}\n", "without a change")]
+#[tokio::test]
+async fn a_watch_without_changes_fails_and_closes_the_connection(
+    #[case] part: &str,
+    #[case] cause: &str,
+) -> Result<()> {
+    let part = part.repeat(4096);
+    let part = format!("{:x}\r\n{part}\r\n", part.len());
+    let mut server = Server::start(CHUNKED, &part).await?;
+    let store = Store::new(vec![server.address.clone()], CALL_TIMEOUT);
+    let mut watch = store.watch("k", Revision(1)).await?;
+    let failure = timeout(PATIENCE, watch.next())
+        .await?
+        .expect_err("no change");
+    assert!(failure.to_string().contains(cause), "{failure}");
+    drop(watch);
+    server.wait_for_close().await;
+    Ok(())
+}
+
 #[test]
 fn one_answer_may_take_most_of_the_memory() {
     let pool = Pool::new(24);
