test_endless: floods before a request and at an examination

Both pass: what comes before a request was read, with another id or none, is no answer to it, and the examiner closes the connection on which it asked. The dispatcher's case counts requests only, not the examinations of the endpoint.

--- a/gateway/tests/test_endless.rs
+++ b/gateway/tests/test_endless.rs
@@ -13,7 +13,7 @@
     stream_end, stream_head,
 };
 use rstest::rstest;
-use tokio::time::timeout;
+use tokio::{io::AsyncWriteExt, net::TcpListener, sync::mpsc, time::timeout};
 use tracing::subscriber::DefaultGuard;
 
 /// Guards against a test that waits for ever.
@@ -149,16 +149,70 @@
 #[case::body(endless(&format!("{HEAD}content-length: 1000000000\r\n\r\n"), "x"))]
 #[tokio::test]
 async fn the_dispatcher_avoids_an_endpoint_whose_answers_have_no_end(#[case] steps: Vec<Step>) {
-    let broken = Endpoint::start(vec![steps; FAILURES]).await;
+    let broken = Endpoint::start(vec![steps; 3 * FAILURES]).await;
     let healthy = Endpoint::start(Vec::new()).await;
     let gateway = Gateway::start(Some(plan()), &[&broken, &healthy]).await;
     for _ in 0..FAILURES {
         assert_eq!(status(&get(&gateway, "/safe/x").await), 200);
     }
-    let tried = broken.requests().len();
+    // The others are examinations of the endpoint.
+    let requests = broken.requests();
+    let tried = requests
+        .iter()
+        .filter(|request| request.starts_with("GET /safe/"));
+    let tried = tried.count();
     assert!(tried < FAILURES, "it was tried {tried} times");
 }
 
+/// An endpoint that floods each connection from its start; nothing of a request
+/// may have been read.
+#[rstest]
+#[case::no_answer("x")]
+#[case::interim_answers("HTTP/1.1 100 Continue\r\n\r\n")]
+#[case::answers("HTTP/1.1 200 X\r\nx-id: other\r\nx-seal: s\r\ncontent-length: 3\r\n\r\nbad")]
+#[tokio::test]
+async fn bytes_before_a_request_are_no_answer_to_it(#[case] part: &'static str) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (closed, mut closes) = mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let closed = closed.clone();
+            tokio::spawn(async move {
+                let block = part.repeat(400);
+                while stream.write_all(block.as_bytes()).await.is_ok() {}
+                let _sent = closed.send(());
+            });
+        }
+    });
+    let mut flooding = Endpoint::start(Vec::new()).await;
+    flooding.address = address;
+    let healthy = Endpoint::start(Vec::new()).await;
+    let gateway = Gateway::start(Some(plan()), &[&flooding, &healthy]).await;
+    let answer = get(&gateway, "/safe/x").await;
+    timeout(PATIENCE, closes.recv()).await.expect("a close");
+    assert!(answer.ends_with("usual"), "{answer}");
+}
+
+/// The examiner closes the connection on which it asked.
+#[rstest]
+#[case::head("HTTP/1.1 200 X\r\na: ", "x")]
+#[case::interim_answers("", "HTTP/1.1 100 Continue\r\n\r\n")]
+#[case::body("HTTP/1.1 200 X\r\n\r\n", "x")]
+#[tokio::test]
+async fn an_examination_that_is_answered_without_end_is_closed(
+    #[case] start: &str,
+    #[case] part: &str,
+) {
+    let script = vec![vec![Step::Close], endless(start, part)];
+    let endpoint = Endpoint::start(script).await;
+    let gateway = Gateway::start(Some(plan()), &[&endpoint]).await;
+    assert_eq!(status(&get(&gateway, "/once/x").await), 502);
+    wait_for_close(&endpoint).await;
+    let requests = endpoint.requests();
+    assert!(requests[1].starts_with("GET /health"), "{requests:?}");
+}
+
 /// The forms of a stream without end, after its head.
 #[rstest]
 #[case::event("data: x", "larger than")]
