lib, gateway: types for the software versions of endpoints

Records, requests and choices carry a version, also on the wire between a node and its coordinator, where an empty text means none. Nothing reads a version yet: no change of behaviour.

--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -99,6 +99,9 @@
     pub first_byte_deadline: time::Instant,
     /// Hash that is equal when the same caller sends the same request again.
     pub fingerprint: id::Fingerprint,
+    /// The software version that began the stream that it continues; `None` if
+    /// any version may serve it.
+    pub version: Option<id::Version>,
     /// The message to endpoints, whichever is chosen.
     pub template: Template,
 }
@@ -119,6 +122,7 @@
             caller_leaves_at: self.first_byte_deadline,
             deadline: self.deadline,
             excluded: excluded.to_vec(),
+            version: self.version.clone(),
         }
     }
 }
@@ -284,6 +288,7 @@
             deadline,
             first_byte_deadline: deadline.min(received + patience - ANSWER_MARGIN),
             fingerprint,
+            version: None,
             template: Template::new(parts, body, head, workspace, plan.workspaces.is_some()),
         })
     }
--- a/gateway/src/coordinator/wire.rs
+++ b/gateway/src/coordinator/wire.rs
@@ -27,10 +27,15 @@
     wire.set_due_micros(micros(request.first_byte_due.since(now)));
     wire.set_first_by_micros(micros(request.caller_leaves_at.since(now)));
     wire.set_deadline_micros(micros(request.deadline.since(now)));
-    let mut excluded = wire.init_avoid(list_length(request.excluded.len()));
+    let mut excluded = wire
+        .reborrow()
+        .init_avoid(list_length(request.excluded.len()));
     for (index, endpoint) in request.excluded.iter().enumerate() {
         excluded.set(list_length(index), endpoint.as_str());
     }
+    if let Some(version) = &request.version {
+        wire.set_version(version.as_str());
+    }
 }
 
 pub(super) fn read_request(wire: ask::Reader<'_>, now: time::Instant) -> Result<Request, Error> {
@@ -50,6 +55,7 @@
         caller_leaves_at: now + Duration::from_micros(wire.get_first_by_micros()),
         deadline: now + Duration::from_micros(wire.get_deadline_micros()),
         excluded,
+        version: read_version(wire.get_version()?)?,
     })
 }
 
@@ -65,6 +71,9 @@
             wire.set_places(choice.capacity);
             wire.set_first_micros(micros(choice.expected_first_byte));
             wire.set_waiting(choice.waiting as u64);
+            if let Some(version) = &choice.version {
+                wire.set_version(version.as_str());
+            }
         }
         Err(refusal) => {
             let mut wire = wire.init_refusal();
@@ -82,6 +91,7 @@
                 endpoint: id::Endpoint::from(choice.get_endpoint()?.to_str()?),
                 address: choice.get_address()?.to_str()?.to_owned(),
                 data_centre: id::DataCentre::from(choice.get_data_centre()?.to_str()?),
+                version: read_version(choice.get_version()?)?,
                 own_requests: choice.get_own(),
                 other_requests: choice.get_others(),
                 capacity: choice.get_places(),
@@ -155,6 +165,12 @@
     })
 }
 
+/// Reads a software version; an empty text means none.
+fn read_version(wire: capnp::text::Reader<'_>) -> Result<Option<id::Version>, Error> {
+    let version = wire.to_str()?;
+    Ok((!version.is_empty()).then(|| id::Version::from(version)))
+}
+
 fn micros(span: Duration) -> u64 {
     u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
 }
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -384,6 +384,7 @@
                 data_centre: id::DataCentre::from(if number == 0 { "dc" } else { "far" }),
                 standing: Standing::Live,
                 capacity: Some(4),
+                version: None,
             });
         }
         dispatcher.set_endpoints(clock.now(), records);
--- a/gateway/tests/test_coordinator.rs
+++ b/gateway/tests/test_coordinator.rs
@@ -56,6 +56,7 @@
         data_centre: id::DataCentre::from("dc"),
         standing: Standing::Live,
         capacity: Some(CAPACITY),
+        version: None,
     };
     dispatcher.set_endpoints(clock.now(), vec![record]);
     Handle::new(dispatcher, clock)
@@ -75,6 +76,7 @@
         caller_leaves_at: now + minute,
         deadline: now + minute,
         excluded: Vec::new(),
+        version: None,
     }
 }
 
--- a/gateway/tests/test_endpoints.rs
+++ b/gateway/tests/test_endpoints.rs
@@ -25,6 +25,7 @@
             data_centre: id::DataCentre::from("dc"),
             standing,
             capacity: Some(4),
+            version: None,
         },
         started_ms,
         sequence,
--- a/gateway/tests/test_rpc.rs
+++ b/gateway/tests/test_rpc.rs
@@ -31,6 +31,7 @@
         data_centre: id::DataCentre::from("dc"),
         standing: Standing::Leaving,
         capacity: Some(4),
+        version: None,
     };
     let entry = Entry {
         record,
--- a/lib/examples/costs.rs
+++ b/lib/examples/costs.rs
@@ -85,6 +85,7 @@
         data_centre: format!("dc{}", number % 7).into(),
         standing: Standing::Live,
         capacity: None,
+        version: None,
     };
     (0..replicas).map(record).collect()
 }
--- a/lib/examples/experiment/driver.rs
+++ b/lib/examples/experiment/driver.rs
@@ -234,6 +234,7 @@
             data_centre: format!("dc{}", engine.data_centre).into(),
             standing: Standing::Live,
             capacity: None,
+            version: None,
         };
         self.engines.iter().enumerate().map(record).collect()
     }
--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -117,6 +117,8 @@
     pub deadline: time::Instant,
     /// Endpoints that it was already sent to and must not be sent to again.
     pub excluded: Vec<id::Endpoint>,
+    /// The software version that must serve it; `None` if any may.
+    pub version: Option<id::Version>,
 }
 
 /// Timing of the events in a completed answer.
@@ -166,6 +168,8 @@
     pub address: String,
     /// Its data centre.
     pub data_centre: id::DataCentre,
+    /// The software version that it runs; `None` if unknown.
+    pub version: Option<id::Version>,
     /// Requests of this node at the endpoint, including this one.
     pub own_requests: u32,
     /// Requests of other nodes at the endpoint, by their last reports.
@@ -705,6 +709,7 @@
             endpoint: name.clone(),
             address: member.record.address.clone(),
             data_centre: member.record.data_centre.clone(),
+            version: member.record.version.clone(),
             own_requests: member.own_requests,
             other_requests: member.peer_load.requests,
             capacity: member.capacity(),
--- a/lib/src/endpoint.rs
+++ b/lib/src/endpoint.rs
@@ -36,6 +36,9 @@
     /// Number of requests that it runs at once, if known.
     #[serde(rename = "places")]
     pub capacity: Option<u32>,
+    /// The software version that it runs; `None` if unknown.
+    #[serde(default)]
+    pub version: Option<id::Version>,
 }
 
 /// Load that an endpoint last reported about itself.
--- a/lib/src/id.rs
+++ b/lib/src/id.rs
@@ -63,6 +63,10 @@
     /// Names a route.
     Route
 }
+name! {
+    /// Names the software version that an endpoint runs.
+    Version
+}
 
 /// Identifies one attempt of a request within one node.
 #[derive(Clone, Copy, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/lib/tests/engines/mod.rs
+++ b/lib/tests/engines/mod.rs
@@ -104,6 +104,7 @@
         caller_leaves_at: now + objective * 6,
         deadline: now + Duration::from_secs(15),
         excluded: Vec::new(),
+        version: None,
     }
 }
 
@@ -167,6 +168,7 @@
                 data_centre: id::DataCentre::from("dc"),
                 standing: Standing::Live,
                 capacity: u32::try_from(engine.capacity).ok(),
+                version: None,
             });
         }
         records
--- a/lib/tests/support/mod.rs
+++ b/lib/tests/support/mod.rs
@@ -64,6 +64,7 @@
         data_centre: "a".into(),
         standing: Standing::Live,
         capacity: None,
+        version: None,
     }
 }
 
--- a/node/tests/test_dispatcher.rs
+++ b/node/tests/test_dispatcher.rs
@@ -86,6 +86,7 @@
             data_centre: id::DataCentre::from("plovdiv"),
             standing: Standing::Live,
             capacity: None,
+            version: None,
         }]));
         Self {
             sender,
--- a/node/tests/test_observer.rs
+++ b/node/tests/test_observer.rs
@@ -138,6 +138,7 @@
         data_centre: "plovdiv".into(),
         standing: Standing::Live,
         capacity: None,
+        version: None,
     }
 }
 
--- a/node/tests/test_path_random.rs
+++ b/node/tests/test_path_random.rs
@@ -113,6 +113,7 @@
                 data_centre: id::DataCentre::from("plovdiv"),
                 standing: Standing::Live,
                 capacity: None,
+                version: None,
             });
         }
     }
--- a/proto/schema/gateway.capnp
+++ b/proto/schema/gateway.capnp
@@ -81,6 +81,8 @@
   firstByMicros @7 :UInt64;
   deadlineMicros @8 :UInt64;
   avoid @9 :List(Text);
+  # Software version that must serve it; empty if any may.
+  version @10 :Text;
 }
 
 struct Decision {
@@ -99,6 +101,8 @@
   places @5 :UInt32;
   firstMicros @6 :UInt64;
   waiting @7 :UInt64;
+  # Software version of the endpoint; empty if unknown.
+  version @8 :Text;
 }
 
 struct Refusal {
--- a/proto/src/gateway_capnp.rs
+++ b/proto/src/gateway_capnp.rs
@@ -4062,11 +4062,19 @@
         pub fn has_avoid(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_version(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_version(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4212,6 +4220,22 @@
         pub fn has_avoid(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_version(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_version(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(2).init_text(size)
+        }
+        #[inline]
+        pub fn has_version(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4223,94 +4247,101 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 175] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 190] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(51, 53, 238, 254, 49, 35, 72, 165),
             ::capnp::word(14, 0, 0, 0, 1, 0, 7, 0),
             ::capnp::word(39, 106, 78, 201, 208, 163, 248, 177),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 65, 115),
             ::capnp::word(107, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4399,6 +4430,14 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4412,6 +4451,7 @@
                 7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                10 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4425,9 +4465,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,2,8,6,7,4,5,3,0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,2,8,6,7,4,5,3,0,1,10];
         pub(crate) const TYPE_ID: u64 = 0xa548_2331_feee_3533;
     }
 }
@@ -4816,11 +4856,19 @@
         pub fn get_waiting(self) -> u64 {
             self.reader.get_data_field::<u64>(3)
         }
+        #[inline]
+        pub fn get_version(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_version(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4958,6 +5006,22 @@
         pub fn set_waiting(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(3, value);
         }
+        #[inline]
+        pub fn get_version(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_version(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(3).init_text(size)
+        }
+        #[inline]
+        pub fn has_version(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4969,80 +5033,87 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 140] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 155] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(118, 114, 183, 89, 147, 82, 54, 237),
             ::capnp::word(14, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(39, 106, 78, 201, 208, 163, 248, 177),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 67, 104),
             ::capnp::word(111, 105, 99, 101, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -5110,6 +5181,14 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5121,6 +5200,7 @@
                 5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5134,9 +5214,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0,6,4,3,5,7];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0,6,4,3,5,8,7];
         pub(crate) const TYPE_ID: u64 = 0xed36_5293_59b7_7276;
     }
 }
--- a/store/src/host_list.rs
+++ b/store/src/host_list.rs
@@ -177,6 +177,7 @@
             data_centre,
             standing,
             capacity: None,
+            version: None,
         });
         Ok(())
     }
