tests: streams and requests beside several software versions, known red

What callers saw: a stream that broke went on at an endpoint of another software version than the one that began it.

The tests' gateway lists all endpoints with one version, as the platform does; the descriptions in the tests of the platform have one as well. Endpoints that share a script answer health checks outside of it, since which of them is examined after a loss is random.

--- a/gateway/tests/common/fragile.rs
+++ b/gateway/tests/common/fragile.rs
@@ -99,7 +99,7 @@
                     data_centre: id::DataCentre::from(if number % 2 == 0 { "dc" } else { "far" }),
                     standing: Standing::Live,
                     capacity: Some(4),
-                    version: None,
+                    version: Some(id::Version::from("v1")),
                 },
                 process: 1,
                 end: Arc::default(),
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -129,11 +129,25 @@
 
 impl Endpoint {
     pub async fn start(script: Vec<Vec<Step>>) -> Self {
+        Self::follow(Arc::new(Mutex::new(script)), false).await
+    }
+
+    /// Starts endpoints that follow one script together. They answer checks of their
+    /// health outside of it.
+    pub async fn start_group(count: usize, script: Vec<Vec<Step>>) -> Vec<Self> {
+        let script = Arc::new(Mutex::new(script));
+        let mut group = Vec::new();
+        for _ in 0..count {
+            group.push(Self::follow(Arc::clone(&script), true).await);
+        }
+        group
+    }
+
+    async fn follow(script: Arc<Mutex<Vec<Vec<Step>>>>, checked: bool) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let requests = Arc::<Mutex<Vec<String>>>::default();
         let closed = Arc::<AtomicUsize>::default();
-        let script = Arc::new(Mutex::new(script));
         let endpoint = Self {
             address,
             requests: Arc::clone(&requests),
@@ -144,7 +158,7 @@
                 let requests = Arc::clone(&requests);
                 let closed = Arc::clone(&closed);
                 let script = Arc::clone(&script);
-                tokio::spawn(run_script(stream, requests, closed, script));
+                tokio::spawn(run_script(stream, requests, closed, script, checked));
             }
         });
         endpoint
@@ -178,11 +192,19 @@
     requests: Arc<Mutex<Vec<String>>>,
     closed: Arc<AtomicUsize>,
     script: Arc<Mutex<Vec<Vec<Step>>>>,
+    checked: bool,
 ) {
     loop {
         let Some(request) = read_message(&mut stream).await else {
             return;
         };
+        if checked && request.starts_with("GET /health ") {
+            let healthy = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+            if stream.write_all(healthy.as_bytes()).await.is_err() {
+                return;
+            }
+            continue;
+        }
         let id = header(&request, "x-id").unwrap_or_default();
         requests.lock().unwrap().push(request);
         let steps = {
@@ -357,6 +379,20 @@
     plan
 }
 
+/// Returns the list's entry of an endpoint of the service `s`. All but the first are
+/// in another data centre, so that the first one is tried first.
+pub fn record(number: usize, endpoint: &Endpoint, version: Option<&str>) -> Record {
+    Record {
+        id: id::Endpoint::from(format!("e{number}")),
+        address: endpoint.address.to_string(),
+        service: id::Service::from("s"),
+        data_centre: id::DataCentre::from(if number == 0 { "dc" } else { "far" }),
+        standing: Standing::Live,
+        capacity: Some(4),
+        version: version.map(id::Version::from),
+    }
+}
+
 /// A gateway on loopback.
 pub struct Gateway {
     pub address: SocketAddr,
@@ -367,26 +403,22 @@
 }
 
 impl Gateway {
+    /// Starts a gateway with these endpoints, all of one software version.
     pub async fn start(plan: Option<Plan>, endpoints: &[&Endpoint]) -> Self {
+        let mut records = Vec::new();
+        for (number, endpoint) in endpoints.iter().enumerate() {
+            records.push(record(number, endpoint, Some("v1")));
+        }
+        Self::start_with(plan, records).await
+    }
+
+    /// Starts a gateway with this list of endpoints.
+    pub async fn start_with(plan: Option<Plan>, records: Vec<Record>) -> Self {
         let clock = Clock::start();
         let mut dispatcher = Dispatcher::new(Settings {
             data_centre: id::DataCentre::from("dc"),
             seed: 1,
         });
-        let mut records = Vec::new();
-        for (number, endpoint) in endpoints.iter().enumerate() {
-            records.push(Record {
-                id: id::Endpoint::from(format!("e{number}")),
-                address: endpoint.address.to_string(),
-                service: id::Service::from("s"),
-                // The others are in another data centre, so that the first one is
-                // tried first.
-                data_centre: id::DataCentre::from(if number == 0 { "dc" } else { "far" }),
-                standing: Standing::Live,
-                capacity: Some(4),
-                version: None,
-            });
-        }
         dispatcher.set_endpoints(clock.now(), records);
         let plan = watch::Sender::new(plan.map(Arc::new));
         let metrics = Metrics::default();
--- a/gateway/tests/test_coordinator.rs
+++ b/gateway/tests/test_coordinator.rs
@@ -24,6 +24,7 @@
     dispatcher::{Dispatcher, Load, Outcome, Request, Settings, Timing},
     endpoint::{Record, Standing},
     id,
+    refusal::Reason,
 };
 use rstest::rstest;
 use tokio::{
@@ -37,6 +38,9 @@
 
 const CAPACITY: u32 = 2;
 
+/// An endpoint of a directory and its software version.
+type Listed = (&'static str, Option<&'static str>);
+
 fn node(name: &str, millicores: u32, rpc_address: &str) -> Node {
     Node {
         name: id::Node::from(name),
@@ -47,21 +51,41 @@
     }
 }
 
-fn handle(clock: Clock) -> Handle {
-    let mut dispatcher = Dispatcher::new(Settings::default());
-    let record = Record {
-        id: id::Endpoint::from("e"),
+fn record(name: &str, version: Option<&str>) -> Record {
+    Record {
+        id: id::Endpoint::from(name),
         address: "127.0.0.1:9".to_owned(),
         service: id::Service::from("s"),
         data_centre: id::DataCentre::from("dc"),
         standing: Standing::Live,
         capacity: Some(CAPACITY),
-        version: None,
-    };
-    dispatcher.set_endpoints(clock.now(), vec![record]);
+        version: version.map(id::Version::from),
+    }
+}
+
+fn handle(clock: Clock) -> Handle {
+    handle_with(clock, &[("e", None)])
+}
+
+/// Returns a handle whose directory has these endpoints and versions.
+fn handle_with(clock: Clock, endpoints: &[Listed]) -> Handle {
+    let mut dispatcher = Dispatcher::new(Settings::default());
+    let mut records = Vec::new();
+    for (name, version) in endpoints {
+        records.push(record(name, *version));
+    }
+    dispatcher.set_endpoints(clock.now(), records);
     Handle::new(dispatcher, clock)
 }
 
+/// Returns a request that only an endpoint of this version may serve.
+fn request_for(clock: Clock, version: &str) -> Request {
+    Request {
+        version: Some(id::Version::from(version)),
+        ..request(clock)
+    }
+}
+
 fn request(clock: Clock) -> Request {
     let now = clock.now();
     let minute = Duration::from_mins(1);
@@ -138,12 +162,13 @@
 }
 
 impl Pair {
-    async fn start() -> Self {
+    async fn start(node_endpoints: &[Listed], coordinator_endpoints: &[Listed]) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let proxy = Proxy::start(address).await;
         let clock = Clock::start();
-        let (node_handle, coordinator) = (handle(clock), handle(clock));
+        let node_handle = handle_with(clock, node_endpoints);
+        let coordinator = handle_with(clock, coordinator_endpoints);
         let snapshot = Snapshot {
             plan: Some(plan()),
             ..Snapshot::default()
@@ -174,7 +199,12 @@
     }
 
     async fn linked() -> Self {
-        let pair = Self::start().await;
+        Self::linked_with(&[("e", None)], &[("e", None)]).await
+    }
+
+    /// Returns a node and its coordinator, whose directories differ.
+    async fn linked_with(node_endpoints: &[Listed], coordinator_endpoints: &[Listed]) -> Self {
+        let pair = Self::start(node_endpoints, coordinator_endpoints).await;
         wait_until(|| pair.node.has_coordinator()).await;
         pair
     }
@@ -371,3 +401,105 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against streams that go on at another version than the one that began
+/// them because the coordinator does not know which one they need.
+#[ignore = "known red: ORDER"]
+#[tokio::test]
+async fn the_version_that_a_request_needs_goes_to_the_coordinator() {
+    let test = async {
+        let mut both = vec![("a", Some("v1"))];
+        both.extend(["b", "c", "d", "e", "f"].map(|name| (name, Some("v2"))));
+        let pair = Pair::linked_with(&both, &both).await;
+        for _ in 0..CAPACITY * 5 {
+            let request = request_for(pair.clock, "v1");
+            let (choice, permit) = pair.node.admit(request).await.unwrap();
+            assert_eq!(choice.endpoint.as_str(), "a");
+            assert_eq!(choice.version, Some(id::Version::from("v1")));
+            assert!(permit.is_delegated());
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against streams that go on at another version because the coordinator's
+/// directory is older than that of the node that sends.
+#[ignore = "known red: ORDER"]
+#[tokio::test]
+async fn a_node_checks_the_version_of_the_coordinators_choice() {
+    let test = async {
+        let node = [("a", Some("v2")), ("b", Some("v1"))];
+        let coordinator = [("a", Some("v1")), ("b", Some("v2"))];
+        let pair = Pair::linked_with(&node, &coordinator).await;
+        let request = request_for(pair.clock, "v2");
+        let (choice, permit) = pair.node.admit(request).await.unwrap();
+        assert_eq!(choice.endpoint.as_str(), "a");
+        assert!(!permit.is_delegated());
+        drop(permit);
+        wait_until(|| pair.coordinator.read(Dispatcher::running) == 0).await;
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a stream that is cut although the node itself knows an endpoint
+/// to go on at.
+#[ignore = "known red: ORDER"]
+#[tokio::test]
+async fn a_node_chooses_itself_if_its_coordinator_knows_no_endpoint_of_the_version() {
+    let test = async {
+        let node = [("a", Some("v1")), ("b", Some("v2"))];
+        let coordinator = [("a", Some("v1"))];
+        let pair = Pair::linked_with(&node, &coordinator).await;
+        let request = request_for(pair.clock, "v2");
+        let (choice, permit) = pair.node.admit(request).await.unwrap();
+        assert_eq!(choice.endpoint.as_str(), "b");
+        assert!(!permit.is_delegated());
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a stream that is held for an endpoint that only the coordinator
+/// still lists; the node would not use it.
+#[ignore = "known red: ORDER"]
+#[tokio::test]
+async fn a_node_that_knows_no_endpoint_of_the_version_does_not_wait_for_its_coordinator() {
+    let test = async {
+        let node = [("a", Some("v1"))];
+        let coordinator = [("a", Some("v1")), ("b", Some("v2"))];
+        let pair = Pair::linked_with(&node, &coordinator).await;
+        let mut permits = Vec::new();
+        for _ in 0..CAPACITY {
+            let request = request_for(pair.clock, "v2");
+            permits.push(pair.coordinator.admit(request).await.unwrap());
+        }
+        let refused = pair.node.admit(request_for(pair.clock, "v2")).await;
+        assert_eq!(
+            refused.map(|_| ()).map_err(|refusal| refusal.reason),
+            Err(Reason::NoEndpoint)
+        );
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a stream whose version is taken from the older one of two
+/// directories.
+#[ignore = "known red: ORDER"]
+#[rstest]
+#[case::differ(Some("v1"), Some("v2"), None)]
+#[case::same(Some("v1"), Some("v1"), Some("v1"))]
+#[case::older_coordinator(Some("v1"), None, Some("v1"))]
+#[case::older_node(None, Some("v1"), None)]
+#[tokio::test]
+async fn a_version_on_which_the_directories_differ_counts_as_unknown(
+    #[case] node: Option<&'static str>,
+    #[case] coordinator: Option<&'static str>,
+    #[case] expected: Option<&'static str>,
+) {
+    let test = async {
+        let pair = Pair::linked_with(&[("e", node)], &[("e", coordinator)]).await;
+        let (choice, permit) = pair.node.admit(request(pair.clock)).await.unwrap();
+        assert!(permit.is_delegated());
+        assert_eq!(choice.version, expected.map(id::Version::from));
+    };
+    LocalSet::new().run_until(test).await;
+}
