relay: a stream goes on only at the version that began it

What callers saw: a stream that broke was resumed, within one answer, at an endpoint of any software version.

The first event that the caller gets binds the stream to the version of its endpoint; an endpoint that was tried without an event binds nothing. Resumptions ask for that version. The stream is cut at once, with a log line (`stream is not resumed`) and a counter (`not_resumed`, by cause), if no endpoint of the version is left or the version is not certain: it is unknown, the directory shows another one for the endpoint at its first event, or shows another one for the endpoint that began the stream when that one breaks. From then on, the version no longer depends on that endpoint's entry. Events of an endpoint that is listed with another version when its first event arrives are not relayed to a stream that goes on. Lines on endpoints, sends, and beginnings and resumptions of streams name the version. The text of the refusal `no-endpoint` holds for both cases.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -230,6 +230,7 @@
         prompt = job.tokens.0,
         output = job.tokens.1,
         endpoint = %choice.endpoint,
+        version = choice.version.as_ref().map(id::Version::as_str),
         own = choice.own_requests,
         others = choice.other_requests,
         places = choice.capacity,
@@ -326,7 +327,9 @@
     strip_hop_by_hop(&mut parts.headers);
     if success && job.route.streaming && is_event_stream(&parts.headers) {
         parts.headers.remove(CONTENT_LENGTH);
-        return read_first_events(parts, body, permit, (first_event_deadline, deadline)).await;
+        let attempt =
+            read_first_events(parts, body, permit, (first_event_deadline, deadline)).await;
+        return check_version(chain, job, choice, attempt);
     }
     let receiving = Limited::new(body, MAX_ANSWER_BYTES).collect();
     let body = match timeout_at(deadline, receiving).await {
@@ -344,6 +347,28 @@
     Attempt::Answered { permit, answer }
 }
 
+/// Returns a stream as broken if it continues one that another version began: the
+/// endpoint may have started again with another version since it was chosen.
+fn check_version<D: Dialect>(
+    chain: &Chain<D>,
+    job: &Job,
+    choice: &Choice,
+    attempt: Attempt,
+) -> Attempt {
+    let Attempt::Stream(stream) = attempt else {
+        return attempt;
+    };
+    let listed = chain.listed_version(&choice.endpoint);
+    if job.version.is_none() || job.version == listed {
+        return Attempt::Stream(stream);
+    }
+    let listed = listed.unwrap_or_default();
+    Attempt::Broken {
+        permit: stream.permit,
+        cause: format!("the endpoint is listed with version `{listed}` now"),
+    }
+}
+
 async fn read_first_events(
     parts: response::Parts,
     mut body: pool::Body,
--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -13,7 +13,7 @@
 };
 use dottereltally_lib::{
     budget::Budget,
-    dispatcher::{self, Choice, Outcome, Timing},
+    dispatcher::{self, Choice, Dispatcher, Outcome, Timing},
     id,
     plan::Plan,
     quarantine::Verdict,
@@ -357,6 +357,14 @@
         })
     }
 
+    /// Returns the software version of an endpoint by this node's directory; `None`
+    /// if it is unknown.
+    #[must_use]
+    pub fn listed_version(&self, endpoint: &id::Endpoint) -> Option<id::Version> {
+        let read = |dispatcher: &Dispatcher| dispatcher.version(endpoint).cloned();
+        self.admission.read(read)
+    }
+
     /// Charges a request against its workspace's quota; returns its tier.
     fn charge(
         &self,
--- a/gateway/src/controller/endpoints.rs
+++ b/gateway/src/controller/endpoints.rs
@@ -108,6 +108,7 @@
                 service = %entry.record.service,
                 address = entry.record.address,
                 standing = %entry.record.standing,
+                version = entry.record.version.as_ref().map(id::Version::as_str),
                 born = entry.started_ms,
                 sequence = entry.sequence,
                 "endpoint added or changed"
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
 use dottereltally::problem::Reason;
-use dottereltally_lib::{crash::Finding, id};
+use dottereltally_lib::{crash::Finding, id, refusal};
 use http::StatusCode;
 use prometheus_client::{
     encoding::{EncodeLabelSet, EncodeLabelValue},
@@ -48,6 +49,38 @@
     finding: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ObstacleLabels {
+    cause: Obstacle,
+}
+
+/// Why a stream that may be resumed is not.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Obstacle {
+    /// The version of the endpoint that began it is unknown or uncertain.
+    #[display("the version that began the stream is not known for certain")]
+    UnknownVersion,
+    /// No endpoint of its version is left.
+    #[display("no other endpoint of this version is usable")]
+    NoEndpoint,
+    /// The endpoints of its version are full.
+    #[display("no endpoint of this version is free in time")]
+    Overload,
+}
+
+impl From<refusal::Reason> for Obstacle {
+    fn from(reason: refusal::Reason) -> Self {
+        match reason {
+            refusal::Reason::NoEndpoint => Self::NoEndpoint,
+            refusal::Reason::Overload
+            | refusal::Reason::Deadline
+            | refusal::Reason::Limit
+            | refusal::Reason::Quarantine
+            | refusal::Reason::Shutdown => Self::Overload,
+        }
+    }
+}
+
 /// Evidence about requests that may crash endpoints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum Evidence {
@@ -69,6 +102,7 @@
     answers: Family<AnswerLabels, Counter>,
     refusals: Family<RefusalLabels, Counter>,
     failures: Family<FailureLabels, Counter>,
+    not_resumed: Family<ObstacleLabels, Counter>,
     crash_evidence: Family<EvidenceLabels, Counter>,
     examinations: Family<ExaminationLabels, Counter>,
     first_event: Family<TierLabels, Histogram, fn() -> Histogram>,
@@ -107,6 +141,7 @@
             answers: Family::default(),
             refusals: Family::default(),
             failures: Family::default(),
+            not_resumed: Family::default(),
             crash_evidence: Family::default(),
             examinations: Family::default(),
             first_event: Family::new_with_constructor(latency_histogram),
@@ -144,6 +179,11 @@
             "Sends without a usable answer",
             self.failures.clone(),
         );
+        registry.register(
+            "not_resumed",
+            "Streams that broke and went on nowhere",
+            self.not_resumed.clone(),
+        );
         registry.register(
             "crash_evidence",
             "Evidence about requests that may crash endpoints",
@@ -239,6 +279,12 @@
         self.failures.get_or_create(&labels).inc();
     }
 
+    /// Records why a stream was not resumed.
+    pub fn not_resumed(&self, cause: Obstacle) {
+        let labels = ObstacleLabels { cause };
+        self.not_resumed.get_or_create(&labels).inc();
+    }
+
     /// Records evidence about a request that may crash endpoints.
     pub fn crash_evidence(&self, evidence: Evidence) {
         let labels = EvidenceLabels { evidence };
--- a/gateway/src/refusal.rs
+++ b/gateway/src/refusal.rs
@@ -53,7 +53,7 @@
             ),
             refusal::Reason::NoEndpoint => (
                 StatusCode::SERVICE_UNAVAILABLE,
-                "no endpoint of the service is usable; send the request again after the given time",
+                "no endpoint that may serve the request is usable; send the request again after the given time",
             ),
             refusal::Reason::Limit => (
                 StatusCode::TOO_MANY_REQUESTS,
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -10,6 +10,7 @@
 };
 use dottereltally_lib::{
     dispatcher::{Choice, Outcome, Timing},
+    id,
     route::Retry,
 };
 use futures_util::stream;
@@ -25,6 +26,7 @@
     crashes::Flight,
     dialect::Dialect,
     events::{Batch, Splitter},
+    metrics::Obstacle,
 };
 
 /// Time without an event after which a stream is resumed at another endpoint;
@@ -34,7 +36,11 @@
 /// A stream that is relayed to the caller.
 pub struct Relay<D> {
     chain: Arc<Chain<D>>,
+    /// The request; its version is that of the endpoint that began the stream.
     job: Job,
+    /// The endpoint that began the stream, until the stream is resumed elsewhere;
+    /// `None` if another answer to the caller began it.
+    origin: Option<id::Endpoint>,
     progress: Progress,
     choice: Choice,
     /// `None` while the stream has no endpoint: it is being resumed, or ended.
@@ -103,7 +109,7 @@
     #[must_use]
     pub fn new(
         chain: Arc<Chain<D>>,
-        job: Job,
+        mut job: Job,
         progress: Progress,
         choice: Choice,
         stream: Stream,
@@ -113,15 +119,21 @@
         let last_event_id = job.template.last_event_id();
         let waited = chain.clock.now().since(job.received);
         chain.metrics.first_event(job.tier, waited);
+        let origin = job.version.is_none().then(|| choice.endpoint.clone());
+        if origin.is_some() && chain.listed_version(&choice.endpoint) == choice.version {
+            job.version.clone_from(&choice.version);
+        }
         tracing::info!(
             id = job.correlation_id,
             endpoint = %choice.endpoint,
+            version = job.version.as_ref().map(id::Version::as_str),
             first_ms = millis(waited),
             "stream began"
         );
         Self {
             chain,
             job,
+            origin,
             progress,
             choice,
             upstream: Some(Upstream {
@@ -202,6 +214,21 @@
         self.job.route.retry == Retry::Resume
             && self.progress.sends < self.job.route.attempts
             && (self.last_event_id.is_some() || self.events == 0)
+            && self.certain_version().is_some()
+    }
+
+    /// Returns the version that began the stream; `None` if it is unknown, or if the
+    /// endpoint that began it is listed with another one now, which it may have run
+    /// before.
+    fn certain_version(&self) -> Option<&id::Version> {
+        let version = self.job.version.as_ref()?;
+        let Some(origin) = &self.origin else {
+            return Some(version);
+        };
+        let listed = self.chain.listed_version(origin);
+        listed
+            .is_none_or(|listed| listed == *version)
+            .then_some(version)
     }
 
     /// Checks that events follow those that were relayed, and returns their bytes;
@@ -227,8 +254,24 @@
         Ok(batch.bytes)
     }
 
+    /// Records why a stream that may be resumed is not.
+    fn record_not_resumed(&self, obstacle: Obstacle) {
+        self.chain.metrics.not_resumed(obstacle);
+        tracing::info!(
+            id = self.job.correlation_id,
+            endpoint = %self.choice.endpoint,
+            version = self.job.version.as_ref().map(id::Version::as_str),
+            after = self.last_event_id,
+            cause = %obstacle,
+            "stream is not resumed"
+        );
+    }
+
     /// Resumes the stream at another endpoint; false if that is not possible.
     async fn resume(&mut self, cause: &str) -> bool {
+        if self.job.route.retry == Retry::Resume && self.certain_version().is_none() {
+            self.record_not_resumed(Obstacle::UnknownVersion);
+        }
         if let Some(upstream) = self.upstream.take() {
             upstream.permit.end(Outcome::Broken);
         }
@@ -238,8 +281,12 @@
             let now = chain.clock.now();
             request.first_byte_due = now;
             request.caller_leaves_at = request.deadline;
-            let Ok((choice, permit)) = chain.admission.admit(request).await else {
-                return false;
+            let (choice, permit) = match chain.admission.admit(request).await {
+                Ok(admitted) => admitted,
+                Err(refusal) => {
+                    self.record_not_resumed(refusal.reason.into());
+                    return false;
+                }
             };
             let Ok(flight) = chain.start_flight(&self.job, &choice, &self.progress) else {
                 return false;
@@ -248,6 +295,7 @@
                 id = self.job.correlation_id,
                 from = %self.choice.endpoint,
                 to = %choice.endpoint,
+                version = self.job.version.as_ref().map(id::Version::as_str),
                 after = self.last_event_id,
                 cause,
                 "stream is resumed at another endpoint"
@@ -259,6 +307,7 @@
                 Attempt::Stream(stream) => {
                     self.progress.record_send(&choice);
                     self.choice = choice;
+                    self.origin = None;
                     self.upstream = Some(Upstream {
                         body: stream.body,
                         splitter: stream.splitter,
--- a/gateway/tests/test_endpoints.rs
+++ b/gateway/tests/test_endpoints.rs
@@ -177,3 +177,18 @@
     let replaced = Observation::Replaced(endpoint());
     assert_eq!(endpoints.take_observations().contains(&replaced), died);
 }
+
+/// Guards against requests for a version that an endpoint had before it started again
+/// under its name.
+#[test]
+fn a_changed_version_of_a_kept_name_is_published() {
+    let mut endpoints = with_live_endpoint();
+    let mut again = entry(Standing::Live, Some(200), 1);
+    again.record.version = Some(id::Version::from("v2"));
+    endpoints.update(at(1000), endpoint(), Some(again));
+    let records = endpoints.take_changed(at(1000)).unwrap();
+    assert_eq!(records[0].version, Some(id::Version::from("v2")));
+    let late = entry(Standing::Live, Some(100), 9);
+    endpoints.update(at(1100), endpoint(), Some(late));
+    assert_eq!(endpoints.take_changed(at(1100)), None);
+}
--- a/gateway/tests/test_versions.rs
+++ b/gateway/tests/test_versions.rs
@@ -5,11 +5,12 @@
 use std::{sync::Arc, time::Duration};
 
 use common::{
-    Endpoint, Gateway, Step, event, events, header, is_complete, plan, record, status, stream_end,
-    stream_head,
+    Endpoint, Gateway, Step, chunk, event, events, header, is_complete, plan, record, status,
+    stream_end, stream_head,
 };
 use dottereltally_lib::{
     endpoint::{Record, Standing},
+    id,
     plan::Plan,
     route::Retry,
 };
@@ -68,7 +69,6 @@
 
 /// Guards against a stream that holds events of two software versions because the
 /// endpoint that takes it up after a break may have any.
-#[ignore = "known red: ORDER"]
 #[tokio::test]
 async fn a_broken_stream_goes_on_at_the_version_that_began_it() {
     let first = Endpoint::start(vec![broken()]).await;
@@ -110,7 +110,6 @@
 
 /// Guards against a stream that goes on at another version, or is held, when no
 /// endpoint of its own is left.
-#[ignore = "known red: ORDER"]
 #[rstest]
 #[case::none_listed(Some("v2"), Standing::Live)]
 #[case::the_last_one_leaves(Some("v1"), Standing::Leaving)]
@@ -138,7 +137,6 @@
 
 /// Guards against a stream that is resumed although the version of the endpoint that
 /// began it is unknown.
-#[ignore = "known red: ORDER"]
 #[rstest]
 #[case::another_is_known(Some("v1"))]
 #[case::none_is_known(None)]
@@ -185,7 +183,6 @@
 
 /// Guards against a stream that is taken for one of the old version because the
 /// directory was behind when it began.
-#[ignore = "known red: ORDER"]
 #[rstest]
 #[case::before_the_first_event(true)]
 #[case::after_the_first_event(false)]
@@ -263,3 +260,41 @@
     assert_eq!(events(&answer), ["d1", "d2", "d3"]);
     assert!(is_complete(&answer));
 }
+
+/// Guards against events of another version from an endpoint that started again
+/// between its choice and its first event.
+#[tokio::test]
+async fn a_resumed_stream_gets_no_event_of_an_endpoint_that_changed_its_version() {
+    let ready = Arc::new(Notify::new());
+    let first = Endpoint::start(vec![broken()]).await;
+    let changed = vec![
+        Step::Wait(Arc::clone(&ready)),
+        stream_head(),
+        chunk("id: 2\ndata: other\n\n"),
+        Step::Hang,
+    ];
+    let group = Endpoint::start_group(2, vec![changed, rest()]).await;
+    let endpoints = [
+        (&first, Some("v1")),
+        (&group[0], Some("v1")),
+        (&group[1], Some("v1")),
+    ];
+    let gateway = gateway(&endpoints).await;
+    let answer = gateway.get("/stream/x", "");
+    let change = async {
+        let chosen = loop {
+            let mut names = group.iter();
+            if let Some(chosen) = names.position(|endpoint| !endpoint.requests().is_empty()) {
+                break chosen;
+            }
+            sleep(Duration::from_millis(1)).await;
+        };
+        let mut records = records(&endpoints);
+        records[chosen + 1].version = Some(id::Version::from("v2"));
+        list(&gateway, records);
+        ready.notify_one();
+    };
+    let (answer, ()) = tokio::join!(answer, change);
+    assert_eq!(events(&answer), ["d1", "d2"]);
+    assert!(is_complete(&answer));
+}
