dispatcher: streams spare a version that is nearly gone

What callers saw: while a version is replaced, streams still begin at its last endpoint and have nowhere to go on when it ends.

A stream that may be resumed pays 0.3 s more for an endpoint whose version has fewer than two live endpoints in the service while another version has more; an unknown version counts as having none. It is a cost, so that the last slots are still used when the others are full, and it holds only for requests marked `resumable`, also at the coordinator; older nodes leave the mark out.

--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -123,6 +123,7 @@
             deadline: self.deadline,
             excluded: excluded.to_vec(),
             version: self.version.clone(),
+            resumable: self.route.retry == Retry::Resume,
         }
     }
 }
--- a/gateway/src/coordinator/wire.rs
+++ b/gateway/src/coordinator/wire.rs
@@ -33,6 +33,7 @@
     for (index, endpoint) in request.excluded.iter().enumerate() {
         excluded.set(list_length(index), endpoint.as_str());
     }
+    wire.set_resumable(request.resumable);
     if let Some(version) = &request.version {
         wire.set_version(version.as_str());
     }
@@ -56,6 +57,7 @@
         deadline: now + Duration::from_micros(wire.get_deadline_micros()),
         excluded,
         version: read_version(wire.get_version()?)?,
+        resumable: wire.get_resumable(),
     })
 }
 
--- a/gateway/tests/test_coordinator.rs
+++ b/gateway/tests/test_coordinator.rs
@@ -101,6 +101,7 @@
         deadline: now + minute,
         excluded: Vec::new(),
         version: None,
+        resumable: false,
     }
 }
 
@@ -498,3 +499,25 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against streams that begin at a version that is nearly gone because the
+/// coordinator does not know that they may be resumed.
+#[tokio::test]
+async fn a_coordinator_spares_a_version_that_is_nearly_gone() {
+    let test = async {
+        let both = [("a", Some("v1")), ("b", Some("v2")), ("c", Some("v2"))];
+        let pair = Pair::linked_with(&both, &both).await;
+        let mut permits = Vec::new();
+        for _ in 0..2 * CAPACITY {
+            let request = Request {
+                resumable: true,
+                ..request(pair.clock)
+            };
+            let (choice, permit) = pair.node.admit(request).await.unwrap();
+            assert_eq!(choice.version, Some(id::Version::from("v2")));
+            assert!(permit.is_delegated());
+            permits.push(permit);
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/gateway/tests/test_versions.rs
+++ b/gateway/tests/test_versions.rs
@@ -48,6 +48,33 @@
     admission.apply(|dispatcher, now| dispatcher.set_endpoints(now, records));
 }
 
+/// Returns the answer to a stream that begins at the first of these endpoints: only
+/// that one is listed until it has the request, and it waits for the others with its
+/// first step.
+async fn get_from_first(
+    script: Vec<Step>,
+    version: Option<&str>,
+    others: &[(&Endpoint, Option<&str>)],
+) -> (String, Gateway) {
+    let ready = Arc::new(Notify::new());
+    let mut steps = vec![Step::Wait(Arc::clone(&ready))];
+    steps.extend(script);
+    let first = Endpoint::start(vec![steps]).await;
+    let gateway = gateway(&[(&first, version)]).await;
+    let change = async {
+        while first.requests().is_empty() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        let mut endpoints = vec![(&first, version)];
+        endpoints.extend_from_slice(others);
+        list(&gateway, records(&endpoints));
+        ready.notify_one();
+    };
+    let (answer, ()) = tokio::join!(gateway.get("/stream/x", ""), change);
+    assert_eq!(header(&first.requests()[0], "x-after"), None);
+    (answer, gateway)
+}
+
 /// Returns the metrics of the gateway as text.
 fn metrics(gateway: &Gateway) -> String {
     let mut registry = Registry::default();
@@ -95,15 +122,10 @@
 /// nothing.
 #[tokio::test]
 async fn an_endpoint_that_sent_no_event_binds_nothing() {
-    let silent = Endpoint::start(vec![vec![stream_head(), Step::Close]]).await;
+    let silent = vec![stream_head(), Step::Close];
     let group = Endpoint::start_group(2, vec![broken(), rest()]).await;
-    let endpoints = [
-        (&silent, Some("v1")),
-        (&group[0], Some("v2")),
-        (&group[1], Some("v2")),
-    ];
-    let gateway = gateway(&endpoints).await;
-    let answer = gateway.get("/stream/x", "").await;
+    let others = [(&group[0], Some("v2")), (&group[1], Some("v2"))];
+    let (answer, _gateway) = get_from_first(silent, Some("v1"), &others).await;
     assert_eq!(events(&answer), ["d1", "d2"]);
     assert!(is_complete(&answer));
 }
@@ -142,10 +164,8 @@
 #[case::none_is_known(None)]
 #[tokio::test]
 async fn a_stream_that_began_at_an_unknown_version_is_not_resumed(#[case] other: Option<&str>) {
-    let first = Endpoint::start(vec![broken()]).await;
     let second = Endpoint::start(vec![rest()]).await;
-    let gateway = gateway(&[(&first, None), (&second, other)]).await;
-    let answer = gateway.get("/stream/x", "").await;
+    let (answer, gateway) = get_from_first(broken(), None, &[(&second, other)]).await;
     assert_eq!(events(&answer), ["d1"]);
     assert!(!is_complete(&answer));
     assert!(second.requests().is_empty());
@@ -164,11 +184,11 @@
     #[case] first_version: Option<&str>,
     #[case] second_version: Option<&str>,
 ) {
-    let first = Endpoint::start(vec![vec![stream_head(), Step::Close]]).await;
+    let silent = vec![stream_head(), Step::Close];
     let whole = vec![stream_head(), event(1), stream_end()];
     let second = Endpoint::start(vec![whole]).await;
-    let gateway = gateway(&[(&first, first_version), (&second, second_version)]).await;
-    let answer = gateway.get("/stream/x", "").await;
+    let others = [(&second, second_version)];
+    let (answer, _gateway) = get_from_first(silent, first_version, &others).await;
     assert_eq!(status(&answer), 200);
     assert_eq!(events(&answer), ["d1"]);
     assert!(is_complete(&answer));
--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -78,6 +78,10 @@
 /// that is avoided; its caller can reach others through another node.
 const MAX_AVOIDED_WAIT: Duration = Duration::from_millis(400);
 
+/// Cost of an endpoint of a scarce version for a stream that may be resumed, in
+/// seconds. It outweighs distance, but not an answer that would not be complete.
+const SCARCE_VERSION_COST_SECS: f64 = 0.3;
+
 /// Minimum and maximum `retry_after` of a refusal, before random spread.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(4));
 
@@ -123,6 +127,9 @@
     pub excluded: Vec<id::Endpoint>,
     /// The software version that must serve it; `None` if any may.
     pub version: Option<id::Version>,
+    /// Whether its stream may be resumed at another endpoint, which must run the
+    /// same software version.
+    pub resumable: bool,
 }
 
 /// Timing of the events in a completed answer.
@@ -707,12 +714,19 @@
             } else {
                 0.0
             };
+            let is_scarce = request.resumable && queue.is_scarce(member);
+            let version_cost = if is_scarce {
+                SCARCE_VERSION_COST_SECS
+            } else {
+                0.0
+            };
             let stalled = stalled_streams(queue, request, member);
             let cost = first_byte_secs
                 + remote_cost
                 + STREAM_TIME_WEIGHT * stream_time
                 + STALL_COST_SECS * stalled
                 + incomplete_cost
+                + version_cost
                 + OCCUPANCY_COST_SECS * relative_speed * member.occupancy()
                 + FAILURE_COST_SECS * member.failure_rate(now)
                 + rng.random_range(0.0..MAX_JITTER_SECS);
@@ -800,6 +814,7 @@
     fn group_by_service(&mut self) {
         for queue in self.queues.values_mut() {
             queue.endpoints.clear();
+            queue.versions.clear();
         }
         for member in self.members.values() {
             if !member.listed {
@@ -810,6 +825,11 @@
                 .entry(member.record.service.clone())
                 .or_default();
             queue.endpoints.push(member.record.id.clone());
+            if member.record.standing == Standing::Live
+                && let Some(version) = &member.record.version
+            {
+                *queue.versions.entry(version.clone()).or_default() += 1;
+            }
         }
     }
 
--- a/lib/src/dispatcher/queue.rs
+++ b/lib/src/dispatcher/queue.rs
@@ -64,6 +64,8 @@
 pub(super) struct Queue {
     /// The service's endpoints.
     pub(super) endpoints: Vec<id::Endpoint>,
+    /// Number of live endpoints of each known software version.
+    pub(super) versions: BTreeMap<id::Version, usize>,
     /// Model of the service's answer times.
     pub(super) model: Model,
     /// Mean seconds between two events of a stream, over the endpoints; `None`
@@ -85,6 +87,15 @@
         self.entries.len()
     }
 
+    /// Returns whether the endpoint's version has no other live endpoint at which a
+    /// stream could go on, while another version has more.
+    pub(super) fn is_scarce(&self, member: &Member) -> bool {
+        let version = member.record.version.as_ref();
+        let count = version.and_then(|version| self.versions.get(version));
+        let count = count.copied().unwrap_or_default();
+        count < MIN_VERSION_ENDPOINTS && self.versions.values().any(|other| *other > count)
+    }
+
     pub(super) fn get(&self, id: id::Request) -> Option<&Request> {
         self.entries.get(&id).map(|entry| &entry.request)
     }
@@ -282,6 +293,10 @@
     }
 }
 
+/// Number of live endpoints of a version from which a broken stream can go on at
+/// another one.
+const MIN_VERSION_ENDPOINTS: usize = 2;
+
 /// Fraction of the mean streaming time below which a request counts as short.
 const SHORT_FRACTION: f64 = 0.25;
 
--- a/lib/tests/engines/mod.rs
+++ b/lib/tests/engines/mod.rs
@@ -105,6 +105,7 @@
         deadline: now + Duration::from_secs(15),
         excluded: Vec::new(),
         version: None,
+        resumable: false,
     }
 }
 
--- a/lib/tests/test_versions.rs
+++ b/lib/tests/test_versions.rs
@@ -44,6 +44,23 @@
         deadline: now + Duration::from_mins(1),
         excluded: Vec::new(),
         version: version.map(id::Version::from),
+        resumable: false,
+    }
+}
+
+/// Returns a request whose stream may be resumed.
+fn stream() -> Request {
+    Request {
+        resumable: true,
+        ..request(0, None)
+    }
+}
+
+/// Returns an endpoint of another data centre.
+fn remote(name: &str, version: &str) -> Record {
+    Record {
+        data_centre: id::DataCentre::from("far"),
+        ..record(name, version)
     }
 }
 
@@ -215,3 +232,60 @@
     assert!(!adopt(1, "v2"));
     assert!(adopt(2, "v1"));
 }
+
+/// Guards against streams that begin at a version of which no other endpoint is left
+/// to go on at.
+#[rstest]
+#[case::replaced(record("old", "v1"))]
+#[case::of_unknown_version(Record { version: None, ..record("old", "v1") })]
+fn streams_do_not_begin_at_a_version_that_is_nearly_gone(#[case] last: Record) {
+    let mut dispatcher = dispatcher(vec![last, remote("new0", "v2"), remote("new1", "v2")]);
+    let mut began_at_last = 0;
+    // Half of the slots are in use at a time.
+    for number in 0..200 {
+        let now = at(number * 20);
+        let id = id::Request(number);
+        let effects = dispatcher.submit(now, id, stream());
+        began_at_last += u32::from(sent(&effects) == [(number, "old")]);
+        if let Some(earlier) = number.checked_sub(2) {
+            dispatcher.finish(now, id::Request(earlier), Outcome::Cancelled);
+        }
+    }
+    assert_eq!(began_at_last, 0);
+}
+
+#[test]
+fn a_version_that_is_nearly_gone_is_used_when_the_others_are_full() {
+    let records = vec![
+        record("old", "v1"),
+        remote("new0", "v2"),
+        remote("new1", "v2"),
+    ];
+    let mut dispatcher = dispatcher(records);
+    let mut began_at_last = 0;
+    for number in 0..6 {
+        let effects = dispatcher.submit(at(0), id::Request(number), stream());
+        assert_eq!(sent(&effects).len(), 1);
+        began_at_last += u32::from(sent(&effects) == [(number, "old")]);
+    }
+    assert_eq!(began_at_last, CAPACITY);
+}
+
+#[rstest]
+#[case::not_resumable(request(0, None), vec![remote("b", "v2"), remote("c", "v2")])]
+#[case::none_has_more(stream(), vec![remote("b", "v2")])]
+#[case::two_are_left(stream(), vec![remote("b", "v1"), remote("c", "v2"), remote("d", "v2"), remote("e", "v2")])]
+#[case::others_leave(stream(), vec![
+    Record { standing: Standing::Leaving, ..remote("b", "v2") },
+    Record { standing: Standing::Leaving, ..remote("c", "v2") },
+])]
+fn a_nearby_endpoint_is_chosen_unless_its_version_is_nearly_gone(
+    #[case] request: Request,
+    #[case] others: Vec<Record>,
+) {
+    let mut records = vec![record("a", "v1")];
+    records.extend(others);
+    let mut dispatcher = dispatcher(records);
+    let effects = dispatcher.submit(at(0), id::Request(1), request);
+    assert_eq!(sent(&effects), [(1, "a")]);
+}
--- a/proto/schema/gateway.capnp
+++ b/proto/schema/gateway.capnp
@@ -83,6 +83,8 @@
   avoid @9 :List(Text);
   # Software version that must serve it; empty if any may.
   version @10 :Text;
+  # Whether its stream may be resumed at another endpoint of the same version.
+  resumable @11 :Bool;
 }
 
 struct Decision {
--- a/proto/src/gateway_capnp.rs
+++ b/proto/src/gateway_capnp.rs
@@ -4070,6 +4070,10 @@
         pub fn has_version(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
+        #[inline]
+        pub fn get_resumable(self) -> bool {
+            self.reader.get_bool_field(16)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -4236,6 +4240,14 @@
         pub fn has_version(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
+        #[inline]
+        pub fn get_resumable(self) -> bool {
+            self.builder.get_bool_field(16)
+        }
+        #[inline]
+        pub fn set_resumable(&mut self, value: bool)  {
+            self.builder.set_bool_field(16, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4247,7 +4259,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 190] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 206] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(51, 53, 238, 254, 49, 35, 72, 165),
             ::capnp::word(14, 0, 0, 0, 1, 0, 7, 0),
@@ -4257,91 +4269,98 @@
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 65, 115),
             ::capnp::word(107, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4438,6 +4457,15 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 115, 117, 109, 97, 98, 108),
+            ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4452,6 +4480,7 @@
                 8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                11 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4465,9 +4494,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,2,8,6,7,4,5,3,0,1,10];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,2,8,6,7,4,5,3,11,0,1,10];
         pub(crate) const TYPE_ID: u64 = 0xa548_2331_feee_3533;
     }
 }
