admission: no request is held for a version that its node no longer lists

What callers saw: a stream that waits at the coordinator for a slot of its version is held when the last endpoint of it goes and the coordinator learns of it late.

A node that waits for its coordinator's decision on such a request checks every 100 ms that its own directory still has an endpoint of the version; if not, it takes the request back and refuses it.

--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -7,6 +7,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use dottereltally::clock::Clock;
@@ -15,7 +16,18 @@
     id,
     refusal::{self, Refusal},
 };
-use tokio::sync::{mpsc, oneshot};
+use tokio::{
+    select,
+    sync::{
+        mpsc,
+        oneshot::{self, error::RecvError},
+    },
+    time::interval,
+};
+
+/// Time between two checks whether a request that needs one software version still
+/// has an endpoint to wait for.
+const CANDIDATE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The chosen endpoint, or why the request is refused.
 pub type Decision = Result<Choice, Refusal>;
@@ -95,12 +107,35 @@
     /// Returns the coordinator, unless this node would use no endpoint that it could
     /// choose for a request that needs one software version.
     fn coordinator_for(&self, request: &Request) -> Option<CommandSender> {
-        let now = self.shared.clock.now();
-        let state = self.lock();
-        if request.version.is_some() && !state.dispatcher.has_candidate(now, request) {
+        if request.version.is_some() && !self.has_candidate(request) {
             return None;
         }
-        state.coordinator.clone()
+        self.lock().coordinator.clone()
+    }
+
+    fn has_candidate(&self, request: &Request) -> bool {
+        let now = self.shared.clock.now();
+        self.lock().dispatcher.has_candidate(now, request)
+    }
+
+    /// Waits for the coordinator's decision on a request; `None` if this node would
+    /// no longer use any endpoint that the coordinator could choose.
+    async fn wait_for_decision(
+        &self,
+        request: &Request,
+        mut decision: oneshot::Receiver<Decision>,
+    ) -> Option<Result<Decision, RecvError>> {
+        let mut checks = interval(CANDIDATE_CHECK_INTERVAL);
+        loop {
+            select! {
+                decided = &mut decision => return Some(decided),
+                _ = checks.tick(), if request.version.is_some() => {
+                    if !self.has_candidate(request) {
+                        return None;
+                    }
+                }
+            }
+        }
     }
 
     /// Waits until this node's own dispatcher has chosen an endpoint.
@@ -144,7 +179,7 @@
         let needed = request.version.clone();
         // Dropping the permit withdraws the request.
         let permit = self.permit(id, Some(coordinator.clone()));
-        let Ok(decision) = decision.await else {
+        let Ok(decision) = self.wait_for_decision(&request, decision).await? else {
             permit.disarm();
             return None;
         };
@@ -160,12 +195,20 @@
                     .dispatcher
                     .adopt(now, id, request, endpoint, delegated)
                 {
+                    let listed = state.dispatcher.version(endpoint).cloned();
                     drop(state);
+                    if needed.is_some() && needed != listed {
+                        tracing::info!(
+                            endpoint = %choice.endpoint,
+                            version = listed.as_ref().map(id::Version::as_str),
+                            needed = needed.as_ref().map(id::Version::as_str),
+                            "the endpoint chosen by the coordinator has another version: this node chooses one itself"
+                        );
+                        return None;
+                    }
                     tracing::info!(
                         endpoint = %choice.endpoint,
-                        version = choice.version.as_ref().map(id::Version::as_str),
-                        needed = needed.as_ref().map(id::Version::as_str),
-                        "the endpoint chosen by the coordinator takes no new requests or has another version: this node chooses one itself"
+                        "the endpoint chosen by the coordinator takes no new requests: this node chooses one itself"
                     );
                     return None;
                 }
--- a/gateway/tests/test_coordinator.rs
+++ b/gateway/tests/test_coordinator.rs
@@ -521,3 +521,33 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against a stream that is held at the coordinator after the node has learnt
+/// that the last endpoint of its version is gone.
+#[tokio::test]
+async fn a_request_does_not_wait_for_a_version_that_its_node_no_longer_lists() {
+    let test = async {
+        let both = [("a", Some("v1")), ("b", Some("v2"))];
+        let pair = Pair::linked_with(&both, &both).await;
+        let mut permits = Vec::new();
+        for _ in 0..CAPACITY {
+            let request = request_for(pair.clock, "v2");
+            permits.push(pair.coordinator.admit(request).await.unwrap());
+        }
+        let waiting = spawn_local({
+            let (handle, request) = (pair.node.clone(), request_for(pair.clock, "v2"));
+            async move { handle.admit(request).await.map(|_| ()) }
+        });
+        wait_until(|| pair.coordinator.read(Dispatcher::waiting) > 0).await;
+        let left = vec![record("a", Some("v1"))];
+        pair.node
+            .apply(|dispatcher, now| dispatcher.set_endpoints(now, left));
+        let refused = waiting.await.unwrap();
+        assert_eq!(
+            refused.map_err(|refusal| refusal.reason),
+            Err(Reason::NoEndpoint)
+        );
+        wait_until(|| pair.coordinator.read(Dispatcher::waiting) == 0).await;
+    };
+    LocalSet::new().run_until(test).await;
+}
