--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -17,13 +17,21 @@
     refusal::{self, Refusal},
 };
 use tokio::{
-    sync::{mpsc, oneshot},
-    time::timeout,
+    select,
+    sync::{
+        mpsc,
+        oneshot::{self, error::RecvError},
+    },
+    time::{interval, timeout},
 };
 
 /// Retry delay of a request that nothing was decided on.
 const UNDECIDED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Time between two checks whether a request that needs one software version still
+/// has an endpoint to wait for.
+const CANDIDATE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The chosen endpoint, or why the request is refused.
 pub type Decision = Result<Choice, Refusal>;
 
@@ -88,7 +96,7 @@
     ///
     /// Fails with the refusal of the node that decided.
     pub async fn admit(&self, request: Request) -> Result<(Choice, Permit), Refusal> {
-        let coordinator = self.lock().coordinator.clone();
+        let coordinator = self.coordinator_for(&request);
         if let Some(coordinator) = coordinator
             && let Some(decided) = self
                 .admit_by_coordinator(coordinator, request.clone())
@@ -99,6 +107,40 @@
         self.admit_locally(request).await
     }
 
+    /// Returns the coordinator, unless this node would use no endpoint that it could
+    /// choose for a request that needs one software version.
+    fn coordinator_for(&self, request: &Request) -> Option<CommandSender> {
+        if request.version.is_some() && !self.has_candidate(request) {
+            return None;
+        }
+        self.lock().coordinator.clone()
+    }
+
+    fn has_candidate(&self, request: &Request) -> bool {
+        let now = self.shared.clock.now();
+        self.lock().dispatcher.has_candidate(now, request)
+    }
+
+    /// Waits for the coordinator's decision on a request; `None` if this node would
+    /// no longer use any endpoint that the coordinator could choose.
+    async fn wait_for_decision(
+        &self,
+        request: &Request,
+        mut decision: oneshot::Receiver<Decision>,
+    ) -> Option<Result<Decision, RecvError>> {
+        let mut checks = interval(CANDIDATE_CHECK_INTERVAL);
+        loop {
+            select! {
+                decided = &mut decision => return Some(decided),
+                _ = checks.tick(), if request.version.is_some() => {
+                    if !self.has_candidate(request) {
+                        return None;
+                    }
+                }
+            }
+        }
+    }
+
     /// Waits until this node's own dispatcher has chosen an endpoint.
     ///
     /// Dropping the future withdraws the request.
@@ -143,19 +185,22 @@
         coordinator
             .send(Command::Admit(id, request.clone(), reply))
             .ok()?;
+        let needed = request.version.clone();
         // Dropping the permit withdraws the request.
         let permit = self.permit(id, Some(coordinator.clone()));
-        let decision = match timeout(patience, decision).await {
-            Ok(Ok(decision)) => decision,
-            Ok(Err(_)) => {
+        let waiting = self.wait_for_decision(&request, decision);
+        let decision = match timeout(patience, waiting).await {
+            Ok(Some(Ok(decision))) => decision,
+            Ok(Some(Err(_))) => {
                 permit.disarm();
                 return None;
             }
             // Dropping the permit withdraws the request.
+            Ok(None) => return None,
             Err(_) => return Some(Err(refuse_undecided(id))),
         };
         match decision {
-            Ok(choice) => {
+            Ok(mut choice) => {
                 let now = self.shared.clock.now();
                 let mut state = self.lock();
                 // The link may have ended since the coordinator decided.
@@ -166,17 +211,38 @@
                     .dispatcher
                     .adopt(now, id, request, endpoint, delegated)
                 {
+                    let listed = state.dispatcher.version(endpoint).cloned();
                     drop(state);
+                    if needed.is_some() && needed != listed {
+                        tracing::info!(
+                            endpoint = %choice.endpoint,
+                            version = listed.as_ref().map(id::Version::as_str),
+                            needed = needed.as_ref().map(id::Version::as_str),
+                            "the endpoint chosen by the coordinator has another version: this node chooses one itself"
+                        );
+                        return None;
+                    }
                     tracing::info!(
                         endpoint = %choice.endpoint,
                         "the endpoint chosen by the coordinator takes no new requests: this node chooses one itself"
                     );
                     return None;
                 }
+                let own = state.dispatcher.version(&choice.endpoint);
+                choice.version = agreed_version(own, choice.version.as_ref());
                 Some(Ok((choice, permit)))
             }
             Err(refusal) => {
                 permit.disarm();
+                if let Some(needed) = &needed
+                    && refusal.reason == refusal::Reason::NoEndpoint
+                {
+                    tracing::info!(
+                        %needed,
+                        "the coordinator knows no endpoint of this version: this node chooses one itself"
+                    );
+                    return None;
+                }
                 Some(Err(refusal))
             }
         }
@@ -337,3 +403,10 @@
             .apply(|dispatcher, now| dispatcher.cancel(now, id));
     }
 }
+
+/// Returns the version of an endpoint that the coordinator chose; `None` if the
+/// directories of this node and of the coordinator differ, as either may be older.
+fn agreed_version(own: Option<&id::Version>, chosen: Option<&id::Version>) -> Option<id::Version> {
+    let agreed = own.filter(|own| chosen.is_none_or(|chosen| chosen == *own));
+    agreed.cloned()
+}
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -237,6 +237,7 @@
         prompt = job.tokens.0,
         output = job.tokens.1,
         endpoint = %choice.endpoint,
+        version = choice.version.as_ref().map(id::Version::as_str),
         own = choice.own_requests,
         others = choice.other_requests,
         places = choice.capacity,
@@ -308,7 +309,8 @@
     if success && job.route.streaming && is_event_stream(&parts.headers) {
         parts.headers.remove(CONTENT_LENGTH);
         let splitter = Splitter::new(&chain.answers);
-        return read_first_events(parts, body, splitter, last_event_id, deadline).await;
+        let attempt = read_first_events(parts, body, splitter, last_event_id, deadline).await;
+        return check_version(chain, job, choice, attempt);
     }
     let buffer = buffer::Answer::new(chain.answers.reserve(MAX_ANSWER_BYTES));
     let body = match timeout_at(deadline, read_body(body, buffer)).await {
@@ -339,6 +341,26 @@
     Ok(buffer.finish())
 }
 
+/// Returns a stream as broken if it continues one that another version began: the
+/// endpoint may have started again with another version since it was chosen.
+fn check_version<D: Dialect>(
+    chain: &Chain<D>,
+    job: &Job,
+    choice: &Choice,
+    attempt: Attempt,
+) -> Attempt {
+    let Attempt::Stream(stream) = attempt else {
+        return attempt;
+    };
+    let listed = chain.listed_version(&choice.endpoint);
+    if job.version.is_none() || job.version == listed {
+        return Attempt::Stream(stream);
+    }
+    let listed = listed.unwrap_or_default();
+    let cause = format!("the endpoint is listed with version `{listed}` now");
+    End::Broken { cause }.into()
+}
+
 async fn read_first_events(
     parts: response::Parts,
     mut body: pool::Body,
--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -13,7 +13,7 @@
 };
 use dottereltally_lib::{
     budget::Budget,
-    dispatcher::{self, Choice, Timing},
+    dispatcher::{self, Choice, Dispatcher, Timing},
     id,
     plan::Plan,
     quarantine::Verdict,
@@ -103,6 +103,9 @@
     pub first_byte_deadline: time::Instant,
     /// Hash that is equal when the same caller sends the same request again.
     pub fingerprint: id::Fingerprint,
+    /// The software version that began the stream that it continues; `None` if
+    /// any version may serve it.
+    pub version: Option<id::Version>,
     /// The message to endpoints, whichever is chosen.
     pub template: Template,
 }
@@ -123,6 +126,8 @@
             caller_leaves_at: self.first_byte_deadline,
             deadline: self.deadline,
             excluded: excluded.to_vec(),
+            version: self.version.clone(),
+            resumable: self.route.retry == Retry::Resume,
         }
     }
 }
@@ -286,6 +291,7 @@
             deadline,
             first_byte_deadline: deadline.min(received + patience - ANSWER_MARGIN),
             fingerprint,
+            version: None,
             template: Template::new(parts, body, head, workspace, plan.workspaces.is_some()),
         })
     }
@@ -336,6 +342,14 @@
         })
     }
 
+    /// Returns the software version of an endpoint by this node's directory; `None`
+    /// if it is unknown.
+    #[must_use]
+    pub fn listed_version(&self, endpoint: &id::Endpoint) -> Option<id::Version> {
+        let read = |dispatcher: &Dispatcher| dispatcher.version(endpoint).cloned();
+        self.admission.read(read)
+    }
+
     /// Charges a request against its workspace's quota; returns its tier.
     fn charge(
         &self,
@@ -430,7 +444,7 @@
     /// the result of its last attempt says more.
     fn refuse(&self, job: &Job, progress: &Progress, obstacle: &Obstacle) -> Option<Refused> {
         match obstacle {
-            Obstacle::Once => None,
+            Obstacle::Once | Obstacle::UnknownVersion => None,
             Obstacle::Budget => {
                 tracing::info!(
                     id = job.correlation_id,
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -54,7 +54,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct SearchLabels {
+struct ObstacleLabels {
     cause: &'static str,
 }
 
@@ -93,7 +93,8 @@
     refusals: Family<RefusalLabels, Counter>,
     failures: Family<FailureLabels, Counter>,
     silences: Family<SilenceLabels, Counter>,
-    failed_searches: Family<SearchLabels, Counter>,
+    failed_searches: Family<ObstacleLabels, Counter>,
+    not_resumed: Family<ObstacleLabels, Counter>,
     crash_evidence: Family<EvidenceLabels, Counter>,
     examinations: Family<ExaminationLabels, Counter>,
     first_event: Family<TierLabels, Histogram, fn() -> Histogram>,
@@ -134,6 +135,7 @@
             failures: Family::default(),
             silences: Family::default(),
             failed_searches: Family::default(),
+            not_resumed: Family::default(),
             crash_evidence: Family::default(),
             examinations: Family::default(),
             first_event: Family::new_with_constructor(latency_histogram),
@@ -181,6 +183,11 @@
             "Searches for another endpoint that found none",
             self.failed_searches.clone(),
         );
+        registry.register(
+            "not_resumed",
+            "Streams that broke and went on nowhere",
+            self.not_resumed.clone(),
+        );
         registry.register(
             "crash_evidence",
             "Evidence about requests that may crash endpoints",
@@ -284,10 +291,16 @@
 
     /// Records why no other endpoint was found.
     pub fn search_failed(&self, cause: &'static str) {
-        let labels = SearchLabels { cause };
+        let labels = ObstacleLabels { cause };
         self.failed_searches.get_or_create(&labels).inc();
     }
 
+    /// Records why a stream was not resumed.
+    pub fn not_resumed(&self, cause: &'static str) {
+        let labels = ObstacleLabels { cause };
+        self.not_resumed.get_or_create(&labels).inc();
+    }
+
     /// Records evidence about a request that may crash endpoints.
     pub fn crash_evidence(&self, evidence: Evidence) {
         let labels = EvidenceLabels { evidence };
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -10,6 +10,7 @@
 };
 use dottereltally_lib::{
     dispatcher::{Choice, Outcome, Timing},
+    id,
     route::Retry,
 };
 use futures_util::stream;
@@ -36,7 +37,11 @@
 /// A stream that is relayed to the caller.
 pub struct Relay<D> {
     chain: Arc<Chain<D>>,
+    /// The request; its version is that of the endpoint that began the stream.
     job: Arc<Job>,
+    /// The endpoint that began the stream, until the stream is resumed elsewhere;
+    /// `None` if another answer to the caller began it.
+    origin: Option<id::Endpoint>,
     progress: Progress,
     choice: Choice,
     /// `None` while the stream has no endpoint: it is being resumed, or ended.
@@ -121,7 +126,7 @@
     #[must_use]
     pub fn new(
         chain: Arc<Chain<D>>,
-        job: Job,
+        mut job: Job,
         progress: Progress,
         stream: Stream,
         place: Place,
@@ -130,18 +135,24 @@
         let last_event_id = job.template.last_event_id();
         let waited = chain.clock.now().since(job.received);
         chain.metrics.first_event(job.tier, waited);
+        let choice = place.choice.clone();
+        let origin = job.version.is_none().then(|| choice.endpoint.clone());
+        if origin.is_some() && chain.listed_version(&choice.endpoint) == choice.version {
+            job.version.clone_from(&choice.version);
+        }
         tracing::info!(
             id = job.correlation_id,
-            endpoint = %place.choice.endpoint,
+            endpoint = %choice.endpoint,
+            version = job.version.as_ref().map(id::Version::as_str),
             first_ms = millis(waited),
             "stream began"
         );
-        let choice = place.choice.clone();
         let parts = Some(stream.parts.clone());
         let (upstream, first) = Upstream::new(stream, place);
         Self {
             chain,
             job: Arc::new(job),
+            origin,
             progress,
             choice,
             upstream: Some(upstream),
@@ -221,6 +232,21 @@
         self.job.route.retry == Retry::Resume
             && self.progress.allows_send(&self.job)
             && (self.last_event_id.is_some() || self.events == 0)
+            && self.certain_version().is_some()
+    }
+
+    /// Returns the version that began the stream; `None` if it is unknown, or if the
+    /// endpoint that began it is listed with another one now, which it may have run
+    /// before.
+    fn certain_version(&self) -> Option<&id::Version> {
+        let version = self.job.version.as_ref()?;
+        let Some(origin) = &self.origin else {
+            return Some(version);
+        };
+        let listed = self.chain.listed_version(origin);
+        listed
+            .is_none_or(|listed| listed == *version)
+            .then_some(version)
     }
 
     /// Checks that events follow those that were relayed, and returns their bytes;
@@ -243,6 +269,19 @@
         Ok(batch.bytes)
     }
 
+    /// Records why a stream that may be resumed is not.
+    fn record_not_resumed(&self, obstacle: &Obstacle) {
+        self.chain.metrics.not_resumed(obstacle.name());
+        tracing::info!(
+            id = self.job.correlation_id,
+            endpoint = %self.choice.endpoint,
+            version = self.job.version.as_ref().map(id::Version::as_str),
+            after = self.last_event_id,
+            cause = %obstacle,
+            "stream is not resumed"
+        );
+    }
+
     /// Resumes the stream at another endpoint, where it may have been `sent` already;
     /// returns false if that is not possible.
     async fn resume<'a>(
@@ -252,6 +291,11 @@
         mut sent: Option<Sent<'a>>,
     ) -> bool {
         let from = self.choice.endpoint.clone();
+        let is_uncertain = self.certain_version().is_none();
+        if sent.is_none() && self.job.route.retry == Retry::Resume && is_uncertain {
+            self.record_not_resumed(&Obstacle::UnknownVersion);
+            return false;
+        }
         loop {
             let next = match sent.take() {
                 Some(sent) => sent,
@@ -260,17 +304,11 @@
                     Ok(found) => search.send(found, &mut self.progress),
                     Err(obstacle) => {
                         let is_final = !matches!(obstacle, Obstacle::Unreachable { .. });
-                        self.chain.metrics.search_failed(obstacle.name());
-                        tracing::info!(
-                            id = self.job.correlation_id,
-                            cause = %obstacle,
-                            sends = self.progress.sends,
-                            "no other endpoint takes the stream"
-                        );
-                        self.progress.record_obstacle(obstacle);
                         if is_final {
+                            self.record_not_resumed(&obstacle);
                             return false;
                         }
+                        self.progress.record_obstacle(obstacle);
                         continue;
                     }
                 },
@@ -290,10 +328,12 @@
                 id = self.job.correlation_id,
                 from = %from,
                 to = %self.choice.endpoint,
+                version = self.job.version.as_ref().map(id::Version::as_str),
                 after = self.last_event_id,
                 cause,
                 "stream is resumed at another endpoint"
             );
+            self.origin = None;
             let (upstream, first) = Upstream::new(*stream, place);
             self.upstream = Some(upstream);
             self.pending = Some(first);
--- a/gateway/src/search.rs
+++ b/gateway/src/search.rs
@@ -139,6 +139,9 @@
     /// The request may crash endpoints.
     #[display("it may crash endpoints")]
     Quarantine,
+    /// The version of the endpoint that began the stream is unknown or uncertain.
+    #[display("the version that began the stream is not known for certain")]
+    UnknownVersion,
 }
 
 impl Obstacle {
@@ -146,11 +149,13 @@
     #[must_use]
     pub fn name(&self) -> &'static str {
         match self {
-            Self::Once => "once",
-            Self::Budget => "budget",
-            Self::Refused(_) => "refused",
-            Self::Unreachable { .. } => "unreachable",
-            Self::Quarantine => "quarantine",
+            Self::Once => "Once",
+            Self::Budget => "Budget",
+            Self::Refused(refusal) if refusal.reason == refusal::Reason::NoEndpoint => "NoEndpoint",
+            Self::Refused(_) => "Overload",
+            Self::Unreachable { .. } => "Unreachable",
+            Self::Quarantine => "Quarantine",
+            Self::UnknownVersion => "UnknownVersion",
         }
     }
 }
@@ -279,11 +284,12 @@
             endpoint: choice.endpoint,
             cause,
         };
-        self.chain.metrics.attempt_failed(obstacle.name());
+        let failure = "unreachable";
+        self.chain.metrics.attempt_failed(failure);
         tracing::info!(
             id = self.job.correlation_id,
             address = choice.address,
-            failure = obstacle.name(),
+            failure,
             cause = %obstacle,
             sends = progress.sends,
             "attempt failed"
--- a/gateway/tests/test_admission.rs
+++ b/gateway/tests/test_admission.rs
@@ -25,6 +25,7 @@
         service: id::Service::from(service),
         data_centre: id::DataCentre::from("dc"),
         standing,
+        version: Some(id::Version::from("v1")),
         capacity: Some(1),
     }
 }
--- a/gateway/tests/test_silence.rs
+++ b/gateway/tests/test_silence.rs
@@ -79,6 +79,7 @@
         service: id::Service::from(service),
         data_centre: id::DataCentre::from("dc"),
         standing,
+        version: Some(id::Version::from("v1")),
         capacity: Some(capacity),
     }
 }
--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -74,6 +74,14 @@
 /// by the recent failure rate.
 const FAILURE_COST_SECS: f64 = 1.5;
 
+/// Longest time for which a request that needs one version waits for an endpoint
+/// that is avoided; its caller can reach others through another node.
+const MAX_AVOIDED_WAIT: Duration = Duration::from_millis(400);
+
+/// Cost of an endpoint of a scarce version for a stream that may be resumed, in
+/// seconds. It outweighs distance, but not an answer that would not be complete.
+const SCARCE_VERSION_COST_SECS: f64 = 0.3;
+
 /// Minimum and maximum `retry_after` of a refusal, before random spread.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(4));
 
@@ -117,6 +125,11 @@
     pub deadline: time::Instant,
     /// Endpoints that it was already sent to and must not be sent to again.
     pub excluded: Vec<id::Endpoint>,
+    /// The software version that must serve it; `None` if any may.
+    pub version: Option<id::Version>,
+    /// Whether its stream may be resumed at another endpoint, which must run the
+    /// same software version.
+    pub resumable: bool,
 }
 
 /// Timing of the events in a completed answer.
@@ -168,6 +181,8 @@
     pub address: String,
     /// Its data centre.
     pub data_centre: id::DataCentre,
+    /// The software version that it runs; `None` if unknown.
+    pub version: Option<id::Version>,
     /// Requests of this node at the endpoint, including this one.
     pub own_requests: u32,
     /// Requests of other nodes at the endpoint, by their last reports.
@@ -257,6 +272,7 @@
         self.members
             .retain(|_, member| member.listed || member.own_requests > 0);
         self.group_by_service();
+        self.refuse_without_candidate(now);
         self.dispatch_all(now);
         std::mem::take(&mut self.effects)
     }
@@ -316,7 +332,7 @@
             self.refuse(id, refusal::Reason::NoEndpoint, RETRY_AFTER.0 * 2);
             return std::mem::take(&mut self.effects);
         };
-        if is_tried_everywhere(&self.members, queue, &request) {
+        if !has_candidate(now, &self.members, queue, &request) {
             self.refuse(id, refusal::Reason::NoEndpoint, RETRY_AFTER.0 * 2);
             return std::mem::take(&mut self.effects);
         }
@@ -348,7 +364,8 @@
 
     /// Records a request that another node placed. `delegated` is true if that
     /// node still reports the request as its own load. Returns false if, as far
-    /// as this node knows, the endpoint takes no new requests.
+    /// as this node knows, the endpoint takes no new requests or runs another
+    /// version than the request needs.
     ///
     /// # Panics
     ///
@@ -364,7 +381,7 @@
         let Some(member) = self.members.get_mut(endpoint) else {
             return false;
         };
-        if !member.listed || member.record.standing == Standing::Leaving {
+        if !member.listed || !member.serves(&request) {
             return false;
         }
         member.own_requests += 1;
@@ -525,6 +542,7 @@
             let wait = retry_delay(now, &request, BACKLOG_DRAIN_TIME);
             self.refuse(id, refusal::Reason::Deadline, wait);
         }
+        self.refuse_without_candidate(now);
         self.dispatch_all(now);
         std::mem::take(&mut self.effects)
     }
@@ -555,6 +573,20 @@
         member.listed.then_some(member.record.standing)
     }
 
+    /// Returns the software version of an endpoint; `None` if it or its version is
+    /// unknown.
+    #[must_use]
+    pub fn version(&self, endpoint: &id::Endpoint) -> Option<&id::Version> {
+        self.members.get(endpoint)?.record.version.as_ref()
+    }
+
+    /// Returns whether an endpoint is expected to take the request soon.
+    #[must_use]
+    pub fn has_candidate(&self, now: time::Instant, request: &Request) -> bool {
+        let queue = self.queues.get(&request.service);
+        queue.is_some_and(|queue| has_candidate(now, &self.members, queue, request))
+    }
+
     /// Returns the listed endpoints of a data centre that take new requests.
     #[must_use]
     pub fn live_endpoints(&self, data_centre: &id::DataCentre) -> Vec<endpoint::Record> {
@@ -580,15 +612,38 @@
         }
     }
 
+    /// Refuses queued requests that need a version of which no endpoint is left.
+    fn refuse_without_candidate(&mut self, now: time::Instant) {
+        let mut refused = Vec::new();
+        for queue in self.queues.values_mut() {
+            for id in queue.bound() {
+                let Some(request) = queue.get(id) else {
+                    continue;
+                };
+                if !has_candidate(now, &self.members, queue, request) {
+                    queue.remove(id);
+                    refused.push(id);
+                }
+            }
+        }
+        for id in refused {
+            self.refuse(id, refusal::Reason::NoEndpoint, RETRY_AFTER.0 * 2);
+        }
+    }
+
     /// Sends queued requests of a service while endpoints have room.
     fn dispatch(&mut self, now: time::Instant, service: &id::Service) {
         loop {
             let Some(queue) = self.queues.get_mut(service) else {
                 return;
             };
+            if queue.len() == 0 {
+                return;
+            }
             queue.demote(now);
             let mut sent = false;
-            for (timeliness, id) in queue.head(MAX_LOOKAHEAD) {
+            let open = open_members(now, &self.members, queue);
+            for (timeliness, id) in queue.head(MAX_LOOKAHEAD, &open) {
                 let Some(queue) = self.queues.get(service) else {
                     return;
                 };
@@ -637,7 +692,7 @@
                 continue;
             };
             has_room = true;
-            if request.excluded.contains(name) {
+            if request.excluded.contains(name) || !member.serves(request) {
                 continue;
             }
             let first_byte_secs = wait
@@ -661,12 +716,19 @@
             } else {
                 0.0
             };
+            let is_scarce = request.resumable && queue.is_scarce(member);
+            let version_cost = if is_scarce {
+                SCARCE_VERSION_COST_SECS
+            } else {
+                0.0
+            };
             let stalled = stalled_streams(queue, request, member);
             let cost = first_byte_secs
                 + remote_cost
                 + STREAM_TIME_WEIGHT * stream_time
                 + STALL_COST_SECS * stalled
                 + incomplete_cost
+                + version_cost
                 + OCCUPANCY_COST_SECS * relative_speed * member.occupancy()
                 + FAILURE_COST_SECS * member.failure_rate(now)
                 + rng.random_range(0.0..MAX_JITTER_SECS);
@@ -707,6 +769,7 @@
             endpoint: name.clone(),
             address: member.record.address.clone(),
             data_centre: member.record.data_centre.clone(),
+            version: member.record.version.clone(),
             own_requests: member.own_requests,
             other_requests: member.peer_load.requests,
             capacity: member.capacity(),
@@ -753,6 +816,7 @@
     fn group_by_service(&mut self) {
         for queue in self.queues.values_mut() {
             queue.endpoints.clear();
+            queue.versions.clear();
         }
         for member in self.members.values() {
             if !member.listed {
@@ -763,6 +827,11 @@
                 .entry(member.record.service.clone())
                 .or_default();
             queue.endpoints.push(member.record.id.clone());
+            if member.record.standing == Standing::Live
+                && let Some(version) = &member.record.version
+            {
+                *queue.versions.entry(version.clone()).or_default() += 1;
+            }
         }
     }
 
@@ -832,21 +901,49 @@
     severity.clamp(0.0, 1.0) * f64::from(member.running())
 }
 
-/// Returns whether a request was already sent to every live endpoint.
-fn is_tried_everywhere(
+/// Returns the endpoints of a service that have a free slot now.
+fn open_members<'a>(
+    now: time::Instant,
+    members: &'a BTreeMap<id::Endpoint, Member>,
+    queue: &Queue,
+) -> Vec<&'a Member> {
+    let mut open = Vec::new();
+    for name in &queue.endpoints {
+        let Some(member) = members.get(name) else {
+            continue;
+        };
+        let relative_speed = member.relative_speed(queue.mean_event_interval);
+        if wait_for_slot(now, queue, member, relative_speed).is_some() {
+            open.push(member);
+        }
+    }
+    open
+}
+
+/// Returns whether some live endpoint may take a request. A request that needs one
+/// version has few endpoints to wait for, so those that are avoided for longer than
+/// [`MAX_AVOIDED_WAIT`] don't count.
+fn has_candidate(
+    now: time::Instant,
     members: &BTreeMap<id::Endpoint, Member>,
     queue: &Queue,
     request: &Request,
 ) -> bool {
-    if request.excluded.is_empty() {
-        return false;
-    }
-    let mut names = queue.endpoints.iter();
-    !names.any(|name| {
-        let member = members.get(name);
-        !request.excluded.contains(name)
-            && member.is_some_and(|member| member.record.standing == Standing::Live)
-    })
+    if request.excluded.is_empty() && request.version.is_none() {
+        return true;
+    }
+    for name in &queue.endpoints {
+        let Some(member) = members.get(name) else {
+            continue;
+        };
+        if request.excluded.contains(name) || !member.serves(request) {
+            continue;
+        }
+        if request.version.is_none() || member.avoided_for(now) <= MAX_AVOIDED_WAIT {
+            return true;
+        }
+    }
+    false
 }
 
 /// Returns how long a refused caller should wait before a retry: until the
--- a/lib/src/dispatcher/queue.rs
+++ b/lib/src/dispatcher/queue.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    dispatcher::{Request, model::Model},
+    dispatcher::{Request, member::Member, model::Model},
     id, time,
 };
 
@@ -64,6 +64,8 @@
 pub(super) struct Queue {
     /// The service's endpoints.
     pub(super) endpoints: Vec<id::Endpoint>,
+    /// Number of live endpoints of each known software version.
+    pub(super) versions: BTreeMap<id::Version, usize>,
     /// Model of the service's answer times.
     pub(super) model: Model,
     /// Mean seconds between two events of a stream, over the endpoints; `None`
@@ -72,6 +74,8 @@
     /// The queued requests, first to be served first.
     order: BTreeSet<Rank>,
     entries: HashMap<id::Request, Entry>,
+    /// The queued requests that need one software version.
+    bound: BTreeSet<id::Request>,
     /// Rate of work sent to endpoints.
     sent: Rate,
     /// Rate of arriving work, by tier and effective class.
@@ -83,6 +87,15 @@
         self.entries.len()
     }
 
+    /// Returns whether the endpoint's version has no other live endpoint at which a
+    /// stream could go on, while another version has more.
+    pub(super) fn is_scarce(&self, member: &Member) -> bool {
+        let version = member.record.version.as_ref();
+        let count = version.and_then(|version| self.versions.get(version));
+        let count = count.copied().unwrap_or_default();
+        count < MIN_VERSION_ENDPOINTS && self.versions.values().any(|other| *other > count)
+    }
+
     pub(super) fn get(&self, id: id::Request) -> Option<&Request> {
         self.entries.get(&id).map(|entry| &entry.request)
     }
@@ -105,6 +118,9 @@
     pub(super) fn push(&mut self, now: time::Instant, id: id::Request, request: Request) {
         let rank = self.rank(now, id, &request);
         let work = self.model.duration(&request).as_secs_f64();
+        if request.version.is_some() {
+            self.bound.insert(id);
+        }
         self.order.insert(rank);
         self.entries.insert(
             id,
@@ -120,13 +136,38 @@
     pub(super) fn remove(&mut self, id: id::Request) -> Option<Request> {
         let entry = self.entries.remove(&id)?;
         self.order.remove(&entry.rank);
+        self.bound.remove(&id);
         Some(entry.request)
     }
 
-    /// Returns the first requests in the order of the queue.
-    pub(super) fn head(&self, count: usize) -> Vec<(Timeliness, id::Request)> {
-        let first = self.order.iter().take(count);
-        first.map(|rank| (rank.timeliness, rank.id)).collect()
+    /// Returns the queued requests that need one software version.
+    pub(super) fn bound(&self) -> Vec<id::Request> {
+        self.bound.iter().copied().collect()
+    }
+
+    /// Returns the first requests in the order of the queue, without those that none
+    /// of the open endpoints may serve: they would keep the others from being
+    /// considered.
+    pub(super) fn head(&self, count: usize, open: &[&Member]) -> Vec<(Timeliness, id::Request)> {
+        let mut first = Vec::new();
+        for rank in &self.order {
+            if first.len() >= count {
+                break;
+            }
+            if self.bound.contains(&rank.id) && !self.is_placeable(rank.id, open) {
+                continue;
+            }
+            first.push((rank.timeliness, rank.id));
+        }
+        first
+    }
+
+    fn is_placeable(&self, id: id::Request, open: &[&Member]) -> bool {
+        let Some(request) = self.get(id) else {
+            return false;
+        };
+        let mut open = open.iter();
+        open.any(|member| member.serves(request) && !request.excluded.contains(&member.record.id))
     }
 
     /// Moves requests that can no longer be on time behind the others.
@@ -193,6 +234,11 @@
         let wait = |rank: &Rank| {
             let ahead = self.order.range(..rank);
             let ahead = ahead.filter_map(|rank| self.entries.get(&rank.id));
+            // Requests that need another version wait for endpoints of that version.
+            let ahead = ahead.filter(|entry| {
+                let version = &entry.request.version;
+                version.is_none() || *version == request.version
+            });
             let work: f64 = ahead.map(|entry| entry.work).sum();
             if work <= 0.0 {
                 return Duration::ZERO;
@@ -247,6 +293,10 @@
     }
 }
 
+/// Number of live endpoints of a version from which a broken stream can go on at
+/// another one.
+const MIN_VERSION_ENDPOINTS: usize = 2;
+
 /// Fraction of the mean streaming time below which a request counts as short.
 const SHORT_FRACTION: f64 = 0.25;
 
--- a/node/tests/test_endless.rs
+++ b/node/tests/test_endless.rs
@@ -164,6 +164,7 @@
         service: "tally-llm".into(),
         data_centre: "plovdiv".into(),
         standing: Standing::Live,
+        version: None,
         capacity: None,
     };
     let snapshot = Snapshot {
--- a/node/tests/test_path_random.rs
+++ b/node/tests/test_path_random.rs
@@ -116,6 +116,7 @@
                 data_centre: id::DataCentre::from("plovdiv"),
                 standing: Standing::Live,
                 capacity: None,
+                version: None,
             });
         }
     }
