dispatcher: streams that go on are served before new ones of their tier

What callers saw: under overload a stream that broke was lost, as new ones took the slots of its version; those resumed within one answer have no time left to be on time and came after all others.

A request that needs one version goes before the others of its tier, late or not, and takes an endpoint at which its first byte is late. Its order relative to other tiers, and that of requests that need none, is as before.

--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -704,7 +704,11 @@
             } else {
                 REMOTE_COST_SECS
             };
-            let misses_due = timeliness == Timeliness::OnTime && first_byte_secs > time_to_due;
+            // A request that needs one version has few endpoints, and gains nothing by
+            // waiting for a better one.
+            let misses_due = timeliness == Timeliness::OnTime
+                && request.version.is_none()
+                && first_byte_secs > time_to_due;
             let stream_time = queue.model.stream_time(request) / relative_speed;
             if misses_due {
                 continue;
--- a/lib/src/dispatcher/queue.rs
+++ b/lib/src/dispatcher/queue.rs
@@ -15,18 +15,32 @@
 pub(super) enum Timeliness {
     /// Its first byte can arrive by its due time.
     OnTime,
-    /// Its first byte will be late; it is served after the others.
+    /// Its first byte will be late; it is served after the others, unless it needs one
+    /// software version.
     Late,
 }
 
+/// Whether a request needs one software version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Binding {
+    /// Only endpoints of one version may serve it. It goes before the others of its
+    /// tier, late or not: it continues a stream, and few endpoints can take it.
+    Bound,
+    /// Endpoints of any version may serve it.
+    Free,
+}
+
 /// Sort key of the queued requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
-    timeliness: Timeliness,
+    /// Whether it is served after those that can still be on time.
+    deferred: bool,
     tier: id::Tier,
+    binding: Binding,
     class: id::Tier,
     due: time::Instant,
     id: id::Request,
+    timeliness: Timeliness,
 }
 
 /// A queued request.
@@ -174,9 +188,12 @@
     pub(super) fn demote(&mut self, now: time::Instant) {
         let mut late = Vec::new();
         for rank in &self.order {
-            if rank.timeliness == Timeliness::Late {
+            if rank.deferred {
                 break;
             }
+            if rank.timeliness == Timeliness::Late {
+                continue;
+            }
             let Some(entry) = self.entries.get(&rank.id) else {
                 continue;
             };
@@ -283,12 +300,18 @@
             Timeliness::OnTime => request.first_byte_due,
             Timeliness::Late => request.caller_leaves_at,
         };
+        let binding = match request.version {
+            Some(_) => Binding::Bound,
+            None => Binding::Free,
+        };
         Rank {
-            timeliness,
+            deferred: timeliness == Timeliness::Late && binding == Binding::Free,
             tier: request.tier,
+            binding,
             class: self.effective_class(request),
             due,
             id,
+            timeliness,
         }
     }
 }
--- a/lib/tests/engines/mod.rs
+++ b/lib/tests/engines/mod.rs
@@ -33,6 +33,8 @@
     pub capacity: usize,
     /// Whether it accepts connections.
     pub alive: bool,
+    /// Its software version.
+    pub version: id::Version,
     running: usize,
     queue: Vec<id::Request>,
 }
@@ -119,6 +121,7 @@
                 speed: *speed,
                 capacity,
                 alive: true,
+                version: id::Version::from("v1"),
                 running: 0,
                 queue: Vec::new(),
             });
@@ -159,6 +162,17 @@
         self
     }
 
+    /// Changes the software version of the first engines.
+    pub fn set_version(&mut self, count: usize, version: &str) {
+        for engine in &mut self.engines[..count] {
+            engine.version = id::Version::from(version);
+        }
+        let records = self.records();
+        for dispatcher in &mut self.dispatchers {
+            dispatcher.set_endpoints(self.now, records.clone());
+        }
+    }
+
     fn records(&self) -> Vec<Record> {
         let mut records = Vec::new();
         for engine in &self.engines {
@@ -169,7 +183,7 @@
                 data_centre: id::DataCentre::from("dc"),
                 standing: Standing::Live,
                 capacity: u32::try_from(engine.capacity).ok(),
-                version: None,
+                version: Some(engine.version.clone()),
             });
         }
         records
--- a/lib/tests/test_dispatcher.rs
+++ b/lib/tests/test_dispatcher.rs
@@ -349,3 +349,32 @@
     assert!(dispatcher.adopt(now, id, request(now, 0, 600, 60, OBJECTIVE), &engine, false));
     assert_eq!(dispatcher.take_load().len(), 1);
 }
+
+/// Guards against streams that are lost while new ones begin: more is asked for than
+/// all engines can run, and only two engines have the version of the streams that go
+/// on.
+#[rstest]
+#[case::within_one_answer(Duration::ZERO)]
+#[case::by_its_caller(OBJECTIVE)]
+fn streams_go_on_as_often_as_new_ones_begin_under_overload(#[case] due: Duration) {
+    let mut simulation = Simulation::new(1, &[1.0; 10], 10);
+    simulation.set_version(2, "v0");
+    let (mut new, mut bound) = (Vec::new(), Vec::new());
+    for step in 0..1500_u64 {
+        simulation.run(at(step * 10));
+        let mut next = request(simulation.now, 0, 600, 300, OBJECTIVE);
+        next.resumable = true;
+        if step % 20 > 0 {
+            new.push(simulation.arrive(0, next));
+            continue;
+        }
+        next.version = Some(id::Version::from("v0"));
+        next.first_byte_due = simulation.now + due;
+        next.caller_leaves_at = simulation.now + Duration::from_secs(2);
+        bound.push(simulation.arrive(0, next));
+    }
+    simulation.run(at(30_000));
+    let (new, bound) = (simulation.served(&new), simulation.served(&bound));
+    assert!(new < 0.98, "no overload: {new}");
+    assert!(bound >= new, "{bound} go on, {new} begin");
+}
