gateway: failing tests of streams that are taken up at other nodes

Callers that took a stream up again at another node got events of two software versions. Five tests, ignored as known red: with 24 streams begun at one node, endpoints of two versions and the first node killed,

left: Count { whole: 11, mixed: 13, refused: 0 } right: Count { whole: 24, mixed: 0, refused: 0 }

with two further nodes killed at once, whole 10 and mixed 14; a node that is cut off, one that has just started, and one that lists no endpoint of the version answered 200 instead of 503.

--- a/gateway/tests/common/cluster.rs
+++ b/gateway/tests/common/cluster.rs
@@ -8,7 +8,7 @@
 };
 use dottereltally_lib::id;
 use ractor::{Actor, ActorRef};
-use tokio::{net::UdpSocket, sync::watch};
+use tokio::{net::UdpSocket, sync::watch, task::JoinHandle};
 
 use super::{Gateway, plan};
 
@@ -17,6 +17,8 @@
 pub struct Cluster {
     pub gateways: Vec<Gateway>,
     nodes: Vec<(Node, ActorRef<peers::Message>)>,
+    /// Tasks that receive the datagrams of each node.
+    listening: Vec<JoinHandle<()>>,
 }
 
 impl Cluster {
@@ -49,7 +51,8 @@
         let (actor, _running) = Actor::spawn(None, Peers::default(), arguments)
             .await
             .unwrap();
-        tokio::spawn(peers::listen(socket, actor.clone()));
+        let listening = tokio::spawn(peers::listen(socket, actor.clone()));
+        self.listening.push(listening);
         self.gateways.push(gateway);
         self.nodes.push((node, actor));
         for (node, actor) in &self.nodes {
@@ -60,4 +63,12 @@
                 .unwrap();
         }
     }
+    /// Ends the exchange with other nodes of these ones, all at once; they stay
+    /// registered. Streams at them end when their callers close the connections.
+    pub fn kill(&self, nodes: &[usize]) {
+        for &node in nodes {
+            self.listening[node].abort();
+            self.nodes[node].1.kill();
+        }
+    }
 }
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod cluster;
 pub mod fragile;
+pub mod versioned;
 
 use std::{
     net::SocketAddr,
