--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -30,6 +30,9 @@
     pub key: Option<String>,
     /// Id of the last event that the caller already has of a stream.
     pub last_event_id: Option<u64>,
+    /// Id of the caller's attempt that brought the first event of the stream that
+    /// it takes up again.
+    pub resumes: Option<String>,
 }
 
 /// What is sent to an endpoint in addition to the caller's own headers.
