--- a/gateway/src/search.rs
+++ b/gateway/src/search.rs
@@ -275,20 +275,22 @@
     }
 
     fn record_unreachable(&self, choice: Choice, cause: String, progress: &Progress) -> Obstacle {
-        let obstacle = Obstacle::Unreachable {
-            endpoint: choice.endpoint,
-            cause,
-        };
-        self.chain.metrics.attempt_failed(obstacle.name());
+        const FAILURE: &str = "unreachable";
+        self.chain.metrics.attempt_failed(FAILURE);
         tracing::info!(
             id = self.job.correlation_id,
+            endpoint = %choice.endpoint,
             address = choice.address,
-            failure = obstacle.name(),
-            cause = %obstacle,
+            fingerprint = %self.job.fingerprint,
+            failure = FAILURE,
+            cause,
             sends = progress.sends,
             "attempt failed"
         );
-        obstacle
+        Obstacle::Unreachable {
+            endpoint: choice.endpoint,
+            cause,
+        }
     }
 
     /// Sends the request to an endpoint that was found.
