gateway: test that a pause during an examination is no death

Step by step through what else judges by silence: the examiner asks twice, on new connections, for 1.8 s in all, so that an endpoint that pauses for 1.2 s from the moment its connection broke is found alive.

--- a/gateway/tests/test_silence.rs
+++ b/gateway/tests/test_silence.rs
@@ -16,6 +16,7 @@
     plan::Plan,
     route::Retry,
 };
+use prometheus_client::{encoding::text::encode, registry::Registry};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use rstest::rstest;
 use tokio::{
@@ -396,6 +397,45 @@
     assert!(!asked(&silent));
 }
 
+/// Guards against a request that is suspected of crashing endpoints, as the one at which
+/// it was lost did not answer the first question about its health in time.
+#[tokio::test]
+async fn an_endpoint_that_pauses_while_it_is_examined_is_found_alive() {
+    // Its process sends nothing for 1.2 s after the connection broke.
+    let script = vec![
+        vec![Step::Close],
+        vec![
+            Step::Pause(Duration::from_millis(1200)),
+            answer_with(200, ""),
+        ],
+        vec![
+            Step::Pause(Duration::from_millis(200)),
+            answer_with(200, ""),
+        ],
+    ];
+    let endpoint = Endpoint::start(script).await;
+    let gateway = Gateway::start(Some(plan()), &[&endpoint]).await;
+    assert_eq!(status(&gateway.get("/once/x", "").await), 502);
+    let mut registry = Registry::default();
+    gateway.chain.metrics.register(&mut registry);
+    let examinations = async {
+        loop {
+            let mut page = String::new();
+            encode(&mut page, &registry).unwrap();
+            if let Some(line) = page
+                .lines()
+                .find(|line| line.starts_with("examinations_total"))
+            {
+                return line.to_owned();
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let found = timeout(PATIENCE, examinations).await.expect("a finding");
+    assert_eq!(found, "examinations_total{finding=\"alive\"} 1");
+    assert_eq!(endpoint.requests().len(), 3, "it is asked twice");
+}
+
 /// Events of a stream of a [`pausing`] endpoint.
 const EVENTS: u64 = 6;
 
