--- a/gateway/src/origins.rs
+++ b/gateway/src/origins.rs
@@ -39,8 +39,8 @@
 /// A node that may remember a stream.
 pub type Candidate = origin::Candidate<SocketAddr>;
 
-/// Time for which streams that began are collected before they are told, so
-/// that a datagram carries several.
+/// Shortest time between two rounds of telling, so that a datagram carries several
+/// streams where many begin.
 const BATCH_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Most streams in one datagram, which keeps it below the usual packet size.
@@ -595,7 +595,7 @@
 pub async fn run(handle: Handle) {
     loop {
         handle.shared.due.notified().await;
-        sleep(BATCH_INTERVAL).await;
         handle.flush();
+        sleep(BATCH_INTERVAL).await;
     }
 }
