tests/common: let the dispatcher tick, as in a node

A retry whose first byte would come too late within a few milliseconds waits for the dispatcher's timer. The gateway of the tests had none, so that the caller got no answer at all (twice in 26 runs of an_answer_without_end_is_broken_off; one at an attempt that had used 456 ms of an objective of 500 ms). A node runs the timer every 20 ms.

--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -113,6 +113,9 @@
 /// Time between two writes of a slow step without end.
 const TRICKLE_INTERVAL: Duration = Duration::from_millis(2);
 
+/// Interval at which waiting requests are checked for their deadlines.
+const TICK: Duration = Duration::from_millis(10);
+
 /// What an endpoint does with one request.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -442,6 +445,7 @@
             phase: Phase::default(),
         });
         tokio::spawn(examiner::run(Arc::clone(&chain), tasks.lost));
+        tokio::spawn(tick_dispatcher(chain.admission.clone()));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let limits = server::Limits {
@@ -476,6 +480,14 @@
     }
 }
 
+/// Lets the dispatcher check the requests that wait, as a node does.
+async fn tick_dispatcher(admission: admission::Handle) {
+    loop {
+        sleep(TICK).await;
+        admission.apply(Dispatcher::tick);
+    }
+}
+
 /// Sends raw bytes and returns all that arrives until the connection ends.
 pub async fn send_raw(address: SocketAddr, bytes: &str) -> String {
     let mut stream = TcpStream::connect(address).await.unwrap();
