--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -80,6 +80,10 @@
 }
 
 impl Heard for Received {
+    fn is_progress(&self) -> bool {
+        matches!(self, Self::Events(_) | Self::End)
+    }
+
     fn is_failure(&self) -> bool {
         matches!(self, Self::Broken(_))
     }
--- a/gateway/src/search.rs
+++ b/gateway/src/search.rs
@@ -1,8 +1,9 @@
 //! Seeks endpoints for a request, and replaces one that falls silent.
 //!
-//! Silence alone never ends a request at an endpoint: it is given up once another
-//! endpoint has the request, or if its connection breaks, the deadline passes or the
-//! caller leaves.
+//! A silent endpoint is kept until another one has had the request for [`OVERLAP`] or
+//! has answered it; otherwise its connection must break, the deadline pass or the
+//! caller leave. An endpoint that was given up is not asked again, so that a request
+//! can still fail if the other one breaks later.
 
 use std::{future, mem, pin::Pin, time::Duration};
 
@@ -165,12 +166,19 @@
 
 /// What an endpoint does next.
 pub trait Heard {
+    /// Returns whether the endpoint went on with its answer.
+    fn is_progress(&self) -> bool;
+
     /// Returns whether nothing more can come from the endpoint, although its answer is
     /// not complete.
     fn is_failure(&self) -> bool;
 }
 
 impl Heard for Attempt {
+    fn is_progress(&self) -> bool {
+        matches!(self, Self::Stream(_) | Self::Ended(End::Answered { .. }))
+    }
+
     fn is_failure(&self) -> bool {
         matches!(
             self,
@@ -393,7 +401,9 @@
             let found = tokio::select! {
                 biased;
                 heard = next.as_mut() => {
-                    self.record_silence(Silence::Withdrawn);
+                    if heard.is_progress() {
+                        self.record_silence(Silence::Withdrawn);
+                    }
                     return Event::Heard(heard);
                 }
                 found = self.find(progress) => found,
@@ -419,18 +429,20 @@
                 biased;
                 heard = next.as_mut() => {
                     if heard.is_failure() {
-                        progress.may_have_run = true;
                         self.record_silence(Silence::Broken);
                         return Event::Replaced { by: Box::new(other), lost: Some(heard) };
                     }
-                    self.record_silence(Silence::Kept);
-                    tracing::info!(
-                        id = self.job.correlation_id,
-                        endpoint = %current,
-                        to = %other.place.choice.endpoint,
-                        "silent endpoint goes on: the other one is cancelled"
-                    );
-                    other.place.lose(Outcome::Cancelled);
+                    if heard.is_progress() {
+                        self.record_silence(Silence::Kept);
+                        tracing::info!(
+                            id = self.job.correlation_id,
+                            endpoint = %current,
+                            to = %other.place.choice.endpoint,
+                            "silent endpoint goes on: the other one is cancelled"
+                        );
+                    }
+                    // The request is withdrawn, which is no sign that it was lost.
+                    other.place.finish(Outcome::Cancelled);
                     return Event::Heard(heard);
                 }
                 attempt = other.answer.as_mut() => match attempt {
