--- a/gateway/tests/test_search.rs
+++ b/gateway/tests/test_search.rs
@@ -18,6 +18,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     runtime::Builder,
+    sync::Notify,
     task::JoinSet,
     time::timeout,
 };
@@ -106,6 +107,37 @@
     assert!(is_complete(&answer));
 }
 
+/// Guards against a silent endpoint that still works on a request long after the
+/// request was sent to another one.
+#[rstest]
+#[tokio::test]
+async fn a_silent_endpoint_is_cancelled_although_the_other_one_is_silent_too(
+    #[values(0, 1, 3)] steps_before_silence: usize,
+) {
+    let mut script = vec![stream_head(), event(1), event(2)];
+    script.truncate(steps_before_silence);
+    script.push(Step::Hang);
+    let silent = Endpoint::start(vec![script]).await;
+    let begin = Arc::<Notify>::default();
+    let mut script = vec![Step::Wait(Arc::clone(&begin)), stream_head()];
+    if steps_before_silence < 3 {
+        script.extend([event(1), event(2)]);
+    }
+    script.extend([event(3), event(4), stream_end()]);
+    let other = Endpoint::start(vec![script]).await;
+    let gateway = Gateway::start(Some(patient_plan()), &[&silent, &other]).await;
+    let cancelling = async {
+        silent.wait_for_close().await;
+        begin.notify_one();
+    };
+    let both = async { tokio::join!(gateway.get("/stream/x", ""), cancelling) };
+    let (answer, ()) = timeout(Duration::from_mins(1), both)
+        .await
+        .expect("both end");
+    assert_eq!(events(&answer), ["d1", "d2", "d3", "d4"], "{answer}");
+    assert!(is_complete(&answer));
+}
+
 /// Guards against a gateway that was paused itself and takes that for the silence of its
 /// endpoints, whose events it has not read yet.
 #[test]
