--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -50,6 +50,8 @@
 /// Retry delay of a request that is suspected of crashing endpoints while another
 /// copy of it runs.
 const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Retry delay of requests that another node may be able to serve at once.
+const OTHER_NODE_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Failed connection attempts after which a request is abandoned.
 const MAX_CONNECT_FAILURES: u32 = 6;
 /// Subtracted from the caller's time limits, so that the answer reaches it in
@@ -352,10 +354,10 @@
                 let refused = Refused::unsent(
                     StatusCode::SERVICE_UNAVAILABLE,
                     Reason::UnknownVersion,
-                    "the software version that began the stream is not known; send the request to \
-                     another node if `retry-after` is short, or start the stream anew",
+                    "this node does not know the software version that began the stream; \
+                     send the request to another node",
                 );
-                Err(refused.with_retry_after(self.origins.retry_after(cause)))
+                Err(refused.with_retry_after(OTHER_NODE_RETRY_AFTER))
             }
         }
     }
@@ -537,7 +539,7 @@
                 let refused = Refused::from_core(*refusal);
                 // Another node may list an endpoint of the version.
                 if job.version.is_some() && refusal.reason == refusal::Reason::NoEndpoint {
-                    return Some(refused.with_retry_after(origins::OTHER_NODE_RETRY_AFTER));
+                    return Some(refused.with_retry_after(OTHER_NODE_RETRY_AFTER));
                 }
                 Some(refused)
             }
--- a/gateway/src/origins.rs
+++ b/gateway/src/origins.rs
@@ -66,9 +66,6 @@
 /// Lifetime of what is remembered before a plan is known.
 const DEFAULT_LIFETIME: Duration = Duration::from_mins(2);
 
-/// Retry delay of requests that another node may be able to serve at once.
-pub const OTHER_NODE_RETRY_AFTER: Duration = Duration::from_millis(100);
-
 /// Time between two log lines about what was dropped.
 const DROP_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -127,12 +124,9 @@
 /// Why the version of a stream is not known.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Unknown {
-    /// Every node that was asked replied, and none remembers the stream.
-    #[display("no node remembers the stream")]
-    Forgotten,
-    /// Some nodes that may remember the stream did not reply; the others don't.
+    /// No node that replied remembers the stream.
     #[display("no node that replied remembers the stream")]
-    Unanswered,
+    Forgotten,
     /// No other node replied.
     #[display("no other node replied")]
     Alone,
@@ -149,11 +143,10 @@
     Known(Origin, id::Node),
     Contradictory,
     /// Nobody knows; `others` is true if a node has seen another version than the
-    /// sole one, `complete` if every node that was asked replied.
+    /// sole one.
     Nobody {
         replies: usize,
         others: bool,
-        complete: bool,
     },
 }
 
@@ -449,18 +442,9 @@
             }
             (Answer::Known(..) | Answer::Contradictory, _) => Err(Unknown::Contradictory),
             (Answer::Nobody { replies: 0, .. }, _) => Err(Unknown::Alone),
-            (
-                Answer::Nobody {
-                    others, complete, ..
-                },
-                _,
-            ) => {
-                let sole = self.sole_version(service).filter(|_| !others);
-                let version = sole.ok_or(if complete {
-                    Unknown::Forgotten
-                } else {
-                    Unknown::Unanswered
-                })?;
+            (Answer::Nobody { others: true, .. }, _) => Err(Unknown::Forgotten),
+            (Answer::Nobody { .. }, _) => {
+                let version = self.sole_version(service).ok_or(Unknown::Forgotten)?;
                 let source = Source::History;
                 Ok(Found { version, source })
             }
@@ -483,18 +467,6 @@
         Ok(Found { version, source })
     }
 
-    /// Returns when a caller whose stream is unknown may come back: at once where
-    /// another node may know it, otherwise when the stream is forgotten everywhere.
-    #[must_use]
-    pub fn retry_after(&self, cause: Unknown) -> Duration {
-        match cause {
-            Unknown::Alone | Unknown::Unanswered => OTHER_NODE_RETRY_AFTER,
-            Unknown::Forgotten | Unknown::Contradictory | Unknown::Restarted => {
-                self.lock().lifetime
-            }
-        }
-    }
-
     fn sole_version(&self, service: &id::Service) -> Option<id::Version> {
         let now = self.shared.clock.now();
         let state = self.lock();
@@ -507,7 +479,6 @@
         let nobody = Answer::Nobody {
             replies: 0,
             others: false,
-            complete: false,
         };
         let Some((open, mut received)) = self.open_question(key) else {
             return nobody;
@@ -565,11 +536,7 @@
             self.send_question(&question, &pending);
             until = end;
         }
-        Answer::Nobody {
-            replies,
-            others,
-            complete: pending.is_empty(),
-        }
+        Answer::Nobody { replies, others }
     }
 
     fn send_question(&self, question: &Message, nodes: &BTreeMap<id::Node, SocketAddr>) {
