--- a/gateway/src/origins.rs
+++ b/gateway/src/origins.rs
@@ -114,7 +114,7 @@
 
 /// The version of a stream that a caller takes up.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Found {
+pub struct Match {
     /// The version.
     pub version: id::Version,
     /// Where it is known from.
@@ -404,7 +404,7 @@
         attempt: Option<&str>,
         service: &id::Service,
         remaining: Duration,
-    ) -> Result<Found, Unknown> {
+    ) -> Result<Match, Unknown> {
         let found = self.search(attempt, service, remaining).await;
         let event = match &found {
             Ok(_) => OriginEvent::Found,
@@ -419,7 +419,7 @@
         attempt: Option<&str>,
         service: &id::Service,
         remaining: Duration,
-    ) -> Result<Found, Unknown> {
+    ) -> Result<Match, Unknown> {
         let key = attempt.filter(|attempt| !attempt.is_empty()).map(Key::new);
         if let Some(key) = key {
             let now = self.shared.clock.now();
@@ -446,14 +446,14 @@
             (Answer::Nobody { .. }, _) => {
                 let version = self.sole_version(service).ok_or(Unknown::Forgotten)?;
                 let source = Source::History;
-                Ok(Found { version, source })
+                Ok(Match { version, source })
             }
         }
     }
 
     /// Checks an origin against the directory, and tells other nodes of it again,
     /// as some of those that were told may have ended.
-    fn confirm(&self, key: Key, origin: Origin, source: Source) -> Result<Found, Unknown> {
+    fn confirm(&self, key: Key, origin: Origin, source: Source) -> Result<Match, Unknown> {
         let listed = {
             let state = self.lock();
             let listed = state.history.version_of(&origin.endpoint);
@@ -464,7 +464,7 @@
         }
         self.tell(key, &origin);
         let version = origin.version;
-        Ok(Found { version, source })
+        Ok(Match { version, source })
     }
 
     fn sole_version(&self, service: &id::Service) -> Option<id::Version> {
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -24,7 +24,7 @@
     chain::{Chain, Job, Progress, millis},
     dialect::Dialect,
     events::{Batch, Splitter},
-    search::{Event, Heard, Obstacle, Place, Search, Sent},
+    search::{Dispatch, Event, Obstacle, Place, Search, Signal},
 };
 
 /// Time without an event after which another endpoint is sought for a stream; callers
@@ -79,7 +79,7 @@
     Expired,
 }
 
-impl Heard for Received {
+impl Signal for Received {
     fn is_progress(&self) -> bool {
         matches!(self, Self::Events(_) | Self::End)
     }
@@ -293,7 +293,7 @@
         &mut self,
         search: &Search<'a, D>,
         cause: &str,
-        mut sent: Option<Sent<'a>>,
+        mut sent: Option<Dispatch<'a>>,
     ) -> bool {
         let from = self.choice.endpoint.clone();
         let is_uncertain = self.certain_version().is_none();
--- a/gateway/src/search.rs
+++ b/gateway/src/search.rs
@@ -109,13 +109,13 @@
 }
 
 /// An endpoint that was found, and a connection to it.
-pub struct Found {
+pub struct Target {
     place: Place,
     connection: pool::Ready,
 }
 
 /// A request that was sent to an endpoint.
-pub struct Sent<'a> {
+pub struct Dispatch<'a> {
     place: Place,
     answer: BoxFuture<'a, Attempt>,
 }
@@ -165,7 +165,7 @@
 }
 
 /// What an endpoint does next.
-pub trait Heard {
+pub trait Signal {
     /// Returns whether the endpoint went on with its answer.
     fn is_progress(&self) -> bool;
 
@@ -174,7 +174,7 @@
     fn is_failure(&self) -> bool;
 }
 
-impl Heard for Attempt {
+impl Signal for Attempt {
     fn is_progress(&self) -> bool {
         matches!(self, Self::Stream(_) | Self::Ended(End::Answered { .. }))
     }
@@ -196,7 +196,7 @@
     /// Another endpoint has the request.
     Replaced {
         /// The request at the other endpoint.
-        by: Box<Sent<'a>>,
+        by: Box<Dispatch<'a>>,
         /// The failure of the endpoint; `None` if it was still silent.
         lost: Option<T>,
     },
@@ -243,7 +243,7 @@
     /// # Errors
     ///
     /// Fails with the reason why there is none.
-    pub async fn find(&self, progress: &Progress) -> Result<Found, Obstacle> {
+    pub async fn find(&self, progress: &Progress) -> Result<Target, Obstacle> {
         let (chain, job) = (self.chain, self.job);
         let is_retry = progress.sends > 0;
         if progress.may_have_run && job.route.retry == Retry::Never {
@@ -278,7 +278,7 @@
             flight,
             is_retry,
         };
-        Ok(Found { place, connection })
+        Ok(Target { place, connection })
     }
 
     fn request(&self, progress: &Progress) -> dispatcher::Request {
@@ -311,9 +311,9 @@
 
     /// Sends the request to an endpoint that was found.
     #[must_use]
-    pub fn send(&self, found: Found, progress: &mut Progress) -> Sent<'a> {
+    pub fn send(&self, found: Target, progress: &mut Progress) -> Dispatch<'a> {
         let (chain, job) = (self.chain, self.job);
-        let Found { place, connection } = found;
+        let Target { place, connection } = found;
         if progress.sends == 0 {
             lock(&chain.budget).record_request(chain.clock.now(), &job.service);
         }
@@ -326,7 +326,7 @@
             connection,
             self.last_event_id,
         );
-        Sent {
+        Dispatch {
             place,
             answer: sending.boxed(),
         }
@@ -334,7 +334,11 @@
 
     /// Waits for the result of a request that was sent, at the endpoint where it
     /// is then.
-    pub async fn deliver(&self, mut sent: Sent<'a>, progress: &mut Progress) -> (Place, Attempt) {
+    pub async fn deliver(
+        &self,
+        mut sent: Dispatch<'a>,
+        progress: &mut Progress,
+    ) -> (Place, Attempt) {
         loop {
             let silence = self.first_event_silence(&sent.place.choice);
             let endpoint = &sent.place.choice.endpoint;
@@ -348,7 +352,7 @@
                 }
                 Event::Replaced { by, lost } => (by, lost),
             };
-            let Sent { place, answer } = mem::replace(&mut sent, *by);
+            let Dispatch { place, answer } = mem::replace(&mut sent, *by);
             drop(answer);
             match lost {
                 Some(Attempt::Ended(end)) => place.settle(self.chain, self.job, progress, &end),
@@ -375,7 +379,7 @@
         silence: Option<Duration>,
     ) -> Event<'a, T>
     where
-        T: Heard,
+        T: Signal,
         F: Future<Output = T> + ?Sized,
     {
         let Some(silence) = silence else {
--- a/gateway/tests/test_origins.rs
+++ b/gateway/tests/test_origins.rs
@@ -16,7 +16,7 @@
     heartbeat::Heartbeat,
     metrics::Metrics,
     origins::{
-        self, Candidate, Found, Handle, Limits, Settings, Source, Unknown,
+        self, Candidate, Handle, Limits, Match, Settings, Source, Unknown,
         wire::{Message, Question, Reply},
     },
 };
@@ -218,7 +218,7 @@
         }]);
     }
 
-    async fn find(&self, attempt: Option<&str>) -> Result<Found, Unknown> {
+    async fn find(&self, attempt: Option<&str>) -> Result<Match, Unknown> {
         let service = id::Service::from("s");
         self.handle.find(attempt, &service, REMAINING).await
     }
