--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -269,8 +269,8 @@
             return Err(refused.closing());
         };
         let body = body.map_err(refuse_and_close)?;
-        // A stream that is taken up again goes on at the service that began it.
-        let first_attempt = taken_up(route, &head).and(head.resumes.as_ref());
+        // A stream that its caller resumes goes on at the service that began it.
+        let first_attempt = resumed_after(route, &head).and(head.resumes.as_ref());
         let target = first_attempt.unwrap_or(&head.correlation_id);
         let service = route.service(hash(&[target.as_bytes()]));
         let service = service.ok_or_else(|| {
@@ -287,7 +287,7 @@
             .remaining
             .map_or(route.timeout, |remaining| remaining.min(route.timeout));
         let deadline = received + time_limit - ANSWER_MARGIN;
-        let version = match taken_up(route, &head) {
+        let version = match resumed_after(route, &head) {
             Some(after) => Some(self.find_version(&head, service, deadline, after).await?),
             None => None,
         };
@@ -337,7 +337,7 @@
                     version = %found.version,
                     source = %found.source,
                     took_ms = took,
-                    "stream is taken up again"
+                    "stream is resumed by its caller"
                 );
                 Ok(found.version)
             }
@@ -349,7 +349,7 @@
                     after,
                     %cause,
                     took_ms = took,
-                    "stream not taken up again: the version that began it is unknown"
+                    "stream not resumed for its caller: the version that began it is unknown"
                 );
                 let refused = Refused::unsent(
                     StatusCode::SERVICE_UNAVAILABLE,
@@ -760,9 +760,9 @@
     })
 }
 
-/// Returns the id of the event after which a caller takes up a stream; `None` if
+/// Returns the id of the event after which a caller resumes a stream; `None` if
 /// the request begins one or has none.
-fn taken_up(route: &Route, head: &Head) -> Option<u64> {
+fn resumed_after(route: &Route, head: &Head) -> Option<u64> {
     let resumable = route.streaming && route.retry == Retry::Resume;
     head.last_event_id.filter(|_| resumable)
 }
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -31,7 +31,7 @@
     /// Id of the last event that the caller already has of a stream.
     pub last_event_id: Option<u64>,
     /// Id of the caller's attempt that brought the first event of the stream that
-    /// it takes up again.
+    /// it resumes.
     pub resumes: Option<String>,
 }
 
--- a/gateway/src/origins.rs
+++ b/gateway/src/origins.rs
@@ -1,5 +1,5 @@
 //! Remembers with the other nodes which software version began each stream, and
-//! finds it when a caller takes a stream up again at any of them.
+//! finds it when a caller resumes a stream at any of them.
 //!
 //! A node tells a few others of each stream, chosen by rendezvous hashing of the
 //! id of the attempt that began it. Datagrams share the socket of the heartbeats.
@@ -112,7 +112,7 @@
     History,
 }
 
-/// The version of a stream that a caller takes up.
+/// The version of a stream that a caller resumes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Match {
     /// The version.
@@ -307,7 +307,7 @@
             dropped = state.dropped,
             remembered = state.memory.len(),
             bytes = state.memory.bytes(),
-            "origins of streams dropped for lack of space: some can't be taken up again"
+            "origins of streams dropped for lack of space: some can't be resumed"
         );
         state.dropped = 0;
         state.drops_logged = Some(now);
@@ -392,7 +392,7 @@
         }
     }
 
-    /// Finds the version of a stream that a caller takes up again; `attempt` is
+    /// Finds the version of a stream that a caller resumes; `attempt` is
     /// the id of the attempt that began it, if the caller names one, and
     /// `remaining` the time that the request has.
     ///
--- a/lib/src/origin.rs
+++ b/lib/src/origin.rs
@@ -1,5 +1,5 @@
 //! Remembers which software version began each stream, so that a stream which a
-//! caller takes up again goes on at endpoints of the same version.
+//! caller resumes goes on at endpoints of the same version.
 
 use std::{
     collections::{BTreeSet, HashMap, hash_map},
