endpoints: the store's revision decides which description is newer

Its descriptions have an earlier start time than the former process's, were taken for outdated and ignored, the one that says that it leaves as well.

Start times come from clocks that can be set back; the store's revisions rise with each write. Entries carry the revision at which the store took them, also to other nodes, and where both are known it alone decides. Start time and sequence stay for sources without revisions.

the_revision_decides_which_description_is_newer failed before and passes now.

--- a/gateway/src/controller/endpoints.rs
+++ b/gateway/src/controller/endpoints.rs
@@ -243,13 +243,17 @@
     }
 }
 
-/// Returns whether a description was written before the known one: by an
-/// earlier process of the endpoint, or earlier by the same process.
+/// Returns whether a description was written before the known one: at a lower
+/// revision, by an earlier process of the endpoint, or earlier by the same process.
 ///
-/// A description without a start time counts as older than one with it. If
-/// neither has one, or both have the same, the sequence decides, but only
+/// Only the revision is certain, as the clock that start times come from can be set
+/// back. Without it, a description without a start time counts as older than one with
+/// it. If neither has one, or both have the same, the sequence decides, but only
 /// between descriptions with the same address.
 fn is_older(entry: &Entry, known: &Entry) -> bool {
+    if let (Some(revision), Some(known)) = (entry.revision, known.revision) {
+        return revision < known;
+    }
     match (entry.started_ms, known.started_ms) {
         (Some(entry_start), Some(known_start)) if entry_start != known_start => {
             entry_start < known_start
--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -18,6 +18,9 @@
     pub started_ms: Option<u64>,
     /// Number of the description, counted from the process's start.
     pub sequence: u64,
+    /// Revision at which the source took it; `None` if unknown.
+    #[serde(default)]
+    pub revision: Option<Revision>,
 }
 
 /// A node as it registered itself.
--- a/gateway/tests/common/directory.rs
+++ b/gateway/tests/common/directory.rs
@@ -215,6 +215,7 @@
         },
         started_ms: Some(started_ms),
         sequence: 1,
+        revision: None,
     }
 }
 
--- a/gateway/tests/test_endpoints.rs
+++ b/gateway/tests/test_endpoints.rs
@@ -10,6 +10,7 @@
     endpoint::{Record, Standing},
     id, time,
 };
+use dottereltally_store::kv::Revision;
 use rstest::rstest;
 
 fn at(millis: u64) -> time::Instant {
@@ -29,6 +30,7 @@
         },
         started_ms,
         sequence,
+        revision: None,
     }
 }
 
@@ -192,3 +194,35 @@
     endpoints.update(at(1100), endpoint(), Some(late));
     assert_eq!(endpoints.take_changed(at(1100)), None);
 }
+
+/// Guards against DRAIN after the clock of an endpoint's host was set back: its new
+/// process has an earlier start time than the former one, and then leaves.
+#[test]
+fn the_revision_decides_which_description_is_newer() {
+    let mut endpoints = with_live_endpoint();
+    let at_revision = |revision, standing, started_ms| Entry {
+        revision: Some(Revision(revision)),
+        ..entry(standing, Some(started_ms), 1)
+    };
+    endpoints.update(
+        at(100),
+        endpoint(),
+        Some(at_revision(10, Standing::Live, 200)),
+    );
+    endpoints.update(
+        at(200),
+        endpoint(),
+        Some(at_revision(11, Standing::Live, 150)),
+    );
+    let leaving = at_revision(12, Standing::Leaving, 150);
+    endpoints.update(at(300), endpoint(), Some(leaving));
+    let records = endpoints.take_changed(at(300)).unwrap();
+    assert_eq!(records[0].standing, Standing::Leaving);
+
+    endpoints.update(
+        at(400),
+        endpoint(),
+        Some(at_revision(10, Standing::Live, 200)),
+    );
+    assert_eq!(endpoints.take_changed(at(400)), None, "it is older");
+}
--- a/gateway/tests/test_rpc.rs
+++ b/gateway/tests/test_rpc.rs
@@ -37,6 +37,7 @@
         record,
         started_ms: Some(7),
         sequence: 3,
+        revision: None,
     };
     Snapshot {
         plan: Some(common::with_keys(plan())),
--- a/store/src/kv.rs
+++ b/store/src/kv.rs
@@ -3,9 +3,23 @@
 use std::{future::Future, time::Duration};
 
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 
 /// Revision of the key-value service, a counter that every change raises.
-#[derive(Clone, Copy, Debug, Display, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
 pub struct Revision(pub i64);
 
 /// Identifies a lease of the key-value service.
