test_part: failing test of a part of prompts that crashes endpoints

Three gateways, 24 endpoints that return after 2.5 s, five requests a second with the part beside forty sound ones that share the other parts: where connections close, are reset or fall silent, and where the endpoint ends after the first event of a stream without length or chunks.

--- a/gateway/tests/common/fragile.rs
+++ b/gateway/tests/common/fragile.rs
@@ -18,7 +18,7 @@
     net::{TcpListener, TcpStream},
     sync::Notify,
     task::JoinSet,
-    time::sleep,
+    time::{Instant, sleep},
 };
 
 use super::{TestHeaders, header, read_message};
@@ -26,12 +26,18 @@
 /// A request with this text in its path ends the endpoint that runs it.
 pub const FATAL: &str = "fatal";
 
+/// A request whose prompt has this part ends the endpoint that runs it.
+pub const FATAL_PART: &str = "bad0";
+
 /// A request with this text in its path loses its answer; its endpoint lives on.
 pub const UNANSWERED: &str = "unanswered";
 
 /// A request with this text in its path is answered never.
 pub const SLOW: &str = "slow";
 
+/// Time from the first event until the endpoint ends.
+const ANSWER_TIME: Duration = Duration::from_millis(30);
+
 /// How an endpoint ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -43,6 +49,9 @@
     Silent,
     /// It sends the start of its answer, then its connections are closed.
     AfterPart,
+    /// It sends the first event of a stream without length or chunks, then its
+    /// connections are closed.
+    AfterEvent,
 }
 
 /// When and how an endpoint returns.
@@ -70,6 +79,10 @@
     back: Return,
     ended: AtomicUsize,
     held: AtomicUsize,
+    /// When a request with the fatal part arrived at an endpoint.
+    arrivals: Mutex<Vec<Instant>>,
+    /// When an endpoint ended.
+    ends: Mutex<Vec<Instant>>,
 }
 
 /// Endpoints of the service `s`; clones share them.
@@ -88,6 +101,8 @@
             back,
             ended: AtomicUsize::default(),
             held: AtomicUsize::default(),
+            arrivals: Mutex::default(),
+            ends: Mutex::default(),
         });
         for number in 0..count {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -144,6 +159,16 @@
         self.shared.ended.load(Ordering::SeqCst)
     }
 
+    /// Returns when requests with the fatal part arrived at endpoints.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.shared.arrivals.lock().unwrap().clone()
+    }
+
+    /// Returns when endpoints ended.
+    pub fn ends(&self) -> Vec<Instant> {
+        self.shared.ends.lock().unwrap().clone()
+    }
+
     /// Returns how many requests run that are never answered.
     pub fn held(&self) -> usize {
         self.shared.held.load(Ordering::SeqCst)
@@ -187,6 +212,7 @@
             }
         }
         shared.ended.fetch_add(1, Ordering::SeqCst);
+        shared.ends.lock().unwrap().push(Instant::now());
         // A silent endpoint keeps its port and its connections open.
         let silent = (shared.end == End::Silent).then_some((listener, connections));
         let Some(after) = shared.back.after else {
@@ -219,10 +245,25 @@
     while let Some(request) = read_message(&mut stream).await {
         let path = request.split(' ').nth(1).unwrap_or_default();
         let id = header(&request, "x-id").unwrap_or_default();
-        if path.contains(FATAL) {
-            if shared.end == End::AfterPart {
-                let part = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ncontent-");
-                let _sent = stream.write_all(part.as_bytes()).await;
+        let parts = header(&request, "x-parts").unwrap_or_default();
+        let is_fatal_part = parts
+            .split(',')
+            .any(|part| part.split(':').next() == Some(FATAL_PART));
+        if is_fatal_part {
+            shared.arrivals.lock().unwrap().push(Instant::now());
+        }
+        if path.contains(FATAL) || is_fatal_part {
+            let head = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\n");
+            let part = match shared.end {
+                End::AfterPart => format!("{head}content-"),
+                End::AfterEvent => {
+                    format!("{head}content-type: text/event-stream\r\n\r\nid: 1\ndata: d1\n\n")
+                }
+                End::Reset | End::Close | End::Silent => String::new(),
+            };
+            let _sent = stream.write_all(part.as_bytes()).await;
+            if shared.end == End::AfterEvent {
+                sleep(ANSWER_TIME).await;
             }
             if shared.end == End::Reset {
                 // Closing a socket with this option resets the connection.
