--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -17,7 +17,7 @@
 use dottereltally_store::buffer;
 use http::{
     HeaderMap, Method, Request, Response, StatusCode, Uri, Version,
-    header::{CONTENT_ENCODING, CONTENT_LENGTH},
+    header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING},
     request, response,
 };
 use http_body::Body as _;
@@ -106,6 +106,8 @@
     pub parts: response::Parts,
     /// Its body.
     pub body: Bytes,
+    /// Whether its end showed in other ways than by the end of the connection.
+    pub is_delimited: bool,
 }
 
 /// A stream whose first events have arrived.
@@ -116,6 +118,8 @@
     pub first: Batch,
     /// The rest of the stream.
     pub body: pool::Body,
+    /// Whether its end shows in other ways than by the end of the connection.
+    pub is_delimited: bool,
     /// Splits the stream into events; buffers the start of an unfinished one.
     pub splitter: Splitter,
 }
@@ -305,11 +309,16 @@
     if parts.headers.contains_key(CONTENT_ENCODING) {
         return broken("the answer has a content encoding");
     }
+    let is_delimited = is_delimited(&parts.headers, &body);
     strip_hop_by_hop(&mut parts.headers);
     if success && job.route.streaming && is_event_stream(&parts.headers) {
         parts.headers.remove(CONTENT_LENGTH);
         let splitter = Splitter::new(&chain.answers);
-        let attempt = read_first_events(parts, body, splitter, last_event_id, deadline).await;
+        let reading = read_first_events(parts, body, splitter, last_event_id, deadline);
+        let mut attempt = reading.await;
+        if let Attempt::Stream(stream) = &mut attempt {
+            stream.is_delimited = is_delimited;
+        }
         return check_version(chain, job, choice, attempt);
     }
     let buffer = buffer::Answer::new(chain.answers.reserve(MAX_ANSWER_BYTES));
@@ -318,13 +327,25 @@
         Ok(Err(cause)) => return End::Broken { cause }.into(),
         Err(_) => return End::Expired.into(),
     };
-    let answer = Box::new(Buffered { parts, body });
+    let answer = Box::new(Buffered {
+        parts,
+        body,
+        is_delimited,
+    });
     if answer.parts.status.is_server_error() {
         return End::Failed { answer }.into();
     }
     End::Answered { answer }.into()
 }
 
+/// Returns whether the end of a body shows in other ways than by the end of its
+/// connection, which also ends if the endpoint dies.
+fn is_delimited(headers: &HeaderMap, body: &pool::Body) -> bool {
+    headers.contains_key(CONTENT_LENGTH)
+        || headers.contains_key(TRANSFER_ENCODING)
+        || body.is_end_stream()
+}
+
 /// Reads a whole body; fails with the cause if it breaks or is too large.
 async fn read_body(mut body: pool::Body, mut buffer: buffer::Answer) -> Result<Bytes, String> {
     let full = |error: buffer::Full| error.to_string();
@@ -395,6 +416,7 @@
                     first,
                     body,
                     splitter,
+                    is_delimited: false,
                 }));
             }
             Ok(None) => {}
--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -13,11 +13,11 @@
 };
 use dottereltally_lib::{
     budget::Budget,
+    crash::Subject,
     dispatcher::{self, Choice, Dispatcher, Timing},
     id,
     origin::Origin,
     plan::Plan,
-    quarantine::Verdict,
     quota::Limiter,
     refusal,
     route::{Retry, Route},
@@ -107,8 +107,8 @@
     pub deadline: time::Instant,
     /// When the caller gives up without a first byte.
     pub first_byte_deadline: time::Instant,
-    /// Hash that is equal when the same caller sends the same request again.
-    pub fingerprint: id::Fingerprint,
+    /// What may crash endpoints: the request, or a part of its prompt.
+    pub subject: Subject,
     /// The software version that began the stream that it continues; `None` if
     /// any version may serve it.
     pub version: Option<id::Version>,
@@ -281,8 +281,8 @@
             );
             refused.with_retry_after(DEFAULT_RETRY_AFTER)
         })?;
-        let fingerprint = fingerprint(&parts, &head, &body);
-        self.check_quarantine(&head.correlation_id, fingerprint)?;
+        let subject = self.subject(&parts, &head, &body);
+        self.check_quarantine(&head.correlation_id, &subject)?;
         let time_limit = head
             .remaining
             .map_or(route.timeout, |remaining| remaining.min(route.timeout));
@@ -303,7 +303,7 @@
             received,
             deadline,
             first_byte_deadline: deadline.min(received + patience - ANSWER_MARGIN),
-            fingerprint,
+            subject,
             version,
             template: Template::new(parts, body, head, workspace, plan.workspaces.is_some()),
         })
@@ -377,19 +377,34 @@
         self.origins.remember(&job.correlation_id, &origin);
     }
 
-    /// Refuses requests that are known to crash endpoints.
-    fn check_quarantine(
-        &self,
-        correlation_id: &str,
-        fingerprint: id::Fingerprint,
-    ) -> Result<(), Refused> {
-        let verdict = self
+    /// Returns what may crash endpoints, and counts what was not read of it.
+    fn subject(&self, parts: &Parts, head: &Head, body: &Bytes) -> Subject {
+        if head.unread_parts > 0 {
+            let unread = u64::try_from(head.unread_parts).unwrap_or(u64::MAX);
+            self.metrics.unread_parts.inc_by(unread);
+            tracing::info!(
+                id = head.correlation_id,
+                unread,
+                read = head.parts.len(),
+                "parts of the prompt are not read: they are no ids, or too many"
+            );
+        }
+        Subject {
+            request: fingerprint(parts, head, body),
+            parts: head.parts.iter().copied().map(Into::into).collect(),
+        }
+    }
+
+    /// Refuses requests that are known to crash endpoints, or whose prompts have a part
+    /// that is.
+    fn check_quarantine(&self, correlation_id: &str, subject: &Subject) -> Result<(), Refused> {
+        let refused = self
             .crashes
-            .read(|detector, now| detector.verdict(now, fingerprint));
-        if verdict != Verdict::Confirmed {
+            .read(|detector, now| detector.refused(now, subject));
+        if refused.is_none() {
             return Ok(());
         }
-        Err(self.refuse_quarantined(correlation_id, fingerprint, false))
+        Err(self.refuse_quarantined(correlation_id, subject, false))
     }
 
     /// Refuses a request that may crash endpoints, which was not sent now; an
@@ -397,15 +412,20 @@
     fn refuse_quarantined(
         &self,
         correlation_id: &str,
-        fingerprint: id::Fingerprint,
+        subject: &Subject,
         may_have_run: bool,
     ) -> Refused {
-        let refused_for = self
-            .crashes
-            .read(|detector, now| detector.refused_for(now, fingerprint));
+        let (fingerprint, refused_for, count) = self.crashes.read(|detector, now| {
+            let refused = detector.refused(now, subject).unwrap_or(subject.request);
+            let refused_for = detector.refused_for(now, refused);
+            (refused, refused_for, detector.count(now, refused))
+        });
         tracing::info!(
             id = correlation_id,
             %fingerprint,
+            is_part = fingerprint.is_part(),
+            died = count.died,
+            silent = count.silent,
             refused_for_ms = refused_for.map(millis),
             may_have_run,
             "request not sent: it may crash endpoints"
@@ -551,7 +571,7 @@
             Obstacle::Unreachable { .. } => Some(refuse_unreachable(progress.may_have_run)),
             Obstacle::Quarantine => Some(self.refuse_quarantined(
                 &job.correlation_id,
-                job.fingerprint,
+                &job.subject,
                 progress.may_have_run,
             )),
         }
@@ -605,14 +625,12 @@
                 Next::Answer(answer)
             }
             End::Answered { answer } => {
-                self.crashes.record_answered(job.fingerprint);
-                self.record_answer(
-                    job,
-                    &choice,
-                    progress,
-                    answer.parts.status,
-                    Timing::default(),
-                );
+                let status = answer.parts.status;
+                if answer.is_delimited {
+                    let successfully = status.is_success();
+                    self.crashes.record_answered(&job.subject, successfully);
+                }
+                self.record_answer(job, &choice, progress, status, Timing::default());
                 Next::Answer(answer)
             }
         }
@@ -825,7 +843,7 @@
 pub fn fingerprint(parts: &Parts, head: &Head, body: &Bytes) -> id::Fingerprint {
     let key = head.key.as_deref().unwrap_or_default();
     let target = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    id::Fingerprint(hash(&[
+    id::Fingerprint::of_request(hash(&[
         parts.method.as_str().as_bytes(),
         target.as_bytes(),
         key.as_bytes(),
--- a/gateway/src/crashes.rs
+++ b/gateway/src/crashes.rs
@@ -4,14 +4,14 @@
 
 use dottereltally::clock::Clock;
 use dottereltally_lib::{
-    crash::{self, Change, Detector},
+    crash::{self, Change, Detector, Subject},
     dispatcher::Choice,
     id,
     quarantine::Verdict,
     suspicion::Mark,
     time,
 };
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use crate::metrics::{Evidence, Metrics};
 
@@ -48,6 +48,8 @@
     metrics: Metrics,
     lost: mpsc::UnboundedSender<Target>,
     refused: mpsc::Sender<id::Fingerprint>,
+    /// Signalled when this node found out a death.
+    news: Notify,
 }
 
 /// Handle of the node's detector of crashing requests; clones share the detector.
@@ -68,6 +70,7 @@
             metrics,
             lost,
             refused,
+            news: Notify::new(),
         });
         let tasks = Tasks {
             lost: lost_receiver,
@@ -96,11 +99,11 @@
     pub fn start(
         &self,
         service: &id::Service,
-        fingerprint: id::Fingerprint,
+        subject: &Subject,
         choice: &Choice,
     ) -> Result<Flight, Verdict> {
         let now = self.shared.clock.now();
-        let attempt = self.lock().start(now, fingerprint, &choice.endpoint)?;
+        let attempt = self.lock().start(now, subject.clone(), &choice.endpoint)?;
         let target = Target {
             endpoint: choice.endpoint.clone(),
             address: choice.address.clone(),
@@ -133,11 +136,22 @@
     }
 
     /// Records that a request was answered completely, so that it does not crash
-    /// endpoints.
-    pub fn record_answered(&self, fingerprint: id::Fingerprint) {
+    /// endpoints, and if it was answered `successfully`, neither do the parts of its
+    /// prompt.
+    pub fn record_answered(&self, subject: &Subject, successfully: bool) {
         let now = self.shared.clock.now();
-        let change = self.lock().clear(now, fingerprint);
-        self.log(change, "answered");
+        let mut detector = self.lock();
+        let mut changes: Vec<Change> = detector.clear(now, subject.request).into_iter().collect();
+        if successfully {
+            changes.extend(detector.clear_parts(now, &subject.parts));
+        }
+        drop(detector);
+        self.log(changes, "answered");
+    }
+
+    /// Waits until this node has found out a death, of which the others don't know.
+    pub async fn wait_for_news(&self) {
+        self.shared.news.notified().await;
     }
 
     /// Records that an endpoint was heard.
@@ -204,8 +218,10 @@
         let (changes, again) = self
             .lock()
             .conclude(now, &target.endpoint, started, finding);
-        for _ in &changes {
-            self.shared.metrics.crash_evidence(Evidence::Death);
+        for change in &changes {
+            if change.verdict != Verdict::Clear {
+                self.shared.metrics.crash_evidence(Evidence::Death);
+            }
         }
         self.log(changes, target.endpoint.as_str());
         again
@@ -215,6 +231,11 @@
     /// called periodically.
     pub fn maintain(&self) {
         let now = self.shared.clock.now();
+        let changes = self.lock().review(now);
+        self.log(changes, "deaths of endpoints known to this node");
+        let refused_parts = self.lock().refused_parts();
+        let refused_parts = i64::try_from(refused_parts).unwrap_or(i64::MAX);
+        self.shared.metrics.refused_parts.set(refused_parts);
         let dropped = self.lock().maintain(now);
         if dropped > 0 {
             self.shared.metrics.crash_evidence_dropped(dropped);
@@ -226,11 +247,17 @@
     /// that died, or the node that reported it.
     fn log(&self, changes: impl IntoIterator<Item = Change>, cause: &str) {
         for change in changes {
-            let message = match change.verdict {
-                Verdict::Clear => "request no longer suspected of crashing endpoints",
-                Verdict::Suspect => "request suspected of crashing endpoints",
-                Verdict::Confirmed => "request quarantined: it crashes endpoints",
+            let message = match (change.fingerprint.is_part(), change.verdict) {
+                (false, Verdict::Clear) => "request no longer suspected of crashing endpoints",
+                (false, Verdict::Suspect) => "request suspected of crashing endpoints",
+                (false, Verdict::Confirmed) => "request quarantined: it crashes endpoints",
+                (true, Verdict::Clear) => "prompt part no longer suspected of crashing endpoints",
+                (true, Verdict::Suspect) => "prompt part suspected of crashing endpoints",
+                (true, Verdict::Confirmed) => "prompt part quarantined: it crashes endpoints",
             };
+            if change.own && change.verdict != Verdict::Clear {
+                self.shared.news.notify_one();
+            }
             if change.decisive
                 && change.own
                 && change.verdict == Verdict::Confirmed
@@ -266,6 +293,28 @@
         }
     }
 
+    /// Records that the attempt ended with an answer that is complete only if its
+    /// endpoint lives, which is then examined.
+    pub fn doubt(mut self) {
+        if let Some((attempt, target)) = self.inner.take() {
+            let now = self.handle.shared.clock.now();
+            let is_first = self.handle.lock().doubt(now, attempt);
+            self.examine(is_first, now, target);
+        }
+    }
+
+    /// Has the endpoint examined, unless an examination is under way.
+    fn examine(&self, is_first: bool, lost: time::Instant, mut target: Target) {
+        if !is_first {
+            return;
+        }
+        target.lost = lost;
+        let endpoint = target.endpoint.clone();
+        if self.handle.shared.lost.send(target).is_err() {
+            tracing::error!(%endpoint, "nothing examines the endpoint of a lost request");
+        }
+    }
+
     /// Records that its endpoint was heard.
     pub fn record_heard(&self) {
         if let Some((_, target)) = &self.inner {
@@ -277,20 +326,12 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        let Some((attempt, mut target)) = self.inner.take() else {
+        let Some((attempt, target)) = self.inner.take() else {
             return;
         };
-        let shared = &self.handle.shared;
-        let now = shared.clock.now();
-        shared.metrics.crash_evidence(Evidence::Loss);
-        let fingerprint = attempt.fingerprint();
-        if !self.handle.lock().lose(now, attempt) {
-            return;
-        }
-        target.lost = now;
-        let endpoint = target.endpoint.clone();
-        if shared.lost.send(target).is_err() {
-            tracing::error!(%endpoint, %fingerprint, "nothing examines the endpoint of a lost request");
-        }
+        let now = self.handle.shared.clock.now();
+        self.handle.shared.metrics.crash_evidence(Evidence::Loss);
+        let is_first = self.handle.lock().lose(now, attempt);
+        self.examine(is_first, now, target);
     }
 }
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -33,6 +33,10 @@
     /// Id of the caller's attempt that brought the first event of the stream that
     /// it resumes.
     pub resumes: Option<String>,
+    /// The parts of its prompt that other requests may share, in order.
+    pub parts: Vec<id::Part>,
+    /// Parts that could not be read, or are too many.
+    pub unread_parts: usize,
 }
 
 /// What is sent to an endpoint in addition to the caller's own headers.
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -134,6 +134,10 @@
     pub store_calls: Counter,
     /// Calls to it that failed.
     pub store_failures: Counter,
+    /// Parts of prompts that could not be read, or were too many.
+    pub unread_parts: Counter,
+    /// Parts of prompts with which requests are refused.
+    pub refused_parts: Gauge,
     /// Probes of it while it did not answer.
     pub store_probes: Counter,
     /// Generation of the plan in force.
@@ -176,6 +180,8 @@
             store_calls: Counter::default(),
             store_failures: Counter::default(),
             store_probes: Counter::default(),
+            unread_parts: Counter::default(),
+            refused_parts: Gauge::default(),
             generation: Gauge::default(),
             endpoints: Gauge::default(),
             peers: Gauge::default(),
@@ -260,6 +266,11 @@
                 "Calls of the key-value service that failed",
                 &self.store_failures,
             ),
+            (
+                "unread_parts",
+                "Parts of prompts that were not read",
+                &self.unread_parts,
+            ),
             (
                 "store_probes",
                 "Probes of the key-value service while it did not answer",
@@ -268,12 +279,21 @@
         ] {
             registry.register(name, help, counter.clone());
         }
+        self.register_gauges(registry);
+    }
+
+    fn register_gauges(&self, registry: &mut Registry) {
         for (name, help, gauge) in [
             ("generation", "Plan in force", &self.generation),
             ("endpoints", "Listed endpoints", &self.endpoints),
             ("peers", "Other nodes that are heard", &self.peers),
             ("waiting", "Requests that wait", &self.waiting),
             ("running", "Requests at endpoints", &self.running),
+            (
+                "refused_parts",
+                "Parts of prompts with which requests are refused",
+                &self.refused_parts,
+            ),
             (
                 "dropped_lines",
                 "Log lines that were dropped",
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -389,6 +389,7 @@
     let attached = chain.origins.attach(Arc::clone(&socket)).await;
     attached.wrap_err("the socket of `listen.beats` can't send")?;
     tokio::spawn(origins::run(chain.origins.clone()));
+    tokio::spawn(peers::announce(chain.crashes.clone(), peers.clone()));
     tokio::spawn(peers::listen(socket, peers.clone(), chain.origins.clone()));
     tokio::spawn(async move {
         while nodes.changed().await.is_ok() {
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -13,11 +13,11 @@
 
 use dottereltally_lib::{id, time};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
-use tokio::{net::UdpSocket, sync::watch};
+use tokio::{net::UdpSocket, sync::watch, time::sleep};
 
 use crate::{
     chain::{Chain, lock, millis},
-    coordinator,
+    coordinator, crashes,
     dialect::Dialect,
     directory::Node,
     heartbeat::Heartbeat,
@@ -43,6 +43,9 @@
 /// shortest time for it.
 const SILENCE_LIMIT: (u32, Duration) = (6, Duration::from_millis(1200));
 
+/// Shortest time between two heartbeats outside their order, about deaths of endpoints.
+const NEWS_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Largest datagram that is read.
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
 
@@ -53,6 +56,8 @@
     Registered(Vec<Node>),
     /// A heartbeat was received.
     Received(Box<Heartbeat>, SocketAddr),
+    /// This node found out a death, which the others must learn of at once.
+    News,
     /// Periodic timer.
     Tick,
 }
@@ -141,6 +146,13 @@
         match message {
             Message::Registered(nodes) => state.update_registered(nodes),
             Message::Received(heartbeat, from) => state.receive(&heartbeat, from),
+            Message::News => {
+                let now = state.now();
+                for peer in state.peers.values_mut() {
+                    peer.due = peer.due.min(now);
+                }
+                state.tick();
+            }
             Message::Tick => state.tick(),
         }
         Ok(())
@@ -420,6 +432,17 @@
     shortest.max(Duration::from_secs(1) * nodes / MAX_HEARTBEATS_PER_SECOND)
 }
 
+/// Lets the other nodes know at once of deaths that this node finds out; never returns.
+pub async fn announce(crashes: crashes::Handle, peers: ActorRef<Message>) {
+    loop {
+        crashes.wait_for_news().await;
+        if let Err(error) = peers.send_message(Message::News) {
+            tracing::error!(%error, "peer actor has stopped");
+        }
+        sleep(NEWS_INTERVAL).await;
+    }
+}
+
 /// Receives heartbeats, and datagrams about where streams began; never returns.
 pub async fn listen(socket: Arc<UdpSocket>, peers: ActorRef<Message>, origins: origins::Handle) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -62,6 +62,8 @@
 struct Upstream {
     body: pool::Body,
     splitter: Splitter,
+    /// Whether its end shows in other ways than by the end of the connection.
+    is_delimited: bool,
     place: Place,
     timing: Timing,
     /// When its last event arrived.
@@ -94,6 +96,7 @@
         let upstream = Self {
             body: stream.body,
             splitter: stream.splitter,
+            is_delimited: stream.is_delimited,
             place,
             timing: Timing::default(),
             last_event_at: Instant::now(),
@@ -352,8 +355,13 @@
             return;
         };
         let timing = upstream.timing;
-        upstream.place.finish(Outcome::Answered(timing));
-        self.chain.crashes.record_answered(self.job.fingerprint);
+        let outcome = Outcome::Answered(timing);
+        if upstream.is_delimited {
+            upstream.place.finish(outcome);
+            self.chain.crashes.record_answered(&self.job.subject, true);
+        } else {
+            upstream.place.doubt(outcome);
+        }
         self.chain.record_answer(
             &self.job,
             &self.choice,
--- a/gateway/src/search.rs
+++ b/gateway/src/search.rs
@@ -60,6 +60,13 @@
         self.flight.finish();
     }
 
+    /// Records the end of a request whose answer is complete only if its endpoint
+    /// lives.
+    pub fn doubt(self, outcome: Outcome) {
+        self.permit.end(outcome);
+        self.flight.doubt();
+    }
+
     /// Records the end of a request that got no complete answer.
     pub fn lose(self, outcome: Outcome) {
         self.permit.end(outcome);
@@ -79,7 +86,7 @@
                 id = job.correlation_id,
                 endpoint = %self.choice.endpoint,
                 address = self.choice.address,
-                fingerprint = %job.fingerprint,
+                fingerprint = %job.subject.request,
                 failure,
                 cause = attempt.cause(),
                 sends = progress.sends,
@@ -96,6 +103,10 @@
                 self.finish(outcome);
             }
             End::Rejected { .. } => self.finish(outcome),
+            End::Answered { answer } if !answer.is_delimited => {
+                progress.may_have_run = true;
+                self.doubt(outcome);
+            }
             End::Answered { .. } | End::Failed { .. } => {
                 progress.may_have_run = true;
                 self.finish(outcome);
@@ -265,7 +276,7 @@
         };
         // Nothing is awaited from here to the send, so that neither a retry nor a
         // flight is recorded for a search that is withdrawn.
-        let started = chain.crashes.start(&job.service, job.fingerprint, &choice);
+        let started = chain.crashes.start(&job.service, &job.subject, &choice);
         let flight = started.map_err(|_verdict| Obstacle::Quarantine)?;
         if is_retry && !lock(&chain.budget).spend(chain.clock.now(), &job.service) {
             flight.finish();
@@ -297,7 +308,7 @@
             id = self.job.correlation_id,
             endpoint = %choice.endpoint,
             address = choice.address,
-            fingerprint = %self.job.fingerprint,
+            fingerprint = %self.job.subject.request,
             failure = FAILURE,
             cause,
             sends = progress.sends,
--- a/gateway/tests/common/cluster.rs
+++ b/gateway/tests/common/cluster.rs
@@ -19,7 +19,7 @@
     pub gateways: Vec<Gateway>,
     nodes: Vec<(Node, ActorRef<peers::Message>)>,
     /// Tasks that send and receive the datagrams of each node.
-    tasks: Vec<[JoinHandle<()>; 2]>,
+    tasks: Vec<[JoinHandle<()>; 3]>,
     killed: BTreeSet<usize>,
 }
 
@@ -58,7 +58,9 @@
         origins.attach(Arc::clone(&socket)).await.unwrap();
         let telling = tokio::spawn(origins::run(origins.clone()));
         let listening = tokio::spawn(peers::listen(socket, actor.clone(), origins));
-        self.tasks.push([telling, listening]);
+        let crashes = gateway.chain.crashes.clone();
+        let announcing = tokio::spawn(peers::announce(crashes, actor.clone()));
+        self.tasks.push([telling, listening, announcing]);
         self.gateways.push(gateway);
         self.nodes.push((node, actor));
         for (index, (node, actor)) in self.nodes.iter().enumerate() {
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -63,6 +63,18 @@
     Some(value.to_owned())
 }
 
+/// Returns the parts of the prompt but the last.
+fn parts(headers: &HeaderMap) -> Vec<id::Part> {
+    let list = text(headers, "x-parts").unwrap_or_default();
+    let mut parts = Vec::new();
+    for part in list.split(',').filter(|part| !part.is_empty()) {
+        let id = part.split(':').next().unwrap_or_default();
+        parts.push(id.parse().unwrap());
+    }
+    parts.pop();
+    parts
+}
+
 impl Dialect for TestHeaders {
     fn read_request(&self, headers: &HeaderMap) -> Result<Head, Malformed> {
         let correlation_id =
@@ -75,6 +87,7 @@
             key: text(headers, "x-key"),
             last_event_id: text(headers, "x-after").and_then(|after| after.parse().ok()),
             resumes: text(headers, "x-resumes"),
+            parts: parts(headers),
             ..Head::default()
         })
     }
--- a/gateway/tests/test_part.rs
+++ b/gateway/tests/test_part.rs
@@ -122,7 +122,6 @@
 #[case::silent_once(End::Silent, "/once/", Position::Middle)]
 #[case::silent_stream(End::Silent, "/stream/", Position::Changing)]
 #[tokio::test]
-#[ignore = "known red: BUDGET, parts of prompts are not told apart"]
 async fn requests_with_a_part_that_crashes_endpoints_are_refused(
     #[case] end: End,
     #[case] path: &'static str,
--- a/lib/src/crash.rs
+++ b/lib/src/crash.rs
@@ -7,12 +7,15 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
+    mem,
+    sync::Arc,
     time::Duration,
 };
 
 use derive_more::Display;
 
 use crate::{
+    answered::Memory,
     id,
     quarantine::Verdict,
     suspicion::{Count, Kind, Mark, Register, SUSPICION_TTL},
@@ -30,11 +33,35 @@
 /// process that was taken for dead.
 const RESTART_NOTICE: Duration = Duration::from_secs(5);
 
+/// What may crash endpoints: a request, or a part of its prompt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Subject {
+    /// The request.
+    pub request: id::Fingerprint,
+    /// The parts that other requests may share.
+    pub parts: Arc<[id::Fingerprint]>,
+}
+
+impl From<id::Fingerprint> for Subject {
+    fn from(request: id::Fingerprint) -> Self {
+        Self {
+            request,
+            parts: Arc::default(),
+        }
+    }
+}
+
+impl Subject {
+    fn all(&self) -> impl Iterator<Item = id::Fingerprint> {
+        std::iter::once(self.request).chain(self.parts.iter().copied())
+    }
+}
+
 /// A request that runs at an endpoint.
 #[derive(Debug)]
 #[must_use = "an attempt that is not ended counts as running"]
 pub struct Attempt {
-    fingerprint: id::Fingerprint,
+    subject: Subject,
     endpoint: id::Endpoint,
     incarnation: id::Incarnation,
     started: time::Instant,
@@ -44,7 +71,7 @@
     /// Returns the request.
     #[must_use]
     pub fn fingerprint(&self) -> id::Fingerprint {
-        self.fingerprint
+        self.subject.request
     }
 }
 
@@ -83,18 +110,20 @@
 #[derive(Clone, Debug)]
 struct Loss {
     attempt_started: time::Instant,
-    fingerprint: id::Fingerprint,
+    subject: Subject,
     endpoint: id::Endpoint,
     incarnation: id::Incarnation,
     at: time::Instant,
+    /// Whether it got an answer that may be complete.
+    is_answered: bool,
     /// Whether the endpoint has been examined since.
     examined: bool,
 }
 
-/// A change of what is known about a request.
+/// A change of what is known about a request or a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Change {
-    /// The request.
+    /// The request or part.
     pub fingerprint: id::Fingerprint,
     /// Whether it changes whether the request is refused.
     pub decisive: bool,
@@ -110,6 +139,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Detector {
     register: Register,
+    /// Parts that don't crash endpoints.
+    answered: Memory,
+    /// Parts that were refused at the last [`Self::review`].
+    refused_parts: BTreeSet<id::Fingerprint>,
     /// Numbers of copies of each request that this node runs.
     running: BTreeMap<id::Fingerprint, usize>,
     losses: VecDeque<Loss>,
@@ -156,19 +189,33 @@
         self.register.refused_for(now, fingerprint)
     }
 
+    /// Returns what is known to crash endpoints: the request, or a part of its prompt;
+    /// `None` if it may be sent.
+    #[must_use]
+    pub fn refused(&self, now: time::Instant, subject: &Subject) -> Option<id::Fingerprint> {
+        subject
+            .all()
+            .find(|fingerprint| self.verdict(now, *fingerprint) == Verdict::Confirmed)
+    }
+
     /// Records that a request is about to be sent to an endpoint.
     ///
     /// # Errors
     ///
-    /// Fails with the verdict if the request must not be sent: it is known to
-    /// crash endpoints, or is suspected and already runs at this node, or was lost
-    /// at an endpoint that is still being examined.
+    /// Fails with the verdict if the request must not be sent: it or a part of its
+    /// prompt is known to crash endpoints, or it is suspected and already runs at this
+    /// node, or was lost at an endpoint that is still being examined.
     pub fn start(
         &mut self,
         now: time::Instant,
-        fingerprint: id::Fingerprint,
+        subject: impl Into<Subject>,
         endpoint: &id::Endpoint,
     ) -> Result<Attempt, Verdict> {
+        let subject = subject.into();
+        let fingerprint = subject.request;
+        if self.refused(now, &subject).is_some() {
+            return Err(Verdict::Confirmed);
+        }
         let verdict = self.verdict(now, fingerprint);
         let refused = match verdict {
             Verdict::Clear => false,
@@ -180,7 +227,7 @@
         }
         *self.running.entry(fingerprint).or_default() += 1;
         Ok(Attempt {
-            fingerprint,
+            subject,
             endpoint: endpoint.clone(),
             incarnation: self.incarnation(endpoint),
             started: now,
@@ -189,18 +236,30 @@
 
     /// Records that an attempt ended with an answer, or that it did not run.
     pub fn finish(&mut self, attempt: &Attempt) {
-        let Some(running) = self.running.get_mut(&attempt.fingerprint) else {
+        let fingerprint = attempt.fingerprint();
+        let Some(running) = self.running.get_mut(&fingerprint) else {
             return;
         };
         *running -= 1;
         if *running == 0 {
-            self.running.remove(&attempt.fingerprint);
+            self.running.remove(&fingerprint);
         }
     }
 
     /// Records that an attempt ended without a complete answer; returns whether
     /// the examination of its endpoint must now start (see [`Self::conclude`]).
     pub fn lose(&mut self, now: time::Instant, attempt: Attempt) -> bool {
+        self.record_loss(now, attempt, false)
+    }
+
+    /// Records that an attempt ended with an answer that is complete only if its
+    /// endpoint lives: nothing but the end of the connection showed its end. Returns
+    /// whether the examination of the endpoint must now start.
+    pub fn doubt(&mut self, now: time::Instant, attempt: Attempt) -> bool {
+        self.record_loss(now, attempt, true)
+    }
+
+    fn record_loss(&mut self, now: time::Instant, attempt: Attempt, is_answered: bool) -> bool {
         self.finish(&attempt);
         if self.losses.len() >= MAX_LOSSES {
             self.losses.pop_front();
@@ -209,10 +268,11 @@
         let endpoint = attempt.endpoint.clone();
         self.losses.push_back(Loss {
             attempt_started: attempt.started,
-            fingerprint: attempt.fingerprint,
+            subject: attempt.subject,
             endpoint: attempt.endpoint,
             incarnation: attempt.incarnation,
             at: now,
+            is_answered,
             examined: false,
         });
         self.examining.insert(endpoint)
@@ -221,8 +281,24 @@
     /// Records that a request was answered completely, which clears it; returns
     /// the change, if it was suspected.
     pub fn clear(&mut self, now: time::Instant, fingerprint: id::Fingerprint) -> Option<Change> {
+        self.losses
+            .retain(|loss| loss.subject.request != fingerprint);
+        self.withdraw(now, fingerprint)
+    }
+
+    /// Records that a request with these parts was answered completely and
+    /// successfully, which clears them; returns the changes.
+    pub fn clear_parts(&mut self, now: time::Instant, parts: &[id::Fingerprint]) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for part in parts {
+            self.answered.record(now, *part);
+            changes.extend(self.withdraw(now, *part));
+        }
+        changes
+    }
+
+    fn withdraw(&mut self, now: time::Instant, fingerprint: id::Fingerprint) -> Option<Change> {
         let previous = self.verdict(now, fingerprint);
-        self.losses.retain(|loss| loss.fingerprint != fingerprint);
         let withdrawn = self.register.withdraw_request(now, fingerprint);
         withdrawn.then(|| self.change(now, fingerprint, previous))
     }
@@ -316,7 +392,11 @@
             if !again {
                 self.examining.remove(endpoint);
             }
-            return (Vec::new(), again);
+            let mut changes = Vec::new();
+            if finding == Finding::Alive {
+                changes = self.clear_answered(now, endpoint);
+            }
+            return (changes, again);
         };
         self.examining.remove(endpoint);
         let changes = self.record_death(now, kind, |loss| {
@@ -325,6 +405,22 @@
         (changes, false)
     }
 
+    /// Clears the requests whose answers were in doubt until their endpoint was found
+    /// alive.
+    fn clear_answered(&mut self, now: time::Instant, endpoint: &id::Endpoint) -> Vec<Change> {
+        let mut changes = Vec::new();
+        let losses = mem::take(&mut self.losses);
+        let is_complete =
+            |loss: &Loss| loss.is_answered && loss.examined && loss.endpoint == *endpoint;
+        let (complete, others): (Vec<Loss>, Vec<Loss>) = losses.into_iter().partition(is_complete);
+        self.losses = others.into();
+        for loss in complete {
+            changes.extend(self.clear(now, loss.subject.request));
+            changes.extend(self.clear_parts(now, &loss.subject.parts));
+        }
+        changes
+    }
+
     /// Records when an endpoint's process started, in milliseconds since the Unix
     /// epoch, as the directory names it. Returns the changes, if the process
     /// replaces another one, which thus died.
@@ -374,21 +470,57 @@
         self.register.marks(now, fingerprint)
     }
 
+    /// Returns the numbers of deaths at which a request or part was.
+    #[must_use]
+    pub fn count(&self, now: time::Instant, fingerprint: id::Fingerprint) -> Count {
+        self.register.count(now, fingerprint)
+    }
+
     /// Applies a mark received from another node; returns the change, if there is
     /// one.
     pub fn apply_mark(&mut self, now: time::Instant, mark: Mark) -> Option<Change> {
         let previous = self.verdict(now, mark.fingerprint);
         let changed = self.register.apply(now, mark);
+        if self.answered.contains(mark.fingerprint) {
+            // The other nodes learn of it with the next heartbeats.
+            return self.withdraw(now, mark.fingerprint);
+        }
         changed.then(|| self.change(now, mark.fingerprint, previous))
     }
 
+    /// Returns the parts that are refused since the last call, and those that are not
+    /// any more; to be called periodically.
+    pub fn review(&mut self, now: time::Instant) -> Vec<Change> {
+        let mut refused = BTreeSet::new();
+        for part in self.register.accused_parts(now) {
+            if self.verdict(now, part) == Verdict::Confirmed {
+                refused.insert(part);
+            }
+        }
+        let mut changes = Vec::new();
+        for part in refused.symmetric_difference(&self.refused_parts) {
+            changes.push(Change {
+                decisive: true,
+                ..self.change(now, *part, Verdict::Clear)
+            });
+        }
+        self.refused_parts = refused;
+        changes
+    }
+
+    /// Returns the number of parts that were refused at the last [`Self::review`].
+    #[must_use]
+    pub fn refused_parts(&self) -> usize {
+        self.refused_parts.len()
+    }
+
     /// Drops what has expired; to be called periodically. Returns how many losses
     /// and suspicions were dropped for lack of space since the last call.
     pub fn maintain(&mut self, now: time::Instant) -> u64 {
         self.losses.retain(|loss| now.since(loss.at) < LOSS_TTL);
         self.heard.retain(|_, at| now.since(*at) < LOSS_TTL);
         self.dead.retain(|_, died| now.since(*died) < SUSPICION_TTL);
-        std::mem::take(&mut self.dropped_losses) + self.register.take_dropped()
+        mem::take(&mut self.dropped_losses) + self.register.take_dropped()
     }
 
     /// Suspects the requests whose losses match of an endpoint's death, and drops
@@ -400,7 +532,7 @@
         matches: impl Fn(&Loss) -> bool,
     ) -> Vec<Change> {
         let mut changes = Vec::new();
-        for loss in std::mem::take(&mut self.losses) {
+        for loss in mem::take(&mut self.losses) {
             if !matches(&loss) {
                 self.losses.push_back(loss);
                 continue;
@@ -410,10 +542,17 @@
             if loss.attempt_started > died {
                 continue;
             }
-            let (fingerprint, incarnation) = (loss.fingerprint, loss.incarnation);
-            let previous = self.verdict(now, fingerprint);
-            if self.register.record(now, fingerprint, incarnation, kind) {
-                changes.push(self.change(now, fingerprint, previous));
+            for fingerprint in loss.subject.all() {
+                if self.answered.contains(fingerprint) {
+                    continue;
+                }
+                let previous = self.verdict(now, fingerprint);
+                if self
+                    .register
+                    .record(now, fingerprint, loss.incarnation, kind)
+                {
+                    changes.push(self.change(now, fingerprint, previous));
+                }
             }
         }
         changes
@@ -424,7 +563,7 @@
     fn is_unsettled(&self, fingerprint: id::Fingerprint) -> bool {
         let mut losses = self.losses.iter();
         self.running.contains_key(&fingerprint)
-            || losses.any(|loss| loss.fingerprint == fingerprint && !loss.examined)
+            || losses.any(|loss| loss.subject.request == fingerprint && !loss.examined)
     }
 
     fn incarnation(&self, endpoint: &id::Endpoint) -> id::Incarnation {
--- a/lib/src/id.rs
+++ b/lib/src/id.rs
@@ -1,6 +1,6 @@
 //! Identifiers.
 
-use derive_more::{AsRef, Display, From, FromStr};
+use derive_more::{AsRef, Display, Error, From, FromStr};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
@@ -128,6 +128,61 @@
 #[serde(transparent)]
 pub struct Fingerprint(pub u64);
 
+impl Fingerprint {
+    /// Set in the fingerprints of parts of prompts, and in no others.
+    const PART: u64 = 1 << 63;
+
+    /// Returns the fingerprint of a request with this hash.
+    #[must_use]
+    pub fn of_request(hash: u64) -> Self {
+        Self(hash & !Self::PART)
+    }
+
+    /// Returns whether it stands for a part of prompts.
+    #[must_use]
+    pub fn is_part(self) -> bool {
+        self.0 & Self::PART != 0
+    }
+}
+
+impl From<Part> for Fingerprint {
+    fn from(part: Part) -> Self {
+        Self(part.0 | Self::PART)
+    }
+}
+
+/// Identifies a part that prompts share, such as their instructions or the earlier
+/// turns of a session.
+#[derive(Clone, Copy, Debug, Display, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[display("{_0:x}")]
+pub struct Part(u64);
+
+/// An id of a part that is not in hexadecimal.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("`{_0}` is no id of a part; write it in hexadecimal")]
+pub struct UnreadablePart(#[error(not(source))] String);
+
+impl std::str::FromStr for Part {
+    type Err = UnreadablePart;
+
+    /// Reads an id; case and leading zeros make no difference. One that is too long
+    /// for a number is replaced by a hash.
+    fn from_str(text: &str) -> Result<Self, UnreadablePart> {
+        if text.is_empty() || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(UnreadablePart(text.to_owned()));
+        }
+        let digits = text.trim_start_matches('0').to_ascii_lowercase();
+        let number = if digits.is_empty() {
+            Ok(0)
+        } else {
+            u64::from_str_radix(&digits, 16)
+        };
+        let id = number.ok().filter(|id| id & Fingerprint::PART == 0);
+        let id = id.unwrap_or_else(|| xxh3::xxh3_64(digits.as_bytes()) & !Fingerprint::PART);
+        Ok(Self(id))
+    }
+}
+
 /// Identifies one process of an endpoint: an endpoint that starts again has
 /// another one, also if it keeps its name.
 #[derive(Clone, Copy, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 pub mod affinity;
+pub mod answered;
 pub mod backlog;
 pub mod balance;
 pub mod budget;
--- a/lib/src/suspicion.rs
+++ b/lib/src/suspicion.rs
@@ -1,10 +1,17 @@
-//! Requests suspected of crashing endpoints, as known to one node.
+//! Requests, and parts of prompts, suspected of crashing endpoints, as known to one node.
 //!
-//! Each suspicion is one request at the death of one endpoint process. Nodes share
+//! Each suspicion is one request or part at the death of one endpoint process. Nodes share
 //! their suspicions and take over those of others, so that each of them counts the
 //! deaths of the whole cluster, in whatever order they become known.
+//!
+//! At a death, every request at the endpoint and each part of its prompt is suspected. A
+//! part is refused only after more deaths than a request, and not for deaths that
+//! another part or a request explains better, because it was at more of them.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use derive_more::{Display, Error};
 
@@ -24,6 +31,18 @@
 /// Deaths after which a request is refused for [`TRIAL_DELAY`].
 const SUSPICIOUS_DEATHS: usize = 2;
 
+/// Deaths and silences after which requests with a part are refused for
+/// [`TRIAL_DELAY`].
+const PART_LOSSES: usize = 3;
+
+/// Deaths and silences after which requests with a part are refused for as long as
+/// enough of them are known.
+const CONFIRMING_PART_LOSSES: usize = 5;
+
+/// Time for other nodes to withdraw the suspicion against a part of which they know
+/// a complete answer.
+const OBJECTION_TIME: Duration = Duration::from_millis(500);
+
 /// Most suspicions that are kept.
 const MAX_SUSPICIONS: usize = 4096;
 
@@ -125,6 +144,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Register {
     suspicions: BTreeMap<Key, Suspicion>,
+    /// The same keys in the order of the deaths.
+    by_death: BTreeSet<(id::Incarnation, id::Fingerprint)>,
     /// Where the next report continues with requests at several deaths.
     next_repeated: Option<Key>,
     /// Where the next report continues with the other new suspicions.
@@ -154,6 +175,9 @@
         now: time::Instant,
         fingerprint: id::Fingerprint,
     ) -> Option<Duration> {
+        if fingerprint.is_part() {
+            return self.part_refused_for(now, fingerprint);
+        }
         let count = self.count(now, fingerprint);
         let valid = || self.valid(now, fingerprint);
         let until = if count.died + count.silent >= CONFIRMING_LOSSES {
@@ -169,6 +193,67 @@
         (until > now).then(|| until.since(now))
     }
 
+    /// Returns for how long requests with a part are still refused.
+    fn part_refused_for(&self, now: time::Instant, part: id::Fingerprint) -> Option<Duration> {
+        let mut deaths = self.unexplained(now, part);
+        deaths.sort_unstable_by_key(|known| known.since);
+        if now.since(deaths.get(PART_LOSSES - 1)?.since) < OBJECTION_TIME {
+            return None;
+        }
+        let until = if deaths.len() >= CONFIRMING_PART_LOSSES {
+            // Refused until too few of them are left.
+            let mut ends: Vec<time::Instant> = deaths.iter().map(|known| known.expires).collect();
+            ends.sort_unstable();
+            ends[ends.len() - CONFIRMING_PART_LOSSES]
+        } else {
+            deaths.last()?.since + TRIAL_DELAY
+        };
+        (until > now).then(|| until.since(now))
+    }
+
+    /// Returns the suspicions against a part at deaths that nothing else explains
+    /// better: no part that was at more deaths, and no request that was at as many.
+    fn unexplained(&self, now: time::Instant, part: id::Fingerprint) -> Vec<Suspicion> {
+        let deaths = self.valid(now, part).count();
+        if deaths < PART_LOSSES {
+            return Vec::new();
+        }
+        let explains = |other: id::Fingerprint, incarnation| {
+            let known = self.suspicions.get(&(other, incarnation));
+            if other == part || !known.is_some_and(|known| known.holds(now)) {
+                return false;
+            }
+            let others = self.valid(now, other).count();
+            others > deaths || (others == deaths && !other.is_part())
+        };
+        let mut unexplained = Vec::new();
+        for (&(_, incarnation), known) in self.suspicions.range(keys(part)) {
+            let first = (incarnation, id::Fingerprint(u64::MIN));
+            let last = (incarnation, id::Fingerprint(u64::MAX));
+            let mut at_death = self.by_death.range(first..=last);
+            if known.holds(now) && !at_death.any(|&(_, other)| explains(other, incarnation)) {
+                unexplained.push(*known);
+            }
+        }
+        unexplained
+    }
+
+    /// Returns the parts that were at enough deaths to be refused, unless these have
+    /// another explanation.
+    #[must_use]
+    pub fn accused_parts(&self, now: time::Instant) -> Vec<id::Fingerprint> {
+        let first_part = id::Fingerprint::from(id::Part::default());
+        let parts = self.suspicions.range((first_part, id::Incarnation(0))..);
+        let parts: Vec<id::Fingerprint> = parts.map(|((part, _), _)| *part).collect();
+        let mut accused = Vec::new();
+        for of_part in parts.chunk_by(|left, right| left == right) {
+            if of_part.len() >= PART_LOSSES && self.valid(now, of_part[0]).count() >= PART_LOSSES {
+                accused.push(of_part[0]);
+            }
+        }
+        accused
+    }
+
     /// Returns the numbers of deaths and silences at which a request ran.
     #[must_use]
     pub fn count(&self, now: time::Instant, fingerprint: id::Fingerprint) -> Count {
@@ -235,6 +320,7 @@
             own: false,
         };
         self.suspicions.insert(key, suspicion);
+        self.by_death.insert((mark.incarnation, mark.fingerprint));
         self.limit(now);
         mark.kind != Kind::Withdrawn
     }
@@ -295,7 +381,7 @@
     /// found out lately, and in turn those against requests at two or more deaths,
     /// which nodes that were cut off or started since must know.
     pub fn share(&mut self, now: time::Instant) -> Vec<Mark> {
-        self.suspicions.retain(|_, known| known.expires > now);
+        self.drop_expired(now);
         let mut repeated = Vec::new();
         let mut news = Vec::new();
         let all: Vec<(Key, Suspicion)> = self.suspicions.iter().map(|(k, v)| (*k, *v)).collect();
@@ -322,18 +408,30 @@
         std::mem::take(&mut self.dropped)
     }
 
+    fn drop_expired(&mut self, now: time::Instant) {
+        let by_death = &mut self.by_death;
+        self.suspicions.retain(|(fingerprint, incarnation), known| {
+            let is_kept = known.expires > now;
+            if !is_kept {
+                by_death.remove(&(*incarnation, *fingerprint));
+            }
+            is_kept
+        });
+    }
+
     /// Drops the oldest suspicions beyond [`MAX_SUSPICIONS`].
     fn limit(&mut self, now: time::Instant) {
         if self.suspicions.len() <= MAX_SUSPICIONS {
             return;
         }
-        self.suspicions.retain(|_, known| known.expires > now);
+        self.drop_expired(now);
         while self.suspicions.len() > MAX_SUSPICIONS {
             let oldest = self.suspicions.iter().min_by_key(|(_, known)| known.since);
             let Some((&key, _)) = oldest else {
                 return;
             };
             self.suspicions.remove(&key);
+            self.by_death.remove(&(key.1, key.0));
             self.dropped += 1;
         }
     }
--- /dev/null
+++ b/lib/tests/test_part.rs
@@ -0,0 +1,244 @@
+//! Parts of prompts that crash endpoints.
+
+use dottereltally_lib::{
+    crash::{Detector, Finding, Subject},
+    id::{self, Fingerprint},
+    quarantine::Verdict,
+    time,
+};
+use rstest::rstest;
+
+/// Time from a death until a part is refused for it.
+const OBJECTION_MS: u64 = 500;
+
+fn at(millis: u64) -> time::Instant {
+    time::Instant::from_micros(millis * 1000)
+}
+
+fn endpoint(number: u64) -> id::Endpoint {
+    id::Endpoint::from(format!("e{number}"))
+}
+
+fn part(text: &str) -> Fingerprint {
+    let part: id::Part = text.parse().unwrap();
+    part.into()
+}
+
+/// Returns a request that is unlike all others.
+fn subject(number: u64, parts: &[&str]) -> Subject {
+    Subject {
+        request: Fingerprint::of_request(number),
+        parts: parts.iter().map(|text| part(text)).collect(),
+    }
+}
+
+/// Loses a request at an endpoint of its own, and examines that.
+fn lose(detector: &mut Detector, millis: u64, subject: &Subject, finding: Finding) {
+    let endpoint = endpoint(millis);
+    let attempt = detector.start(at(millis), subject.clone(), &endpoint);
+    detector.lose(at(millis + 1), attempt.unwrap());
+    detector.conclude(at(millis + 3), &endpoint, at(millis + 2), finding);
+}
+
+/// Loses `count` requests with these parts, at as many endpoints.
+fn lose_all(detector: &mut Detector, start_ms: u64, parts: &[&str], count: u64) {
+    for number in 0..count {
+        let millis = start_ms + number * 10;
+        lose(detector, millis, &subject(millis, parts), Finding::Dead);
+    }
+}
+
+fn refused(detector: &Detector, millis: u64, parts: &[&str]) -> Option<Fingerprint> {
+    detector.refused(at(millis), &subject(u64::MAX, parts))
+}
+
+fn share(from: &mut Detector, to: &mut Detector, millis: u64) {
+    for mark in from.marks_to_share(at(millis)) {
+        to.apply_mark(at(millis), mark);
+    }
+}
+
+/// Guards against BUDGET: no two requests with the part are alike.
+#[rstest]
+#[case::died(Finding::Dead)]
+#[case::silent(Finding::Silent)]
+fn a_part_at_three_deaths_is_refused(#[case] finding: Finding) {
+    let mut detector = Detector::default();
+    for millis in [0, 10, 20] {
+        assert_eq!(refused(&detector, millis, &["bad"]), None);
+        lose(
+            &mut detector,
+            millis,
+            &subject(millis, &["a", "bad"]),
+            finding,
+        );
+        let answered = [part("a")];
+        detector.clear_parts(at(millis + 5), &answered);
+    }
+    assert_eq!(refused(&detector, 100, &["bad"]), None, "others may object");
+    let later = 23 + OBJECTION_MS;
+    assert_eq!(refused(&detector, later, &["a", "bad"]), Some(part("bad")));
+    assert_eq!(refused(&detector, later, &["a", "b"]), None);
+}
+
+#[test]
+fn the_last_deaths_may_be_known_to_other_nodes() {
+    let (mut one, mut other) = (Detector::default(), Detector::default());
+    lose_all(&mut one, 0, &["bad"], 2);
+    lose_all(&mut other, 50, &["bad"], 1);
+    share(&mut one, &mut other, 100);
+    share(&mut other, &mut one, 100);
+    for detector in [&one, &other] {
+        assert_eq!(refused(detector, 700, &["bad"]), Some(part("bad")));
+    }
+    let mut late = Detector::default();
+    share(&mut one, &mut late, 60_000);
+    assert_eq!(refused(&late, 60_600, &["bad"]), Some(part("bad")));
+}
+
+/// Guards against LOST: endpoints that lose power together end requests with parts that
+/// most others share.
+#[test]
+fn a_part_that_was_answered_is_never_refused() {
+    let mut detector = Detector::default();
+    detector.clear_parts(at(0), &[part("a")]);
+    lose_all(&mut detector, 10, &["a"], 9);
+    assert_eq!(refused(&detector, 5000, &["a"]), None);
+    assert!(detector.marks_to_share(at(100)).len() <= 9, "requests only");
+}
+
+#[test]
+fn a_node_that_knows_an_answer_objects() {
+    let (mut one, mut other) = (Detector::default(), Detector::default());
+    other.clear_parts(at(0), &[part("a")]);
+    lose_all(&mut one, 10, &["a"], 3);
+    share(&mut one, &mut other, 100);
+    share(&mut other, &mut one, 200);
+    assert_eq!(refused(&one, 5000, &["a"]), None);
+}
+
+#[test]
+fn an_answer_ends_the_refusal_everywhere() {
+    let (mut one, mut other) = (Detector::default(), Detector::default());
+    lose_all(&mut one, 0, &["a"], 3);
+    share(&mut one, &mut other, 100);
+    assert_eq!(refused(&other, 700, &["a"]), Some(part("a")));
+    one.clear_parts(at(800), &[part("a")]);
+    share(&mut one, &mut other, 900);
+    assert_eq!(refused(&other, 1000, &["a"]), None);
+}
+
+/// Guards against LOST: sound requests share the other parts of the prompts.
+#[test]
+fn deaths_are_put_down_to_the_part_that_was_at_more_of_them() {
+    let mut detector = Detector::default();
+    lose_all(&mut detector, 0, &["5e", "bad"], 3);
+    assert_eq!(refused(&detector, 700, &["5e"]), Some(part("5e")), "tied");
+    lose_all(&mut detector, 50, &["7e", "bad"], 1);
+    assert_eq!(refused(&detector, 700, &["5e"]), None);
+    assert_eq!(refused(&detector, 700, &["bad"]), Some(part("bad")));
+}
+
+#[test]
+fn deaths_are_put_down_to_a_request_that_is_repeated() {
+    let mut detector = Detector::default();
+    let repeated = subject(1, &["5e"]);
+    for millis in [0, 35_000, 70_000] {
+        lose(&mut detector, millis, &repeated, Finding::Dead);
+    }
+    let verdict = detector.verdict(at(71_000), repeated.request);
+    assert_eq!(verdict, Verdict::Confirmed);
+    assert_eq!(refused(&detector, 71_000, &["5e"]), None);
+}
+
+#[test]
+fn three_deaths_refuse_for_a_short_time_and_five_for_long() {
+    let mut detector = Detector::default();
+    lose_all(&mut detector, 0, &["bad"], 3);
+    assert_eq!(refused(&detector, 29_000, &["bad"]), Some(part("bad")));
+    assert_eq!(refused(&detector, 31_000, &["bad"]), None);
+    lose_all(&mut detector, 31_000, &["bad"], 1);
+    assert_eq!(refused(&detector, 31_010, &["bad"]), Some(part("bad")));
+    assert_eq!(refused(&detector, 62_000, &["bad"]), None);
+    lose_all(&mut detector, 62_000, &["bad"], 1);
+    assert_eq!(refused(&detector, 500_000, &["bad"]), Some(part("bad")));
+}
+
+/// Guards against BUDGET: an answer that ends with its connection looks complete when
+/// the endpoint dies.
+#[rstest]
+#[case::dead(Finding::Dead, true)]
+#[case::alive(Finding::Alive, false)]
+fn an_answer_in_doubt_counts_by_what_became_of_its_endpoint(
+    #[case] finding: Finding,
+    #[case] is_refused: bool,
+) {
+    let mut detector = Detector::default();
+    for millis in [0, 10, 20] {
+        let endpoint = endpoint(millis);
+        let attempt = detector.start(at(millis), subject(millis, &["bad"]), &endpoint);
+        assert!(detector.doubt(at(millis + 1), attempt.unwrap()));
+        detector.conclude(at(millis + 3), &endpoint, at(millis + 2), finding);
+    }
+    assert_eq!(refused(&detector, 700, &["bad"]).is_some(), is_refused);
+    if !is_refused {
+        lose_all(&mut detector, 800, &["bad"], 3);
+        assert_eq!(refused(&detector, 1400, &["bad"]), None, "it was answered");
+    }
+}
+
+#[test]
+fn changes_of_refused_parts_are_reported_once() {
+    let mut detector = Detector::default();
+    lose_all(&mut detector, 0, &["bad"], 3);
+    assert_eq!(detector.review(at(100)), []);
+    let changes = detector.review(at(700));
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].fingerprint, part("bad"));
+    assert_eq!(changes[0].count.died, 3);
+    assert_eq!(detector.review(at(800)), []);
+    detector.clear_parts(at(900), &[part("bad")]);
+    assert_eq!(detector.review(at(1000)).len(), 1);
+    assert_eq!(detector.refused_parts(), 0);
+}
+
+#[test]
+fn the_memory_of_answered_parts_is_bounded() {
+    let mut detector = Detector::default();
+    for number in 0..20_000_u64 {
+        let text = format!("{number:x}");
+        detector.clear_parts(at(number), &[part(&text)]);
+    }
+    let kept = |detector: &mut Detector, start_ms: u64, text: &str| {
+        lose_all(detector, start_ms, &[text], 3);
+        refused(detector, start_ms + 600, &[text]).is_none()
+    };
+    assert!(kept(&mut detector, 30_000, "4e1f"), "the newest is known");
+    assert!(!kept(&mut detector, 31_000, "1"), "the oldest is forgotten");
+}
+
+#[rstest]
+#[case("5C1E", "5c1e")]
+#[case("0005c1e", "5c1e")]
+#[case("0", "0")]
+fn ids_are_equal_without_case_and_zeros(#[case] text: &str, #[case] expected: &str) {
+    let part: id::Part = text.parse().unwrap();
+    assert_eq!(part.to_string(), expected);
+}
+
+#[test]
+fn long_ids_differ() {
+    let long = |last: char| format!("{}{last}", "f".repeat(40));
+    let parts: Vec<id::Part> = ['0', '1'].map(|last| long(last).parse().unwrap()).into();
+    assert_ne!(parts[0], parts[1]);
+    assert!(Fingerprint::from(parts[0]).is_part());
+    assert!(!Fingerprint::of_request(u64::MAX).is_part());
+}
+
+#[rstest]
+#[case("")]
+#[case("5g")]
+#[case("-1")]
+fn other_texts_are_no_ids(#[case] text: &str) {
+    assert!(text.parse::<id::Part>().is_err());
+}
