crash: parts that were at the same deaths are told apart by sound requests

A request with only some of such parts now runs, one at a time at each node. Its answer clears its parts; its loss leaves fewer parts in question. Trials of a part after 30 s are left to the nodes that found out one of its deaths, so that a large fleet does not try at every node, and are one at a time as well. A part that reached five deaths is kept in the store again, so that nodes which start later know as many.

--- a/lib/src/crash.rs
+++ b/lib/src/crash.rs
@@ -18,7 +18,7 @@
     answered::Memory,
     id,
     quarantine::Verdict,
-    suspicion::{Count, Kind, Mark, Register, SUSPICION_TTL},
+    suspicion::{CONFIRMING_PART_LOSSES, Count, Kind, Mark, Register, SUSPICION_TTL},
     time,
 };
 
@@ -141,9 +141,11 @@
     register: Register,
     /// Parts that don't crash endpoints.
     answered: Memory,
-    /// Parts that were refused at the last [`Self::review`].
-    refused_parts: BTreeSet<id::Fingerprint>,
-    /// Numbers of copies of each request that this node runs.
+    /// Parts that were refused at the last [`Self::review`], and whether for as long as
+    /// their deaths are known.
+    refused_parts: BTreeMap<id::Fingerprint, bool>,
+    /// Numbers of copies of each request, and of requests with each part, that this node
+    /// runs.
     running: BTreeMap<id::Fingerprint, usize>,
     losses: VecDeque<Loss>,
     /// Losses that were dropped for lack of space.
@@ -191,11 +193,21 @@
 
     /// Returns what is known to crash endpoints: the request, or a part of its prompt;
     /// `None` if it may be sent.
+    ///
+    /// Where several parts were at the same deaths, a request with only some of them may
+    /// be sent: it is answered, or leaves fewer parts in question.
     #[must_use]
     pub fn refused(&self, now: time::Instant, subject: &Subject) -> Option<id::Fingerprint> {
-        subject
-            .all()
-            .find(|fingerprint| self.verdict(now, *fingerprint) == Verdict::Confirmed)
+        for fingerprint in subject.all() {
+            if self.verdict(now, fingerprint) != Verdict::Confirmed {
+                continue;
+            }
+            let rivals = self.register.rivals(now, fingerprint);
+            if rivals.iter().all(|rival| subject.parts.contains(rival)) {
+                return Some(fingerprint);
+            }
+        }
+        None
     }
 
     /// Records that a request is about to be sent to an endpoint.
@@ -225,7 +237,14 @@
         if refused {
             return Err(verdict);
         }
-        *self.running.entry(fingerprint).or_default() += 1;
+        for part in subject.parts.iter() {
+            if self.register.is_accused(now, *part) && self.is_unsettled(*part) {
+                return Err(Verdict::Suspect);
+            }
+        }
+        for fingerprint in subject.all() {
+            *self.running.entry(fingerprint).or_default() += 1;
+        }
         Ok(Attempt {
             subject,
             endpoint: endpoint.clone(),
@@ -236,13 +255,14 @@
 
     /// Records that an attempt ended with an answer, or that it did not run.
     pub fn finish(&mut self, attempt: &Attempt) {
-        let fingerprint = attempt.fingerprint();
-        let Some(running) = self.running.get_mut(&fingerprint) else {
-            return;
-        };
-        *running -= 1;
-        if *running == 0 {
-            self.running.remove(&fingerprint);
+        for fingerprint in attempt.subject.all() {
+            let Some(running) = self.running.get_mut(&fingerprint) else {
+                continue;
+            };
+            *running -= 1;
+            if *running == 0 {
+                self.running.remove(&fingerprint);
+            }
         }
     }
 
@@ -488,23 +508,30 @@
         changed.then(|| self.change(now, mark.fingerprint, previous))
     }
 
-    /// Returns the parts that are refused since the last call, and those that are not
-    /// any more; to be called periodically.
+    /// Returns the parts that are refused or refused for longer since the last call, and
+    /// those that are not any more; to be called periodically.
     pub fn review(&mut self, now: time::Instant) -> Vec<Change> {
-        let mut refused = BTreeSet::new();
+        let mut refused = BTreeMap::new();
         for part in self.register.accused_parts(now) {
             if self.verdict(now, part) == Verdict::Confirmed {
-                refused.insert(part);
+                let count = self.register.count(now, part);
+                let is_certain = count.died + count.silent >= CONFIRMING_PART_LOSSES;
+                refused.insert(part, is_certain);
             }
         }
+        let previous = mem::replace(&mut self.refused_parts, refused);
+        let parts = previous.keys().chain(self.refused_parts.keys());
+        let parts: BTreeSet<id::Fingerprint> = parts.copied().collect();
         let mut changes = Vec::new();
-        for part in refused.symmetric_difference(&self.refused_parts) {
+        for part in parts {
+            if previous.get(&part) == self.refused_parts.get(&part) {
+                continue;
+            }
             changes.push(Change {
                 decisive: true,
-                ..self.change(now, *part, Verdict::Clear)
+                ..self.change(now, part, Verdict::Clear)
             });
         }
-        self.refused_parts = refused;
         changes
     }
 
@@ -558,12 +585,13 @@
         changes
     }
 
-    /// Returns whether a request runs at this node or was lost at an endpoint that
-    /// is still being examined.
+    /// Returns whether a request, or one with a part, runs at this node or was lost at an
+    /// endpoint that is still being examined.
     fn is_unsettled(&self, fingerprint: id::Fingerprint) -> bool {
         let mut losses = self.losses.iter();
         self.running.contains_key(&fingerprint)
-            || losses.any(|loss| loss.subject.request == fingerprint && !loss.examined)
+            || losses
+                .any(|loss| !loss.examined && loss.subject.all().any(|lost| lost == fingerprint))
     }
 
     fn incarnation(&self, endpoint: &id::Endpoint) -> id::Incarnation {
--- a/lib/src/suspicion.rs
+++ b/lib/src/suspicion.rs
@@ -32,12 +32,13 @@
 const SUSPICIOUS_DEATHS: usize = 2;
 
 /// Deaths and silences after which requests with a part are refused for
-/// [`TRIAL_DELAY`].
+/// [`TRIAL_DELAY`]. Then one may run again at the nodes that found out a death: in a
+/// large fleet these are few.
 const PART_LOSSES: usize = 3;
 
 /// Deaths and silences after which requests with a part are refused for as long as
 /// enough of them are known.
-const CONFIRMING_PART_LOSSES: usize = 5;
+pub const CONFIRMING_PART_LOSSES: usize = 5;
 
 /// Time for other nodes to withdraw the suspicion against a part of which they know
 /// a complete answer.
@@ -200,13 +201,19 @@
         if now.since(deaths.get(PART_LOSSES - 1)?.since) < OBJECTION_TIME {
             return None;
         }
-        let until = if deaths.len() >= CONFIRMING_PART_LOSSES {
+        let needed = if deaths.len() >= CONFIRMING_PART_LOSSES {
+            CONFIRMING_PART_LOSSES
+        } else {
+            PART_LOSSES
+        };
+        let is_tried_here = deaths.iter().any(|known| known.own);
+        let until = if deaths.len() < CONFIRMING_PART_LOSSES && is_tried_here {
+            deaths.last()?.since + TRIAL_DELAY
+        } else {
             // Refused until too few of them are left.
             let mut ends: Vec<time::Instant> = deaths.iter().map(|known| known.expires).collect();
             ends.sort_unstable();
-            ends[ends.len() - CONFIRMING_PART_LOSSES]
-        } else {
-            deaths.last()?.since + TRIAL_DELAY
+            ends[ends.len() - needed]
         };
         (until > now).then(|| until.since(now))
     }
@@ -228,16 +235,46 @@
         };
         let mut unexplained = Vec::new();
         for (&(_, incarnation), known) in self.suspicions.range(keys(part)) {
-            let first = (incarnation, id::Fingerprint(u64::MIN));
-            let last = (incarnation, id::Fingerprint(u64::MAX));
-            let mut at_death = self.by_death.range(first..=last);
-            if known.holds(now) && !at_death.any(|&(_, other)| explains(other, incarnation)) {
+            let mut others = self.by_death.range(at_death(incarnation));
+            if known.holds(now) && !others.any(|&(_, other)| explains(other, incarnation)) {
                 unexplained.push(*known);
             }
         }
         unexplained
     }
 
+    /// Returns the parts that were at exactly the same deaths as a part, so that any of
+    /// them may have caused these.
+    #[must_use]
+    pub fn rivals(&self, now: time::Instant, part: id::Fingerprint) -> Vec<id::Fingerprint> {
+        let known = self.suspicions.range(keys(part));
+        let known = known.filter(|(_, known)| known.holds(now));
+        let deaths: Vec<id::Incarnation> = known.map(|((_, at), _)| *at).collect();
+        let Some(&death) = deaths.first() else {
+            return Vec::new();
+        };
+        let mut rivals = Vec::new();
+        for &(_, other) in self.by_death.range(at_death(death)) {
+            if other == part || !other.is_part() || self.valid(now, other).count() != deaths.len() {
+                continue;
+            }
+            let holds = |death: &id::Incarnation| {
+                let known = self.suspicions.get(&(other, *death));
+                known.is_some_and(|known| known.holds(now))
+            };
+            if deaths.iter().all(holds) {
+                rivals.push(other);
+            }
+        }
+        rivals
+    }
+
+    /// Returns whether requests with a part are refused, or only one of them may run.
+    #[must_use]
+    pub fn is_accused(&self, now: time::Instant, part: id::Fingerprint) -> bool {
+        self.unexplained(now, part).len() >= PART_LOSSES
+    }
+
     /// Returns the parts that were at enough deaths to be refused, unless these have
     /// another explanation.
     #[must_use]
@@ -479,6 +516,13 @@
     (fingerprint, id::Incarnation(u64::MIN))..=(fingerprint, id::Incarnation(u64::MAX))
 }
 
+/// Returns the range of everything that was at a death.
+fn at_death(
+    incarnation: id::Incarnation,
+) -> std::ops::RangeInclusive<(id::Incarnation, id::Fingerprint)> {
+    (incarnation, id::Fingerprint(u64::MIN))..=(incarnation, id::Fingerprint(u64::MAX))
+}
+
 /// Returns up to `room` of the marks, which are sorted by key, beginning at `next`;
 /// sets `next` to the first that is left.
 fn take_turn(mut marks: Vec<(Key, Mark)>, next: &mut Option<Key>, room: usize) -> Vec<Mark> {
