--- a/testutils/examples/fragile_endpoint.rs
+++ b/testutils/examples/fragile_endpoint.rs
@@ -1,5 +1,6 @@
 //! Back end of the users' platform that aborts when it begins to run a request with
-//! `fatal` in its path; `--id` is its id. Prints its address when it is ready.
+//! `fatal` in its path, or with the part `fa7a1` in its prompt; `--id` is its id. Prints
+//! its address when it is ready.
 
 use std::process;
 
@@ -43,11 +44,14 @@
         };
         let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
         bytes.drain(..end + 4);
-        if head
-            .lines()
-            .next()
-            .is_some_and(|line| line.contains("fatal"))
-        {
+        let mut lines = head.lines();
+        let is_fatal = lines.next().is_some_and(|line| line.contains("fatal"));
+        let has_fatal_part = lines.any(|line| {
+            let (name, value) = line.split_once(':').unwrap_or_default();
+            name.eq_ignore_ascii_case("prompt-prefix")
+                && value.to_ascii_lowercase().contains("fa7a1:")
+        });
+        if is_fatal || has_fatal_part {
             process::abort();
         }
         let mut attempt = "";
