--- a/gateway/tests/test_heartbeat.rs
+++ b/gateway/tests/test_heartbeat.rs
@@ -74,3 +74,26 @@
     assert!(full - empty < 1024, "{full} and {empty} bytes");
     println!("{} bytes for {} marks", full - empty, heartbeat.marks.len());
 }
+
+/// A node that finds out a death sends its suspicions to all others at once.
+#[test]
+fn a_heartbeat_full_of_suspicions_fits_a_packet() {
+    let mut marks = Vec::new();
+    for number in 0..32_u64 {
+        marks.push(Mark {
+            fingerprint: id::Fingerprint(number.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+            incarnation: id::Incarnation(number.wrapping_mul(0xd6e8_feb8_6659_fd93)),
+            kind: Kind::Died,
+            valid: Duration::from_millis(599_999),
+        });
+    }
+    let heartbeat = Heartbeat {
+        node: id::Node::from("front-stara-zagora-3"),
+        data_centre: id::DataCentre::from("stara-zagora"),
+        marks,
+        ..Heartbeat::default()
+    };
+    let length = heartbeat.encode().unwrap().len();
+    println!("{length} bytes");
+    assert!(length <= 1400, "{length} bytes");
+}
