crash: an old answer does not speak for a part of prompts

A part that was answered before and crashes endpoints later, for example since an update of their software, was never refused (BUDGET): one complete answer cleared it for good. Found while the change was read again.

An answer now speaks for its parts at deaths within 1.5 s after it, which is enough for parts that many requests share when endpoints end together; what is answered after a death clears as before.

--- a/gateway/tests/test_part.rs
+++ b/gateway/tests/test_part.rs
@@ -49,6 +49,9 @@
 /// Time for which sound requests are counted.
 const SOUND_TIME: Duration = Duration::from_secs(3);
 
+/// Time for which the part is answered at first.
+const TOLERANT_TIME: Duration = Duration::from_secs(3);
+
 /// Longest run.
 const LONGEST_RUN: Duration = Duration::from_secs(25);
 
@@ -128,6 +131,31 @@
     #[case] position: Position,
 ) {
     let fleet = Fleet::start(ENDPOINTS, end, BACK).await;
+    run(fleet, path, position).await;
+}
+
+/// Guards against the same where endpoints crash on a part only after a while, as after
+/// an update: the answers of before must not speak for it.
+#[rstest]
+#[case::closed_safe(End::Close, "/safe/")]
+#[case::reset_stream(End::Reset, "/stream/")]
+#[tokio::test]
+async fn a_part_that_was_answered_before_is_refused_as_well(
+    #[case] end: End,
+    #[case] path: &'static str,
+) {
+    let fleet = Fleet::start(ENDPOINTS, end, BACK).await;
+    fleet.set_tolerant(true);
+    let changing = fleet.clone();
+    tokio::spawn(async move {
+        sleep(TOLERANT_TIME).await;
+        changing.set_tolerant(false);
+    });
+    run(fleet, path, Position::Middle).await;
+}
+
+/// Sends requests with and without the part until enough is known.
+async fn run(fleet: Fleet, path: &'static str, position: Position) {
     let cluster = Cluster::start(NODES).await;
     let mut addresses = Vec::new();
     for gateway in &cluster.gateways {
--- a/lib/src/answered.rs
+++ b/lib/src/answered.rs
@@ -1,38 +1,40 @@
-//! Parts of prompts that were in complete answers, as known to one node.
+//! Parts of prompts that were in complete answers lately, as known to one node.
 
-use std::{collections::HashSet, mem, time::Duration};
+use std::{collections::HashMap, mem, time::Duration};
 
 use crate::{id::Fingerprint, time};
 
-/// Time for which a part is remembered at least, unless space runs out.
-const GENERATION_TIME: Duration = Duration::from_mins(10);
+/// Time for which an answer speaks for its parts. One that was answered before may
+/// crash endpoints all the same, for example since an update of their software.
+const ANSWER_TTL: Duration = Duration::from_millis(1500);
 
 /// Most parts of one generation; two are kept.
 const GENERATION_SIZE: usize = 4096;
 
-/// Remembers parts in two generations; the older one is dropped as a whole.
+/// Remembers the last answers in two generations; the older one is dropped as a whole.
 #[derive(Clone, Debug, Default)]
 pub struct Memory {
-    current: HashSet<Fingerprint>,
-    previous: HashSet<Fingerprint>,
+    current: HashMap<Fingerprint, time::Instant>,
+    previous: HashMap<Fingerprint, time::Instant>,
     /// When the current generation began.
     since: time::Instant,
 }
 
 impl Memory {
-    /// Remembers a part.
+    /// Remembers that a part was in a complete answer.
     pub fn record(&mut self, now: time::Instant, part: Fingerprint) {
         let is_full = self.current.len() >= GENERATION_SIZE;
-        if is_full || now.since(self.since) >= GENERATION_TIME {
+        if is_full || now.since(self.since) >= ANSWER_TTL {
             self.previous = mem::take(&mut self.current);
             self.since = now;
         }
-        self.current.insert(part);
+        self.current.insert(part, now);
     }
 
-    /// Returns whether a part is remembered.
+    /// Returns whether a part was answered since [`ANSWER_TTL`] before a death.
     #[must_use]
-    pub fn contains(&self, part: Fingerprint) -> bool {
-        self.current.contains(&part) || self.previous.contains(&part)
+    pub fn speaks_for(&self, part: Fingerprint, death: time::Instant) -> bool {
+        let last = self.current.get(&part).or(self.previous.get(&part));
+        last.is_some_and(|answered| death.since(*answered) <= ANSWER_TTL)
     }
 }
--- a/lib/src/crash.rs
+++ b/lib/src/crash.rs
@@ -139,7 +139,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Detector {
     register: Register,
-    /// Parts that don't crash endpoints.
+    /// Parts that were answered lately.
     answered: Memory,
     /// Parts that were refused at the last [`Self::review`], and whether for as long as
     /// their deaths are known.
@@ -501,7 +501,7 @@
     pub fn apply_mark(&mut self, now: time::Instant, mark: Mark) -> Option<Change> {
         let previous = self.verdict(now, mark.fingerprint);
         let changed = self.register.apply(now, mark);
-        if self.answered.contains(mark.fingerprint) {
+        if self.answered.speaks_for(mark.fingerprint, now) {
             // The other nodes learn of it with the next heartbeats.
             return self.withdraw(now, mark.fingerprint);
         }
@@ -570,7 +570,7 @@
                 continue;
             }
             for fingerprint in loss.subject.all() {
-                if self.answered.contains(fingerprint) {
+                if self.answered.speaks_for(fingerprint, loss.at) {
                     continue;
                 }
                 let previous = self.verdict(now, fingerprint);
