crash: a repeated request stays refused beside parts of others

A repeated request that crashes endpoints would have been sent again where a part of another request's prompt was at exactly the same deaths (BUDGET): the rule that tells parts apart applied to requests as well. Found while the change was read; the test failed before.

--- a/lib/src/crash.rs
+++ b/lib/src/crash.rs
@@ -202,6 +202,9 @@
             if self.verdict(now, fingerprint) != Verdict::Confirmed {
                 continue;
             }
+            if !fingerprint.is_part() {
+                return Some(fingerprint);
+            }
             let rivals = self.register.rivals(now, fingerprint);
             if rivals.iter().all(|rival| subject.parts.contains(rival)) {
                 return Some(fingerprint);
--- a/lib/tests/test_part.rs
+++ b/lib/tests/test_part.rs
@@ -304,3 +304,23 @@
 fn other_texts_are_no_ids(#[case] text: &str) {
     assert!(text.parse::<id::Part>().is_err());
 }
+
+/// Guards against BUDGET: a part of another request that ran at the same endpoints is no
+/// reason to send a repeated request again.
+#[test]
+fn parts_of_other_requests_do_not_release_a_repeated_one() {
+    let mut detector = Detector::default();
+    let repeated = subject(1, &["a"]);
+    for millis in [0, 35_000] {
+        let other = subject(millis + 2, &["bad"]);
+        let endpoint = endpoint(millis);
+        let attempts = [&repeated, &other]
+            .map(|sent| detector.start(at(millis), sent.clone(), &endpoint).unwrap());
+        for attempt in attempts {
+            detector.lose(at(millis + 1), attempt);
+        }
+        detector.conclude(at(millis + 3), &endpoint, at(millis + 2), Finding::Dead);
+    }
+    let refused = detector.refused(at(36_000), &repeated);
+    assert_eq!(refused, Some(repeated.request));
+}
