search: an error without a length clears nothing

An answer other than a success that ended with its connection led to an examination and then cleared the parts of its request, although no answer had been written on them. It now neither clears nor counts as lost.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -110,6 +110,14 @@
     pub is_delimited: bool,
 }
 
+impl Buffered {
+    /// Returns whether it is a success that is complete only if its endpoint lives.
+    #[must_use]
+    pub fn is_unconfirmed_success(&self) -> bool {
+        !self.is_delimited && self.parts.status.is_success()
+    }
+}
+
 /// A stream whose first events have arrived.
 pub struct Stream {
     /// Its status and headers.
--- a/gateway/src/search.rs
+++ b/gateway/src/search.rs
@@ -103,7 +103,7 @@
                 self.finish(outcome);
             }
             End::Rejected { .. } => self.finish(outcome),
-            End::Answered { answer } if !answer.is_delimited => {
+            End::Answered { answer } if answer.is_unconfirmed_success() => {
                 progress.may_have_run = true;
                 self.doubt(outcome);
             }
