--- a/gateway/src/controller/follow.rs
+++ b/gateway/src/controller/follow.rs
@@ -171,9 +171,9 @@
         }
     }
 
-    /// Reports a failed call, which was `sent` at a time, waits until the source answers, unless it did already,
-    /// and then waits with jitter and exponential backoff. Returns until when endpoints
-    /// write expired descriptions again.
+    /// Reports a call that was `sent` at a time and failed. Waits until the source
+    /// answers, unless it did already, and then with jitter and exponential backoff.
+    /// Returns until when endpoints write expired descriptions again.
     async fn recover(
         &self,
         error: &Error,
--- a/gateway/src/crashes.rs
+++ b/gateway/src/crashes.rs
@@ -295,10 +295,10 @@
 
     /// Records that the attempt ended with an answer that is complete only if its
     /// endpoint lives, which is then examined.
-    pub fn doubt(mut self) {
+    pub fn finish_unconfirmed(mut self) {
         if let Some((attempt, target)) = self.inner.take() {
             let now = self.handle.shared.clock.now();
-            let is_first = self.handle.lock().doubt(now, attempt);
+            let is_first = self.handle.lock().finish_unconfirmed(now, attempt);
             self.examine(is_first, now, target);
         }
     }
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -360,7 +360,7 @@
             upstream.place.finish(outcome);
             self.chain.crashes.record_answered(&self.job.subject, true);
         } else {
-            upstream.place.doubt(outcome);
+            upstream.place.finish_unconfirmed(outcome);
         }
         self.chain.record_answer(
             &self.job,
--- a/gateway/src/search.rs
+++ b/gateway/src/search.rs
@@ -62,9 +62,9 @@
 
     /// Records the end of a request whose answer is complete only if its endpoint
     /// lives.
-    pub fn doubt(self, outcome: Outcome) {
+    pub fn finish_unconfirmed(self, outcome: Outcome) {
         self.permit.end(outcome);
-        self.flight.doubt();
+        self.flight.finish_unconfirmed();
     }
 
     /// Records the end of a request that got no complete answer.
@@ -105,7 +105,7 @@
             End::Rejected { .. } => self.finish(outcome),
             End::Answered { answer } if answer.is_unconfirmed_success() => {
                 progress.may_have_run = true;
-                self.doubt(outcome);
+                self.finish_unconfirmed(outcome);
             }
             End::Answered { .. } | End::Failed { .. } => {
                 progress.may_have_run = true;
--- a/lib/src/answered.rs
+++ b/lib/src/answered.rs
@@ -4,8 +4,8 @@
 
 use crate::{id::Fingerprint, time};
 
-/// Time for which an answer speaks for its parts. One that was answered before may
-/// crash endpoints all the same, for example since an update of their software.
+/// Time after an answer in which its parts are not suspected. A part that was answered
+/// earlier may crash endpoints since, for example after an update of their software.
 const ANSWER_TTL: Duration = Duration::from_millis(1500);
 
 /// Most parts of one generation; two are kept.
@@ -31,9 +31,10 @@
         self.current.insert(part, now);
     }
 
-    /// Returns whether a part was answered since [`ANSWER_TTL`] before a death.
+    /// Returns whether a part was answered at most [`ANSWER_TTL`] before a death, or
+    /// after it.
     #[must_use]
-    pub fn speaks_for(&self, part: Fingerprint, death: time::Instant) -> bool {
+    pub fn was_answered_before(&self, part: Fingerprint, death: time::Instant) -> bool {
         let last = self.current.get(&part).or(self.previous.get(&part));
         last.is_some_and(|answered| death.since(*answered) <= ANSWER_TTL)
     }
--- a/lib/src/crash.rs
+++ b/lib/src/crash.rs
@@ -205,8 +205,11 @@
             if !fingerprint.is_part() {
                 return Some(fingerprint);
             }
-            let rivals = self.register.rivals(now, fingerprint);
-            if rivals.iter().all(|rival| subject.parts.contains(rival)) {
+            let co_suspects = self.register.co_suspects(now, fingerprint);
+            if co_suspects
+                .iter()
+                .all(|co_suspect| subject.parts.contains(co_suspect))
+            {
                 return Some(fingerprint);
             }
         }
@@ -241,7 +244,7 @@
             return Err(verdict);
         }
         for part in subject.parts.iter() {
-            if self.register.is_accused(now, *part) && self.is_unsettled(*part) {
+            if self.register.is_implicated(now, *part) && self.is_unsettled(*part) {
                 return Err(Verdict::Suspect);
             }
         }
@@ -278,7 +281,7 @@
     /// Records that an attempt ended with an answer that is complete only if its
     /// endpoint lives: nothing but the end of the connection showed its end. Returns
     /// whether the examination of the endpoint must now start.
-    pub fn doubt(&mut self, now: time::Instant, attempt: Attempt) -> bool {
+    pub fn finish_unconfirmed(&mut self, now: time::Instant, attempt: Attempt) -> bool {
         self.record_loss(now, attempt, true)
     }
 
@@ -428,7 +431,7 @@
         (changes, false)
     }
 
-    /// Clears the requests whose answers were in doubt until their endpoint was found
+    /// Clears the requests whose answers are confirmed, as their endpoint was found
     /// alive.
     fn clear_answered(&mut self, now: time::Instant, endpoint: &id::Endpoint) -> Vec<Change> {
         let mut changes = Vec::new();
@@ -504,8 +507,8 @@
     pub fn apply_mark(&mut self, now: time::Instant, mark: Mark) -> Option<Change> {
         let previous = self.verdict(now, mark.fingerprint);
         let changed = self.register.apply(now, mark);
-        if self.answered.speaks_for(mark.fingerprint, now) {
-            // The other nodes learn of it with the next heartbeats.
+        if self.answered.was_answered_before(mark.fingerprint, now) {
+            // The next heartbeats announce it.
             return self.withdraw(now, mark.fingerprint);
         }
         changed.then(|| self.change(now, mark.fingerprint, previous))
@@ -515,7 +518,7 @@
     /// those that are not any more; to be called periodically.
     pub fn review(&mut self, now: time::Instant) -> Vec<Change> {
         let mut refused = BTreeMap::new();
-        for part in self.register.accused_parts(now) {
+        for part in self.register.implicated_parts(now) {
             if self.verdict(now, part) == Verdict::Confirmed {
                 let count = self.register.count(now, part);
                 let is_certain = count.died + count.silent >= CONFIRMING_PART_LOSSES;
@@ -573,7 +576,7 @@
                 continue;
             }
             for fingerprint in loss.subject.all() {
-                if self.answered.speaks_for(fingerprint, loss.at) {
+                if self.answered.was_answered_before(fingerprint, loss.at) {
                     continue;
                 }
                 let previous = self.verdict(now, fingerprint);
--- a/lib/src/suspicion.rs
+++ b/lib/src/suspicion.rs
@@ -40,9 +40,9 @@
 /// enough of them are known.
 pub const CONFIRMING_PART_LOSSES: usize = 5;
 
-/// Time for other nodes to withdraw the suspicion against a part of which they know
-/// a complete answer.
-const OBJECTION_TIME: Duration = Duration::from_millis(500);
+/// Time that other nodes have to withdraw the suspicion against a part of which they
+/// know a complete answer.
+const WITHDRAWAL_TIME: Duration = Duration::from_millis(500);
 
 /// Most suspicions that are kept.
 const MAX_SUSPICIONS: usize = 4096;
@@ -198,7 +198,7 @@
     fn part_refused_for(&self, now: time::Instant, part: id::Fingerprint) -> Option<Duration> {
         let mut deaths = self.unexplained(now, part);
         deaths.sort_unstable_by_key(|known| known.since);
-        if now.since(deaths.get(PART_LOSSES - 1)?.since) < OBJECTION_TIME {
+        if now.since(deaths.get(PART_LOSSES - 1)?.since) < WITHDRAWAL_TIME {
             return None;
         }
         let needed = if deaths.len() >= CONFIRMING_PART_LOSSES {
@@ -246,14 +246,14 @@
     /// Returns the parts that were at exactly the same deaths as a part, so that any of
     /// them may have caused these.
     #[must_use]
-    pub fn rivals(&self, now: time::Instant, part: id::Fingerprint) -> Vec<id::Fingerprint> {
+    pub fn co_suspects(&self, now: time::Instant, part: id::Fingerprint) -> Vec<id::Fingerprint> {
         let known = self.suspicions.range(keys(part));
         let known = known.filter(|(_, known)| known.holds(now));
         let deaths: Vec<id::Incarnation> = known.map(|((_, at), _)| *at).collect();
         let Some(&death) = deaths.first() else {
             return Vec::new();
         };
-        let mut rivals = Vec::new();
+        let mut co_suspects = Vec::new();
         for &(_, other) in self.by_death.range(at_death(death)) {
             if other == part || !other.is_part() || self.valid(now, other).count() != deaths.len() {
                 continue;
@@ -263,32 +263,32 @@
                 known.is_some_and(|known| known.holds(now))
             };
             if deaths.iter().all(holds) {
-                rivals.push(other);
+                co_suspects.push(other);
             }
         }
-        rivals
+        co_suspects
     }
 
     /// Returns whether requests with a part are refused, or only one of them may run.
     #[must_use]
-    pub fn is_accused(&self, now: time::Instant, part: id::Fingerprint) -> bool {
+    pub fn is_implicated(&self, now: time::Instant, part: id::Fingerprint) -> bool {
         self.unexplained(now, part).len() >= PART_LOSSES
     }
 
     /// Returns the parts that were at enough deaths to be refused, unless these have
     /// another explanation.
     #[must_use]
-    pub fn accused_parts(&self, now: time::Instant) -> Vec<id::Fingerprint> {
+    pub fn implicated_parts(&self, now: time::Instant) -> Vec<id::Fingerprint> {
         let first_part = id::Fingerprint::from(id::Part::default());
         let parts = self.suspicions.range((first_part, id::Incarnation(0))..);
         let parts: Vec<id::Fingerprint> = parts.map(|((part, _), _)| *part).collect();
-        let mut accused = Vec::new();
+        let mut implicated = Vec::new();
         for of_part in parts.chunk_by(|left, right| left == right) {
             if of_part.len() >= PART_LOSSES && self.valid(now, of_part[0]).count() >= PART_LOSSES {
-                accused.push(of_part[0]);
+                implicated.push(of_part[0]);
             }
         }
-        accused
+        implicated
     }
 
     /// Returns the numbers of deaths and silences at which a request ran.
--- a/lib/tests/test_part.rs
+++ b/lib/tests/test_part.rs
@@ -9,7 +9,7 @@
 use rstest::rstest;
 
 /// Time from a death until a part is refused for it.
-const OBJECTION_MS: u64 = 500;
+const WITHDRAWAL_MS: u64 = 500;
 
 fn at(millis: u64) -> time::Instant {
     time::Instant::from_micros(millis * 1000)
@@ -75,8 +75,12 @@
         let answered = [part("a")];
         detector.clear_parts(at(millis + 5), &answered);
     }
-    assert_eq!(refused(&detector, 100, &["bad"]), None, "others may object");
-    let later = 23 + OBJECTION_MS;
+    assert_eq!(
+        refused(&detector, 100, &["bad"]),
+        None,
+        "others may withdraw it"
+    );
+    let later = 23 + WITHDRAWAL_MS;
     assert_eq!(refused(&detector, later, &["a", "bad"]), Some(part("bad")));
     assert_eq!(refused(&detector, later, &["a", "b"]), None);
 }
@@ -117,7 +121,7 @@
 }
 
 #[test]
-fn a_node_that_knows_an_answer_objects() {
+fn a_node_that_knows_an_answer_withdraws_the_suspicion() {
     let (mut one, mut other) = (Detector::default(), Detector::default());
     other.clear_parts(at(0), &[part("a")]);
     lose_all(&mut one, 10, &["a"], 3);
@@ -222,7 +226,7 @@
 #[rstest]
 #[case::dead(Finding::Dead, true)]
 #[case::alive(Finding::Alive, false)]
-fn an_answer_in_doubt_counts_by_what_became_of_its_endpoint(
+fn an_unconfirmed_answer_counts_by_the_state_of_its_endpoint(
     #[case] finding: Finding,
     #[case] is_refused: bool,
 ) {
@@ -230,7 +234,7 @@
     for millis in [0, 10, 20] {
         let endpoint = endpoint(millis);
         let attempt = detector.start(at(millis), subject(millis, &["bad"]), &endpoint);
-        assert!(detector.doubt(at(millis + 1), attempt.unwrap()));
+        assert!(detector.finish_unconfirmed(at(millis + 1), attempt.unwrap()));
         detector.conclude(at(millis + 3), &endpoint, at(millis + 2), finding);
     }
     assert_eq!(refused(&detector, 700, &["bad"]).is_some(), is_refused);
