suspicion: the withdrawal at one death is not reported

Each node that knows an answer with a part that was at one death reported the withdrawal for five seconds, although one death does no harm anywhere. It is now reported with the second one.

the_withdrawal_of_one_suspicion_is_reported_with_the_next failed before the last guard.

--- a/lib/src/suspicion.rs
+++ b/lib/src/suspicion.rs
@@ -139,6 +139,8 @@
     news_until: time::Instant,
     /// Whether this node found it out itself.
     own: bool,
+    /// Whether it was withdrawn without a report to the other nodes.
+    is_withdrawn_silently: bool,
 }
 
 /// The suspicions known to one node.
@@ -339,7 +341,7 @@
         if let Some(known) = self.suspicions.get_mut(&key)
             && known.expires > now
         {
-            if mark.kind < known.kind {
+            if mark.kind < known.kind && !known.is_withdrawn_silently {
                 // The other node missed the news.
                 known.news_until = now + NEWS_TIME;
             }
@@ -355,6 +357,7 @@
             expires: now + mark.valid.min(SUSPICION_TTL),
             news_until: now,
             own: false,
+            is_withdrawn_silently: false,
         };
         self.suspicions.insert(key, suspicion);
         self.by_death.insert((mark.incarnation, mark.fingerprint));
@@ -376,11 +379,26 @@
         holding.map(|(key, known)| known.mark(now, *key)).collect()
     }
 
-    /// Withdraws the suspicions against a request; returns whether there were any.
+    /// Withdraws the suspicions against a request or part; returns whether there were any.
+    ///
+    /// The other nodes are not informed of a part at one death, which does no harm there.
+    /// Each of them may know an answer with the part, and would report the same.
     pub fn withdraw_request(&mut self, now: time::Instant, fingerprint: id::Fingerprint) -> bool {
+        let known = self.suspicions.range(keys(fingerprint));
+        let deaths = known.filter(|(_, known)| known.expires > now).count();
+        let is_silent = fingerprint.is_part() && deaths < SUSPICIOUS_DEATHS;
         let mut changed = false;
         for (_, known) in self.suspicions.range_mut(keys(fingerprint)) {
+            if is_silent && known.kind != Kind::Withdrawn {
+                known.kind = Kind::Withdrawn;
+                known.is_withdrawn_silently = true;
+                changed = true;
+                continue;
+            }
             changed |= known.withdraw(now);
+            if !is_silent && std::mem::take(&mut known.is_withdrawn_silently) {
+                known.news_until = now + NEWS_TIME;
+            }
         }
         changed
     }
--- a/lib/tests/test_part.rs
+++ b/lib/tests/test_part.rs
@@ -130,6 +130,25 @@
     assert_eq!(refused(&one, 5000, &["a"]), None);
 }
 
+/// At one death, nobody has to know that a part is innocent; at the second, all must.
+#[test]
+fn the_withdrawal_of_one_suspicion_is_reported_with_the_next() {
+    let (mut one, mut other) = (Detector::default(), Detector::default());
+    lose_all(&mut one, 0, &["a"], 1);
+    share(&mut one, &mut other, 50);
+    other.clear_parts(at(60), &[part("a")]);
+    share(&mut one, &mut other, 65);
+    assert_eq!(other.marks_to_share(at(70)).len(), 0);
+    lose_all(&mut one, 6000, &["a"], 2);
+    share(&mut one, &mut other, 6100);
+    other.clear_parts(at(6200), &[part("a")]);
+    assert_eq!(other.marks_to_share(at(6300)).len(), 3);
+    share(&mut other, &mut one, 6300);
+    assert_eq!(refused(&one, 7000, &["a"]), None);
+    other.clear_parts(at(20_000), &[part("a")]);
+    assert_eq!(other.marks_to_share(at(20_100)).len(), 0, "known by now");
+}
+
 #[test]
 fn an_answer_ends_the_refusal_everywhere() {
     let (mut one, mut other) = (Detector::default(), Detector::default());
