--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -12,9 +12,10 @@
 
 use dottereltally::clock::Clock;
 use dottereltally_lib::{
-    dispatcher::{Choice, Dispatcher, Effect, Load, Outcome, Request},
+    dispatcher::{Choice, Dispatcher, Effect, Load, Outcome, Request, limit},
     id,
     refusal::{self, Refusal},
+    share::{NotARate, Rate},
 };
 use tokio::{
     select,
@@ -248,6 +249,45 @@
         }
     }
 
+    /// Records what an endpoint said about its limit in an answer; `None` if it named
+    /// none. Returns false if it is the first one that can't be read.
+    pub fn record_limit(
+        &self,
+        endpoint: &id::Endpoint,
+        limit: Option<Result<Rate, NotARate>>,
+    ) -> bool {
+        let limit = match limit.transpose() {
+            Ok(limit) => limit,
+            Err(error) => {
+                let is_first = self.lock().dispatcher.record_unreadable_limit(endpoint);
+                if is_first {
+                    tracing::warn!(%endpoint, %error, "limit of an endpoint is not changed: it can't be read");
+                }
+                return !is_first;
+            }
+        };
+        self.apply(|dispatcher, now| {
+            let (change, effects) = dispatcher.record_limit(now, endpoint, limit);
+            if let Some(change) = change {
+                log_limit(endpoint, change, None);
+            }
+            effects
+        });
+        true
+    }
+
+    /// Records what another node knows about the limits of endpoints.
+    pub fn record_peer_limits(&self, node: &id::Node, reports: &[limit::Report]) {
+        let now = self.shared.clock.now();
+        let changes = self
+            .lock()
+            .dispatcher
+            .record_peer_limits(now, node, reports);
+        for (endpoint, change) in changes {
+            log_limit(&endpoint, change, Some(node));
+        }
+    }
+
     /// Sets who decides: the coordinator that receives `commands`, or this node
     /// if there is none.
     pub fn set_coordinator(&self, commands: Option<CommandSender>) {
@@ -332,6 +372,18 @@
     }
 }
 
+/// Logs a change of an endpoint's limit, of which its answer or another node informed
+/// this one.
+fn log_limit(endpoint: &id::Endpoint, change: limit::Change, node: Option<&id::Node>) {
+    tracing::info!(
+        %endpoint,
+        limit = change.after.map(Rate::per_second),
+        before = change.before.map(Rate::per_second),
+        node = node.map(id::Node::as_str),
+        "limit of an endpoint changed"
+    );
+}
+
 /// Refuses a request that was withdrawn because nothing was decided on it in its time.
 fn refuse_undecided(id: id::Request) -> Refusal {
     tracing::warn!(request = %id, "request refused: it was not decided on before its deadline");
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -291,6 +291,7 @@
 ) -> Attempt {
     let (mut parts, body) = response.into_parts();
     let head = chain.dialect.read_answer(&parts.headers);
+    chain.record_limit(&choice.endpoint, head.limit);
     if let Some((running, waiting)) = head.load {
         chain.admission.apply(|dispatcher, now| {
             dispatcher.record_endpoint_load(now, &choice.endpoint, running, waiting);
--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -21,6 +21,7 @@
     quota::Limiter,
     refusal,
     route::{Retry, Route},
+    share::{NotARate, Rate},
     time,
 };
 use dottereltally_store::buffer;
@@ -443,6 +444,14 @@
         })
     }
 
+    /// Records what an endpoint said about its limit in an answer; `None` if it named
+    /// none.
+    pub fn record_limit(&self, endpoint: &id::Endpoint, limit: Option<Result<Rate, NotARate>>) {
+        if !self.admission.record_limit(endpoint, limit) {
+            self.metrics.unreadable_limits.inc();
+        }
+    }
+
     /// Returns the software version of an endpoint by this node's directory; `None`
     /// if it is unknown.
     #[must_use]
--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -279,23 +279,36 @@
     /// nodes with them.
     fn publish_endpoints(&mut self) {
         let now = self.outputs.clock.now();
+        let mut started = Vec::new();
         for observation in self.endpoints.take_observations() {
             match observation {
                 Observation::Started(endpoint, started_ms) => {
                     self.outputs.crashes.record_started(&endpoint, started_ms);
+                    started.push((endpoint, started_ms));
                 }
                 Observation::Replaced(endpoint) => self.outputs.crashes.record_replaced(&endpoint),
                 Observation::Removed(endpoint) => self.outputs.crashes.forget(&endpoint),
             }
         }
-        let Some(records) = self.endpoints.take_changed(now) else {
+        let records = self.endpoints.take_changed(now);
+        let changed = records.is_some();
+        self.outputs.admission.apply(|dispatcher, now| {
+            let effects = match records {
+                Some(records) => {
+                    let count = i64::try_from(records.len()).unwrap_or(i64::MAX);
+                    self.outputs.metrics.endpoints.set(count);
+                    dispatcher.set_endpoints(now, records)
+                }
+                None => Vec::new(),
+            };
+            for (endpoint, started_ms) in started {
+                dispatcher.record_started(now, &endpoint, started_ms);
+            }
+            effects
+        });
+        if !changed {
             return;
-        };
-        let count = i64::try_from(records.len()).unwrap_or(i64::MAX);
-        self.outputs.metrics.endpoints.set(count);
-        self.outputs
-            .admission
-            .apply(|dispatcher, now| dispatcher.set_endpoints(now, records));
+        }
         let plan = self.outputs.plan.borrow().as_deref().cloned();
         self.outputs.snapshot.send_replace(Arc::new(Snapshot {
             plan,
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -5,7 +5,10 @@
 
 use std::time::Duration;
 
-use dottereltally_lib::id;
+use dottereltally_lib::{
+    id,
+    share::{NotARate, Rate},
+};
 use http::{HeaderMap, HeaderValue};
 
 /// Why the headers of a request can't be understood; the text names the remedy
@@ -56,7 +59,7 @@
 }
 
 /// What the gateway reads from the headers of an endpoint's answer.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Answer {
     /// Identifies the caller's attempt that it answers.
     pub correlation_id: Option<String>,
@@ -66,6 +69,9 @@
     pub not_run: bool,
     /// Requests that are running and waiting at the endpoint, if it reports them.
     pub load: Option<(u32, u32)>,
+    /// Requests a second that the endpoint takes from all nodes together; `None` if it
+    /// names no limit.
+    pub limit: Option<Result<Rate, NotARate>>,
     /// The endpoint that answers, if it names itself.
     pub endpoint: Option<id::Endpoint>,
 }
--- a/gateway/src/examiner.rs
+++ b/gateway/src/examiner.rs
@@ -97,7 +97,7 @@
         if question > 0 {
             sleep(RETRY_DELAY).await;
         }
-        match ask(chain, &target.address, &target.service).await {
+        match ask(chain, &target.endpoint, &target.address, &target.service).await {
             Ok(named) if named.as_ref().is_none_or(|named| *named == target.endpoint) => {
                 return (Finding::Alive, String::new());
             }
@@ -140,7 +140,8 @@
         other.id != target.endpoint && !dead
     };
     for other in others.into_iter().filter(is_candidate).take(MAX_WITNESSES) {
-        if ask(chain, &other.address, &other.service).await.is_ok() {
+        let asking = ask(chain, &other.id, &other.address, &other.service);
+        if asking.await.is_ok() {
             return true;
         }
     }
@@ -151,6 +152,7 @@
 /// names, if it names one.
 async fn ask<D: Dialect>(
     chain: &Chain<D>,
+    endpoint: &id::Endpoint,
     address: &str,
     service: &id::Service,
 ) -> io::Result<Option<id::Endpoint>> {
@@ -163,6 +165,10 @@
         .header(HOST, address)
         .body(Empty::<Bytes>::new())
         .map_err(io::Error::other)?;
+    chain.admission.apply(|dispatcher, _| {
+        dispatcher.record_direct_request(endpoint);
+        Vec::new()
+    });
     let answering = async {
         let (mut sender, connection, _progress) = inbound::handshake(stream).await?;
         tokio::select! {
@@ -174,5 +180,13 @@
     let response = timeout(ANSWER_TIMEOUT, answering)
         .await?
         .map_err(io::Error::other)?;
-    Ok(chain.dialect.read_answer(response.headers()).endpoint)
+    let answer = chain.dialect.read_answer(response.headers());
+    if answer
+        .endpoint
+        .as_ref()
+        .is_none_or(|named| named == endpoint)
+    {
+        chain.record_limit(endpoint, answer.limit);
+    }
+    Ok(answer.endpoint)
 }
--- a/gateway/src/heartbeat.rs
+++ b/gateway/src/heartbeat.rs
@@ -7,15 +7,16 @@
     serialize_packed,
 };
 use dottereltally_lib::{
-    dispatcher::Load,
+    dispatcher::{Load, limit},
     id::{self, DataCentre, Endpoint, Fingerprint, Generation, Incarnation, Workspace},
     quota::Usage,
+    share::Rate,
     suspicion::{Kind, Mark},
 };
 use dottereltally_proto::gateway_capnp::{beat, held};
 
-/// Size limit of a heartbeat that is read, in 8-byte words: 64 KiB.
-const MAX_HEARTBEAT_WORDS: usize = 8 * 1024;
+/// Size limit of a heartbeat that is read, in 8-byte words: 128 KiB unpacked.
+const MAX_HEARTBEAT_WORDS: usize = 16 * 1024;
 
 /// A heartbeat: the state of one node.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -36,6 +37,8 @@
     pub usage: BTreeMap<Workspace, Usage>,
     /// Suspicions against requests that may crash endpoints.
     pub marks: Vec<Mark>,
+    /// What endpoints said about their limits.
+    pub limits: Vec<limit::Report>,
 }
 
 impl Heartbeat {
@@ -63,6 +66,16 @@
             entry.set_admitted(usage.admitted);
             entry.set_demand(usage.demand);
         }
+        let mut list = root.reborrow().init_limits(list_length(self.limits.len()));
+        for (index, report) in self.limits.iter().enumerate() {
+            let mut entry = list.reborrow().get(list_length(index));
+            entry.set_endpoint(report.endpoint.as_str());
+            entry.set_per_second(report.rate.unwrap_or_default().per_second());
+            entry.set_is_lifted(report.rate.is_none());
+            entry.set_age_ms(u32::try_from(report.age.as_millis()).unwrap_or(u32::MAX));
+            #[expect(clippy::cast_possible_truncation, reason = "an average")]
+            entry.set_demand(report.demand as f32);
+        }
         let mut list = root.init_marks(list_length(self.marks.len()));
         for (index, mark) in self.marks.iter().enumerate() {
             let mut entry = list.reborrow().get(list_length(index));
@@ -115,6 +128,16 @@
                 valid: Duration::from_millis(entry.get_valid_ms()),
             });
         }
+        for entry in root.get_limits()? {
+            let rate = Rate::try_from(entry.get_per_second());
+            let rate = rate.map_err(|error| capnp::Error::failed(error.to_string()))?;
+            heartbeat.limits.push(limit::Report {
+                endpoint: Endpoint::from(entry.get_endpoint()?.to_str()?),
+                rate: (!entry.get_is_lifted()).then_some(rate),
+                age: Duration::from_millis(entry.get_age_ms().into()),
+                demand: f64::from(entry.get_demand()),
+            });
+        }
         Ok(heartbeat)
     }
 }
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -134,6 +134,10 @@
     pub store_calls: Counter,
     /// Calls to it that failed.
     pub store_failures: Counter,
+    /// Times that an endpoint began to name limits that could not be read.
+    pub unreadable_limits: Counter,
+    /// Endpoints that name a limit.
+    pub limited_endpoints: Gauge,
     /// Parts of prompts that could not be read, or were too many.
     pub unread_parts: Counter,
     /// Parts of prompts with which requests are refused.
@@ -180,6 +184,8 @@
             store_calls: Counter::default(),
             store_failures: Counter::default(),
             store_probes: Counter::default(),
+            unreadable_limits: Counter::default(),
+            limited_endpoints: Gauge::default(),
             unread_parts: Counter::default(),
             refused_parts: Gauge::default(),
             generation: Gauge::default(),
@@ -266,6 +272,11 @@
                 "Calls of the key-value service that failed",
                 &self.store_failures,
             ),
+            (
+                "unreadable_limits",
+                "Times that an endpoint began to name limits that can't be read",
+                &self.unreadable_limits,
+            ),
             (
                 "unread_parts",
                 "Parts of prompts that were not read",
@@ -289,6 +300,11 @@
             ("peers", "Other nodes that are heard", &self.peers),
             ("waiting", "Requests that wait", &self.waiting),
             ("running", "Requests at endpoints", &self.running),
+            (
+                "limited_endpoints",
+                "Endpoints that name a limit of requests a second",
+                &self.limited_endpoints,
+            ),
             (
                 "refused_parts",
                 "Parts of prompts with which requests are refused",
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -510,6 +510,8 @@
         metrics
             .running
             .set(gauge(admission.read(Dispatcher::running)));
+        let limited = admission.read(Dispatcher::limited_endpoints);
+        metrics.limited_endpoints.set(gauge(limited));
         chain.crashes.maintain();
         let total = log.dropped();
         metrics.dropped_lines.set(gauge(total));
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -323,6 +323,9 @@
         chain
             .crashes
             .apply_marks(&heartbeat.node, &heartbeat.data_centre, &heartbeat.marks);
+        chain
+            .admission
+            .record_peer_limits(&heartbeat.node, &heartbeat.limits);
         let loads = heartbeat.loads.iter().cloned().collect();
         chain
             .admission
@@ -389,6 +392,7 @@
             loads: chain.admission.take_load(),
             usage: lock(&chain.limiter).take_usage(now),
             marks: chain.crashes.marks_to_share(),
+            limits: chain.admission.read(|dispatcher| dispatcher.limits(now)),
         }
     }
 
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -115,6 +115,7 @@
             sealed: headers.contains_key("x-seal"),
             not_run: headers.contains_key("x-not-run"),
             load: None,
+            limit: text(headers, "x-limit").map(|limit| limit.parse()),
             endpoint: text(headers, "x-endpoint").map(id::Endpoint::from),
         }
     }
--- a/gateway/tests/test_heartbeat.rs
+++ b/gateway/tests/test_heartbeat.rs
@@ -4,7 +4,7 @@
 
 use dottereltally_gateway::heartbeat::Heartbeat;
 use dottereltally_lib::{
-    dispatcher::Load,
+    dispatcher::{Load, limit},
     id,
     quota::Usage,
     suspicion::{Kind, Mark, Register},
@@ -42,11 +42,50 @@
                 valid: Duration::from_secs(3),
             })
             .to_vec(),
+        limits: vec![limit_report("e", Some("1.8")), limit_report("f", None)],
     };
     let bytes = heartbeat.encode().unwrap();
     assert_eq!(Heartbeat::decode(&bytes).unwrap(), heartbeat);
 }
 
+fn limit_report(endpoint: &str, rate: Option<&str>) -> limit::Report {
+    limit::Report {
+        endpoint: id::Endpoint::from(endpoint),
+        rate: rate.map(|rate| rate.parse().unwrap()),
+        age: Duration::from_millis(1234),
+        demand: 2.5,
+    }
+}
+
+/// Limits cost bytes only for endpoints that name them, and those of 600 endpoints
+/// leave room in a datagram for the load on each of them.
+#[test]
+fn limits_of_600_endpoints_fit_a_datagram() {
+    let empty = Heartbeat::default().encode().unwrap().len();
+    let mut heartbeat = Heartbeat::default();
+    for number in 0..600 {
+        let name = format!("i-{number:010x}");
+        heartbeat.limits.push(limit_report(&name, Some("1.8")));
+        let load = Load {
+            requests: 7,
+            pending: 12_345,
+            event_interval: Some(Duration::from_micros(25_300)),
+        };
+        heartbeat.loads.push((id::Endpoint::from(name), load));
+        if number == 1 {
+            let size = heartbeat.encode().unwrap().len() - empty;
+            println!("{size} bytes for two endpoints");
+        }
+    }
+    let bytes = heartbeat.encode().unwrap();
+    println!(
+        "{} bytes for 600 endpoints with load and limit",
+        bytes.len()
+    );
+    assert!(bytes.len() <= 60 * 1024);
+    assert_eq!(Heartbeat::decode(&bytes).unwrap(), heartbeat);
+}
+
 #[test]
 fn other_datagrams_are_errors() {
     assert!(Heartbeat::decode(b"").is_err());
--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -6,6 +6,7 @@
 //! deadline go before late ones; within each group they are ordered by tier,
 //! then class, then the time left.
 
+pub mod limit;
 mod member;
 mod model;
 mod queue;
@@ -19,12 +20,13 @@
 
 use self::{
     member::Member,
-    queue::{Queue, Timeliness},
+    queue::{MIN_DRAIN_PER_SLOT, Queue, Timeliness},
 };
 use crate::{
     endpoint::{self, Standing},
     id,
     refusal::{self, Refusal},
+    share::{Rate, Reports},
     time,
 };
 
@@ -229,6 +231,8 @@
     in_flight: HashMap<id::Request, InFlight>,
     /// Last load reported by each other node.
     peer_loads: HashMap<id::Node, HashMap<id::Endpoint, Load>>,
+    /// Demand that the other nodes reported for endpoints with a limit.
+    limit_reports: Reports<id::Endpoint>,
     /// Nodes that share the endpoints, this one included.
     node_count: usize,
     rng: SmallRng,
@@ -247,6 +251,7 @@
             queues: BTreeMap::new(),
             in_flight: HashMap::new(),
             peer_loads: HashMap::new(),
+            limit_reports: Reports::default(),
             node_count: 1,
             effects: Vec::new(),
         }
@@ -337,14 +342,14 @@
             return std::mem::take(&mut self.effects);
         }
         let service = request.service.clone();
-        let capacity: u32 = queue
-            .endpoints
-            .iter()
-            .filter_map(|name| self.members.get(name))
-            .map(Member::capacity)
+        let seconds = queue.model.duration(&request).as_secs_f64();
+        let members = queue.endpoints.iter();
+        let members = members.filter_map(|name| self.members.get(name));
+        let capacity: f64 = members
+            .map(|member| member.usable_capacity(seconds, MIN_DRAIN_PER_SLOT))
             .sum();
         let node_capacity =
-            f64::from(capacity) / f64::from(u32::try_from(self.node_count).unwrap_or(u32::MAX));
+            capacity / f64::from(u32::try_from(self.node_count).unwrap_or(u32::MAX));
         queue.record_arrival(now, &request);
         let wait = queue.estimate_wait(now, &request, node_capacity);
         if queue.len() >= MAX_QUEUED_REQUESTS || queue.is_infeasible(now + wait, &request) {
@@ -472,6 +477,120 @@
         }
     }
 
+    /// Records what an endpoint said about its limit in an answer; `None` lifts it.
+    /// Returns the change, if it is one.
+    pub fn record_limit(
+        &mut self,
+        now: time::Instant,
+        name: &id::Endpoint,
+        rate: Option<Rate>,
+    ) -> (Option<limit::Change>, Vec<Effect>) {
+        let change = self.state_limit(now, now, name, rate);
+        if change.is_some() {
+            self.dispatch_all(now);
+        }
+        (change, std::mem::take(&mut self.effects))
+    }
+
+    /// Records a limit that can't be read, which changes nothing; returns whether it is
+    /// the endpoint's first one since its last readable answer with a limit.
+    pub fn record_unreadable_limit(&mut self, name: &id::Endpoint) -> bool {
+        let member = self.members.get_mut(name);
+        member.is_some_and(|member| member.limit.record_unreadable())
+    }
+
+    /// Records what another node knows about limits; returns the changes.
+    pub fn record_peer_limits(
+        &mut self,
+        now: time::Instant,
+        node: &id::Node,
+        reports: &[limit::Report],
+    ) -> Vec<(id::Endpoint, limit::Change)> {
+        let mut changes = Vec::new();
+        let mut demand = HashMap::new();
+        for report in reports {
+            let change = self.state_limit(now, now - report.age, &report.endpoint, report.rate);
+            changes.extend(change.map(|change| (report.endpoint.clone(), change)));
+            demand.insert(report.endpoint.clone(), report.demand);
+        }
+        self.limit_reports.record(now, node, demand);
+        changes
+    }
+
+    fn state_limit(
+        &mut self,
+        now: time::Instant,
+        at: time::Instant,
+        name: &id::Endpoint,
+        rate: Option<Rate>,
+    ) -> Option<limit::Change> {
+        let member = self.members.get_mut(name)?;
+        if rate.is_none() && !member.limit.was_named() {
+            return None;
+        }
+        member.limit.state(now, at, rate, self.rng.random())
+    }
+
+    /// Returns what this node knows about limits, for the other nodes.
+    #[must_use]
+    pub fn limits(&self, now: time::Instant) -> Vec<limit::Report> {
+        let mut reports = Vec::new();
+        for member in self.members.values() {
+            let queue = self.queues.get(&member.record.service);
+            let demand = queue.map_or(0.0, |queue| queue.demand.get(now));
+            reports.extend(member.limit.report(now, &member.record.id, demand));
+        }
+        reports
+    }
+
+    /// Returns the number of listed endpoints that name a limit.
+    #[must_use]
+    pub fn limited_endpoints(&self) -> usize {
+        let listed = self.members.values().filter(|member| member.listed);
+        listed
+            .filter(|member| member.limit.rate().is_some())
+            .count()
+    }
+
+    /// Records a request to an endpoint that was not chosen here, such as a health
+    /// check.
+    pub fn record_direct_request(&mut self, name: &id::Endpoint) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.limit.spend();
+        }
+    }
+
+    /// Records when an endpoint's process started, in milliseconds since the Unix epoch.
+    /// A limit ends with the process that named it.
+    pub fn record_started(&mut self, now: time::Instant, name: &id::Endpoint, started_ms: u64) {
+        let Some(member) = self.members.get_mut(name) else {
+            return;
+        };
+        let before = member.started_ms.replace(started_ms);
+        if before.is_some_and(|before| before != started_ms) {
+            member.limit.reset(now);
+        }
+    }
+
+    /// Adds the permits that accrued for the limited endpoints of a service.
+    fn accrue_permits(&mut self, now: time::Instant, service: &id::Service) {
+        self.limit_reports.expire(now);
+        let Some(queue) = self.queues.get(service) else {
+            return;
+        };
+        let demand = queue.demand.get(now);
+        for name in &queue.endpoints {
+            let Some(member) = self.members.get_mut(name) else {
+                continue;
+            };
+            if member.limit.rate().is_none() {
+                continue;
+            }
+            let share = self.limit_reports.share(name, demand, self.node_count);
+            member.limit.accrue(now, share);
+        }
+    }
+
     /// Records the load that an endpoint reported about itself.
     pub fn record_endpoint_load(
         &mut self,
@@ -633,6 +752,7 @@
 
     /// Sends queued requests of a service while endpoints have room.
     fn dispatch(&mut self, now: time::Instant, service: &id::Service) {
+        self.accrue_permits(now, service);
         loop {
             let Some(queue) = self.queues.get_mut(service) else {
                 return;
@@ -769,6 +889,7 @@
         };
         member.own_requests += 1;
         member.own_pending_tokens += request.prompt;
+        member.limit.spend();
         let choice = Choice {
             endpoint: name.clone(),
             address: member.record.address.clone(),
--- a/lib/src/dispatcher/member.rs
+++ b/lib/src/dispatcher/member.rs
@@ -3,7 +3,7 @@
 use std::{mem, time::Duration};
 
 use crate::{
-    dispatcher::{Load, Outcome, Request},
+    dispatcher::{Load, Outcome, Request, limit::Limit},
     endpoint::{Record, Standing},
     estimate::Average,
     time,
@@ -68,6 +68,11 @@
     /// Fraction of requests that failed, as of `failure_rate_updated`.
     failure_rate: f64,
     failure_rate_updated: time::Instant,
+    /// What it takes from all nodes together.
+    pub(super) limit: Limit,
+    /// When its process started, in milliseconds since the Unix epoch; `None` if
+    /// unknown.
+    pub(super) started_ms: Option<u64>,
 }
 
 impl Member {
@@ -86,15 +91,18 @@
             failed_connections: 0,
             failure_rate: 0.0,
             failure_rate_updated: time::Instant::default(),
+            limit: Limit::default(),
+            started_ms: None,
         }
     }
 
-    /// Replaces the record; a changed address clears the failures.
+    /// Replaces the record; a changed address clears the failures and the limit.
     pub(super) fn update(&mut self, record: Record) {
         if record.address != self.record.address {
             self.avoided_until = time::Instant::default();
             self.failed_connections = 0;
             self.failure_rate = 0.0;
+            self.limit = Limit::default();
         }
         self.listed = true;
         self.record = record;
@@ -105,6 +113,16 @@
         self.record.capacity.unwrap_or(DEFAULT_CAPACITY).max(1)
     }
 
+    /// Returns the places that it can use within its limit by requests that take this
+    /// many seconds, where each place does `drain_per_place` seconds of work a second.
+    pub(super) fn usable_capacity(&self, seconds: f64, drain_per_place: f64) -> f64 {
+        let capacity = f64::from(self.capacity());
+        let Some(rate) = self.limit.rate() else {
+            return capacity;
+        };
+        capacity.min(rate.per_second() * seconds / drain_per_place)
+    }
+
     /// Returns whether it may get the request: it is live, and runs the version that
     /// the request needs.
     pub(super) fn serves(&self, request: &Request) -> bool {
@@ -124,6 +142,9 @@
         if self.record.standing == Standing::Leaving || self.avoided_until > now {
             return None;
         }
+        if !self.limit.has_permit() {
+            return None;
+        }
         // A single request tests whether it can be reached again.
         if self.failed_connections > 0 && self.own_requests > 0 {
             return None;
--- a/lib/src/dispatcher/queue.rs
+++ b/lib/src/dispatcher/queue.rs
@@ -7,7 +7,9 @@
 
 use crate::{
     dispatcher::{Request, member::Member, model::Model},
-    id, time,
+    id,
+    share::Demand,
+    time,
 };
 
 /// Whether a queued request can still be on time.
@@ -90,6 +92,8 @@
     entries: HashMap<id::Request, Entry>,
     /// The queued requests that need one software version.
     bound: BTreeSet<id::Request>,
+    /// Requests that arrived, by number.
+    pub(super) demand: Demand,
     /// Rate of work sent to endpoints.
     sent: Rate,
     /// Rate of arriving work, by tier and effective class.
@@ -116,6 +120,7 @@
 
     /// Records the arrival of a request.
     pub(super) fn record_arrival(&mut self, now: time::Instant, request: &Request) {
+        self.demand.record(now);
         let work = self.model.duration(request).as_secs_f64();
         let rank = (request.tier, self.effective_class(request));
         self.arrived.entry(rank).or_default().record(now, work);
@@ -328,7 +333,7 @@
 
 /// Work per second that each of the node's slots drains at least, assumed until
 /// a higher rate is observed.
-const MIN_DRAIN_PER_SLOT: f64 = 0.5;
+pub(super) const MIN_DRAIN_PER_SLOT: f64 = 0.5;
 
 /// Minimum fraction of the drain rate that less urgent requests get.
 const MIN_DRAIN_FRACTION: f64 = 0.1;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod request;
 pub mod route;
 pub mod scheduler;
+pub mod share;
 pub mod size;
 mod suspects;
 pub mod suspicion;
--- a/lib/src/quota.rs
+++ b/lib/src/quota.rs
@@ -402,7 +402,7 @@
 
 /// Returns the share of a node with this demand: a part that is equal for all
 /// nodes and a part in proportion to the demand.
-fn demand_share(demand: f64, total: f64, nodes: f64) -> f64 {
+pub(crate) fn demand_share(demand: f64, total: f64, nodes: f64) -> f64 {
     let part = (demand / total.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0);
     EQUAL_FRACTION / nodes + (1.0 - EQUAL_FRACTION) * part
 }
--- a/proto/schema/gateway.capnp
+++ b/proto/schema/gateway.capnp
@@ -14,6 +14,19 @@
   held @5 :List(Held);
   usage @6 :List(Usage);
   marks @7 :List(Mark);
+  limits @8 :List(Limit);
+}
+
+# What an endpoint said last about the requests a second that it takes.
+struct Limit {
+  endpoint @0 :Text;
+  # Requests a second; without meaning if the limit was lifted.
+  perSecond @1 :Float64;
+  isLifted @2 :Bool;
+  # Time since the endpoint said so.
+  ageMs @3 :UInt32;
+  # Requests a second for its service that the sender decides on.
+  demand @4 :Float32;
 }
 
 # Requests of the node at one endpoint.
--- a/proto/src/gateway_capnp.rs
+++ b/proto/src/gateway_capnp.rs
@@ -118,11 +118,19 @@
         pub fn has_marks(&self) -> bool {
             !self.reader.get_pointer_field(4).is_null()
         }
+        #[inline]
+        pub fn get_limits(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::gateway_capnp::limit::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_limits(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -276,6 +284,22 @@
         pub fn has_marks(&self) -> bool {
             !self.builder.is_pointer_field_null(4)
         }
+        #[inline]
+        pub fn get_limits(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::gateway_capnp::limit::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_limits(&mut self, value: ::capnp::struct_list::Reader<'_,crate::gateway_capnp::limit::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
+        }
+        #[inline]
+        pub fn init_limits(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::gateway_capnp::limit::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
+        }
+        #[inline]
+        pub fn has_limits(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -287,80 +311,87 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 153] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 172] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(99, 102, 229, 232, 187, 231, 249, 147),
             ::capnp::word(14, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(39, 106, 78, 201, 208, 163, 248, 177),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 66, 101),
             ::capnp::word(97, 116, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(77, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 111, 100, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -441,6 +472,18 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 159, 162, 132, 27, 83, 136, 163),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -452,6 +495,7 @@
                 5 => <::capnp::struct_list::Owned<crate::gateway_capnp::held::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::struct_list::Owned<crate::gateway_capnp::usage::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 7 => <::capnp::struct_list::Owned<crate::gateway_capnp::mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::struct_list::Owned<crate::gateway_capnp::limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -465,13 +509,335 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,4,5,1,7,0,2,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,4,5,1,8,7,0,2,6];
         pub(crate) const TYPE_ID: u64 = 0x93f9_e7bb_e8e5_6663;
     }
 }
 
+pub mod limit {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_per_second(self) -> f64 {
+            self.reader.get_data_field::<f64>(0)
+        }
+        #[inline]
+        pub fn get_is_lifted(self) -> bool {
+            self.reader.get_bool_field(64)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn get_demand(self) -> f32 {
+            self.reader.get_data_field::<f32>(4)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_per_second(self) -> f64 {
+            self.builder.get_data_field::<f64>(0)
+        }
+        #[inline]
+        pub fn set_per_second(&mut self, value: f64)  {
+            self.builder.set_data_field::<f64>(0, value);
+        }
+        #[inline]
+        pub fn get_is_lifted(self) -> bool {
+            self.builder.get_bool_field(64)
+        }
+        #[inline]
+        pub fn set_is_lifted(&mut self, value: bool)  {
+            self.builder.set_bool_field(64, value);
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+        #[inline]
+        pub fn get_demand(self) -> f32 {
+            self.builder.get_data_field::<f32>(4)
+        }
+        #[inline]
+        pub fn set_demand(&mut self, value: f32)  {
+            self.builder.set_data_field::<f32>(4, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 95] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(80, 159, 162, 132, 27, 83, 136, 163),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(39, 106, 78, 201, 208, 163, 248, 177),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 76, 105),
+            ::capnp::word(109, 105, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 114, 83, 101, 99, 111, 110),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 76, 105, 102, 116, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 101, 109, 97, 110, 100, 0, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <f64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <f32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,4,0,2,1];
+        pub(crate) const TYPE_ID: u64 = 0xa388_531b_84a2_9f50;
+    }
+}
+
 pub mod held {
     #[derive(Copy, Clone)]
     pub struct Owned(());
