--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -8,8 +8,7 @@
 
 use bytes::Bytes;
 use dottereltally::{
-    body::Body, clock::Clock, dispatch::strip_hop_by_hop, filter, pool::Pool, problem::Reason,
-    shutdown::Phase,
+    body::Body, clock::Clock, dispatch::strip_hop_by_hop, filter, problem::Reason, shutdown::Phase,
 };
 use dottereltally_lib::{
     budget::Budget,
@@ -40,6 +39,7 @@
     dialect::{Dialect, Head},
     metrics::Metrics,
     origins,
+    paths::Paths,
     refusal::Refused,
     relay::Relay,
     search::{Obstacle, Place, Search},
@@ -70,7 +70,7 @@
     /// Chooses an endpoint for each request.
     pub admission: admission::Handle,
     /// Connections to the endpoints.
-    pub upstream: Pool,
+    pub paths: Paths,
     /// Memory for answers that are not complete or not sent on yet.
     pub answers: buffer::Pool,
     /// Quota usage of the workspaces.
--- a/gateway/src/examiner.rs
+++ b/gateway/src/examiner.rs
@@ -12,7 +12,6 @@
 use http::{Request, header::HOST};
 use http_body_util::Empty;
 use tokio::{
-    net::TcpStream,
     sync::mpsc,
     task::JoinSet,
     time::{sleep, timeout},
@@ -160,7 +159,7 @@
         let service = plan.services.get(service)?;
         Some(service.health_path.clone())
     });
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+    let stream = timeout(CONNECT_TIMEOUT, chain.paths.open(address)).await??;
     let request = Request::get(path.as_deref().unwrap_or("/"))
         .header(HOST, address)
         .body(Empty::<Bytes>::new())
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod metrics;
 pub mod node;
 pub mod origins;
+pub mod paths;
 pub mod peers;
 pub mod refusal;
 pub mod relay;
--- a/gateway/src/search.rs
+++ b/gateway/src/search.rs
@@ -8,7 +8,7 @@
 use std::{future, mem, pin::Pin, time::Duration};
 
 use derive_more::Display;
-use dottereltally::{pool, upstream::Reuse};
+use dottereltally::pool;
 use dottereltally_lib::{
     dispatcher::{self, Choice, Outcome},
     id, refusal,
@@ -266,7 +266,7 @@
         }
         let admitting = chain.admission.admit(self.request(progress));
         let (choice, permit) = admitting.await.map_err(Obstacle::Refused)?;
-        let connecting = chain.upstream.connect(&choice.address, Reuse::Idle);
+        let connecting = chain.paths.connect(&choice.address);
         let connection = match connecting.await {
             Ok(connection) => connection,
             Err(error) => {
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -16,12 +16,7 @@
     time::Duration,
 };
 
-use dottereltally::{
-    clock::Clock,
-    pool::{Limits, Pool},
-    server,
-    shutdown::Phase,
-};
+use dottereltally::{clock::Clock, pool::Limits, server, shutdown::Phase};
 use dottereltally_gateway::{
     admission,
     chain::Chain,
@@ -30,6 +25,7 @@
     examiner,
     metrics::Metrics,
     origins,
+    paths::{Dial, Paths, Tcp},
 };
 use dottereltally_lib::{
     budget::{self, Budget},
@@ -494,6 +490,18 @@
 
     /// Starts a gateway with this name of its node.
     pub async fn start_named(name: &str, plan: Option<Plan>, records: Vec<Record>) -> Self {
+        let limits = Limits::default();
+        Self::start_over(name, plan, records, Arc::new(Tcp(limits))).await
+    }
+
+    /// Starts a gateway that reaches endpoints in this way.
+    pub async fn start_over(
+        name: &str,
+        plan: Option<Plan>,
+        records: Vec<Record>,
+        dialer: Arc<dyn Dial>,
+    ) -> Self {
+        let limits = Limits::default();
         let clock = Clock::start();
         let mut dispatcher = Dispatcher::new(Settings {
             data_centre: id::DataCentre::from("dc"),
@@ -517,7 +525,7 @@
             dialect: TestHeaders,
             plan: plan.subscribe(),
             admission: admission::Handle::new(dispatcher, clock),
-            upstream: Pool::new(Limits::default()),
+            paths: Paths::new(limits, dialer),
             answers: buffer::Pool::default(),
             limiter: Mutex::new(Limiter::new(Tolerance::default())),
             budget: Mutex::new(Budget::new(budget::Limits {
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -16,7 +16,12 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1::SendRequest};
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::TcpStream,
+    task::JoinHandle,
+    time::timeout,
+};
 
 use crate::upstream::{Broken, Client, Failure, Message, Reuse};
 
@@ -92,10 +97,14 @@
 
 impl Connection {
     async fn open(address: &str, limits: &Limits) -> io::Result<Self> {
-        let connect = TcpStream::connect(address);
-        let stream = timeout(limits.connect, connect).await??;
-        stream.set_nodelay(true)?;
-        set_keepalive(&stream, limits)?;
+        Self::over(dial(address, limits).await?).await
+    }
+
+    /// Uses an open byte stream.
+    async fn over<S>(stream: S) -> io::Result<Self>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
         let handshake = inbound::handshake(stream);
         let (sender, connection, progress) = handshake.await.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
@@ -116,6 +125,19 @@
     }
 }
 
+/// Opens a TCP connection to `address`, `ip:port`.
+///
+/// # Errors
+///
+/// Fails if it can't be opened in time.
+pub async fn dial(address: &str, limits: &Limits) -> io::Result<TcpStream> {
+    let connect = TcpStream::connect(address);
+    let stream = timeout(limits.connect, connect).await??;
+    stream.set_nodelay(true)?;
+    set_keepalive(&stream, limits)?;
+    Ok(stream)
+}
+
 /// Lets the kernel close a connection whose other side no longer answers, for
 /// example because the network has dropped the connection's state.
 ///
@@ -198,11 +220,34 @@
             Some(connection) => connection,
             None => Connection::open(address, &self.limits).await?,
         };
-        Ok(Ready {
+        Ok(self.ready(address, connection))
+    }
+
+    /// Takes an idle connection that is kept under `key`, if there is one.
+    pub async fn take_idle(&self, key: &str) -> Option<Ready> {
+        let connection = self.take(key).await?;
+        Some(self.ready(key, connection))
+    }
+
+    /// Uses an open byte stream, which is kept under `key` while it is idle.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stream can't be used.
+    pub async fn adopt<S>(&self, key: &str, stream: S) -> io::Result<Ready>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
+        let connection = Connection::over(stream).await?;
+        Ok(self.ready(key, connection))
+    }
+
+    fn ready(&self, key: &str, connection: Connection) -> Ready {
+        Ready {
             pool: self.clone(),
-            address: address.to_owned(),
+            address: key.to_owned(),
             connection,
-        })
+        }
     }
 }
 
--- a/store/src/inbound.rs
+++ b/store/src/inbound.rs
@@ -123,7 +123,7 @@
 }
 
 /// Connection that must be polled for its requests to make progress.
-pub type Driver<B> = Connection<TokioIo<Meter<TcpStream>>, B>;
+pub type Driver<B, S = TcpStream> = Connection<TokioIo<Meter<S>>, B>;
 
 /// Prepares an open connection for HTTP/1.1 requests; the returned counts must
 /// be restarted before each further request, and told of the content that is
@@ -132,8 +132,9 @@
 /// # Errors
 ///
 /// Fails if the connection can't be used.
-pub async fn handshake<B>(stream: TcpStream) -> hyper::Result<(SendRequest<B>, Driver<B>, Progress)>
+pub async fn handshake<B, S>(stream: S) -> hyper::Result<(SendRequest<B>, Driver<B, S>, Progress)>
 where
+    S: AsyncRead + AsyncWrite + Unpin,
     B: Body + 'static,
     B::Data: Send,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
