--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -91,7 +91,7 @@
 /// second must not be taken for gone: the kernel compares `user_timeout` with the time
 /// without traffic at each keep-alive probe, so that it must exceed two intervals for two
 /// probes to be lost.
-pub(crate) const UPSTREAM_LIMITS: pool::Limits = pool::Limits {
+pub const UPSTREAM_LIMITS: pool::Limits = pool::Limits {
     connect: Duration::from_millis(250),
     keepalive_time: Duration::from_secs(1),
     keepalive_interval: Duration::from_secs(1),
--- a/gateway/src/paths.rs
+++ b/gateway/src/paths.rs
@@ -7,6 +7,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net::TcpStream,
+    time::timeout,
 };
 
 /// Opens connections to endpoints without another node.
@@ -36,6 +37,7 @@
 
 /// The connections to endpoints.
 pub struct Paths {
+    limits: Limits,
     /// Idle connections, by address.
     pool: Pool,
     dialer: Arc<dyn Dial>,
@@ -46,11 +48,16 @@
     #[must_use]
     pub fn new(limits: Limits, dialer: Arc<dyn Dial>) -> Self {
         Self {
+            limits,
             pool: Pool::new(limits),
             dialer,
         }
     }
 
+    async fn dial(&self, address: &str) -> io::Result<TcpStream> {
+        timeout(self.limits.connect, self.dialer.dial(address)).await?
+    }
+
     /// Takes an idle connection to an endpoint, or opens one.
     ///
     /// # Errors
@@ -60,7 +67,7 @@
         if let Some(ready) = self.pool.take_idle(address).await {
             return Ok(ready);
         }
-        let stream = self.dialer.dial(address).await?;
+        let stream = self.dial(address).await?;
         self.pool.adopt(address, stream).await
     }
 
@@ -70,6 +77,6 @@
     ///
     /// Fails if the endpoint can't be reached.
     pub async fn open(&self, address: &str) -> io::Result<Box<dyn Duplex>> {
-        Ok(Box::new(self.dialer.dial(address).await?))
+        Ok(Box::new(self.dial(address).await?))
     }
 }
--- a/gateway/tests/common/cluster.rs
+++ b/gateway/tests/common/cluster.rs
@@ -4,12 +4,19 @@
 
 use dottereltally_gateway::{
     directory::Node,
+    node::UPSTREAM_LIMITS,
     origins,
+    paths::{Dial, Tcp},
     peers::{self, Peers},
+    rpc,
 };
-use dottereltally_lib::id;
+use dottereltally_lib::{endpoint::Record, id};
 use ractor::{Actor, ActorRef};
-use tokio::{net::UdpSocket, sync::watch, task::JoinHandle};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    sync::watch,
+    task::{JoinHandle, LocalSet},
+};
 
 use super::{Gateway, plan};
 
@@ -23,6 +30,29 @@
     killed: BTreeSet<usize>,
 }
 
+/// Serves the calls of other nodes in a thread of its own, as their tasks are bound to
+/// one; returns the address.
+fn serve_calls(gateway: &Gateway) -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = rpc::Server {
+        snapshot: watch::Sender::new(Arc::default()).subscribe(),
+        admission: gateway.chain.admission.clone(),
+        clock: gateway.chain.clock,
+        phase: gateway.chain.phase.clone(),
+    };
+    std::thread::spawn(move || {
+        let mut builder = tokio::runtime::Builder::new_current_thread();
+        let runtime = builder.enable_all().build().unwrap();
+        let serving = async {
+            rpc::serve(TcpListener::from_std(listener).unwrap(), server).await;
+        };
+        LocalSet::new().block_on(&runtime, serving);
+    });
+    address
+}
+
 impl Cluster {
     pub async fn start(count: usize) -> Self {
         let mut cluster = Self::default();
@@ -34,15 +64,21 @@
 
     /// Starts another node, which the others learn of.
     pub async fn add(&mut self) {
+        self.add_over(Vec::new(), Arc::new(Tcp(UPSTREAM_LIMITS)))
+            .await;
+    }
+
+    /// Starts another node, which reaches these endpoints in this way.
+    pub async fn add_over(&mut self, records: Vec<Record>, dialer: Arc<dyn Dial>) {
         let name = format!("n{}", self.nodes.len());
-        let gateway = Gateway::start_named(&name, Some(plan()), Vec::new()).await;
+        let gateway = Gateway::start_over(&name, Some(plan()), records, dialer).await;
         let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
         let address: SocketAddr = socket.local_addr().unwrap();
         let node = Node {
             name: id::Node::from(name),
             address: address.to_string(),
             data_centre: id::DataCentre::from("dc"),
-            rpc_address: String::new(),
+            rpc_address: serve_calls(&gateway).to_string(),
             millicores: 0,
         };
         let arguments = peers::Arguments {
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod cluster;
+pub mod cut;
 pub mod directory;
 pub mod fragile;
 pub mod versioned;
@@ -16,7 +17,7 @@
     time::Duration,
 };
 
-use dottereltally::{clock::Clock, pool::Limits, server, shutdown::Phase};
+use dottereltally::{clock::Clock, server, shutdown::Phase};
 use dottereltally_gateway::{
     admission,
     chain::Chain,
@@ -24,6 +25,7 @@
     dialect::{Answer, Dialect, Forward, Head, Malformed},
     examiner,
     metrics::Metrics,
+    node::UPSTREAM_LIMITS,
     origins,
     paths::{Dial, Paths, Tcp},
 };
@@ -490,8 +492,7 @@
 
     /// Starts a gateway with this name of its node.
     pub async fn start_named(name: &str, plan: Option<Plan>, records: Vec<Record>) -> Self {
-        let limits = Limits::default();
-        Self::start_over(name, plan, records, Arc::new(Tcp(limits))).await
+        Self::start_over(name, plan, records, Arc::new(Tcp(UPSTREAM_LIMITS))).await
     }
 
     /// Starts a gateway that reaches endpoints in this way.
@@ -501,7 +502,7 @@
         records: Vec<Record>,
         dialer: Arc<dyn Dial>,
     ) -> Self {
-        let limits = Limits::default();
+        let limits = UPSTREAM_LIMITS;
         let clock = Clock::start();
         let mut dispatcher = Dispatcher::new(Settings {
             data_centre: id::DataCentre::from("dc"),
