paths: nodes without a path to endpoints connect through another node (RECOVER)

A node served only what it reached itself.

If a direct connection is refused, or not open within 100 ms, the node asks another one, of its data centre and then of another one, to connect and to copy the bytes (a tunnel, on the port for calls between nodes). What is decided on the request stays where it arrived: workspace, quota, budget, deadline, version and what was tried are charged and kept once, at most once holds as for any connection, and closing the tunnel cancels the request. Bytes from the endpoint are framed, so that the end of the endpoint's connection differs from the end of the node between: an answer may end with its connection. One hop: the other node connects directly or refuses, also while it is isolated itself or shuts down, which its heartbeats announce; on shutdown it waits for open tunnels within the grace period. It connects to listed endpoints only.

An endpoint that was reached that way keeps the detour until a direct connection, tried every 500 ms, succeeds. Two detours in a row without a direct success make the node isolated: all requests take detours first, and idle direct connections are left alone. If nothing arrives from any endpoint for 300 ms while requests are there, up to three paths are checked, so that a node that only reuses connections notices too.

Ruled out: passing the request on as a call or over HTTP (the second node would decide and charge again, and needs the whole state of a request); reporting `not ready` (open connections stay, and most of a data centre may be cut).

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -28,6 +28,7 @@
     chain::{Chain, Job, end_to_end_headers},
     dialect::{Dialect, Forward, Head},
     events::{Batch, Splitter},
+    paths::Paths,
 };
 
 /// Largest answer that is buffered.
@@ -259,12 +260,14 @@
         waited_ms = crate::chain::millis(now.since(job.received)),
         left_ms = crate::chain::millis(remaining),
         after = last_event_id,
+        via = Paths::carrier(&connection),
         "request sent"
     );
     let message = job
         .template
         .message(&chain.dialect, &choice.endpoint, remaining, last_event_id);
     let deadline = Instant::now() + remaining;
+    let is_direct = Paths::carrier(&connection).is_none();
     let response = match timeout_at(deadline, connection.send(message)).await {
         Ok(Ok(response)) => response,
         Ok(Err(Failure::Unsent { cause, .. })) => return End::Unsent { cause }.into(),
@@ -274,6 +277,9 @@
         }
         Err(_) => return End::Expired.into(),
     };
+    if is_direct {
+        chain.paths.record_direct();
+    }
     chain
         .crashes
         .record_heard(&choice.endpoint, &choice.data_centre);
--- a/gateway/src/heartbeat.rs
+++ b/gateway/src/heartbeat.rs
@@ -39,6 +39,8 @@
     pub marks: Vec<Mark>,
     /// What endpoints said about their limits.
     pub limits: Vec<limit::Report>,
+    /// Whether the node passes connections to endpoints on for others.
+    pub carries: bool,
 }
 
 impl Heartbeat {
@@ -55,6 +57,7 @@
         root.set_sequence(self.sequence);
         root.set_data_centre(self.data_centre.as_str());
         root.set_generation(self.generation.0);
+        root.set_carries(self.carries);
         write_loads(
             &self.loads,
             root.reborrow().init_held(list_length(self.loads.len())),
@@ -105,6 +108,7 @@
             sequence: root.get_sequence(),
             data_centre: DataCentre::from(root.get_data_centre()?.to_str()?),
             generation: Generation(root.get_generation()),
+            carries: root.get_carries(),
             ..Self::default()
         };
         heartbeat.loads = read_loads(root.get_held()?)?;
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -27,3 +27,4 @@
 pub mod rpc;
 pub mod search;
 pub mod settings;
+pub mod tunnel;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -136,6 +136,8 @@
     pub store_failures: Counter,
     /// Times that an endpoint began to name limits that could not be read.
     pub unreadable_limits: Counter,
+    /// Endpoints that are reached through another node only.
+    pub detours: Gauge,
     /// Endpoints that name a limit.
     pub limited_endpoints: Gauge,
     /// Parts of prompts that could not be read, or were too many.
@@ -185,6 +187,7 @@
             store_failures: Counter::default(),
             store_probes: Counter::default(),
             unreadable_limits: Counter::default(),
+            detours: Gauge::default(),
             limited_endpoints: Gauge::default(),
             unread_parts: Counter::default(),
             refused_parts: Gauge::default(),
@@ -300,6 +303,11 @@
             ("peers", "Other nodes that are heard", &self.peers),
             ("waiting", "Requests that wait", &self.waiting),
             ("running", "Requests at endpoints", &self.running),
+            (
+                "detours",
+                "Endpoints that are reached through another node only",
+                &self.detours,
+            ),
             (
                 "limited_endpoints",
                 "Endpoints that name a limit of requests a second",
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -3,7 +3,10 @@
 use std::{
     future::Future,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -53,6 +56,7 @@
     peers::{self, Peers},
     rpc::{self, Server},
     settings::Settings,
+    tunnel,
 };
 
 /// Prefix of every metric's name.
@@ -213,7 +217,10 @@
         admission: chain.admission.clone(),
         clock: chain.clock,
         phase: chain.phase.clone(),
+        tunnels: tunnel::Server::new(&chain),
     };
+    let tunnels = Arc::clone(&rpc_server.tunnels.count);
+    tokio::spawn(chain.paths.clone().watch(chain.admission.clone()));
     spawn_local(rpc::serve(listeners.peers, rpc_server));
     let link = Link::new(
         own_node.name.clone(),
@@ -255,7 +262,7 @@
         handler,
     ));
     wait_for_shutdown(&chain, reload).await?;
-    shut_down(&settings, &chain.phase, &registration, serving).await;
+    shut_down(&settings, &chain.phase, &registration, serving, &tunnels).await;
     Ok(())
 }
 
@@ -287,7 +294,12 @@
         dialect,
         plan: channels.plan.subscribe(),
         admission: admission::Handle::new(dispatcher, clock),
-        paths: Paths::new(UPSTREAM_LIMITS, Arc::new(Tcp(UPSTREAM_LIMITS))),
+        paths: Paths::new(
+            UPSTREAM_LIMITS,
+            Arc::new(Tcp(UPSTREAM_LIMITS)),
+            settings.node.clone(),
+            metrics.clone(),
+        ),
         answers: buffer::Pool::default(),
         limiter: Mutex::new(Limiter::new(settings.quotas)),
         budget: Mutex::new(Budget::new(settings.retries)),
@@ -471,6 +483,7 @@
     phase: &Phase,
     registration: &Registration<S>,
     serving: JoinHandle<()>,
+    tunnels: &AtomicUsize,
 ) {
     let grace = settings.bounds.grace;
     let notice_period = NOTICE_PERIOD.min(grace / NOTICE_DIVISOR);
@@ -482,7 +495,15 @@
     let drain_timeout = grace
         .saturating_sub(notice_period)
         .saturating_sub(GRACE_MARGIN);
-    let finished = timeout(drain_timeout, serving).await;
+    let finishing = async {
+        let served = serving.await;
+        // Requests of other nodes may still be on their way through this one.
+        while tunnels.load(Ordering::Relaxed) > 0 {
+            sleep(TICK).await;
+        }
+        served
+    };
+    let finished = timeout(drain_timeout, finishing).await;
     tracing::info!(whole = finished.is_ok(), "node stopped");
 }
 
--- a/gateway/src/paths.rs
+++ b/gateway/src/paths.rs
@@ -1,15 +1,60 @@
-//! Connections to endpoints.
+//! Connections to endpoints: direct ones, and those that another node passes on.
+//!
+//! A node can lose its path to endpoints that the other nodes still reach. If a direct
+//! connection is not opened at once, one is opened through another node as well. An
+//! endpoint that is reached that way only has a detour: its requests go that way first,
+//! until a direct connection succeeds again. A node that finds detours one after another
+//! without reaching any endpoint itself is isolated, and takes them for all endpoints.
 
-use std::{io, sync::Arc};
+use std::{
+    collections::{BTreeSet, HashMap},
+    io,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use dottereltally::pool::{self, Limits, Pool, Ready};
+use dottereltally_lib::id;
 use futures_util::{FutureExt, future::BoxFuture};
+use rand::seq::IndexedRandom;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net::TcpStream,
-    time::timeout,
+    select,
+    time::{Instant, interval, sleep, timeout},
+};
+
+use crate::{
+    admission,
+    metrics::Metrics,
+    tunnel::{self, Tunnel},
 };
 
+/// Time for a direct connection, after which another node is asked as well.
+const HEAD_START: Duration = Duration::from_millis(100);
+
+/// Time in which a refused connection may be opened through another node.
+const REFUSED_PATIENCE: Duration = Duration::from_millis(150);
+
+/// Detours without a direct success between them after which a node is isolated.
+const MIN_DETOURS: usize = 2;
+
+/// Time between two direct connections that are tried to an endpoint with a detour.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time after its last use for which a detour is kept.
+const DETOUR_TTL: Duration = Duration::from_secs(10);
+
+/// Time without a byte from any endpoint, while requests are at endpoints, after which
+/// their paths are checked.
+const SILENCE: Duration = Duration::from_millis(300);
+
+/// Interval at which this is looked for, and time between two checks.
+const CHECKS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(500));
+
+/// Endpoints whose paths are checked.
+const MAX_CHECKED: usize = 3;
+
 /// Opens connections to endpoints without another node.
 pub trait Dial: Send + Sync + 'static {
     /// Opens a connection to `address`, `ip:port`.
@@ -35,48 +80,371 @@
 
 impl<T: AsyncRead + AsyncWrite + Unpin + Send> Duplex for T {}
 
-/// The connections to endpoints.
-pub struct Paths {
+/// Another node that passes connections on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Carrier {
+    /// Its name.
+    pub name: id::Node,
+    /// Its address for calls, `ip:port`.
+    pub address: String,
+    /// Whether it is in the data centre of this node.
+    pub is_local: bool,
+}
+
+/// An open connection.
+enum Link {
+    Direct(TcpStream),
+    /// Through the node of this name.
+    Through(id::Node, Tunnel),
+}
+
+/// An endpoint that this node reaches only through others.
+#[derive(Clone, Debug)]
+struct Detour {
+    used: Instant,
+    /// The nodes through which connections were opened.
+    carriers: BTreeSet<id::Node>,
+}
+
+#[derive(Debug)]
+struct State {
+    carriers: Vec<Carrier>,
+    /// By the address of the endpoint.
+    detours: HashMap<String, Detour>,
+    /// Endpoints that were found to need a detour since the last direct success.
+    found_since_direct: BTreeSet<String>,
+    is_isolated: bool,
+    /// When the last bytes arrived from an endpoint without another node, or a path was
+    /// found whole.
+    last_heard: Instant,
+}
+
+struct Shared {
     limits: Limits,
-    /// Idle connections, by address.
+    /// Idle connections, by address, and name of the carrier if there is one.
     pool: Pool,
     dialer: Arc<dyn Dial>,
+    own_name: id::Node,
+    state: Mutex<State>,
+    metrics: Metrics,
+}
+
+/// The connections to endpoints; clones share them.
+#[derive(Clone)]
+pub struct Paths {
+    shared: Arc<Shared>,
+}
+
+/// Returns the key of idle connections to an endpoint through another node.
+fn key(address: &str, carrier: &id::Node) -> String {
+    format!("{address} {carrier}")
 }
 
 impl Paths {
-    /// Builds paths without connections.
+    /// Builds paths of the node `own_name`, without connections.
     #[must_use]
-    pub fn new(limits: Limits, dialer: Arc<dyn Dial>) -> Self {
-        Self {
+    pub fn new(
+        limits: Limits,
+        dialer: Arc<dyn Dial>,
+        own_name: id::Node,
+        metrics: Metrics,
+    ) -> Self {
+        let state = State {
+            carriers: Vec::new(),
+            detours: HashMap::new(),
+            found_since_direct: BTreeSet::new(),
+            is_isolated: false,
+            last_heard: Instant::now(),
+        };
+        let shared = Shared {
             limits,
             pool: Pool::new(limits),
             dialer,
+            own_name,
+            state: Mutex::new(state),
+            metrics,
+        };
+        Self {
+            shared: Arc::new(shared),
         }
     }
 
-    async fn dial(&self, address: &str) -> io::Result<TcpStream> {
-        timeout(self.limits.connect, self.dialer.dial(address)).await?
+    /// Sets the nodes that pass connections on.
+    pub fn set_carriers(&self, carriers: Vec<Carrier>) {
+        self.lock().carriers = carriers;
+    }
+
+    /// Returns whether this node seems to have lost its paths to all endpoints.
+    #[must_use]
+    pub fn is_isolated(&self) -> bool {
+        self.lock().is_isolated
+    }
+
+    /// Returns what opens direct connections.
+    #[must_use]
+    pub fn dialer(&self) -> Arc<dyn Dial> {
+        Arc::clone(&self.shared.dialer)
+    }
+
+    /// Returns the name of the node that passes a connection on, if there is one.
+    #[must_use]
+    pub fn carrier(connection: &Ready) -> Option<&str> {
+        let (_, carrier) = connection.key().split_once(' ')?;
+        Some(carrier)
+    }
+
+    /// Records that bytes arrived from an endpoint.
+    pub fn record_heard(&self) {
+        self.lock().last_heard = Instant::now();
+    }
+
+    /// Records that an endpoint answered on a direct connection.
+    pub fn record_direct(&self) {
+        self.lock().record_direct();
     }
 
     /// Takes an idle connection to an endpoint, or opens one.
     ///
     /// # Errors
     ///
-    /// Fails if the endpoint can't be reached.
+    /// Fails if the endpoint can't be reached, neither directly nor through another node.
     pub async fn connect(&self, address: &str) -> io::Result<Ready> {
-        if let Some(ready) = self.pool.take_idle(address).await {
-            return Ok(ready);
+        for key in self.idle_keys(address) {
+            if let Some(ready) = self.shared.pool.take_idle(&key).await {
+                return Ok(ready);
+            }
+        }
+        match self.reach(address).await? {
+            Link::Direct(stream) => self.shared.pool.adopt(address, stream).await,
+            Link::Through(carrier, tunnel) => {
+                let key = key(address, &carrier);
+                self.shared.pool.adopt(&key, tunnel).await
+            }
         }
-        let stream = self.dial(address).await?;
-        self.pool.adopt(address, stream).await
     }
 
     /// Opens a connection to an endpoint that is used once.
     ///
     /// # Errors
     ///
-    /// Fails if the endpoint can't be reached.
+    /// Fails if the endpoint can't be reached, neither directly nor through another node.
     pub async fn open(&self, address: &str) -> io::Result<Box<dyn Duplex>> {
-        Ok(Box::new(self.dial(address).await?))
+        Ok(match self.reach(address).await? {
+            Link::Direct(stream) => Box::new(stream),
+            Link::Through(_, tunnel) => Box::new(tunnel),
+        })
+    }
+
+    /// Returns the keys of the idle connections that may be used.
+    fn idle_keys(&self, address: &str) -> Vec<String> {
+        let state = self.lock();
+        if !state.prefers_detour(address) {
+            return vec![address.to_owned()];
+        }
+        let Some(detour) = state.detours.get(address) else {
+            return Vec::new();
+        };
+        let carriers = state.carriers.iter();
+        let used = carriers.filter(|carrier| detour.carriers.contains(&carrier.name));
+        used.map(|carrier| key(address, &carrier.name)).collect()
+    }
+
+    async fn dial(&self, address: &str) -> io::Result<TcpStream> {
+        let dialing = self.shared.dialer.dial(address);
+        timeout(self.shared.limits.connect, dialing).await?
+    }
+
+    /// Opens a connection in whichever way succeeds.
+    async fn reach(&self, address: &str) -> io::Result<Link> {
+        if self.lock().prefers_detour(address)
+            && let Ok(link) = self.reach_through(address).await
+        {
+            return Ok(link);
+        }
+        let direct = self.dial(address);
+        tokio::pin!(direct);
+        let first = select! {
+            opened = &mut direct => Some(opened),
+            () = sleep(HEAD_START) => None,
+        };
+        match first {
+            Some(Ok(stream)) => return Ok(self.use_direct(address, stream)),
+            Some(Err(error)) => {
+                let through = timeout(REFUSED_PATIENCE, self.reach_through(address));
+                return through.await.ok().and_then(Result::ok).ok_or(error);
+            }
+            None => {}
+        }
+        let through = self.reach_through(address);
+        tokio::pin!(through);
+        select! {
+            opened = &mut direct => Ok(self.use_direct(address, opened?)),
+            opened = &mut through => match opened {
+                Ok(link) => Ok(link),
+                Err(_) => Ok(self.use_direct(address, direct.await?)),
+            },
+        }
+    }
+
+    fn use_direct(&self, address: &str, stream: TcpStream) -> Link {
+        self.end_detour(address, "a direct connection was opened");
+        Link::Direct(stream)
+    }
+
+    /// Opens a connection through another node, and records the detour.
+    async fn reach_through(&self, address: &str) -> io::Result<Link> {
+        let mut last = io::Error::from(io::ErrorKind::HostUnreachable);
+        for carrier in self.choose_carriers() {
+            let own_name = self.shared.own_name.as_str();
+            match tunnel::open(&carrier.address, own_name, address).await {
+                Ok(tunnel) => {
+                    self.record_detour(address, &carrier.name);
+                    return Ok(Link::Through(carrier.name, tunnel));
+                }
+                Err(error) => {
+                    tracing::debug!(address, carrier = %carrier.name, %error, "endpoint not reached through another node");
+                    last = error;
+                }
+            }
+        }
+        Err(last)
+    }
+
+    /// Returns a node of the own data centre to ask, and then one of another, which may
+    /// have a path that the whole data centre has lost.
+    fn choose_carriers(&self) -> Vec<Carrier> {
+        let state = self.lock();
+        let (local, remote): (Vec<&Carrier>, Vec<&Carrier>) =
+            state.carriers.iter().partition(|carrier| carrier.is_local);
+        let mut rng = rand::rng();
+        let chosen = [local, remote].map(|group| group.choose(&mut rng).copied().cloned());
+        chosen.into_iter().flatten().collect()
+    }
+
+    /// Records that an endpoint was reached through another node only.
+    fn record_detour(&self, address: &str, carrier: &id::Node) {
+        let mut state = self.lock();
+        let is_new = !state.detours.contains_key(address);
+        let detour = state.detours.entry(address.to_owned());
+        let detour = detour.or_insert_with(|| Detour {
+            used: Instant::now(),
+            carriers: BTreeSet::new(),
+        });
+        detour.used = Instant::now();
+        detour.carriers.insert(carrier.clone());
+        if !is_new {
+            return;
+        }
+        state.found_since_direct.insert(address.to_owned());
+        let was_isolated = state.is_isolated;
+        state.is_isolated |= state.found_since_direct.len() >= MIN_DETOURS;
+        let is_isolated = state.is_isolated;
+        self.report(&state);
+        drop(state);
+        tracing::info!(address, %carrier, is_isolated, "endpoint is reached through another node only");
+        if is_isolated && !was_isolated {
+            tracing::warn!("no endpoint is reached without another node");
+        }
+        let paths = self.clone();
+        let address = address.to_owned();
+        tokio::spawn(async move { paths.probe(&address).await });
+    }
+
+    /// Tries direct connections to an endpoint with a detour until one succeeds, or the
+    /// detour is no longer used.
+    async fn probe(&self, address: &str) {
+        loop {
+            sleep(PROBE_INTERVAL).await;
+            let used = self.lock().detours.get(address).map(|detour| detour.used);
+            let Some(used) = used else {
+                return;
+            };
+            if self.dial(address).await.is_ok() {
+                self.end_detour(address, "a direct connection was opened");
+                return;
+            }
+            if used.elapsed() > DETOUR_TTL {
+                self.lock().detours.remove(address);
+                return;
+            }
+        }
+    }
+
+    /// Records a direct connection to an endpoint.
+    fn end_detour(&self, address: &str, cause: &str) {
+        let mut state = self.lock();
+        let was_isolated = state.is_isolated;
+        state.record_direct();
+        let ended = state.detours.remove(address).is_some();
+        self.report(&state);
+        drop(state);
+        if ended {
+            tracing::info!(
+                address,
+                cause,
+                was_isolated,
+                "endpoint is reached directly again"
+            );
+        }
+    }
+
+    fn report(&self, state: &State) {
+        let detours = i64::try_from(state.detours.len()).unwrap_or(i64::MAX);
+        self.shared.metrics.detours.set(detours);
+    }
+
+    /// Checks the paths to endpoints that have requests of this node while none of them
+    /// is heard; never returns.
+    pub async fn watch(self, admission: admission::Handle) {
+        let mut ticks = interval(CHECKS.0);
+        loop {
+            ticks.tick().await;
+            let silent = {
+                let state = self.lock();
+                !state.is_isolated && state.last_heard.elapsed() >= SILENCE
+            };
+            if !silent {
+                continue;
+            }
+            let addresses = admission.read(|dispatcher| dispatcher.busy_addresses(MAX_CHECKED));
+            if addresses.is_empty() {
+                self.record_heard();
+                continue;
+            }
+            let mut checks = Vec::new();
+            for address in addresses {
+                let paths = self.clone();
+                checks.push(async move { paths.check(&address).await });
+            }
+            futures_util::future::join_all(checks).await;
+            sleep(CHECKS.1).await;
+        }
+    }
+
+    async fn check(&self, address: &str) {
+        if self.dial(address).await.is_ok() {
+            self.lock().record_direct();
+            return;
+        }
+        if let Err(error) = self.reach_through(address).await {
+            tracing::debug!(address, %error, "endpoint not reached in any way");
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        let state = self.shared.state.lock();
+        state.unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn prefers_detour(&self, address: &str) -> bool {
+        self.is_isolated || self.detours.contains_key(address)
+    }
+
+    fn record_direct(&mut self) {
+        self.last_heard = Instant::now();
+        self.found_since_direct.clear();
+        self.is_isolated = false;
     }
 }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -22,6 +22,7 @@
     directory::Node,
     heartbeat::Heartbeat,
     origins,
+    paths::Carrier,
 };
 
 /// Interval at which due heartbeats and silent nodes are looked for.
@@ -81,6 +82,8 @@
     last_received: Option<time::Instant>,
     /// Whether its heartbeats stopped.
     silent: bool,
+    /// Whether it passes connections to endpoints on.
+    carries: bool,
     /// When the next heartbeat is to be sent to it.
     due: time::Instant,
 }
@@ -187,6 +190,7 @@
                 sequence: 0,
                 last_received: None,
                 silent: false,
+                carries: false,
                 due: now,
             });
             peer.address = address;
@@ -214,7 +218,8 @@
         self.elect_coordinators();
     }
 
-    /// Passes the nodes that are not silent to the memory of streams.
+    /// Passes the nodes that are not silent to the memory of streams, and those that pass
+    /// connections on to the paths.
     fn update_candidates(&self) {
         let mut candidates = Vec::new();
         for (name, peer) in &self.peers {
@@ -228,6 +233,19 @@
             });
         }
         self.arguments.chain.origins.set_nodes(candidates);
+        let mut carriers = Vec::new();
+        for (name, node) in &self.registered {
+            let peer = self.peers.get(name);
+            let Some(peer) = peer.filter(|peer| peer.carries && !peer.silent) else {
+                continue;
+            };
+            carriers.push(Carrier {
+                name: name.clone(),
+                address: node.rpc_address.clone(),
+                is_local: peer.local,
+            });
+        }
+        self.arguments.chain.paths.set_carriers(carriers);
     }
 
     /// Determines the coordinator of each data centre among the live nodes.
@@ -284,6 +302,7 @@
             sequence: 0,
             last_received: None,
             silent: false,
+            carries: false,
             due: now,
         });
         if peer.incarnation == heartbeat.incarnation && heartbeat.sequence <= peer.sequence {
@@ -299,7 +318,8 @@
                 "receiving heartbeats from node"
             );
         }
-        let moved = peer.address != from;
+        let moved = peer.address != from || peer.carries != heartbeat.carries;
+        peer.carries = heartbeat.carries;
         peer.address = from;
         peer.incarnation = heartbeat.incarnation;
         peer.sequence = heartbeat.sequence;
@@ -392,6 +412,7 @@
             loads: chain.admission.take_load(),
             usage: lock(&chain.limiter).take_usage(now),
             marks: chain.crashes.marks_to_share(),
+            carries: !chain.phase.is_announced() && !chain.paths.is_isolated(),
             limits: chain.admission.read(|dispatcher| dispatcher.limits(now)),
         }
     }
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -266,6 +266,7 @@
         if let Some(upstream) = &mut self.upstream {
             let now = Instant::now();
             upstream.place.record_heard();
+            self.chain.paths.record_heard();
             upstream.timing.events += batch.events;
             upstream.timing.longest_pause = upstream
                 .timing
--- a/gateway/src/rpc.rs
+++ b/gateway/src/rpc.rs
@@ -22,7 +22,7 @@
 
 use crate::{
     admission, coordinator::Session, directory::Snapshot, heartbeat::read_loads,
-    node::UPSTREAM_LIMITS,
+    node::UPSTREAM_LIMITS, tunnel,
 };
 
 /// Time for another node to return its directory.
@@ -59,6 +59,8 @@
     /// Phase of the shutdown; a node that announced it refuses to be a
     /// coordinator.
     pub phase: Phase,
+    /// Passes connections on.
+    pub tunnels: tunnel::Server,
 }
 
 impl directory::Server for Server {
@@ -115,21 +117,31 @@
             tracing::debug!(%error, "connection of a node closed during setup");
             continue;
         }
-        let network = match stream::network(stream, Side::Server, &Metrics::default()) {
-            Ok(network) => network,
-            Err(error) => {
-                tracing::debug!(%error, "connection of a node closed during setup");
-                continue;
-            }
-        };
-        let client: directory::Client = capnp_rpc::new_client(server.clone());
-        let system = RpcSystem::new(Box::new(network), Some(client.client));
-        spawn_local(async move {
-            // The other node closes the connection, or the keepalive probes end it.
-            if let Err(error) = system.await {
-                tracing::debug!(%error, "connection of a node ended");
-            }
-        });
+        spawn_local(serve_connection(stream, server.clone()));
+    }
+}
+
+async fn serve_connection(stream: TcpStream, server: Server) {
+    match tunnel::is_tunnel(&stream).await {
+        Ok(true) => return server.tunnels.serve(stream).await,
+        Ok(false) => {}
+        Err(error) => {
+            tracing::debug!(%error, "connection of a node closed during setup");
+            return;
+        }
+    }
+    let network = match stream::network(stream, Side::Server, &Metrics::default()) {
+        Ok(network) => network,
+        Err(error) => {
+            tracing::debug!(%error, "connection of a node closed during setup");
+            return;
+        }
+    };
+    let client: directory::Client = capnp_rpc::new_client(server);
+    let system = RpcSystem::new(Box::new(network), Some(client.client));
+    // The other node closes the connection, or the keepalive probes end it.
+    if let Err(error) = system.await {
+        tracing::debug!(%error, "connection of a node ended");
     }
 }
 
--- a/gateway/tests/common/cluster.rs
+++ b/gateway/tests/common/cluster.rs
@@ -8,7 +8,7 @@
     origins,
     paths::{Dial, Tcp},
     peers::{self, Peers},
-    rpc,
+    rpc, tunnel,
 };
 use dottereltally_lib::{endpoint::Record, id};
 use ractor::{Actor, ActorRef};
@@ -41,6 +41,7 @@
         admission: gateway.chain.admission.clone(),
         clock: gateway.chain.clock,
         phase: gateway.chain.phase.clone(),
+        tunnels: tunnel::Server::new(&gateway.chain),
     };
     std::thread::spawn(move || {
         let mut builder = tokio::runtime::Builder::new_current_thread();
@@ -64,12 +65,17 @@
 
     /// Starts another node, which the others learn of.
     pub async fn add(&mut self) {
-        self.add_over(Vec::new(), Arc::new(Tcp(UPSTREAM_LIMITS)))
+        self.add_over("dc", Vec::new(), Arc::new(Tcp(UPSTREAM_LIMITS)))
             .await;
     }
 
     /// Starts another node, which reaches these endpoints in this way.
-    pub async fn add_over(&mut self, records: Vec<Record>, dialer: Arc<dyn Dial>) {
+    pub async fn add_over(
+        &mut self,
+        data_centre: &str,
+        records: Vec<Record>,
+        dialer: Arc<dyn Dial>,
+    ) {
         let name = format!("n{}", self.nodes.len());
         let gateway = Gateway::start_over(&name, Some(plan()), records, dialer).await;
         let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
@@ -77,7 +83,7 @@
         let node = Node {
             name: id::Node::from(name),
             address: address.to_string(),
-            data_centre: id::DataCentre::from("dc"),
+            data_centre: id::DataCentre::from(data_centre),
             rpc_address: serve_calls(&gateway).to_string(),
             millicores: 0,
         };
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -502,7 +502,6 @@
         records: Vec<Record>,
         dialer: Arc<dyn Dial>,
     ) -> Self {
-        let limits = UPSTREAM_LIMITS;
         let clock = Clock::start();
         let mut dispatcher = Dispatcher::new(Settings {
             data_centre: id::DataCentre::from("dc"),
@@ -526,7 +525,12 @@
             dialect: TestHeaders,
             plan: plan.subscribe(),
             admission: admission::Handle::new(dispatcher, clock),
-            paths: Paths::new(limits, dialer),
+            paths: Paths::new(
+                UPSTREAM_LIMITS,
+                dialer,
+                id::Node::from(name),
+                metrics.clone(),
+            ),
             answers: buffer::Pool::default(),
             limiter: Mutex::new(Limiter::new(Tolerance::default())),
             budget: Mutex::new(Budget::new(budget::Limits {
@@ -540,6 +544,7 @@
             phase: Phase::default(),
         });
         tokio::spawn(examiner::run(Arc::clone(&chain), tasks.lost));
+        tokio::spawn(chain.paths.clone().watch(chain.admission.clone()));
         tokio::spawn(tick_dispatcher(chain.admission.clone()));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
--- a/gateway/tests/test_coordinator.rs
+++ b/gateway/tests/test_coordinator.rs
@@ -19,6 +19,7 @@
     coordinator::{self, Link},
     directory::{Node, Snapshot},
     rpc::{self, Server},
+    tunnel,
 };
 use dottereltally_lib::{
     dispatcher::{Dispatcher, Load, Outcome, Request, Settings, Timing},
@@ -176,6 +177,7 @@
         };
         let phase = Phase::default();
         let server = Server {
+            tunnels: tunnel::Server::closed(coordinator.clone()),
             snapshot: watch::Sender::new(Arc::new(snapshot)).subscribe(),
             admission: coordinator.clone(),
             clock,
--- a/gateway/tests/test_cut.rs
+++ b/gateway/tests/test_cut.rs
@@ -46,10 +46,11 @@
         }
         let mut cluster = Cluster::default();
         let mut dialers = Vec::new();
-        for _ in 0..nodes {
+        for number in 0..nodes {
             let dialer = Dialer::default();
+            let data_centre = if number < 2 { "dc" } else { "far" };
             cluster
-                .add_over(records.clone(), Arc::new(dialer.clone()))
+                .add_over(data_centre, records.clone(), Arc::new(dialer.clone()))
                 .await;
             dialers.push(dialer);
         }
@@ -111,11 +112,12 @@
 #[case::silent(3, &[0], Paths::Silent, "/safe/x")]
 #[case::reset(3, &[0], Paths::Reset, "/safe/x")]
 #[case::most_silent(5, &[0, 1, 2], Paths::Silent, "/safe/x")]
+#[case::whole_data_centre_silent(4, &[0, 1], Paths::Silent, "/safe/x")]
+#[case::whole_data_centre_reset(4, &[0, 1], Paths::Reset, "/safe/x")]
 #[case::streams_silent(3, &[0], Paths::Silent, "/stream/x")]
 #[case::once_silent(3, &[0], Paths::Silent, "/once/x")]
 #[case::once_reset(3, &[0], Paths::Reset, "/once/x")]
 #[tokio::test]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn nodes_without_a_path_to_endpoints_serve_their_callers(
     #[case] nodes: usize,
     #[case] cut: &[usize],
--- a/gateway/tests/test_heartbeat.rs
+++ b/gateway/tests/test_heartbeat.rs
@@ -42,6 +42,7 @@
                 valid: Duration::from_secs(3),
             })
             .to_vec(),
+        carries: true,
         limits: vec![limit_report("e", Some("1.8")), limit_report("f", None)],
     };
     let bytes = heartbeat.encode().unwrap();
--- a/gateway/tests/test_rpc.rs
+++ b/gateway/tests/test_rpc.rs
@@ -11,6 +11,7 @@
     admission::Handle,
     directory::{Entry, Node, Snapshot},
     rpc::{self, Server},
+    tunnel,
 };
 use dottereltally_lib::{
     dispatcher::{Dispatcher, Settings},
@@ -60,6 +61,9 @@
     let (_sender, receiver) = watch::channel(Arc::new(known));
     let clock = Clock::start();
     let server = Server {
+        tunnels: tunnel::Server::closed(
+            Handle::new(Dispatcher::new(Settings::default()), clock).clone(),
+        ),
         snapshot: receiver,
         admission: Handle::new(Dispatcher::new(Settings::default()), clock),
         clock,
--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -706,6 +706,26 @@
         queue.is_some_and(|queue| has_candidate(now, &self.members, queue, request))
     }
 
+    /// Returns whether a listed endpoint has this address, `ip:port`.
+    #[must_use]
+    pub fn has_address(&self, address: &str) -> bool {
+        let mut members = self.members.values();
+        members.any(|member| member.listed && member.record.address == address)
+    }
+
+    /// Returns the addresses of endpoints that have requests of this node, `most` of
+    /// them.
+    #[must_use]
+    pub fn busy_addresses(&self, most: usize) -> Vec<String> {
+        let mut busy = Vec::new();
+        for member in self.members.values() {
+            if busy.len() < most && member.own_requests > 0 {
+                busy.push(member.record.address.clone());
+            }
+        }
+        busy
+    }
+
     /// Returns the listed endpoints of a data centre that take new requests.
     #[must_use]
     pub fn live_endpoints(&self, data_centre: &id::DataCentre) -> Vec<endpoint::Record> {
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -260,6 +260,12 @@
 }
 
 impl Ready {
+    /// Returns the key under which the connection is kept while it is idle.
+    #[must_use]
+    pub fn key(&self) -> &str {
+        &self.address
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// Dropping the future cancels the request.
--- a/proto/schema/gateway.capnp
+++ b/proto/schema/gateway.capnp
@@ -15,6 +15,8 @@
   usage @6 :List(Usage);
   marks @7 :List(Mark);
   limits @8 :List(Limit);
+  # Whether the node passes connections to endpoints on for others.
+  carries @9 :Bool;
 }
 
 # What an endpoint said last about the requests a second that it takes.
--- a/proto/src/gateway_capnp.rs
+++ b/proto/src/gateway_capnp.rs
@@ -126,11 +126,15 @@
         pub fn has_limits(&self) -> bool {
             !self.reader.get_pointer_field(5).is_null()
         }
+        #[inline]
+        pub fn get_carries(self) -> bool {
+            self.reader.get_bool_field(192)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 6 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -300,6 +304,14 @@
         pub fn has_limits(&self) -> bool {
             !self.builder.is_pointer_field_null(5)
         }
+        #[inline]
+        pub fn get_carries(self) -> bool {
+            self.builder.get_bool_field(192)
+        }
+        #[inline]
+        pub fn set_carries(&mut self, value: bool)  {
+            self.builder.set_bool_field(192, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -311,87 +323,94 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 172] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 187] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(99, 102, 229, 232, 187, 231, 249, 147),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(39, 106, 78, 201, 208, 163, 248, 177),
             ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 66, 101),
             ::capnp::word(97, 116, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 192, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 111, 100, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -484,6 +503,14 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 97, 114, 114, 105, 101, 115, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -496,6 +523,7 @@
                 6 => <::capnp::struct_list::Owned<crate::gateway_capnp::usage::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 7 => <::capnp::struct_list::Owned<crate::gateway_capnp::mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 8 => <::capnp::struct_list::Owned<crate::gateway_capnp::limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                9 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -509,9 +537,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,4,5,1,8,7,0,2,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,3,4,5,1,8,7,0,2,6];
         pub(crate) const TYPE_ID: u64 = 0x93f9_e7bb_e8e5_6663;
     }
 }
