--- a/gateway/src/paths.rs
+++ b/gateway/src/paths.rs
@@ -287,7 +287,7 @@
     }
 
     fn use_direct(&self, address: &str, stream: TcpStream) -> Link {
-        self.end_detour(address, "a direct connection was opened");
+        self.end_detour(address);
         Link::Direct(stream)
     }
 
@@ -360,7 +360,7 @@
                 return;
             };
             if self.dial(address).await.is_ok() {
-                self.end_detour(address, "a direct connection was opened");
+                self.end_detour(address);
                 return;
             }
             if used.elapsed() > DETOUR_TTL {
@@ -371,7 +371,7 @@
     }
 
     /// Records a direct connection to an endpoint.
-    fn end_detour(&self, address: &str, cause: &str) {
+    fn end_detour(&self, address: &str) {
         let mut state = self.lock();
         let was_isolated = state.is_isolated;
         state.record_direct();
@@ -379,12 +379,7 @@
         self.report(&state);
         drop(state);
         if ended {
-            tracing::info!(
-                address,
-                cause,
-                was_isolated,
-                "endpoint is reached directly again"
-            );
+            tracing::info!(address, was_isolated, "endpoint is reached directly again");
         }
     }
 
