--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -25,9 +25,10 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    chain::{Chain, Job, end_to_end_headers},
+    chain::{Chain, end_to_end_headers},
     dialect::{Dialect, Forward, Head},
     events::{Batch, Splitter},
+    job::Job,
     paths::Paths,
 };
 
--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -1,5 +1,4 @@
-//! Serves one request: checks it, finds its route, charges its quota, and sends
-//! it to endpoints until one answers.
+//! Serves one request: accepts it, and sends it to endpoints until one answers.
 
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -8,35 +7,35 @@
 
 use bytes::Bytes;
 use dottereltally::{
-    body::Body, clock::Clock, dispatch::strip_hop_by_hop, filter, problem::Reason, shutdown::Phase,
+    body::Body, clock::Clock, dispatch::strip_hop_by_hop, problem::Reason, shutdown::Phase,
 };
 use dottereltally_lib::{
     budget::Budget,
     crash::Subject,
-    dispatcher::{self, Choice, Dispatcher, Timing},
+    dispatcher::{Choice, Dispatcher, Timing},
     id,
     origin::Origin,
     plan::Plan,
     quota::Limiter,
     refusal,
-    route::{Retry, Route},
+    route::Retry,
     share::{NotARate, Rate},
     time,
 };
 use dottereltally_store::buffer;
 use http::{
     HeaderMap, HeaderValue, Response, StatusCode,
-    header::{CONNECTION, EXPECT, HOST, TRANSFER_ENCODING},
+    header::{CONNECTION, EXPECT, TRANSFER_ENCODING},
     request::Parts,
 };
-use tokio::{sync::watch, time::timeout};
-use xxhash_rust::xxh3::Xxh3;
+use tokio::sync::watch;
 
 use crate::{
     admission,
-    attempt::{self, Attempt, End, Template},
+    attempt::{self, Attempt, End},
     crashes,
     dialect::{Dialect, Head},
+    job::{Job, Progress},
     metrics::Metrics,
     origins,
     paths::Paths,
@@ -47,17 +46,15 @@
 
 /// Retry delay of refusals for which no better one is known, such as those of a
 /// node that has no plan yet.
-const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
+pub(crate) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Retry delay of a request that is suspected of crashing endpoints while another
 /// copy of it runs.
 const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Retry delay of requests that another node may be able to serve at once.
-const OTHER_NODE_RETRY_AFTER: Duration = Duration::from_millis(100);
-/// Failed connection attempts after which a request is abandoned.
-const MAX_CONNECT_FAILURES: u32 = 6;
+pub(crate) const OTHER_NODE_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Subtracted from the caller's time limits, so that the answer reaches it in
 /// time.
-const ANSWER_MARGIN: Duration = Duration::from_millis(10);
+pub(crate) const ANSWER_MARGIN: Duration = Duration::from_millis(10);
 
 /// The state that the steps of serving a request share.
 pub struct Chain<D> {
@@ -87,70 +84,6 @@
     pub phase: Phase,
 }
 
-/// An accepted request: routed, and charged against its quota.
-pub struct Job {
-    /// Identifies the caller's attempt; the `id` of its log lines.
-    pub correlation_id: String,
-    /// Its route.
-    pub route: Arc<Route>,
-    /// The service that serves it.
-    pub service: id::Service,
-    /// The caller's workspace; `None` where no key is needed.
-    pub workspace: Option<id::Workspace>,
-    /// Its tier.
-    pub tier: id::Tier,
-    /// Tokens of its prompt and of its expected answer; zeros if the caller sent
-    /// no token counts.
-    pub tokens: (u64, u64),
-    /// When it was received.
-    pub received: time::Instant,
-    /// When its answer is no longer of use.
-    pub deadline: time::Instant,
-    /// When the caller gives up without a first byte.
-    pub first_byte_deadline: time::Instant,
-    /// What may crash endpoints: the request, or a part of its prompt.
-    pub subject: Subject,
-    /// The software version that began the stream that it continues; `None` if
-    /// any version may serve it.
-    pub version: Option<id::Version>,
-    /// The message to endpoints, whichever is chosen.
-    pub template: Template,
-}
-
-impl Job {
-    /// Returns what the dispatcher needs to know to choose an endpoint;
-    /// `excluded` lists those that were tried before.
-    #[must_use]
-    pub fn request(&self, excluded: &[id::Endpoint]) -> dispatcher::Request {
-        dispatcher::Request {
-            service: self.service.clone(),
-            tier: self.tier,
-            class: self.route.tier,
-            prompt: self.tokens.0,
-            expected_output: self.tokens.1,
-            max_pause: self.route.pause,
-            first_byte_due: self.received + self.route.objective,
-            caller_leaves_at: self.first_byte_deadline,
-            deadline: self.deadline,
-            excluded: excluded.to_vec(),
-            version: self.version.clone(),
-            resumable: self.route.retry == Retry::Resume,
-        }
-    }
-}
-
-/// How far a request got: decides about retries and is logged at the end.
-#[derive(Default)]
-pub struct Progress {
-    /// Endpoints that were tried, also those that could not be reached.
-    pub tried: Vec<id::Endpoint>,
-    /// Sends that reached an endpoint or may have.
-    pub sends: u32,
-    /// Whether an endpoint may have run it.
-    pub may_have_run: bool,
-    connect_failures: u32,
-}
-
 impl<D: Dialect> Chain<D> {
     /// Serves one request.
     pub async fn serve<B>(self: Arc<Self>, request: http::Request<B>) -> Response<Body>
@@ -230,139 +163,6 @@
         self.send(job).await
     }
 
-    /// Checks, routes and charges a request before it is sent.
-    async fn accept<B>(
-        &self,
-        received: time::Instant,
-        head: Head,
-        parts: Parts,
-        mut body: B,
-    ) -> Result<Job, Refused>
-    where
-        B: http_body::Body<Data = Bytes> + Unpin + Send,
-    {
-        let plan = self.plan.borrow().clone();
-        let Some(plan) = plan else {
-            let refused = Refused::unsent(
-                StatusCode::SERVICE_UNAVAILABLE,
-                Reason::NoConfiguration,
-                "this node has no configuration yet; send the request again",
-            );
-            return Err(refused.with_retry_after(DEFAULT_RETRY_AFTER).closing());
-        };
-        filter::check_head(&parts, plan.limits.head).map_err(refuse_and_close)?;
-        let host = host(&parts.headers)?;
-        let route = plan.routes.find(host, parts.uri.path()).ok_or_else(|| {
-            Refused::unsent(
-                StatusCode::NOT_FOUND,
-                Reason::NoCall,
-                "no route matches; check host and path",
-            )
-        })?;
-        let workspace = workspace(&plan, route, &head)?;
-        let receiving = filter::collect(&mut body, plan.limits.body);
-        let Ok(body) = timeout(plan.limits.receive, receiving).await else {
-            let refused = Refused::unsent(
-                StatusCode::REQUEST_TIMEOUT,
-                Reason::SlowSender,
-                "the body did not arrive in time; send the request again",
-            );
-            return Err(refused.closing());
-        };
-        let body = body.map_err(refuse_and_close)?;
-        // A stream that its caller resumes goes on at the service that began it.
-        let first_attempt = resumed_after(route, &head).and(head.resumes.as_ref());
-        let target = first_attempt.unwrap_or(&head.correlation_id);
-        let service = route.service(hash(&[target.as_bytes()]));
-        let service = service.ok_or_else(|| {
-            let refused = Refused::unsent(
-                StatusCode::SERVICE_UNAVAILABLE,
-                Reason::Core(refusal::Reason::NoEndpoint),
-                "the route leads to no service; give one of its targets a weight",
-            );
-            refused.with_retry_after(DEFAULT_RETRY_AFTER)
-        })?;
-        let subject = self.subject(&parts, &head, &body);
-        self.check_quarantine(&head.correlation_id, &subject)?;
-        let time_limit = head
-            .remaining
-            .map_or(route.timeout, |remaining| remaining.min(route.timeout));
-        let deadline = received + time_limit - ANSWER_MARGIN;
-        let version = match resumed_after(route, &head) {
-            Some(after) => Some(self.find_version(&head, service, deadline, after).await?),
-            None => None,
-        };
-        let tier = self.charge(&plan, route, workspace.as_ref(), &head)?;
-        let patience = route.patience.unwrap_or(time_limit);
-        Ok(Job {
-            correlation_id: head.correlation_id.clone(),
-            route: Arc::clone(route),
-            service: service.clone(),
-            workspace: workspace.clone(),
-            tier,
-            tokens: expected_tokens(&head),
-            received,
-            deadline,
-            first_byte_deadline: deadline.min(received + patience - ANSWER_MARGIN),
-            subject,
-            version,
-            template: Template::new(parts, body, head, workspace, plan.workspaces.is_some()),
-        })
-    }
-
-    /// Finds the version that began a stream, which is to go on after the event
-    /// `after`.
-    ///
-    /// # Errors
-    ///
-    /// Fails with a refusal if the version is not known for certain.
-    async fn find_version(
-        &self,
-        head: &Head,
-        service: &id::Service,
-        deadline: time::Instant,
-        after: u64,
-    ) -> Result<id::Version, Refused> {
-        let started = self.clock.now();
-        let remaining = deadline.since(started);
-        let resumes = head.resumes.as_deref();
-        let found = self.origins.find(resumes, service, remaining).await;
-        let took = millis(self.clock.now().since(started));
-        match found {
-            Ok(found) => {
-                tracing::info!(
-                    id = head.correlation_id,
-                    resumes,
-                    service = %service,
-                    after,
-                    version = %found.version,
-                    source = %found.source,
-                    took_ms = took,
-                    "stream is resumed by its caller"
-                );
-                Ok(found.version)
-            }
-            Err(cause) => {
-                tracing::info!(
-                    id = head.correlation_id,
-                    resumes,
-                    service = %service,
-                    after,
-                    %cause,
-                    took_ms = took,
-                    "stream not resumed for its caller: the version that began it is unknown"
-                );
-                let refused = Refused::unsent(
-                    StatusCode::SERVICE_UNAVAILABLE,
-                    Reason::UnknownVersion,
-                    "this node does not know the software version that began the stream; \
-                     send the request to another node",
-                );
-                Err(refused.with_retry_after(OTHER_NODE_RETRY_AFTER))
-            }
-        }
-    }
-
     /// Remembers where a stream began; call this when its first events are about
     /// to be relayed.
     pub fn remember_origin(&self, job: &Job, choice: &Choice) {
@@ -378,39 +178,9 @@
         self.origins.remember(&job.correlation_id, &origin);
     }
 
-    /// Returns what may crash endpoints, and counts what was not read of it.
-    fn subject(&self, parts: &Parts, head: &Head, body: &Bytes) -> Subject {
-        if head.unread_parts > 0 {
-            let unread = u64::try_from(head.unread_parts).unwrap_or(u64::MAX);
-            self.metrics.unread_parts.inc_by(unread);
-            tracing::info!(
-                id = head.correlation_id,
-                unread,
-                read = head.parts.len(),
-                "parts of the prompt are not read: they are no ids, or too many"
-            );
-        }
-        Subject {
-            request: fingerprint(parts, head, body),
-            parts: head.parts.iter().copied().map(Into::into).collect(),
-        }
-    }
-
-    /// Refuses requests that are known to crash endpoints, or whose prompts have a part
-    /// that is.
-    fn check_quarantine(&self, correlation_id: &str, subject: &Subject) -> Result<(), Refused> {
-        let refused = self
-            .crashes
-            .read(|detector, now| detector.refused(now, subject));
-        if refused.is_none() {
-            return Ok(());
-        }
-        Err(self.refuse_quarantined(correlation_id, subject, false))
-    }
-
     /// Refuses a request that may crash endpoints, which was not sent now; an
     /// earlier attempt may have run it.
-    fn refuse_quarantined(
+    pub(crate) fn refuse_quarantined(
         &self,
         correlation_id: &str,
         subject: &Subject,
@@ -460,46 +230,6 @@
         self.admission.read(read)
     }
 
-    /// Charges a request against its workspace's quota; returns its tier.
-    fn charge(
-        &self,
-        plan: &Plan,
-        route: &Route,
-        workspace: Option<&id::Workspace>,
-        head: &Head,
-    ) -> Result<id::Tier, Refused> {
-        let known = plan.workspaces.as_ref().zip(workspace);
-        let Some((name, settings)) =
-            known.and_then(|(all, name)| all.names.get(name).map(|settings| (name, settings)))
-        else {
-            return Ok(route.tier);
-        };
-        if let Some(quota) = &settings.quota {
-            let tokens = head.tokens.map(|(prompt, output)| prompt + output);
-            let cost = quota.cost(tokens);
-            let now = self.clock.now();
-            let admitted = lock(&self.limiter).admit(now, name, quota, cost);
-            if let Err(exhausted) = admitted {
-                tracing::info!(
-                    id = head.correlation_id,
-                    workspace = %name,
-                    cost,
-                    level = exhausted.level,
-                    fresh = exhausted.unreported,
-                    share = exhausted.share,
-                    silent = exhausted.silent_share,
-                    rate = quota.rate,
-                    "quota used up"
-                );
-                return Err(Refused::from_core(refusal::Refusal {
-                    reason: refusal::Reason::Limit,
-                    retry_after: exhausted.retry_after,
-                }));
-            }
-        }
-        Ok(settings.tier.unwrap_or(route.tier))
-    }
-
     /// Sends a request to endpoints until one answers or no retry is left.
     async fn send(self: Arc<Self>, job: Job) -> Result<Response<Body>, Refused> {
         let mut progress = Progress::default();
@@ -671,35 +401,6 @@
     }
 }
 
-impl Progress {
-    /// Returns whether a request may be sent to a further endpoint.
-    #[must_use]
-    pub fn allows_send(&self, job: &Job) -> bool {
-        self.sends < job.route.attempts.max(1) && self.connect_failures < MAX_CONNECT_FAILURES
-    }
-
-    /// Records a send that reaches an endpoint or may reach it.
-    pub fn record_send(&mut self, choice: &Choice) {
-        self.sends += 1;
-        self.tried.push(choice.endpoint.clone());
-    }
-
-    /// Records that the last send did not reach its endpoint.
-    pub fn withdraw_send(&mut self) {
-        self.sends = self.sends.saturating_sub(1);
-        self.connect_failures += 1;
-    }
-
-    /// Records that a request could not be sent; an endpoint that can't be reached is
-    /// not tried again.
-    pub fn record_obstacle(&mut self, obstacle: Obstacle) {
-        if let Obstacle::Unreachable { endpoint, .. } = obstacle {
-            self.connect_failures += 1;
-            self.tried.push(endpoint);
-        }
-    }
-}
-
 /// What the caller gets if no further attempt is made.
 enum Fallback {
     /// This refusal by the gateway.
@@ -749,16 +450,6 @@
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Refuses a request that was not read to its end, so that its connection must
-/// be closed.
-fn refuse_and_close(problem: dottereltally::problem::Problem) -> Refused {
-    Refused {
-        problem,
-        retry_after: None,
-        close: true,
-    }
-}
-
 /// Refuses a request whose last endpoint could not be reached; an earlier one
 /// may have run it.
 fn refuse_unreachable(may_have_run: bool) -> Refused {
@@ -787,79 +478,6 @@
     })
 }
 
-/// Returns the id of the event after which a caller resumes a stream; `None` if
-/// the request begins one or has none.
-fn resumed_after(route: &Route, head: &Head) -> Option<u64> {
-    let resumable = route.streaming && route.retry == Retry::Resume;
-    head.last_event_id.filter(|_| resumable)
-}
-
-/// Returns the host that a request names.
-fn host(headers: &HeaderMap) -> Result<&str, Refused> {
-    let mut values = headers.get_all(HOST).iter();
-    let host = values.next().and_then(|host| host.to_str().ok());
-    match (host, values.next()) {
-        (Some(host), None) => Ok(host),
-        _ => Err(Refused::unsent(
-            StatusCode::BAD_REQUEST,
-            Reason::Malformed,
-            "send one `host` header",
-        )
-        .closing()),
-    }
-}
-
-/// Finds the caller's workspace by its key; `None` where no key is needed.
-fn workspace(plan: &Plan, route: &Route, head: &Head) -> Result<Option<id::Workspace>, Refused> {
-    let Some(workspaces) = &plan.workspaces else {
-        return Ok(None);
-    };
-    if route.anonymous {
-        return Ok(None);
-    }
-    let known = head.key.as_ref().and_then(|key| workspaces.keys.get(key));
-    known.cloned().map(Some).ok_or_else(|| {
-        Refused::unsent(
-            StatusCode::UNAUTHORIZED,
-            Reason::Unauthenticated,
-            "send `authorization: Bearer KEY` with a workspace's key",
-        )
-    })
-}
-
-/// Returns the tokens of the prompt and of the expected answer; zeros if the
-/// caller sent no token counts.
-fn expected_tokens(head: &Head) -> (u64, u64) {
-    let Some((prompt, max_output)) = head.tokens else {
-        return (0, 0);
-    };
-    let expected = head.expected_output.unwrap_or(max_output);
-    (prompt, expected.clamp(1, max_output.max(1)))
-}
-
-fn hash(parts: &[&[u8]]) -> u64 {
-    let mut hasher = Xxh3::new();
-    for part in parts {
-        hasher.update(part);
-        hasher.update(&[0]);
-    }
-    hasher.digest()
-}
-
-/// Returns a hash that is equal when the same caller sends the same request
-/// again.
-#[must_use]
-pub fn fingerprint(parts: &Parts, head: &Head, body: &Bytes) -> id::Fingerprint {
-    let key = head.key.as_deref().unwrap_or_default();
-    let target = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    id::Fingerprint::of_request(hash(&[
-        parts.method.as_str().as_bytes(),
-        target.as_bytes(),
-        key.as_bytes(),
-        body,
-    ]))
-}
-
 /// Returns the headers of a request that are forwarded: without hop-by-hop
 /// headers and `Expect`.
 #[must_use]
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! header format and the store of the directory are pluggable, through
 //! implementations of [`dialect::Dialect`] and [`directory::Source`].
 
+pub mod acceptance;
 pub mod admission;
 pub mod attempt;
 pub mod chain;
@@ -16,6 +17,7 @@
 pub mod events;
 pub mod examiner;
 pub mod heartbeat;
+pub mod job;
 pub mod logging;
 pub mod metrics;
 pub mod node;
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -21,9 +21,10 @@
 
 use crate::{
     attempt::{self, Attempt, Stream},
-    chain::{Chain, Job, Progress, millis},
+    chain::{Chain, millis},
     dialect::Dialect,
     events::{Batch, Splitter},
+    job::{Job, Progress},
     search::{Dispatch, Event, Obstacle, Place, Search, Signal},
 };
 
--- a/gateway/src/search.rs
+++ b/gateway/src/search.rs
@@ -20,9 +20,10 @@
 use crate::{
     admission::Permit,
     attempt::{self, Attempt, End},
-    chain::{Chain, Job, Progress, lock, millis},
+    chain::{Chain, lock, millis},
     crashes::Flight,
     dialect::Dialect,
+    job::{Job, Progress},
     metrics::Silence,
 };
 
--- a/gateway/tests/test_kept_quarantine.rs
+++ b/gateway/tests/test_kept_quarantine.rs
@@ -13,7 +13,8 @@
     plan,
 };
 use dottereltally_gateway::{
-    chain::{self, Chain},
+    acceptance,
+    chain::Chain,
     controller::{self, Controller, Message, Outputs},
     dialect::Head,
     directory::{Change, Changes, Node, Snapshot, Source},
@@ -105,7 +106,7 @@
 
 fn fatal() -> id::Fingerprint {
     let parts = http::Request::get("/safe/fatal").body(()).unwrap();
-    chain::fingerprint(
+    acceptance::fingerprint(
         &parts.into_parts().0,
         &Head::default(),
         &bytes::Bytes::new(),
--- a/gateway/tests/test_quarantine.rs
+++ b/gateway/tests/test_quarantine.rs
@@ -12,7 +12,7 @@
     fragile::{End, Fleet, Return},
     is_complete, plan, status, stream_head,
 };
-use dottereltally_gateway::{chain, dialect::Head};
+use dottereltally_gateway::{acceptance, dialect::Head};
 use dottereltally_lib::{
     id,
     quarantine::Verdict,
@@ -295,7 +295,7 @@
 /// Returns the fingerprint of a `GET` request without key and body.
 fn fingerprint_of(path: &str) -> id::Fingerprint {
     let parts = http::Request::get(path).body(()).unwrap().into_parts().0;
-    chain::fingerprint(&parts, &Head::default(), &Bytes::new())
+    acceptance::fingerprint(&parts, &Head::default(), &Bytes::new())
 }
 
 /// Returns what a node knows about a request.
