--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -12,8 +12,9 @@
 
 use dottereltally::clock::Clock;
 use dottereltally_lib::{
-    dispatcher::{Choice, Dispatcher, Effect, Load, Outcome, Request, limit},
+    dispatcher::{Choice, Dispatcher, Effect, Load, NoticeChange, Outcome, Request, limit},
     id,
+    notice::{self, Notice},
     refusal::{self, Refusal},
     share::{NotARate, Rate},
 };
@@ -183,9 +184,11 @@
         let id = self.next_request_id();
         let (reply, decision) = oneshot::channel();
         let patience = self.patience(&request);
-        coordinator
-            .send(Command::Admit(id, request.clone(), reply))
-            .ok()?;
+        let mut asked = request.clone();
+        let now = self.shared.clock.now();
+        let unusable = self.lock().dispatcher.unusable(now, &request.service);
+        asked.excluded.extend(unusable);
+        coordinator.send(Command::Admit(id, asked, reply)).ok()?;
         let needed = request.version.clone();
         // Dropping the permit withdraws the request.
         let permit = self.permit(id, Some(coordinator.clone()));
@@ -276,6 +279,31 @@
         true
     }
 
+    /// Records what an endpoint said about itself in an answer, beside its limit. Returns
+    /// false if it is the first one in which something can't be read.
+    pub fn record_notice(&self, endpoint: &id::Endpoint, notice: &Notice) -> bool {
+        let mut is_readable = true;
+        self.apply(|dispatcher, now| {
+            let (change, effects) = dispatcher.record_notice(now, endpoint, notice);
+            is_readable = !change.is_unreadable;
+            log_notice(endpoint, notice, change);
+            effects
+        });
+        is_readable
+    }
+
+    /// Records what another node knows about endpoints from their answers.
+    pub fn record_peer_notices(&self, node: &id::Node, reports: &[notice::Report]) {
+        if reports.is_empty() {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let leaving = self.lock().dispatcher.record_peer_notices(now, reports);
+        for endpoint in leaving {
+            tracing::info!(%endpoint, %node, "endpoint leaves, as it told another node");
+        }
+    }
+
     /// Records what another node knows about the limits of endpoints.
     pub fn record_peer_limits(&self, node: &id::Node, reports: &[limit::Report]) {
         let now = self.shared.clock.now();
@@ -384,6 +412,24 @@
     );
 }
 
+fn log_notice(endpoint: &id::Endpoint, notice: &Notice, change: NoticeChange) {
+    if change.is_leaving {
+        tracing::info!(%endpoint, "endpoint leaves, as its answer says");
+    }
+    if let Some(pause) = change.paused {
+        let pause_ms = crate::chain::millis(pause);
+        tracing::info!(%endpoint, pause_ms, "endpoint wants no requests of this node for a while");
+    }
+    if let Some(most) = change.bears {
+        tracing::info!(%endpoint, most, "endpoint bears few rejections in a second");
+    }
+    if change.is_unreadable {
+        for error in &notice.unreadable {
+            tracing::warn!(%endpoint, %error, "statement of an endpoint is ignored");
+        }
+    }
+}
+
 /// Refuses a request that was withdrawn because nothing was decided on it in its time.
 fn refuse_undecided(id: id::Request) -> Refusal {
     tracing::warn!(request = %id, "request refused: it was not decided on before its deadline");
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -1,6 +1,6 @@
 //! Sends a request to one endpoint.
 
-use std::time::Duration;
+use std::{pin::pin, time::Duration};
 
 use bytes::Bytes;
 use derive_more::From;
@@ -22,7 +22,10 @@
 };
 use http_body::Body as _;
 use http_body_util::{BodyExt, Full};
-use tokio::time::{Instant, timeout_at};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, timeout_at},
+};
 
 use crate::{
     chain::{Chain, end_to_end_headers},
@@ -264,12 +267,14 @@
         via = Paths::carrier(&connection),
         "request sent"
     );
-    let message = job
-        .template
-        .message(&chain.dialect, &choice.endpoint, remaining, last_event_id);
+    let mut message =
+        job.template
+            .message(&chain.dialect, &choice.endpoint, remaining, last_event_id);
+    let interim = Interim::watch(&mut message);
     let deadline = Instant::now() + remaining;
     let is_direct = Paths::carrier(&connection).is_none();
-    let response = match timeout_at(deadline, connection.send(message)).await {
+    let sending = interim.record_until(chain, &choice, connection.send(message));
+    let response = match timeout_at(deadline, sending).await {
         Ok(Ok(response)) => response,
         Ok(Err(Failure::Unsent { cause, .. })) => return End::Unsent { cause }.into(),
         Ok(Err(Failure::Broken(broken))) => {
@@ -288,6 +293,49 @@
     read_answer(chain, job, &choice, response, last_event_id, deadline).await
 }
 
+/// Returns whether an answer comes from the endpoint that the request was sent to, and
+/// not from another one at its address.
+fn is_from(endpoint: &id::Endpoint, status: StatusCode, named: Option<&id::Endpoint>) -> bool {
+    status != StatusCode::MISDIRECTED_REQUEST && named.is_none_or(|named| named == endpoint)
+}
+
+/// The interim answers to one request.
+struct Interim(mpsc::UnboundedReceiver<(StatusCode, HeaderMap)>);
+
+impl Interim {
+    /// Receives the interim answers to a message.
+    fn watch(message: &mut Message) -> Self {
+        let (heads, receiver) = mpsc::unbounded_channel();
+        hyper::ext::on_informational(message, move |answer| {
+            // The request may have ended in the meantime.
+            let _ended = heads.send((answer.status(), answer.headers().clone()));
+        });
+        Self(receiver)
+    }
+
+    /// Records what the endpoint says in interim answers until `answering` ends.
+    async fn record_until<D: Dialect, T>(
+        mut self,
+        chain: &Chain<D>,
+        choice: &Choice,
+        answering: impl Future<Output = T>,
+    ) -> T {
+        let mut answering = pin!(answering);
+        loop {
+            tokio::select! {
+                biased;
+                Some((status, headers)) = self.0.recv() => {
+                    let head = chain.dialect.read_answer(status, &headers);
+                    if is_from(&choice.endpoint, status, head.endpoint.as_ref()) {
+                        chain.record_notice(&choice.endpoint, &head.notice);
+                    }
+                }
+                answer = &mut answering => return answer,
+            }
+        }
+    }
+}
+
 async fn read_answer<D: Dialect>(
     chain: &Chain<D>,
     job: &Job,
@@ -297,8 +345,11 @@
     deadline: Instant,
 ) -> Attempt {
     let (mut parts, body) = response.into_parts();
-    let head = chain.dialect.read_answer(&parts.headers);
+    let head = chain.dialect.read_answer(parts.status, &parts.headers);
     chain.record_limit(&choice.endpoint, head.limit);
+    if is_from(&choice.endpoint, parts.status, head.endpoint.as_ref()) {
+        chain.record_notice(&choice.endpoint, &head.notice);
+    }
     if let Some((running, waiting)) = head.load {
         chain.admission.apply(|dispatcher, now| {
             dispatcher.record_endpoint_load(now, &choice.endpoint, running, waiting);
--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -14,6 +14,7 @@
     crash::Subject,
     dispatcher::{Choice, Dispatcher, Timing},
     id,
+    notice::Notice,
     origin::Origin,
     plan::Plan,
     quota::Limiter,
@@ -222,6 +223,13 @@
         }
     }
 
+    /// Records what an endpoint said about itself in an answer, beside its limit.
+    pub fn record_notice(&self, endpoint: &id::Endpoint, notice: &Notice) {
+        if !self.admission.record_notice(endpoint, notice) {
+            self.metrics.unreadable_notices.inc();
+        }
+    }
+
     /// Returns the software version of an endpoint by this node's directory; `None`
     /// if it is unknown.
     #[must_use]
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -7,9 +7,10 @@
 
 use dottereltally_lib::{
     id,
+    notice::Notice,
     share::{NotARate, Rate},
 };
-use http::{HeaderMap, HeaderValue};
+use http::{HeaderMap, HeaderValue, StatusCode};
 
 /// Why the headers of a request can't be understood; the text names the remedy
 /// and is sent to the caller.
@@ -72,6 +73,8 @@
     /// Requests a second that the endpoint takes from all nodes together; `None` if it
     /// names no limit.
     pub limit: Option<Result<Rate, NotARate>>,
+    /// What else the endpoint says about itself.
+    pub notice: Notice,
     /// The endpoint that answers, if it names itself.
     pub endpoint: Option<id::Endpoint>,
 }
@@ -89,8 +92,8 @@
     /// Returns the headers for an endpoint.
     fn forward(&self, headers: &HeaderMap, forward: &Forward<'_>) -> HeaderMap;
 
-    /// Reads the headers of an endpoint's answer.
-    fn read_answer(&self, headers: &HeaderMap) -> Answer;
+    /// Reads the status and headers of an endpoint's answer.
+    fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> Answer;
 
     /// Adds the id of the caller's attempt to the headers of a refusal.
     fn mark_refusal(&self, headers: &mut HeaderMap, correlation_id: &str);
--- a/gateway/src/examiner.rs
+++ b/gateway/src/examiner.rs
@@ -41,6 +41,9 @@
 /// Most endpoints that are examined at once.
 const MAX_EXAMINATIONS: usize = 64;
 
+/// Why an endpoint is not asked.
+const PAUSED: &str = "it wants no requests for a while";
+
 /// Examines each endpoint that is received; ends with the channel.
 pub async fn run<D: Dialect>(chain: Arc<Chain<D>>, mut targets: mpsc::UnboundedReceiver<Target>) {
     let mut examinations = JoinSet::new();
@@ -91,10 +94,16 @@
         return (Finding::Leaving, String::new());
     }
     let started = chain.clock.now();
+    if is_paused(chain, &target.endpoint) {
+        return (Finding::Unreachable, PAUSED.to_owned());
+    }
     let mut cause = String::new();
     for question in 0..MAX_QUESTIONS {
         if question > 0 {
             sleep(RETRY_DELAY).await;
+            if is_paused(chain, &target.endpoint) {
+                return (Finding::Unreachable, PAUSED.to_owned());
+            }
         }
         match ask(chain, &target.endpoint, &target.address, &target.service).await {
             Ok(named) if named.as_ref().is_none_or(|named| *named == target.endpoint) => {
@@ -127,6 +136,14 @@
     (Finding::Unreachable, cause)
 }
 
+/// Returns whether an endpoint wants no requests of this node now.
+fn is_paused<D>(chain: &Chain<D>, endpoint: &id::Endpoint) -> bool {
+    let now = chain.clock.now();
+    chain
+        .admission
+        .read(|dispatcher| dispatcher.is_paused(now, endpoint))
+}
+
 /// Returns whether another endpoint of the same data centre responds.
 async fn has_witness<D: Dialect>(chain: &Chain<D>, target: &Target) -> bool {
     let others = chain
@@ -136,7 +153,7 @@
         let dead = chain
             .crashes
             .read(|detector, _| detector.is_dead(&other.id));
-        other.id != target.endpoint && !dead
+        other.id != target.endpoint && !dead && !is_paused(chain, &other.id)
     };
     for other in others.into_iter().filter(is_candidate).take(MAX_WITNESSES) {
         let asking = ask(chain, &other.id, &other.address, &other.service);
@@ -179,13 +196,16 @@
     let response = timeout(ANSWER_TIMEOUT, answering)
         .await?
         .map_err(io::Error::other)?;
-    let answer = chain.dialect.read_answer(response.headers());
+    let answer = chain
+        .dialect
+        .read_answer(response.status(), response.headers());
     if answer
         .endpoint
         .as_ref()
         .is_none_or(|named| named == endpoint)
     {
         chain.record_limit(endpoint, answer.limit);
+        chain.record_notice(endpoint, &answer.notice);
     }
     Ok(answer.endpoint)
 }
--- a/gateway/src/heartbeat.rs
+++ b/gateway/src/heartbeat.rs
@@ -7,13 +7,15 @@
     serialize_packed,
 };
 use dottereltally_lib::{
-    dispatcher::{Load, limit},
+    dispatcher::{Load, limit, rejection},
+    exchange::{Scope, View},
     id::{self, DataCentre, Endpoint, Fingerprint, Generation, Incarnation, Workspace},
+    notice,
     quota::Usage,
     share::Rate,
     suspicion::{Kind, Mark},
 };
-use dottereltally_proto::gateway_capnp::{beat, held};
+use dottereltally_proto::gateway_capnp::{beat, held, notice as wire_notice};
 
 /// Size limit of a heartbeat that is read, in 8-byte words: 128 KiB unpacked.
 const MAX_HEARTBEAT_WORDS: usize = 16 * 1024;
@@ -41,6 +43,16 @@
     pub limits: Vec<limit::Report>,
     /// Whether the node passes connections to endpoints on for others.
     pub carries: bool,
+    /// What endpoints said about themselves.
+    pub notices: Vec<notice::Report>,
+    /// Version of the exchange that the node understands; zero if it knows none.
+    pub exchange: u16,
+    /// Whose usage is reported.
+    pub scope: Scope,
+    /// Nodes that pass connections on, in a scope beyond the node.
+    pub carriers: Vec<id::Node>,
+    /// What the node last read from the source of the directory.
+    pub view: Option<View>,
 }
 
 impl Heartbeat {
@@ -75,10 +87,30 @@
             entry.set_endpoint(report.endpoint.as_str());
             entry.set_per_second(report.rate.unwrap_or_default().per_second());
             entry.set_is_lifted(report.rate.is_none());
-            entry.set_age_ms(u32::try_from(report.age.as_millis()).unwrap_or(u32::MAX));
+            entry.set_age_ms(whole_millis(report.age));
             #[expect(clippy::cast_possible_truncation, reason = "an average")]
             entry.set_demand(report.demand as f32);
         }
+        root.set_exchange(self.exchange);
+        root.set_scope(self.scope.into());
+        if let Some(view) = &self.view {
+            let mut wire = root.reborrow().init_view();
+            wire.set_digest(view.digest);
+            wire.set_revision(view.revision);
+            wire.set_age_ms(whole_millis(view.age));
+        }
+        let mut list = root
+            .reborrow()
+            .init_carriers(list_length(self.carriers.len()));
+        for (index, name) in self.carriers.iter().enumerate() {
+            list.set(list_length(index), name.as_str());
+        }
+        let mut list = root
+            .reborrow()
+            .init_notices(list_length(self.notices.len()));
+        for (index, report) in self.notices.iter().enumerate() {
+            write_notice(report, list.reborrow().get(list_length(index)));
+        }
         let mut list = root.init_marks(list_length(self.marks.len()));
         for (index, mark) in self.marks.iter().enumerate() {
             let mut entry = list.reborrow().get(list_length(index));
@@ -109,8 +141,24 @@
             data_centre: DataCentre::from(root.get_data_centre()?.to_str()?),
             generation: Generation(root.get_generation()),
             carries: root.get_carries(),
+            exchange: root.get_exchange(),
+            scope: Scope::from(root.get_scope()),
             ..Self::default()
         };
+        if root.has_view() {
+            let view = root.get_view()?;
+            heartbeat.view = Some(View {
+                digest: view.get_digest(),
+                revision: view.get_revision(),
+                age: Duration::from_millis(view.get_age_ms().into()),
+            });
+        }
+        for name in root.get_carriers()? {
+            heartbeat.carriers.push(id::Node::from(name?.to_str()?));
+        }
+        for entry in root.get_notices()? {
+            heartbeat.notices.push(read_notice(entry)?);
+        }
         heartbeat.loads = read_loads(root.get_held()?)?;
         for entry in root.get_usage()? {
             let usage = Usage {
@@ -146,6 +194,52 @@
     }
 }
 
+fn write_notice(report: &notice::Report, mut wire: wire_notice::Builder<'_>) {
+    wire.set_endpoint(report.endpoint.as_str());
+    wire.set_started_ms(report.started_ms.unwrap_or_default());
+    wire.set_is_leaving(report.leaving.is_some());
+    wire.set_leaving_age_ms(whole_millis(report.leaving.unwrap_or_default()));
+    let Some(brittle) = &report.brittle else {
+        return;
+    };
+    wire.set_is_brittle(true);
+    wire.set_brittle(brittle.most);
+    wire.set_brittle_age_ms(whole_millis(brittle.age));
+    wire.set_recent(brittle.recent);
+    if let Some((held, age)) = brittle.held {
+        #[expect(clippy::cast_possible_truncation, reason = "a number of requests")]
+        wire.set_held(held as f32);
+        wire.set_held_age_ms(whole_millis(age));
+    }
+}
+
+fn read_notice(wire: wire_notice::Reader<'_>) -> capnp::Result<notice::Report> {
+    let millis = |value: u32| Duration::from_millis(value.into());
+    let started_ms = wire.get_started_ms();
+    let held = f64::from(wire.get_held());
+    if !held.is_finite() || held < 0.0 {
+        return Err(capnp::Error::failed(
+            "a negative number of requests".to_owned(),
+        ));
+    }
+    let leaving_age = millis(wire.get_leaving_age_ms());
+    Ok(notice::Report {
+        endpoint: Endpoint::from(wire.get_endpoint()?.to_str()?),
+        started_ms: (started_ms > 0).then_some(started_ms),
+        leaving: wire.get_is_leaving().then_some(leaving_age),
+        brittle: wire.get_is_brittle().then(|| rejection::Report {
+            most: wire.get_brittle(),
+            age: millis(wire.get_brittle_age_ms()),
+            held: (held > 0.0).then(|| (held, millis(wire.get_held_age_ms()))),
+            recent: wire.get_recent(),
+        }),
+    })
+}
+
+fn whole_millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Encodes the load of a node on each endpoint.
 pub(crate) fn write_loads(
     entries: &[(Endpoint, Load)],
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -136,6 +136,8 @@
     pub store_failures: Counter,
     /// Times that an endpoint began to name limits that could not be read.
     pub unreadable_limits: Counter,
+    /// Times that an endpoint began to say what could not be read.
+    pub unreadable_notices: Counter,
     /// Endpoints that are reached through another node only.
     pub detours: Gauge,
     /// Endpoints that name a limit.
@@ -187,6 +189,7 @@
             store_failures: Counter::default(),
             store_probes: Counter::default(),
             unreadable_limits: Counter::default(),
+            unreadable_notices: Counter::default(),
             detours: Gauge::default(),
             limited_endpoints: Gauge::default(),
             unread_parts: Counter::default(),
@@ -280,6 +283,11 @@
                 "Times that an endpoint began to name limits that can't be read",
                 &self.unreadable_limits,
             ),
+            (
+                "unreadable_notices",
+                "Times that an endpoint began to say what can't be read, beside its limit",
+                &self.unreadable_notices,
+            ),
             (
                 "unread_parts",
                 "Parts of prompts that were not read",
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -346,6 +346,9 @@
         chain
             .admission
             .record_peer_limits(&heartbeat.node, &heartbeat.limits);
+        chain
+            .admission
+            .record_peer_notices(&heartbeat.node, &heartbeat.notices);
         let loads = heartbeat.loads.iter().cloned().collect();
         chain
             .admission
@@ -414,6 +417,8 @@
             marks: chain.crashes.marks_to_share(),
             carries: !chain.phase.is_announced() && !chain.paths.is_isolated(),
             limits: chain.admission.read(|dispatcher| dispatcher.limits(now)),
+            notices: chain.admission.read(|dispatcher| dispatcher.notices(now)),
+            ..Heartbeat::default()
         }
     }
 
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -34,12 +34,13 @@
     dispatcher::{Dispatcher, Settings},
     endpoint::{Record, Standing},
     id,
+    notice::Notice,
     plan::{Plan, Quota, Service, Unit, Workspace, Workspaces},
     quota::{Limiter, Tolerance},
     route::{Retry, Route, Target},
 };
 use dottereltally_store::buffer;
-use http::{HeaderMap, HeaderValue};
+use http::{HeaderMap, HeaderValue, StatusCode};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpSocket, TcpStream},
@@ -107,13 +108,14 @@
         headers
     }
 
-    fn read_answer(&self, headers: &HeaderMap) -> Answer {
+    fn read_answer(&self, _status: StatusCode, headers: &HeaderMap) -> Answer {
         Answer {
             correlation_id: text(headers, "x-id"),
             sealed: headers.contains_key("x-seal"),
             not_run: headers.contains_key("x-not-run"),
             load: None,
             limit: text(headers, "x-limit").map(|limit| limit.parse()),
+            notice: Notice::default(),
             endpoint: text(headers, "x-endpoint").map(id::Endpoint::from),
         }
     }
--- a/gateway/tests/test_heartbeat.rs
+++ b/gateway/tests/test_heartbeat.rs
@@ -4,8 +4,9 @@
 
 use dottereltally_gateway::heartbeat::Heartbeat;
 use dottereltally_lib::{
-    dispatcher::{Load, limit},
-    id,
+    dispatcher::{Load, limit, rejection},
+    exchange::{self, Scope, View},
+    id, notice,
     quota::Usage,
     suspicion::{Kind, Mark, Register},
     time,
@@ -44,11 +45,43 @@
             .to_vec(),
         carries: true,
         limits: vec![limit_report("e", Some("1.8")), limit_report("f", None)],
+        notices: vec![leaving("e"), brittle("f")],
+        exchange: exchange::VERSION,
+        scope: Scope::Fleet,
+        carriers: vec![id::Node::from("n2")],
+        view: Some(View {
+            digest: u64::MAX / 3,
+            revision: 17,
+            age: Duration::from_millis(40),
+        }),
     };
     let bytes = heartbeat.encode().unwrap();
     assert_eq!(Heartbeat::decode(&bytes).unwrap(), heartbeat);
 }
 
+fn leaving(endpoint: &str) -> notice::Report {
+    notice::Report {
+        endpoint: id::Endpoint::from(endpoint),
+        started_ms: Some(12),
+        leaving: Some(Duration::from_millis(300)),
+        brittle: None,
+    }
+}
+
+fn brittle(endpoint: &str) -> notice::Report {
+    notice::Report {
+        endpoint: id::Endpoint::from(endpoint),
+        started_ms: None,
+        leaving: None,
+        brittle: Some(rejection::Report {
+            most: 3,
+            age: Duration::from_millis(20),
+            held: Some((4.5, Duration::from_millis(700))),
+            recent: 2,
+        }),
+    }
+}
+
 fn limit_report(endpoint: &str, rate: Option<&str>) -> limit::Report {
     limit::Report {
         endpoint: id::Endpoint::from(endpoint),
--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -10,6 +10,7 @@
 mod member;
 mod model;
 mod queue;
+pub mod rejection;
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -25,6 +26,7 @@
 use crate::{
     endpoint::{self, Standing},
     id,
+    notice::{self, Departures, Notice},
     refusal::{self, Refusal},
     share::{Rate, Reports},
     time,
@@ -91,6 +93,9 @@
 /// until it could no longer be served.
 const BACKLOG_DRAIN_TIME: Duration = Duration::from_secs(2);
 
+/// Time for which the other nodes are informed that an endpoint leaves.
+const DEPARTURE_REPORT_TIME: Duration = Duration::from_secs(60);
+
 /// Divisor of a request's remaining time that yields the latest `retry_after`
 /// with which a retry can still be served.
 const RETRY_DIVISOR: u32 = 3;
@@ -197,6 +202,19 @@
     pub waiting: usize,
 }
 
+/// What an answer of an endpoint changed beside its limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NoticeChange {
+    /// It said for the first time that it leaves.
+    pub is_leaving: bool,
+    /// It wants no requests of this node for this time.
+    pub paused: Option<Duration>,
+    /// It named for the first time how many rejections in a second it bears.
+    pub bears: Option<u32>,
+    /// A statement can't be read, after an answer in which all could be.
+    pub is_unreadable: bool,
+}
+
 /// Load of one node on one endpoint, as reported to the other nodes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -233,6 +251,8 @@
     peer_loads: HashMap<id::Node, HashMap<id::Endpoint, Load>>,
     /// Demand that the other nodes reported for endpoints with a limit.
     limit_reports: Reports<id::Endpoint>,
+    /// Endpoints that said that they leave.
+    departures: Departures,
     /// Nodes that share the endpoints, this one included.
     node_count: usize,
     rng: SmallRng,
@@ -252,6 +272,7 @@
             in_flight: HashMap::new(),
             peer_loads: HashMap::new(),
             limit_reports: Reports::default(),
+            departures: Departures::default(),
             node_count: 1,
             effects: Vec::new(),
         }
@@ -276,7 +297,8 @@
         }
         self.members
             .retain(|_, member| member.listed || member.own_requests > 0);
-        self.group_by_service();
+        self.departures.expire(now);
+        self.update_departures();
         self.refuse_without_candidate(now);
         self.dispatch_all(now);
         std::mem::take(&mut self.effects)
@@ -386,7 +408,7 @@
         let Some(member) = self.members.get_mut(endpoint) else {
             return false;
         };
-        if !member.listed || !member.serves(&request) {
+        if !member.listed || !member.serves(&request) || member.is_paused(now) {
             return false;
         }
         member.own_requests += 1;
@@ -543,6 +565,145 @@
         reports
     }
 
+    /// Records what an endpoint said about itself in an answer, beside its limit.
+    /// Returns what changed.
+    pub fn record_notice(
+        &mut self,
+        now: time::Instant,
+        name: &id::Endpoint,
+        notice: &Notice,
+    ) -> (NoticeChange, Vec<Effect>) {
+        let mut change = NoticeChange::default();
+        let Some(member) = self.members.get_mut(name) else {
+            return (change, Vec::new());
+        };
+        let was_unreadable = member.is_unreadable;
+        member.is_unreadable = !notice.unreadable.is_empty();
+        change.is_unreadable = member.is_unreadable && !was_unreadable;
+        let capacity = member.capacity();
+        if notice.brittle.is_some() || member.tolerance.is_limited(now) {
+            change.bears = notice.brittle.filter(|_| !member.tolerance.is_limited(now));
+            member.tolerance.state(now, notice.brittle, capacity);
+        }
+        if let Some(pause) = notice.pause {
+            member.pause(now, pause);
+            change.paused = Some(pause);
+        }
+        if notice.is_leaving {
+            let (address, started) = (member.record.address.clone(), member.started_ms);
+            let departures = &mut self.departures;
+            change.is_leaving = departures.record(now, name, Some(&address), started);
+        }
+        if change.is_leaving {
+            self.update_departures();
+            self.refuse_without_candidate(now);
+            self.dispatch_all(now);
+        }
+        (change, std::mem::take(&mut self.effects))
+    }
+
+    /// Records what another node knows about endpoints from answers; returns those that
+    /// this node now knows to leave.
+    pub fn record_peer_notices(
+        &mut self,
+        now: time::Instant,
+        reports: &[notice::Report],
+    ) -> Vec<id::Endpoint> {
+        let mut leaving = Vec::new();
+        for report in reports {
+            let member = self.members.get_mut(&report.endpoint);
+            let started_ms = member.as_ref().and_then(|member| member.started_ms);
+            if let (Some(member), Some(brittle)) = (member, &report.brittle) {
+                let capacity = member.capacity();
+                member.tolerance.apply(now, brittle, capacity);
+            }
+            let Some(age) = report.leaving else {
+                continue;
+            };
+            let is_other = started_ms.zip(report.started_ms);
+            if is_other.is_some_and(|(own, other)| own != other) {
+                continue;
+            }
+            let started_ms = report.started_ms.or(started_ms);
+            let name = &report.endpoint;
+            if self.departures.record(now - age, name, None, started_ms) {
+                leaving.push(name.clone());
+            }
+        }
+        if !leaving.is_empty() {
+            self.update_departures();
+        }
+        leaving
+    }
+
+    /// Returns what this node knows about endpoints from answers, for the other nodes.
+    #[must_use]
+    pub fn notices(&self, now: time::Instant) -> Vec<notice::Report> {
+        let mut reports = BTreeMap::new();
+        for (name, at, started_ms) in self.departures.iter() {
+            let age = now.since(at);
+            if age > DEPARTURE_REPORT_TIME {
+                continue;
+            }
+            let report = notice::Report {
+                endpoint: name.clone(),
+                started_ms,
+                leaving: Some(age),
+                brittle: None,
+            };
+            reports.insert(name, report);
+        }
+        for (name, member) in &self.members {
+            let Some(brittle) = member.tolerance.report(now) else {
+                continue;
+            };
+            let report = reports.entry(name).or_insert_with(|| notice::Report {
+                endpoint: name.clone(),
+                started_ms: member.started_ms,
+                leaving: None,
+                brittle: None,
+            });
+            report.brittle = Some(brittle);
+        }
+        reports.into_values().collect()
+    }
+
+    /// Returns the endpoints of a service that this node must not use now, which other
+    /// nodes may not know: they leave, or want no requests of this node.
+    #[must_use]
+    pub fn unusable(&self, now: time::Instant, service: &id::Service) -> Vec<id::Endpoint> {
+        let mut unusable = Vec::new();
+        let Some(queue) = self.queues.get(service) else {
+            return unusable;
+        };
+        for name in &queue.endpoints {
+            let Some(member) = self.members.get(name) else {
+                continue;
+            };
+            if member.has_left || member.is_paused(now) {
+                unusable.push(name.clone());
+            }
+        }
+        unusable
+    }
+
+    /// Returns whether an endpoint wants no requests of this node now.
+    #[must_use]
+    pub fn is_paused(&self, now: time::Instant, name: &id::Endpoint) -> bool {
+        let member = self.members.get(name);
+        member.is_some_and(|member| member.is_paused(now))
+    }
+
+    /// Updates which endpoints may get requests after they said that they leave, or
+    /// started again.
+    fn update_departures(&mut self) {
+        for (name, member) in &mut self.members {
+            let address = Some(member.record.address.as_str());
+            member.has_left = self.departures.has_left(name, address, member.started_ms);
+        }
+        self.group_by_service();
+    }
+
     /// Returns the number of listed endpoints that name a limit.
     #[must_use]
     pub fn limited_endpoints(&self) -> usize {
@@ -567,8 +728,15 @@
             return;
         };
         let before = member.started_ms.replace(started_ms);
-        if before.is_some_and(|before| before != started_ms) {
+        if before == Some(started_ms) {
+            return;
+        }
+        if before.is_some() {
             member.limit.reset(now);
+            member.paused_until = time::Instant::default();
+        }
+        if member.has_left {
+            self.update_departures();
         }
     }
 
@@ -625,6 +793,13 @@
                     pending.saturating_sub(unanswered_prompt),
                 );
             }
+            if outcome == Outcome::Rejected && !in_flight.delegated {
+                // The request that ends is still in the load that peers may know.
+                let load = member.running() + 1;
+                member.tolerance.record_rejection(now, load);
+            } else {
+                member.tolerance.record_end(now);
+            }
             member.record_outcome(now, outcome);
             if !in_flight.delegated
                 && let (Outcome::Answered(timing), Some(first_byte_at)) =
@@ -689,7 +864,7 @@
     #[must_use]
     pub fn standing(&self, endpoint: &id::Endpoint) -> Option<Standing> {
         let member = self.members.get(endpoint)?;
-        member.listed.then_some(member.record.standing)
+        member.listed.then_some(member.standing())
     }
 
     /// Returns the software version of an endpoint; `None` if it or its version is
@@ -733,7 +908,7 @@
         for member in self.members.values() {
             let record = &member.record;
             if !member.listed
-                || record.standing != Standing::Live
+                || member.standing() != Standing::Live
                 || record.data_centre != *data_centre
             {
                 continue;
@@ -782,7 +957,7 @@
             }
             queue.demote(now);
             let mut sent = false;
-            let open = open_members(now, &self.members, queue);
+            let open = open_members(now, &self.members, queue, &self.settings.data_centre);
             for (timeliness, id) in queue.head(MAX_LOOKAHEAD, &open) {
                 let Some(queue) = self.queues.get(service) else {
                     return;
@@ -828,7 +1003,8 @@
                 continue;
             };
             let relative_speed = member.relative_speed(queue.mean_event_interval);
-            let Some(wait) = wait_for_slot(now, queue, member, relative_speed) else {
+            let is_local = member.record.data_centre == self.settings.data_centre;
+            let Some(wait) = wait_for_slot(now, queue, member, relative_speed, is_local) else {
                 continue;
             };
             has_room = true;
@@ -841,11 +1017,7 @@
                     member.pending_tokens(),
                     relative_speed,
                 );
-            let remote_cost = if member.record.data_centre == self.settings.data_centre {
-                0.0
-            } else {
-                REMOTE_COST_SECS
-            };
+            let remote_cost = if is_local { 0.0 } else { REMOTE_COST_SECS };
             // A request that needs one version has few endpoints, and gains nothing by
             // waiting for a better one.
             let misses_due = timeliness == Timeliness::OnTime
@@ -910,6 +1082,7 @@
         member.own_requests += 1;
         member.own_pending_tokens += request.prompt;
         member.limit.spend();
+        member.tolerance.record_send(now);
         let choice = Choice {
             endpoint: name.clone(),
             address: member.record.address.clone(),
@@ -972,7 +1145,7 @@
                 .entry(member.record.service.clone())
                 .or_default();
             queue.endpoints.push(member.record.id.clone());
-            if member.record.standing == Standing::Live
+            if member.standing() == Standing::Live
                 && let Some(version) = &member.record.version
             {
                 *queue.versions.entry(version.clone()).or_default() += 1;
@@ -1017,11 +1190,17 @@
     queue: &Queue,
     member: &Member,
     relative_speed: f64,
+    is_local: bool,
 ) -> Option<f64> {
-    let (load, capacity) = (member.available_load(now)?, member.capacity());
+    let capacity = member.usable_slots(now, is_local);
+    let load = member.available_load(now)?;
     if load < capacity {
         return Some(0.0);
     }
+    // An endpoint that bears few rejections gets none in advance.
+    if member.tolerance.is_limited(now) {
+        return None;
+    }
     let wait = queue.model.mean_stream_time() / (relative_speed * f64::from(capacity));
     (load == capacity && wait > 0.0 && wait <= MAX_COMPLETION_GAP_SECS).then_some(wait)
 }
@@ -1051,6 +1230,7 @@
     now: time::Instant,
     members: &'a BTreeMap<id::Endpoint, Member>,
     queue: &Queue,
+    data_centre: &id::DataCentre,
 ) -> Vec<&'a Member> {
     let mut open = Vec::new();
     for name in &queue.endpoints {
@@ -1058,7 +1238,8 @@
             continue;
         };
         let relative_speed = member.relative_speed(queue.mean_event_interval);
-        if wait_for_slot(now, queue, member, relative_speed).is_some() {
+        let is_local = member.record.data_centre == *data_centre;
+        if wait_for_slot(now, queue, member, relative_speed, is_local).is_some() {
             open.push(member);
         }
     }
--- a/lib/src/dispatcher/member.rs
+++ b/lib/src/dispatcher/member.rs
@@ -3,7 +3,7 @@
 use std::{mem, time::Duration};
 
 use crate::{
-    dispatcher::{Load, Outcome, Request, limit::Limit},
+    dispatcher::{Load, Outcome, Request, limit::Limit, rejection::Tolerance},
     endpoint::{Record, Standing},
     estimate::Average,
     time,
@@ -70,6 +70,14 @@
     failure_rate_updated: time::Instant,
     /// What it takes from all nodes together.
     pub(super) limit: Limit,
+    /// What it bears of rejections.
+    pub(super) tolerance: Tolerance,
+    /// Whether its process said that it leaves.
+    pub(super) has_left: bool,
+    /// Time before which it wants no requests of this node.
+    pub(super) paused_until: time::Instant,
+    /// Whether a statement of its last answers could not be read.
+    pub(super) is_unreadable: bool,
     /// When its process started, in milliseconds since the Unix epoch; `None` if
     /// unknown.
     pub(super) started_ms: Option<u64>,
@@ -92,17 +100,24 @@
             failure_rate: 0.0,
             failure_rate_updated: time::Instant::default(),
             limit: Limit::default(),
+            tolerance: Tolerance::default(),
+            has_left: false,
+            paused_until: time::Instant::default(),
+            is_unreadable: false,
             started_ms: None,
         }
     }
 
-    /// Replaces the record; a changed address clears the failures and the limit.
+    /// Replaces the record; a changed address clears the failures and what its process
+    /// said.
     pub(super) fn update(&mut self, record: Record) {
         if record.address != self.record.address {
             self.avoided_until = time::Instant::default();
             self.failed_connections = 0;
             self.failure_rate = 0.0;
             self.limit = Limit::default();
+            self.tolerance = Tolerance::default();
+            self.paused_until = time::Instant::default();
         }
         self.listed = true;
         self.record = record;
@@ -113,6 +128,26 @@
         self.record.capacity.unwrap_or(DEFAULT_CAPACITY).max(1)
     }
 
+    /// Returns the number of requests that it gets at once. One that bears few
+    /// rejections gets its last request from its own data centre only, as nodes of two
+    /// data centres know each other's requests with a delay.
+    pub(super) fn usable_slots(&self, now: time::Instant, is_local: bool) -> u32 {
+        let capacity = self.capacity();
+        if !self.tolerance.is_limited(now) {
+            return capacity;
+        }
+        let held = self.tolerance.capacity(now, capacity);
+        if is_local { held } else { held - 1 }
+    }
+
+    /// Returns whether it may get new requests.
+    pub(super) fn standing(&self) -> Standing {
+        if self.has_left {
+            return Standing::Leaving;
+        }
+        self.record.standing
+    }
+
     /// Returns the places that it can use within its limit by requests that take this
     /// many seconds, where each place does `drain_per_place` seconds of work a second.
     pub(super) fn usable_capacity(&self, seconds: f64, drain_per_place: f64) -> f64 {
@@ -127,19 +162,33 @@
     /// the request needs.
     pub(super) fn serves(&self, request: &Request) -> bool {
         let version = request.version.as_ref();
-        self.record.standing == Standing::Live
+        self.standing() == Standing::Live
             && version.is_none_or(|version| self.record.version.as_ref() == Some(version))
     }
 
     /// Returns the time for which it still gets no new requests after failures.
     pub(super) fn avoided_for(&self, now: time::Instant) -> Duration {
-        self.avoided_until.since(now)
+        self.avoided_until.max(self.paused_until).since(now)
+    }
+
+    /// Records that it wants no requests of this node for a while.
+    pub(super) fn pause(&mut self, now: time::Instant, pause: Duration) {
+        self.paused_until = self.paused_until.max(now + pause);
+    }
+
+    /// Returns whether it wants no requests of this node now.
+    pub(super) fn is_paused(&self, now: time::Instant) -> bool {
+        self.paused_until > now
     }
 
     /// Returns the number of requests in flight there, or `None` if it takes no
     /// more requests now.
     pub(super) fn available_load(&self, now: time::Instant) -> Option<u32> {
-        if self.record.standing == Standing::Leaving || self.avoided_until > now {
+        if self.standing() == Standing::Leaving
+            || self.avoided_until > now
+            || self.is_paused(now)
+            || self.tolerance.is_held(now)
+        {
             return None;
         }
         if !self.limit.has_permit() {
--- a/proto/schema/gateway.capnp
+++ b/proto/schema/gateway.capnp
@@ -17,6 +17,47 @@
   limits @8 :List(Limit);
   # Whether the node passes connections to endpoints on for others.
   carries @9 :Bool;
+  notices @10 :List(Notice);
+  # Version of the exchange that the sender understands; zero from nodes that send
+  # heartbeats to all others and know no other scope than themselves.
+  exchange @11 :UInt16;
+  # Whose usage is reported: 0 that of the sender, 1 that of the nodes of its data
+  # centre, 2 that of all nodes but the receiver.
+  scope @12 :UInt8;
+  # Names of nodes that pass connections on, with a scope beyond the sender.
+  carriers @13 :List(Text);
+  # What the sender last read from the platform's store; zeros if nothing.
+  view @14 :View;
+}
+
+# What a node read from the platform's store.
+struct View {
+  # Hash of what matters of the directory.
+  digest @0 :UInt64;
+  # Revision of the store at the last read.
+  revision @1 :UInt64;
+  # Time since that read was sent.
+  ageMs @2 :UInt32;
+}
+
+# What an endpoint said about itself in an answer.
+struct Notice {
+  endpoint @0 :Text;
+  # Unix milliseconds of the start of its process; zero if unknown.
+  startedMs @1 :UInt64;
+  isLeaving @2 :Bool;
+  # Time since it said that it leaves.
+  leavingAgeMs @3 :UInt32;
+  # Rejections in a second that it bears; without meaning if the next is false.
+  brittle @4 :UInt32;
+  isBrittle @5 :Bool;
+  brittleAgeMs @6 :UInt32;
+  # Requests at once that it is taken to hold; zero if the sender doesn't know.
+  held @7 :Float32;
+  # Time since its last rejection.
+  heldAgeMs @8 :UInt32;
+  # Rejections in the last second that the sender knows of.
+  recent @9 :UInt32;
 }
 
 # What an endpoint said last about the requests a second that it takes.
--- a/proto/src/gateway_capnp.rs
+++ b/proto/src/gateway_capnp.rs
@@ -130,11 +130,43 @@
         pub fn get_carries(self) -> bool {
             self.reader.get_bool_field(192)
         }
+        #[inline]
+        pub fn get_notices(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::gateway_capnp::notice::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_notices(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
+        }
+        #[inline]
+        pub fn get_exchange(self) -> u16 {
+            self.reader.get_data_field::<u16>(13)
+        }
+        #[inline]
+        pub fn get_scope(self) -> u8 {
+            self.reader.get_data_field::<u8>(25)
+        }
+        #[inline]
+        pub fn get_carriers(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_carriers(&self) -> bool {
+            !self.reader.get_pointer_field(7).is_null()
+        }
+        #[inline]
+        pub fn get_view(self) -> ::capnp::Result<crate::gateway_capnp::view::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_view(&self) -> bool {
+            !self.reader.get_pointer_field(8).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 6 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 9 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -312,6 +344,70 @@
         pub fn set_carries(&mut self, value: bool)  {
             self.builder.set_bool_field(192, value);
         }
+        #[inline]
+        pub fn get_notices(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::gateway_capnp::notice::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_notices(&mut self, value: ::capnp::struct_list::Reader<'_,crate::gateway_capnp::notice::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(6), value, false)
+        }
+        #[inline]
+        pub fn init_notices(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::gateway_capnp::notice::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(6), size)
+        }
+        #[inline]
+        pub fn has_notices(&self) -> bool {
+            !self.builder.is_pointer_field_null(6)
+        }
+        #[inline]
+        pub fn get_exchange(self) -> u16 {
+            self.builder.get_data_field::<u16>(13)
+        }
+        #[inline]
+        pub fn set_exchange(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(13, value);
+        }
+        #[inline]
+        pub fn get_scope(self) -> u8 {
+            self.builder.get_data_field::<u8>(25)
+        }
+        #[inline]
+        pub fn set_scope(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(25, value);
+        }
+        #[inline]
+        pub fn get_carriers(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_carriers(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(7), value, false)
+        }
+        #[inline]
+        pub fn init_carriers(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(7), size)
+        }
+        #[inline]
+        pub fn has_carriers(&self) -> bool {
+            !self.builder.is_pointer_field_null(7)
+        }
+        #[inline]
+        pub fn get_view(self) -> ::capnp::Result<crate::gateway_capnp::view::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_view(&mut self, value: crate::gateway_capnp::view::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(8), value, false)
+        }
+        #[inline]
+        pub fn init_view(self, ) -> crate::gateway_capnp::view::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(8), 0)
+        }
+        #[inline]
+        pub fn has_view(&self) -> bool {
+            !self.builder.is_pointer_field_null(8)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -321,96 +417,134 @@
         }
     }
     impl Pipeline  {
+        pub fn get_view(&self) -> crate::gateway_capnp::view::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(8))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 187] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 272] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(99, 102, 229, 232, 187, 231, 249, 147),
             ::capnp::word(14, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(39, 106, 78, 201, 208, 163, 248, 177),
-            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 79, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 66, 101),
             ::capnp::word(97, 116, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 25, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 111, 100, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -511,6 +645,56 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 111, 116, 105, 99, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 177, 149, 122, 233, 141, 135, 226),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 99, 111, 112, 101, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 97, 114, 114, 105, 101, 114, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 105, 101, 119, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(233, 68, 238, 45, 230, 178, 23, 192),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -524,6 +708,11 @@
                 7 => <::capnp::struct_list::Owned<crate::gateway_capnp::mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 8 => <::capnp::struct_list::Owned<crate::gateway_capnp::limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 9 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                10 => <::capnp::struct_list::Owned<crate::gateway_capnp::notice::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                11 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                12 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                13 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                14 => <crate::gateway_capnp::view::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -537,13 +726,731 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,3,4,5,1,8,7,0,2,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[13,9,3,11,4,5,1,8,7,0,10,12,2,6,14];
         pub(crate) const TYPE_ID: u64 = 0x93f9_e7bb_e8e5_6663;
     }
 }
 
+pub mod view {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_digest(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_revision(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_digest(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_digest(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_revision(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_revision(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(4, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(233, 68, 238, 45, 230, 178, 23, 192),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(39, 106, 78, 201, 208, 163, 248, 177),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 86, 105),
+            ::capnp::word(101, 119, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+        pub(crate) const TYPE_ID: u64 = 0xc017_b2e6_2dee_44e9;
+    }
+}
+
+pub mod notice {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_started_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_is_leaving(self) -> bool {
+            self.reader.get_bool_field(64)
+        }
+        #[inline]
+        pub fn get_leaving_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn get_brittle(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn get_is_brittle(self) -> bool {
+            self.reader.get_bool_field(65)
+        }
+        #[inline]
+        pub fn get_brittle_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn get_held(self) -> f32 {
+            self.reader.get_data_field::<f32>(6)
+        }
+        #[inline]
+        pub fn get_held_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(7)
+        }
+        #[inline]
+        pub fn get_recent(self) -> u32 {
+            self.reader.get_data_field::<u32>(8)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_started_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_started_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_is_leaving(self) -> bool {
+            self.builder.get_bool_field(64)
+        }
+        #[inline]
+        pub fn set_is_leaving(&mut self, value: bool)  {
+            self.builder.set_bool_field(64, value);
+        }
+        #[inline]
+        pub fn get_leaving_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_leaving_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+        #[inline]
+        pub fn get_brittle(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn set_brittle(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(4, value);
+        }
+        #[inline]
+        pub fn get_is_brittle(self) -> bool {
+            self.builder.get_bool_field(65)
+        }
+        #[inline]
+        pub fn set_is_brittle(&mut self, value: bool)  {
+            self.builder.set_bool_field(65, value);
+        }
+        #[inline]
+        pub fn get_brittle_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn set_brittle_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(5, value);
+        }
+        #[inline]
+        pub fn get_held(self) -> f32 {
+            self.builder.get_data_field::<f32>(6)
+        }
+        #[inline]
+        pub fn set_held(&mut self, value: f32)  {
+            self.builder.set_data_field::<f32>(6, value);
+        }
+        #[inline]
+        pub fn get_held_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(7)
+        }
+        #[inline]
+        pub fn set_held_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(7, value);
+        }
+        #[inline]
+        pub fn get_recent(self) -> u32 {
+            self.builder.get_data_field::<u32>(8)
+        }
+        #[inline]
+        pub fn set_recent(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(8, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 174] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(2, 177, 149, 122, 233, 141, 135, 226),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 5, 0),
+            ::capnp::word(39, 106, 78, 201, 208, 163, 248, 177),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 78, 111),
+            ::capnp::word(116, 105, 99, 101, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 65, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 114, 116, 101, 100, 77),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 76, 101, 97, 118, 105, 110),
+            ::capnp::word(103, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 97, 118, 105, 110, 103, 65),
+            ::capnp::word(103, 101, 77, 115, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 114, 105, 116, 116, 108, 101, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 66, 114, 105, 116, 116, 108),
+            ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 114, 105, 116, 116, 108, 101, 65),
+            ::capnp::word(103, 101, 77, 115, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 101, 108, 100, 0, 0, 0, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 101, 108, 100, 65, 103, 101, 77),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 99, 101, 110, 116, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <f32 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,6,0,7,8,5,2,3,9,1];
+        pub(crate) const TYPE_ID: u64 = 0xe287_8de9_7a95_b102;
+    }
+}
+
 pub mod limit {
     #[derive(Copy, Clone)]
     pub struct Owned(());
