paths: other nodes are asked for connections side by side (RECOVER)

Cause: a node asked one node of its own data centre, which took up to 400 ms to say that it has no path either, before one of another data centre; the direct attempt failed after 250 ms and ended the search. Nodes that reached another service counted as able to pass on.

Change: nodes are asked 40 ms after one another, those that failed within 2 s last, and a failed direct attempt leaves them 250 ms more.

--- a/gateway/src/paths.rs
+++ b/gateway/src/paths.rs
@@ -15,8 +15,8 @@
 
 use dottereltally::pool::{self, Limits, Pool, Ready};
 use dottereltally_lib::id;
-use futures_util::{FutureExt, future::BoxFuture};
-use rand::seq::IndexedRandom;
+use futures_util::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesUnordered};
+use rand::Rng;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net::TcpStream,
@@ -36,6 +36,15 @@
 /// Time in which a refused connection may be opened through another node.
 const REFUSED_PATIENCE: Duration = Duration::from_millis(150);
 
+/// Time after which the next node is asked as well.
+const CARRIER_HEAD_START: Duration = Duration::from_millis(40);
+
+/// Time for a connection through another node once the direct one has failed.
+const THROUGH_PATIENCE: Duration = Duration::from_millis(250);
+
+/// Time for which a node that could not pass a connection on is asked last.
+const CARRIER_COOLDOWN: Duration = Duration::from_secs(2);
+
 /// Detours without a direct success between them after which a node is isolated.
 const MIN_DETOURS: usize = 2;
 
@@ -114,6 +123,8 @@
     /// Endpoints that were found to need a detour since the last direct success.
     found_since_direct: BTreeSet<String>,
     is_isolated: bool,
+    /// Nodes that could not pass a connection on, and when.
+    failed_carriers: HashMap<id::Node, Instant>,
     /// When the last bytes arrived from an endpoint without another node, or a path was
     /// found whole.
     last_heard: Instant,
@@ -154,6 +165,7 @@
             detours: HashMap::new(),
             found_since_direct: BTreeSet::new(),
             is_isolated: false,
+            failed_carriers: HashMap::new(),
             last_heard: Instant::now(),
         };
         let shared = Shared {
@@ -278,7 +290,13 @@
         let through = self.reach_through(address);
         tokio::pin!(through);
         select! {
-            opened = &mut direct => Ok(self.use_direct(address, opened?)),
+            opened = &mut direct => match opened {
+                Ok(stream) => Ok(self.use_direct(address, stream)),
+                Err(error) => {
+                    let through = timeout(THROUGH_PATIENCE, through).await;
+                    through.ok().and_then(Result::ok).ok_or(error)
+                }
+            },
             opened = &mut through => match opened {
                 Ok(link) => Ok(link),
                 Err(_) => Ok(self.use_direct(address, direct.await?)),
@@ -291,34 +309,80 @@
         Link::Direct(stream)
     }
 
-    /// Opens a connection through another node, and records the detour.
+    /// Opens a connection through another node, and records the detour. Nodes are asked
+    /// one after another, without waiting for those before to give up.
     async fn reach_through(&self, address: &str) -> io::Result<Link> {
         let mut last = io::Error::from(io::ErrorKind::HostUnreachable);
-        for carrier in self.choose_carriers() {
-            let own_name = self.shared.own_name.as_str();
-            match tunnel::open(&carrier.address, own_name, address).await {
-                Ok(tunnel) => {
-                    self.record_detour(address, &carrier.name);
-                    return Ok(Link::Through(carrier.name, tunnel));
+        let mut waiting = self.choose_carriers().into_iter();
+        let mut asked = FuturesUnordered::new();
+        loop {
+            if let Some(carrier) = waiting.next() {
+                asked.push(self.ask(carrier, address));
+            } else if asked.is_empty() {
+                return Err(last);
+            }
+            let answered = if waiting.len() > 0 {
+                timeout(CARRIER_HEAD_START, asked.next()).await
+            } else {
+                Ok(asked.next().await)
+            };
+            match answered {
+                Ok(Some((carrier, Ok(tunnel)))) => {
+                    self.record_detour(address, &carrier);
+                    return Ok(Link::Through(carrier, tunnel));
                 }
-                Err(error) => {
-                    tracing::debug!(address, carrier = %carrier.name, %error, "endpoint not reached through another node");
+                Ok(Some((carrier, Err(error)))) => {
+                    tracing::debug!(address, %carrier, %error, "endpoint not reached through another node");
                     last = error;
                 }
+                Ok(None) | Err(_) => {}
             }
         }
-        Err(last)
     }
 
-    /// Returns a node of the own data centre to ask, and then one of another, which may
-    /// have a path that the whole data centre has lost.
+    /// Asks another node for a connection; a node that has no path either is asked last
+    /// for a while.
+    async fn ask(&self, carrier: Carrier, address: &str) -> (id::Node, io::Result<Tunnel>) {
+        let own_name = self.shared.own_name.as_str();
+        let opened = tunnel::open(&carrier.address, own_name, address).await;
+        let mut state = self.lock();
+        if opened.is_ok() {
+            state.failed_carriers.remove(&carrier.name);
+        } else {
+            state
+                .failed_carriers
+                .insert(carrier.name.clone(), Instant::now());
+        }
+        drop(state);
+        (carrier.name, opened)
+    }
+
+    /// Returns a node of the own data centre to ask, and one of another, which may have a
+    /// path that the whole data centre has lost; those that failed lately come last.
     fn choose_carriers(&self) -> Vec<Carrier> {
-        let state = self.lock();
-        let (local, remote): (Vec<&Carrier>, Vec<&Carrier>) =
-            state.carriers.iter().partition(|carrier| carrier.is_local);
+        let mut state = self.lock();
+        state
+            .failed_carriers
+            .retain(|_, at| at.elapsed() < CARRIER_COOLDOWN);
         let mut rng = rand::rng();
-        let chosen = [local, remote].map(|group| group.choose(&mut rng).copied().cloned());
-        chosen.into_iter().flatten().collect()
+        let mut ranked = Vec::new();
+        for carrier in &state.carriers {
+            let has_failed = state.failed_carriers.contains_key(&carrier.name);
+            ranked.push((has_failed, rng.random::<u32>(), carrier));
+        }
+        ranked.sort_by_key(|(has_failed, random, _)| (*has_failed, *random));
+        let mut chosen = Vec::new();
+        for is_local in [true, false] {
+            let mut group = ranked
+                .iter()
+                .filter(|(.., carrier)| carrier.is_local == is_local);
+            chosen.extend(group.next().copied());
+        }
+        chosen.sort_by_key(|(has_failed, ..)| *has_failed);
+        chosen
+            .into_iter()
+            .map(|(.., carrier)| carrier.clone())
+            .collect()
     }
 
     /// Records that an endpoint was reached through another node only.
--- a/gateway/tests/test_cut.rs
+++ b/gateway/tests/test_cut.rs
@@ -151,3 +151,35 @@
     sleep(Duration::from_secs(2)).await;
     assert!(fleet.serve(&all, path).await > 0.99, "after the cut");
 }
+
+/// Guards against nodes that take a data centre without a path for one service as able to
+/// pass connections on, because its nodes reach another service (RECOVER).
+#[rstest]
+#[case::silent(Paths::Silent)]
+#[case::reset(Paths::Reset)]
+#[tokio::test]
+async fn a_data_centre_without_a_path_to_one_service_goes_through_another(#[case] paths: Paths) {
+    let mut fleet = Fleet::start(5, false).await;
+    let cut = [0, 1];
+    let all: Vec<usize> = (0..5).collect();
+    assert!(fleet.serve(&all, "/safe/x").await > 0.99);
+    let mut others = JoinSet::new();
+    for node in cut {
+        fleet.dialers[node].set(paths);
+        let chain = Arc::clone(&fleet.cluster.gateways[node].chain);
+        others.spawn(async move {
+            loop {
+                // An endpoint of the other service answers.
+                chain.paths.record_direct();
+                sleep(Duration::from_millis(50)).await;
+            }
+        });
+    }
+    fleet.serve(&all, "/safe/x").await;
+    sleep(CONTACT_TIME.saturating_sub(REQUESTS.1 * 60)).await;
+    let served = fleet.serve(&cut, "/safe/x").await;
+    let rest = fleet.serve(&[2, 3, 4], "/safe/x").await;
+    assert!(rest > 0.95, "the others served {rest}");
+    assert!(served >= rest * 2.0 / 3.0, "{served} against {rest}");
+    assert_eq!(fleet.marks(), 0, "a cut is no sign of a crash");
+}
