--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -43,6 +43,7 @@
     refusal::Refused,
     relay::Relay,
     search::{Obstacle, Place, Search},
+    view,
 };
 
 /// Retry delay of refusals for which no better one is known, such as those of a
@@ -79,6 +80,8 @@
     pub crashes: crashes::Handle,
     /// Remembers the versions that began streams.
     pub origins: origins::Handle,
+    /// How recent the directory is.
+    pub view: view::Handle,
     /// Metrics of the request path.
     pub metrics: Metrics,
     /// Phase of the shutdown.
--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -9,12 +9,18 @@
 pub mod quarantine;
 mod registration;
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    hash::{Hash, Hasher},
+    sync::Arc,
+    time::Duration,
+};
 
 use dottereltally::clock::Clock;
 use dottereltally_lib::{history::History, id, plan::Plan, time};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::watch;
+use xxhash_rust::xxh3::Xxh3;
 
 pub use self::{
     endpoints::{Endpoints, Observation},
@@ -25,7 +31,7 @@
     admission, crashes,
     directory::{Change, Changes, Entry, Node, Snapshot},
     metrics::Metrics,
-    origins,
+    origins, view,
 };
 
 /// Interval at which endpoints kept through an outage are checked for expiry.
@@ -38,6 +44,9 @@
     Snapshot(Box<Snapshot>),
     /// The source reported changes.
     Changes(Changes),
+    /// The source was read by a call that was sent at this uptime of the machine; the
+    /// message with what it returned was sent before.
+    Read(Duration),
     /// A call of the source failed, which was sent at this time, with the cause.
     SourceFailed(time::Instant, String),
     /// The source returned at this time, but was not read yet.
@@ -72,6 +81,8 @@
     pub crashes: crashes::Handle,
     /// Learns from the directory which versions serve.
     pub origins: origins::Handle,
+    /// Receives how recent the directory is.
+    pub view: view::Handle,
 }
 
 /// Actor that owns the directory.
@@ -170,6 +181,7 @@
                     tracing::warn!(cause, "key-value service unavailable");
                 }
             }
+            Message::Read(sent) => self.outputs.view.record_read(sent, self.digest()),
             Message::SourceReturned(at) => self.endpoints.record_return(at),
             Message::Tick => {}
         }
@@ -267,6 +279,20 @@
         self.endpoints.mark_changed();
     }
 
+    /// Returns a hash of what nodes use of the directory, the same at each of them.
+    fn digest(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        let plan = self.outputs.plan.borrow();
+        let generation = plan.as_ref().map(|plan| plan.generation.0);
+        generation.hash(&mut hasher);
+        self.endpoints.hash_used(&mut hasher);
+        for (name, node) in &self.nodes {
+            name.as_str().hash(&mut hasher);
+            node.address.hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+
     fn publish_nodes(&self) {
         let others = self
             .nodes
--- a/gateway/src/controller/endpoints.rs
+++ b/gateway/src/controller/endpoints.rs
@@ -5,7 +5,12 @@
 //! description disappears during an outage, or shortly after it, is therefore
 //! kept until it had time to write its description again.
 
-use std::{collections::BTreeMap, mem, time::Duration};
+use std::{
+    collections::BTreeMap,
+    hash::{Hash, Hasher},
+    mem,
+    time::Duration,
+};
 
 use dottereltally_lib::{
     endpoint::{Record, Standing},
@@ -207,6 +212,24 @@
         self.changed = true;
     }
 
+    /// Hashes what is used of the descriptions: without what endpoints renew only to show
+    /// that they live.
+    pub fn hash_used(&self, hasher: &mut impl Hasher) {
+        for (name, known) in &self.tracked {
+            let record = &known.entry.record;
+            name.as_str().hash(hasher);
+            record.address.hash(hasher);
+            record.service.as_str().hash(hasher);
+            record.data_centre.as_str().hash(hasher);
+            (record.standing == Standing::Live).hash(hasher);
+            record.capacity.hash(hasher);
+            let version = record.version.as_ref().map(id::Version::as_str);
+            version.hash(hasher);
+            known.entry.started_ms.hash(hasher);
+            known.missing.hash(hasher);
+        }
+    }
+
     /// Returns the descriptions.
     #[must_use]
     pub fn entries(&self) -> BTreeMap<id::Endpoint, Entry> {
--- a/gateway/src/controller/follow.rs
+++ b/gateway/src/controller/follow.rs
@@ -11,11 +11,11 @@
 use rand::Rng;
 use tokio::{
     select,
-    time::{Instant, interval, sleep, sleep_until, timeout},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 
 use super::{Message, endpoints::RENEWAL_TIME};
-use crate::{directory::Source, metrics::Metrics};
+use crate::{directory::Source, metrics::Metrics, view};
 
 /// Longest time from a change until a call returns it, beyond the poll interval:
 /// a source that drops its change history keeps calls waiting for about a second.
@@ -24,6 +24,12 @@
 /// The poll interval is this fraction of what [`CHANGE_DELAY`] leaves of the bound.
 const BOUND_FRACTION: f64 = 0.85;
 
+/// Smallest fraction of the poll interval at which a node reads that does so for others.
+const MIN_READER_FRACTION: f64 = 0.3;
+
+/// Time that a call and an announcement of it take beyond the time between two of them.
+const ANNOUNCEMENT_DELAY: Duration = Duration::from_millis(300);
+
 /// Shortest poll interval.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -40,6 +46,9 @@
 /// one that was lost may take long to fail.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Time between two probes of a node whose coordinator probes as well.
+const RARE_PROBE_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Time that it takes at most to read a description after it was written; endpoints
 /// are given up that much later than they must be written again.
 const READ_TIME: Duration = Duration::from_millis(300);
@@ -58,13 +67,15 @@
     }
 }
 
-/// Follows the source; never returns.
+/// Follows the source; never returns. `view` shows whether the coordinator has read what
+/// this node has, so that it need not.
 pub async fn run<S: Source>(
     source: S,
     poll_interval: PollInterval,
     clock: Clock,
     controller: ActorRef<Message>,
     metrics: Metrics,
+    view: view::Handle,
 ) {
     let follower = Follower {
         source,
@@ -72,6 +83,7 @@
         clock,
         controller,
         metrics,
+        view,
     };
     loop {
         let (revision, renewal_end) = follower.read_snapshot().await;
@@ -85,6 +97,7 @@
     clock: Clock,
     controller: ActorRef<Message>,
     metrics: Metrics,
+    view: view::Handle,
 }
 
 /// When a source that was unavailable answered a probe.
@@ -105,11 +118,13 @@
         loop {
             self.metrics.store_calls.inc();
             let sent = self.clock.now();
+            let sent_uptime = self.view.uptime();
             let (result, returned) = self.supervise(OVERDUE, self.source.snapshot()).await;
             match result {
                 Ok(snapshot) => {
                     let revision = snapshot.revision;
                     self.send(Message::Snapshot(Box::new(snapshot)));
+                    self.send(Message::Read(sent_uptime));
                     return (revision, renewal_end);
                 }
                 Err(error) => {
@@ -123,21 +138,27 @@
     async fn follow_changes(&self, mut revision: Revision, mut renewal_end: Option<Instant>) {
         let mut pause = BACKOFF.0;
         loop {
-            let mut next_call = Instant::now() + self.poll_interval.0;
+            let mut next_call = Instant::now() + self.poll_interval();
             // What was written until then is read before endpoints are given up.
             if let Some(end) = renewal_end.take_if(|end| *end < next_call) {
                 next_call = end;
             }
             self.metrics.store_calls.inc();
             let sent = self.clock.now();
+            let sent_uptime = self.view.uptime();
+            let started = Instant::now();
             let reading = self.source.changes(revision, MAX_WAIT);
             let (result, returned) = self.supervise(MAX_WAIT + OVERDUE, reading).await;
             match result {
                 Ok(changes) => {
                     revision = changes.revision;
                     pause = BACKOFF.0;
+                    // The source answers without changes only after the whole wait.
+                    let has_waited = changes.changes.is_empty() && started.elapsed() >= MAX_WAIT;
+                    let waited = if has_waited { MAX_WAIT } else { Duration::ZERO };
                     self.send(Message::Changes(changes));
-                    sleep_until(next_call).await;
+                    self.send(Message::Read(sent_uptime + waited));
+                    self.wait_for_next_call(next_call).await;
                 }
                 Err(Error::Refused(cause)) => {
                     tracing::info!(
@@ -154,6 +175,35 @@
         }
     }
 
+    /// Returns the time between the starts of two calls. A node that reads for others
+    /// makes them so often that they learn of each call before their own is due.
+    fn poll_interval(&self) -> Duration {
+        let usual = self.poll_interval.0;
+        let Some(announcing) = self.view.announcing() else {
+            return usual;
+        };
+        let interval = usual.saturating_sub(announcing + ANNOUNCEMENT_DELAY);
+        let shortest = usual.mul_f64(MIN_READER_FRACTION).max(MIN_POLL_INTERVAL);
+        interval.max(shortest)
+    }
+
+    /// Waits until the next call is due: at a time, or later as long as the coordinator
+    /// reads that nothing changed.
+    async fn wait_for_next_call(&self, mut due: Instant) {
+        loop {
+            sleep_until(due).await;
+            if self.view.announcing().is_some() {
+                return;
+            }
+            let confirmed = self.view.confirmed();
+            let later = confirmed.map(|at| at + self.poll_interval.0);
+            match later {
+                Some(later) if later > Instant::now() => due = later,
+                _ => return,
+            }
+        }
+    }
+
     /// Returns the result of a call. While it is overdue, the source is probed; the
     /// first answer to a probe is returned as well.
     async fn supervise<T>(
@@ -194,18 +244,34 @@
         returned.renewal_end
     }
 
-    /// Probes the source until it answers.
+    /// Probes the source until it answers. A node whose coordinator reads for it leaves
+    /// that to the coordinator, mostly: all nodes together would ask too often.
     async fn wait_for_answer(&self) -> Return {
+        let started = Instant::now();
         let mut probes = FuturesUnordered::new();
-        let mut ticks = interval(PROBE_INTERVAL);
+        let mut next_probe = started;
         loop {
             select! {
-                _ = ticks.tick() => probes.push(self.probe()),
+                () = sleep_until(next_probe) => {
+                    probes.push(self.probe());
+                    let interval = if self.view.has_reader() {
+                        RARE_PROBE_INTERVAL
+                    } else {
+                        PROBE_INTERVAL
+                    };
+                    next_probe = Instant::now() + interval;
+                }
                 Some(answered) = probes.next() => {
                     if let Some(returned) = answered {
                         return returned;
                     }
                 }
+                read_at = self.view.wait_for_read(started), if self.view.has_reader() => {
+                    return Return {
+                        answered: self.clock.now() - read_at.elapsed(),
+                        renewal_end: read_at + RENEWAL_TIME,
+                    };
+                }
             }
         }
     }
--- a/gateway/src/crashes.rs
+++ b/gateway/src/crashes.rs
@@ -124,6 +124,11 @@
         self.lock().marks_to_share(now)
     }
 
+    /// Sets whether this node passes on the suspicions that others report.
+    pub fn set_relaying(&self, is_relaying: bool) {
+        self.lock().set_relaying(is_relaying);
+    }
+
     /// Forgets an endpoint that is no longer listed.
     pub fn forget(&self, endpoint: &id::Endpoint) {
         self.lock().forget(endpoint);
--- a/gateway/src/heartbeat.rs
+++ b/gateway/src/heartbeat.rs
@@ -96,7 +96,7 @@
         if let Some(view) = &self.view {
             let mut wire = root.reborrow().init_view();
             wire.set_digest(view.digest);
-            wire.set_revision(view.revision);
+            wire.set_number(view.number);
             wire.set_age_ms(whole_millis(view.age));
         }
         let mut list = root
@@ -149,7 +149,7 @@
             let view = root.get_view()?;
             heartbeat.view = Some(View {
                 digest: view.get_digest(),
-                revision: view.get_revision(),
+                number: view.get_number(),
                 age: Duration::from_millis(view.get_age_ms().into()),
             });
         }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -30,3 +30,4 @@
 pub mod search;
 pub mod settings;
 pub mod tunnel;
+pub mod view;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -313,6 +313,7 @@
                 limits: origins::Limits::default(),
             },
         ),
+        view: crate::view::Handle::new(clock),
         metrics: metrics.clone(),
         phase: Phase::default(),
     };
@@ -337,6 +338,7 @@
         own_name: settings.node.clone(),
         crashes: chain.crashes.clone(),
         origins: chain.origins.clone(),
+        view: chain.view.clone(),
     };
     let (controller, _running) = Actor::spawn(None, Controller, outputs)
         .await
@@ -348,6 +350,7 @@
         chain.clock,
         controller.clone(),
         chain.metrics.clone(),
+        chain.view.clone(),
     ));
     Ok(controller)
 }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -1,7 +1,7 @@
 //! Exchanges heartbeats with the other nodes, which carry each node's load on
 //! endpoints, its use of quotas and its quarantine marks.
 //!
-//! Heartbeats are datagrams. Each replaces the one before, so a lost one is not
+//! [`exchange`] decides which nodes send them to each other. Heartbeats are datagrams. Each replaces the one before, so a lost one is not
 //! sent again and a node that does not respond blocks no other.
 
 use std::{
@@ -11,8 +11,15 @@
     time::Duration,
 };
 
-use dottereltally_lib::{id, time};
+use dottereltally_lib::{
+    dispatcher::Load,
+    exchange::{self, Role, Scope},
+    id,
+    quota::{Audience, Coverage},
+    time,
+};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
+use rand::seq::IteratorRandom;
 use tokio::{net::UdpSocket, sync::watch, time::sleep};
 
 use crate::{
@@ -28,25 +35,24 @@
 /// Interval at which due heartbeats and silent nodes are looked for.
 const TICK: Duration = Duration::from_millis(50);
 
-/// Shortest time between two heartbeats to a node of the same data centre, and
-/// to one of another data centre, where traffic costs more.
-const MIN_INTERVAL: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(200));
-
-/// Time between two heartbeats from one coordinator to another: each carries
-/// the load of its data centre on the endpoints that they share.
-const COORDINATOR_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Most heartbeats a second that a node sends to its own data centre, and to
-/// all others together; in a larger fleet the interval to each node grows.
-const MAX_HEARTBEATS_PER_SECOND: u32 = 50;
-
 /// Intervals without a heartbeat after which a node counts as silent, and the
 /// shortest time for it.
 const SILENCE_LIMIT: (u32, Duration) = (6, Duration::from_millis(1200));
 
-/// Longest time until all nodes are informed of the death of an endpoint. In a large
-/// fleet, heartbeats are less frequent.
-const NEWS_DELAY: Duration = Duration::from_secs(1);
+/// Intervals without a heartbeat after which a relay or one of its nodes counts as
+/// silent; there are more than two ways to replace it.
+const RELAY_SILENCE_LIMIT: u32 = 3;
+
+/// Longest time until all nodes are informed of the death of an endpoint, if this node
+/// informs each of them, and if relays do. In a large fleet, heartbeats are less frequent.
+const NEWS_DELAY: (Duration, Duration) = (Duration::from_secs(1), Duration::from_millis(300));
+
+/// Heartbeats to a node of which one carries the load on endpoints, in a report on all
+/// nodes: it is needed only while the node has no coordinator.
+const LOAD_PERIOD: u32 = 4;
+
+/// Nodes of each data centre that are named as ones that pass connections on.
+const MAX_CARRIERS: usize = 4;
 
 /// Time between two looks for such deaths.
 const NEWS_INTERVAL: Duration = Duration::from_millis(100);
@@ -84,10 +90,43 @@
     silent: bool,
     /// Whether it passes connections to endpoints on.
     carries: bool,
+    /// Whether it knows no exchange over relays.
+    is_older: bool,
+    /// Since when heartbeats are expected from it; `None` if they are not.
+    expected_since: Option<time::Instant>,
+    /// Whether what it reports about other nodes or itself is used here.
+    is_reporter: bool,
+    /// Heartbeats that were sent to it.
+    sent: u32,
     /// When the next heartbeat is to be sent to it.
     due: time::Instant,
 }
 
+impl Peer {
+    fn new(
+        address: SocketAddr,
+        data_centre: id::DataCentre,
+        local: bool,
+        due: time::Instant,
+    ) -> Self {
+        Self {
+            address,
+            data_centre,
+            local,
+            incarnation: 0,
+            sequence: 0,
+            last_received: None,
+            silent: false,
+            carries: false,
+            is_older: false,
+            expected_since: None,
+            is_reporter: false,
+            sent: 0,
+            due,
+        }
+    }
+}
+
 /// Actor that keeps track of the other nodes.
 pub struct Peers<D>(std::marker::PhantomData<D>);
 
@@ -121,6 +160,10 @@
     registered: BTreeMap<id::Node, Node>,
     /// The coordinator of each data centre.
     coordinators: BTreeSet<id::Node>,
+    /// The coordinator of this data centre, unless it is this node.
+    own_coordinator: Option<id::Node>,
+    /// To whom heartbeats are sent.
+    exchange: exchange::Plan,
 }
 
 impl<D: Dialect> Actor for Peers<D> {
@@ -141,6 +184,8 @@
             peers: BTreeMap::new(),
             registered: BTreeMap::new(),
             coordinators: BTreeSet::new(),
+            own_coordinator: None,
+            exchange: exchange::Plan::default(),
         })
     }
 
@@ -153,12 +198,7 @@
         match message {
             Message::Registered(nodes) => state.update_registered(nodes),
             Message::Received(heartbeat, from) => state.receive(&heartbeat, from),
-            Message::News => {
-                let latest = state.now() + NEWS_DELAY;
-                for peer in state.peers.values_mut() {
-                    peer.due = peer.due.min(latest);
-                }
-            }
+            Message::News => state.hasten(),
             Message::Tick => state.tick(),
         }
         Ok(())
@@ -182,18 +222,9 @@
                 continue;
             };
             let local = node.data_centre == self.arguments.own_node.data_centre;
-            let peer = self.peers.entry(node.name).or_insert(Peer {
-                address,
-                data_centre: node.data_centre,
-                local,
-                incarnation: 0,
-                sequence: 0,
-                last_received: None,
-                silent: false,
-                carries: false,
-                due: now,
-            });
-            peer.address = address;
+            let peer = self.peers.entry(node.name);
+            let new = || Peer::new(address, node.data_centre, local, now);
+            peer.or_insert_with(new).address = address;
         }
         // A node that sends heartbeats is kept even if its registration ended.
         let registered = &self.registered;
@@ -203,13 +234,10 @@
         self.update_members();
     }
 
-    /// Passes the set of nodes to the quotas, the retry budget and the
-    /// dispatcher.
+    /// Passes the set of nodes to the retry budget and the dispatcher.
     fn update_members(&mut self) {
-        let now = self.now();
         let names: Vec<id::Node> = self.peers.keys().cloned().collect();
         let chain = &self.arguments.chain;
-        lock(&chain.limiter).set_peers(now, &names);
         lock(&chain.budget).set_node_count(names.len() + 1);
         chain.admission.apply(|dispatcher, _| {
             dispatcher.set_peers(&names);
@@ -262,10 +290,12 @@
         let data_centres: BTreeSet<&id::DataCentre> =
             live.iter().map(|node| &node.data_centre).collect();
         let mut coordinators = BTreeSet::new();
+        let mut own_coordinator = None;
         for data_centre in &data_centres {
             let ranked = coordinator::rank(data_centre, live.iter().copied());
             coordinators.extend(ranked.first().map(|node| node.name.clone()));
             if **data_centre == own_node.data_centre {
+                own_coordinator = ranked.first().map(|node| node.name.clone());
                 self.arguments.ranked_nodes.send_if_modified(|known| {
                     let changed = *known != ranked;
                     *known = ranked;
@@ -285,6 +315,149 @@
             Vec::new()
         });
         self.coordinators = coordinators;
+        let is_coordinator = own_coordinator.as_ref() == Some(&own_node.name);
+        self.own_coordinator = own_coordinator.filter(|_| !is_coordinator);
+        self.plan_exchange();
+        let has_followers = self
+            .peers
+            .values()
+            .any(|peer| peer.local && !peer.silent && peer.last_received.is_some());
+        let is_reader = match self.exchange.role {
+            Role::Mesh => is_coordinator && has_followers,
+            role => role == Role::Coordinator,
+        };
+        let mut announcing = None;
+        for (name, target) in &self.exchange.targets {
+            if self.peers.get(name).is_some_and(|peer| peer.local) {
+                announcing = announcing.max(Some(target.interval));
+            }
+        }
+        let view = &self.arguments.chain.view;
+        view.set_announcing(announcing.filter(|_| is_reader));
+    }
+
+    /// Determines to whom heartbeats are sent, and whose are used.
+    fn plan_exchange(&mut self) {
+        let now = self.now();
+        let own_node = &self.arguments.own_node;
+        let mut listed: Vec<&Node> = self.registered.values().collect();
+        listed.push(own_node);
+        let data_centres: BTreeSet<&id::DataCentre> =
+            self.peers.values().map(|peer| &peer.data_centre).collect();
+        let mut members = Vec::new();
+        let mut rank = 0;
+        for data_centre in data_centres {
+            let ranked = coordinator::rank(data_centre, listed.iter().copied());
+            let mut names: Vec<&id::Node> = ranked.iter().map(|node| &node.name).collect();
+            let place = names.iter().position(|name| **name == own_node.name);
+            if let Some(place) = place {
+                rank = place;
+            }
+            // Nodes without a registration can't be called, so that they come last.
+            let unlisted = self.peers.iter().filter(|(name, peer)| {
+                peer.data_centre == *data_centre && !self.registered.contains_key(*name)
+            });
+            names.extend(unlisted.map(|(name, _)| name));
+            for name in names {
+                let Some(peer) = self.peers.get(name) else {
+                    continue;
+                };
+                members.push(exchange::Member {
+                    name: name.clone(),
+                    data_centre: data_centre.clone(),
+                    is_silent: peer.silent,
+                    is_older: peer.is_older && !peer.silent,
+                });
+            }
+        }
+        let own = (&own_node.name, &own_node.data_centre);
+        let planned = exchange::plan(own, rank, &members, &self.coordinators);
+        if planned.role != self.exchange.role {
+            tracing::info!(
+                role = %planned.role,
+                before = %self.exchange.role,
+                receivers = planned.targets.len(),
+                nodes = members.len() + 1,
+                "part of this node in the exchange of heartbeats changed"
+            );
+            let is_relaying = planned.role == Role::Coordinator;
+            self.arguments.chain.crashes.set_relaying(is_relaying);
+        }
+        self.exchange = planned;
+        let reporters = self.reporters(&members);
+        for (name, peer) in &mut self.peers {
+            let is_expected = self.exchange.sources.contains_key(name);
+            peer.expected_since = match peer.expected_since {
+                _ if !is_expected => None,
+                None => Some(now),
+                since => since,
+            };
+            let is_reporter = reporters.contains(name);
+            if peer.is_reporter && !is_reporter {
+                self.arguments.chain.admission.apply(|dispatcher, _| {
+                    dispatcher.forget_peer(name);
+                    Vec::new()
+                });
+            }
+            peer.is_reporter = is_reporter;
+        }
+        let reporters: Vec<id::Node> = reporters.into_iter().collect();
+        let mut limiter = lock(&self.arguments.chain.limiter);
+        if self.exchange.role == Role::Mesh {
+            limiter.set_all_reporting();
+            limiter.set_peers(now, &reporters);
+        } else {
+            limiter.set_reporters(now, &reporters, members.len() + 1);
+        }
+    }
+
+    /// Returns the nodes whose reports are used, so that no usage is counted twice.
+    fn reporters(&self, members: &[exchange::Member]) -> BTreeSet<id::Node> {
+        let own = &self.arguments.own_node.data_centre;
+        let mut reporters = BTreeSet::new();
+        let mut heard = BTreeSet::new();
+        for member in members {
+            let is_local = member.data_centre == *own;
+            let is_used = match self.exchange.role {
+                Role::Mesh => true,
+                Role::Leaf | Role::Standby => {
+                    is_local && !member.is_silent && heard.insert(&member.data_centre)
+                }
+                Role::Coordinator if is_local => !member.is_silent,
+                Role::Coordinator => !member.is_silent && heard.insert(&member.data_centre),
+            };
+            if is_used {
+                reporters.insert(member.name.clone());
+            }
+        }
+        reporters
+    }
+
+    /// Sends the next heartbeats soon, as they carry news.
+    fn hasten(&mut self) {
+        let delay = match self.exchange.role {
+            Role::Mesh => NEWS_DELAY.0,
+            _ => NEWS_DELAY.1,
+        };
+        let latest = self.now() + delay;
+        for peer in self.peers.values_mut() {
+            peer.due = peer.due.min(latest);
+        }
+    }
+
+    /// Returns the nodes on whose usage a heartbeat reports, if it is used here.
+    fn coverage(&self, heartbeat: &Heartbeat, peer: &Peer) -> Option<Coverage> {
+        if !peer.is_reporter {
+            return None;
+        }
+        match (self.exchange.role, heartbeat.scope, peer.local) {
+            (Role::Mesh | Role::Coordinator, Scope::Node, true) => Some(Coverage::Local),
+            (Role::Mesh, Scope::Node, false) | (Role::Coordinator, Scope::DataCentre, false) => {
+                Some(Coverage::Remote)
+            }
+            (Role::Leaf | Role::Standby, Scope::Fleet, true) => Some(Coverage::Fleet),
+            _ => None,
+        }
     }
 
     fn receive(&mut self, heartbeat: &Heartbeat, from: SocketAddr) {
@@ -294,17 +467,13 @@
         let now = self.now();
         let known = self.peers.contains_key(&heartbeat.node);
         let local = heartbeat.data_centre == self.arguments.own_node.data_centre;
-        let peer = self.peers.entry(heartbeat.node.clone()).or_insert(Peer {
-            address: from,
-            data_centre: heartbeat.data_centre.clone(),
-            local,
-            incarnation: heartbeat.incarnation,
-            sequence: 0,
-            last_received: None,
-            silent: false,
-            carries: false,
-            due: now,
-        });
+        let new = || {
+            let mut peer = Peer::new(from, heartbeat.data_centre.clone(), local, now);
+            peer.incarnation = heartbeat.incarnation;
+            peer
+        };
+        let peer = self.peers.entry(heartbeat.node.clone());
+        let peer = peer.or_insert_with(new);
         if peer.incarnation == heartbeat.incarnation && heartbeat.sequence <= peer.sequence {
             return;
         }
@@ -319,6 +488,9 @@
             );
         }
         let moved = peer.address != from || peer.carries != heartbeat.carries;
+        let is_older = heartbeat.exchange < exchange::VERSION;
+        let changed_version = peer.is_older != is_older;
+        peer.is_older = is_older;
         peer.carries = heartbeat.carries;
         peer.address = from;
         peer.incarnation = heartbeat.incarnation;
@@ -327,19 +499,54 @@
         peer.silent = false;
         if !known {
             self.update_members();
-        } else if became_live {
+        } else if became_live || changed_version {
             self.elect_coordinators();
         }
+        self.update_carriers(heartbeat);
         if moved {
             self.update_candidates();
         }
+        self.apply(heartbeat);
+    }
+
+    /// Records which nodes pass connections on, as a relay reports.
+    fn update_carriers(&mut self, heartbeat: &Heartbeat) {
+        if heartbeat.scope == Scope::Node {
+            return;
+        }
+        let mut changed = false;
+        for (name, peer) in &mut self.peers {
+            let is_covered =
+                heartbeat.scope == Scope::Fleet || peer.data_centre == heartbeat.data_centre;
+            if !is_covered || *name == heartbeat.node {
+                continue;
+            }
+            let carries = heartbeat.carriers.contains(name);
+            changed |= carries != peer.carries;
+            peer.carries = carries;
+        }
+        if changed {
+            self.update_candidates();
+        }
+    }
+
+    /// Applies what a heartbeat reports.
+    fn apply(&mut self, heartbeat: &Heartbeat) {
+        let now = self.now();
+        let Some(peer) = self.peers.get(&heartbeat.node) else {
+            return;
+        };
+        let coverage = self.coverage(heartbeat, peer);
         let chain = &self.arguments.chain;
-        lock(&chain.limiter).record_peer_usage(
-            now,
-            &heartbeat.node,
-            heartbeat.incarnation,
-            heartbeat.usage.clone(),
-        );
+        if let Some(coverage) = coverage {
+            lock(&chain.limiter).record_report(
+                now,
+                &heartbeat.node,
+                heartbeat.incarnation,
+                coverage,
+                heartbeat.usage.clone(),
+            );
+        }
         chain
             .crashes
             .apply_marks(&heartbeat.node, &heartbeat.data_centre, &heartbeat.marks);
@@ -349,56 +556,76 @@
         chain
             .admission
             .record_peer_notices(&heartbeat.node, &heartbeat.notices);
-        let loads = heartbeat.loads.iter().cloned().collect();
-        chain
-            .admission
-            .apply(|dispatcher, now| dispatcher.record_peer_load(now, &heartbeat.node, loads));
+        if Some(&heartbeat.node) == self.own_coordinator.as_ref()
+            && let Some(view) = &heartbeat.view
+        {
+            chain.view.apply(heartbeat.incarnation, view);
+        }
+        // Not each report on the fleet carries the load.
+        let has_load = heartbeat.scope != Scope::Fleet || !heartbeat.loads.is_empty();
+        if coverage.is_some() && has_load {
+            let loads = heartbeat.loads.iter().cloned().collect();
+            chain
+                .admission
+                .apply(|dispatcher, now| dispatcher.record_peer_load(now, &heartbeat.node, loads));
+        }
+        if self.exchange.role == Role::Coordinator && !heartbeat.marks.is_empty() {
+            self.hasten();
+        }
     }
 
     fn tick(&mut self) {
         let now = self.now();
-        let local_count = self.peers.values().filter(|peer| peer.local).count();
-        let intervals = (
-            interval(MIN_INTERVAL.0, local_count),
-            interval(MIN_INTERVAL.1, self.peers.len() - local_count),
-        );
-        self.detect_silence(now, intervals);
+        self.detect_silence(now);
         let mut due = Vec::new();
-        let is_coordinator = self.coordinators.contains(&self.arguments.own_node.name);
-        for (name, peer) in &mut self.peers {
+        for (name, target) in &self.exchange.targets {
+            let Some(peer) = self.peers.get_mut(name) else {
+                continue;
+            };
             if peer.due > now {
                 continue;
             }
-            let interval = if is_coordinator && self.coordinators.contains(name) {
-                COORDINATOR_INTERVAL
-            } else if peer.local {
-                intervals.0
-            } else {
-                intervals.1
-            };
             // Half a tick earlier, so that the heartbeat is not put off by a tick.
-            peer.due = now + interval - TICK / 2;
-            due.push(peer.address);
+            peer.due = now + target.interval - TICK / 2;
+            peer.sent = peer.sent.wrapping_add(1);
+            due.push((name.clone(), target.scope, peer.address, peer.sent));
         }
         if due.is_empty() {
             return;
         }
-        let heartbeat = match self.heartbeat(now).encode() {
-            Ok(heartbeat) => heartbeat,
-            Err(error) => {
-                tracing::error!(%error, "heartbeat can't be encoded");
-                return;
+        let own = self.heartbeat(now);
+        let mut shared: BTreeMap<Scope, Vec<u8>> = BTreeMap::new();
+        for (name, scope, address, sent) in due {
+            if let Some(bytes) = shared.get(&scope) {
+                self.send(bytes, address);
+                continue;
             }
-        };
-        for address in due {
-            // If the socket buffer is full, the heartbeat is lost; the next one
-            // replaces it.
-            if let Err(error) = self.arguments.socket.try_send_to(&heartbeat, address) {
-                tracing::debug!(%address, %error, "heartbeat not sent");
+            let heartbeat = match scope {
+                Scope::Node => own.clone(),
+                Scope::DataCentre => self.data_centre_report(&own),
+                Scope::Fleet => self.fleet_report(&own, &name, sent),
+            };
+            let bytes = match heartbeat.encode() {
+                Ok(bytes) => bytes,
+                Err(error) => {
+                    tracing::error!(%error, "heartbeat can't be encoded");
+                    return;
+                }
+            };
+            self.send(&bytes, address);
+            if scope != Scope::Fleet {
+                shared.insert(scope, bytes);
             }
         }
     }
 
+    fn send(&self, bytes: &[u8], address: SocketAddr) {
+        // If the socket buffer is full, the heartbeat is lost; the next one replaces it.
+        if let Err(error) = self.arguments.socket.try_send_to(bytes, address) {
+            tracing::debug!(%address, %error, "heartbeat not sent");
+        }
+    }
+
     fn heartbeat(&mut self, now: time::Instant) -> Heartbeat {
         self.sequence += 1;
         let chain = &self.arguments.chain;
@@ -418,53 +645,132 @@
             carries: !chain.phase.is_announced() && !chain.paths.is_isolated(),
             limits: chain.admission.read(|dispatcher| dispatcher.limits(now)),
             notices: chain.admission.read(|dispatcher| dispatcher.notices(now)),
-            ..Heartbeat::default()
+            exchange: exchange::VERSION,
+            scope: Scope::Node,
+            carriers: Vec::new(),
+            view: chain.view.announcement(),
+        }
+    }
+
+    /// Returns the report on the nodes of this data centre.
+    fn data_centre_report(&self, own: &Heartbeat) -> Heartbeat {
+        let chain = &self.arguments.chain;
+        let local = self.peers.iter().filter(|(_, peer)| peer.local);
+        let load = self.load_with(own, local.map(|(name, _)| name));
+        Heartbeat {
+            scope: Scope::DataCentre,
+            loads: load,
+            usage: lock(&chain.limiter).summed_usage(Audience::DataCentre),
+            carriers: self.carriers(|peer| peer.local),
+            view: None,
+            ..own.clone()
         }
     }
 
+    /// Returns the report for one node on all others; `sent` counts the heartbeats to it.
+    fn fleet_report(&self, own: &Heartbeat, receiver: &id::Node, sent: u32) -> Heartbeat {
+        let chain = &self.arguments.chain;
+        let others = self.peers.keys().filter(|name| *name != receiver);
+        let loads = if sent.is_multiple_of(LOAD_PERIOD) {
+            self.load_with(own, others)
+        } else {
+            Vec::new()
+        };
+        let mut carriers = self.carriers(|peer| peer.local);
+        carriers.extend(self.carriers(|peer| !peer.local));
+        Heartbeat {
+            scope: Scope::Fleet,
+            loads,
+            usage: lock(&chain.limiter).summed_usage(Audience::Node(receiver)),
+            carriers,
+            ..own.clone()
+        }
+    }
+
+    /// Returns the load of this node together with what other nodes reported.
+    fn load_with<'a>(
+        &self,
+        own: &Heartbeat,
+        others: impl Iterator<Item = &'a id::Node>,
+    ) -> Vec<(id::Endpoint, Load)> {
+        let admission = &self.arguments.chain.admission;
+        let mut sums = admission.read(|dispatcher| dispatcher.reported_load(others));
+        for (name, load) in &own.loads {
+            let sum = sums.entry(name.clone()).or_default();
+            sum.requests += load.requests;
+            sum.pending += load.pending;
+            sum.event_interval = load.event_interval;
+        }
+        sums.into_iter().collect()
+    }
+
+    /// Returns some nodes that pass connections on.
+    fn carriers(&self, is_wanted: impl Fn(&Peer) -> bool) -> Vec<id::Node> {
+        let carriers = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.carries && !peer.silent && is_wanted(peer));
+        let names = carriers.map(|(name, _)| name.clone());
+        names.choose_multiple(&mut rand::rng(), MAX_CARRIERS)
+    }
+
+    /// Returns the time without a heartbeat after which a node is silent; `None` if none
+    /// is expected from it.
+    fn silence_limit(&self, name: &id::Node) -> Option<Duration> {
+        let interval = *self.exchange.sources.get(name)?;
+        let intervals = match self.exchange.role {
+            Role::Mesh => SILENCE_LIMIT.0,
+            _ => RELAY_SILENCE_LIMIT,
+        };
+        Some((interval * intervals).max(SILENCE_LIMIT.1))
+    }
+
     /// Marks nodes as silent that sent no heartbeat for too long, and forgets
     /// their load on endpoints.
-    fn detect_silence(&mut self, now: time::Instant, intervals: (Duration, Duration)) {
+    fn detect_silence(&mut self, now: time::Instant) {
         let mut live = 0;
-        let mut changed = false;
-        for (name, peer) in &mut self.peers {
-            let interval = if peer.local { intervals.0 } else { intervals.1 };
-            let limit = (interval * SILENCE_LIMIT.0).max(SILENCE_LIMIT.1);
-            let Some(last) = peer.last_received else {
+        let mut silent = Vec::new();
+        for (name, peer) in &self.peers {
+            let Some(limit) = self.silence_limit(name) else {
                 continue;
             };
-            if now.since(last) < limit {
-                live += 1;
+            // Among relays, one that was never heard is replaced as well.
+            let since = match self.exchange.role {
+                Role::Mesh => peer.last_received,
+                _ => peer.last_received.max(peer.expected_since),
+            };
+            let Some(since) = since else {
                 continue;
-            }
-            if peer.silent {
+            };
+            if now.since(since) < limit {
+                live += i64::from(peer.last_received.is_some());
                 continue;
             }
-            peer.silent = true;
-            changed = true;
+            if !peer.silent {
+                silent.push((name.clone(), now.since(since)));
+            }
+        }
+        for (name, silence) in &silent {
             tracing::info!(
                 node = %name,
-                silent_ms = millis(now.since(last)),
+                silent_ms = millis(*silence),
                 "no heartbeats from node"
             );
             self.arguments.chain.admission.apply(|dispatcher, _| {
                 dispatcher.forget_peer(name);
                 Vec::new()
             });
+            if let Some(peer) = self.peers.get_mut(name) {
+                peer.silent = true;
+            }
         }
         self.arguments.chain.metrics.peers.set(live);
-        if changed {
+        if !silent.is_empty() {
             self.elect_coordinators();
         }
     }
 }
 
-/// Returns the time between two heartbeats to each of `nodes` nodes.
-fn interval(shortest: Duration, nodes: usize) -> Duration {
-    let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
-    shortest.max(Duration::from_secs(1) * nodes / MAX_HEARTBEATS_PER_SECOND)
-}
-
 /// Informs the other nodes in time of deaths that this node finds out; never returns.
 pub async fn announce(crashes: crashes::Handle, peers: ActorRef<Message>) {
     loop {
--- /dev/null
+++ b/gateway/src/view.rs
@@ -0,0 +1,154 @@
+//! How recent this node's view of the directory is.
+//!
+//! The coordinator of a data centre reads the source and announces a digest of the
+//! directory in its heartbeats. A node with the same digest has what the coordinator read,
+//! and need not ask the source itself. A node with another digest, or without recent
+//! announcements, reads the source.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use dottereltally::clock::Clock;
+use dottereltally_lib::exchange::View;
+use tokio::{sync::Notify, time::Instant};
+
+use crate::chain::lock;
+
+/// Time without an announcement after which a node no longer relies on its coordinator.
+const READER_TTL: Duration = Duration::from_secs(3);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct State {
+    digest: u64,
+    /// Number of the last read, and when it was sent, by the machine's uptime.
+    read: Option<(u64, Duration)>,
+    /// Process of the coordinator, and the number of its last read that it announced.
+    announced: (u64, u64),
+    /// When the last announcement was received, and when that read was sent.
+    last_announcement: Option<(Instant, Instant)>,
+    /// Time of the last read of the coordinator that found what this node has.
+    confirmed: Option<Instant>,
+    /// Time between two announcements to another node, if this node reads for others.
+    announcing: Option<Duration>,
+}
+
+struct Shared {
+    state: Mutex<State>,
+    clock: Clock,
+    /// Signalled when the coordinator announced a further read.
+    read_announced: Notify,
+}
+
+/// Handle of the node's view; clones share it.
+#[derive(Clone)]
+pub struct Handle {
+    shared: Arc<Shared>,
+}
+
+impl Handle {
+    /// Builds the handle of a node that has read nothing.
+    #[must_use]
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            shared: Arc::new(Shared {
+                state: Mutex::default(),
+                clock,
+                read_announced: Notify::new(),
+            }),
+        }
+    }
+
+    /// Returns the machine's uptime, for the time of a read.
+    #[must_use]
+    pub fn uptime(&self) -> Duration {
+        self.shared.clock.uptime()
+    }
+
+    /// Records a read of the source that was `sent` at a time, and what the node has since.
+    pub fn record_read(&self, sent: Duration, digest: u64) {
+        let mut state = lock(&self.shared.state);
+        state.digest = digest;
+        let number = state.read.map_or(1, |(number, _)| number + 1);
+        state.read = Some((number, sent));
+    }
+
+    /// Returns what to announce; `None` if nothing was read yet.
+    #[must_use]
+    pub fn announcement(&self) -> Option<View> {
+        let state = *lock(&self.shared.state);
+        let (number, sent) = state.read?;
+        Some(View {
+            digest: state.digest,
+            number,
+            age: self.shared.clock.uptime().saturating_sub(sent),
+        })
+    }
+
+    /// Applies what a process of the coordinator announced. Only the first announcement of
+    /// a read counts, as a later one may come from a machine that was suspended.
+    pub fn apply(&self, process: u64, view: &View) {
+        let now = Instant::now();
+        let mut state = lock(&self.shared.state);
+        if let Some((received, _)) = &mut state.last_announcement {
+            *received = now;
+        }
+        let (known, number) = state.announced;
+        if known == process && view.number <= number {
+            return;
+        }
+        state.announced = (process, view.number);
+        let Some(read_at) = now.checked_sub(view.age) else {
+            return;
+        };
+        state.last_announcement = Some((now, read_at));
+        if view.digest == state.digest && state.read.is_some() {
+            state.confirmed = state.confirmed.max(Some(read_at));
+        }
+        drop(state);
+        self.shared.read_announced.notify_waiters();
+    }
+
+    /// Returns whether another node reads the source for this one, as far as is known.
+    #[must_use]
+    pub fn has_reader(&self) -> bool {
+        let state = *lock(&self.shared.state);
+        let last = state.last_announcement.map(|(received, _)| received);
+        let is_recent = last.is_some_and(|received| received.elapsed() < READER_TTL);
+        is_recent && state.announcing.is_none()
+    }
+
+    /// Waits until the coordinator announces a read that was sent after `since`; returns
+    /// when it was sent.
+    pub async fn wait_for_read(&self, since: Instant) -> Instant {
+        loop {
+            let announced = self.shared.read_announced.notified();
+            let last = lock(&self.shared.state).last_announcement;
+            if let Some((_, read_at)) = last
+                && read_at > since
+            {
+                return read_at;
+            }
+            announced.await;
+        }
+    }
+
+    /// Returns when the coordinator last read what this node has.
+    #[must_use]
+    pub fn confirmed(&self) -> Option<Instant> {
+        lock(&self.shared.state).confirmed
+    }
+
+    /// Sets the time between two announcements to another node, if this node reads the
+    /// source for others.
+    pub fn set_announcing(&self, interval: Option<Duration>) {
+        lock(&self.shared.state).announcing = interval;
+    }
+
+    /// Returns the time between two announcements, if this node reads for others.
+    #[must_use]
+    pub fn announcing(&self) -> Option<Duration> {
+        lock(&self.shared.state).announcing
+    }
+}
--- a/gateway/tests/common/cut.rs
+++ b/gateway/tests/common/cut.rs
@@ -24,6 +24,9 @@
     Silent,
     /// Connections are reset, new ones refused.
     Reset,
+    /// New connections are accepted, and what is sent on them is lost, as behind a proxy
+    /// without a path to its back end.
+    Swallowed,
 }
 
 /// Opens connections through forwarders that can be cut.
@@ -52,6 +55,16 @@
             Paths::Whole => {}
             Paths::Silent => std::future::pending().await,
             Paths::Reset => return Err(io::ErrorKind::ConnectionRefused.into()),
+            Paths::Swallowed => {
+                let listener = TcpListener::bind("127.0.0.1:0").await?;
+                let stream = TcpStream::connect(listener.local_addr()?).await?;
+                let (accepted, _) = listener.accept().await?;
+                tokio::spawn(async move {
+                    let _ended = paths.wait_for(|paths| *paths == Paths::Whole).await;
+                    drop(accepted);
+                });
+                return Ok(stream);
+            }
         }
         let mut endpoint = TcpStream::connect(address).await?;
         let listener = TcpListener::bind("127.0.0.1:0").await?;
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -28,6 +28,7 @@
     node::UPSTREAM_LIMITS,
     origins,
     paths::{Dial, Paths, Tcp},
+    view,
 };
 use dottereltally_lib::{
     budget::{self, Budget},
@@ -542,6 +543,7 @@
             })),
             crashes,
             origins,
+            view: view::Handle::new(clock),
             metrics,
             phase: Phase::default(),
         });
--- a/gateway/tests/test_kept_quarantine.rs
+++ b/gateway/tests/test_kept_quarantine.rs
@@ -99,6 +99,7 @@
         own_name: id::Node::from("n"),
         crashes: chain.crashes.clone(),
         origins: chain.origins.clone(),
+        view: chain.view.clone(),
     };
     let (controller, _running) = Actor::spawn(None, Controller, outputs).await.unwrap();
     controller
--- a/lib/src/crash.rs
+++ b/lib/src/crash.rs
@@ -485,6 +485,11 @@
         };
     }
 
+    /// Sets whether this node passes on the suspicions that others report.
+    pub fn set_relaying(&mut self, is_relaying: bool) {
+        self.register.set_relaying(is_relaying);
+    }
+
     /// Returns the suspicions to report to the other nodes.
     pub fn marks_to_share(&mut self, now: time::Instant) -> Vec<Mark> {
         self.register.share(now)
--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -333,6 +333,26 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Returns the load that these nodes reported, by endpoint.
+    #[must_use]
+    pub fn reported_load<'a>(
+        &self,
+        nodes: impl IntoIterator<Item = &'a id::Node>,
+    ) -> BTreeMap<id::Endpoint, Load> {
+        let mut sums: BTreeMap<id::Endpoint, Load> = BTreeMap::new();
+        for loads in nodes
+            .into_iter()
+            .filter_map(|node| self.peer_loads.get(node))
+        {
+            for (name, load) in loads {
+                let sum = sums.entry(name.clone()).or_default();
+                sum.requests += load.requests;
+                sum.pending += load.pending;
+            }
+        }
+        sums
+    }
+
     /// Drops the reported load of a node whose reports have stopped.
     pub fn forget_peer(&mut self, node: &id::Node) {
         if self.peer_loads.remove(node).is_some() {
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -12,6 +12,8 @@
     time::Duration,
 };
 
+use derive_more::Display;
+
 use crate::id;
 
 /// Version of this exchange.
@@ -80,8 +82,8 @@
 pub struct View {
     /// Hash of what matters of the directory.
     pub digest: u64,
-    /// Revision of the source at the last read.
-    pub revision: u64,
+    /// Number of the last read, counted by the process.
+    pub number: u64,
     /// Time since that read was sent.
     pub age: Duration,
 }
@@ -109,16 +111,20 @@
 }
 
 /// A node's part in the exchange.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq)]
 pub enum Role {
     /// It sends to all nodes, and each of them to it.
     #[default]
+    #[display("mesh")]
     Mesh,
     /// It reports to the relays and receives the coordinator's report.
+    #[display("leaf")]
     Leaf,
     /// It may replace the coordinator.
+    #[display("standby")]
     Standby,
     /// It sums up its data centre.
+    #[display("coordinator")]
     Coordinator,
 }
 
@@ -189,19 +195,23 @@
             .push(member);
     }
     for remote in by_data_centre.values() {
-        let live = remote.iter().filter(|member| !member.is_silent);
-        // If none is heard, the first ones are asked: they may only have started.
-        let unheard = remote.iter().filter(|member| member.is_silent);
-        for (index, relay) in live.chain(unheard).take(RELAYS).enumerate() {
-            let is_coordinator = index == 0;
-            let interval = match (is_first, is_coordinator) {
-                (true, true) => COORDINATOR_INTERVAL,
-                _ => STANDBY_INTERVAL,
+        // The first one is always included: after a cut, both sides find each other by it.
+        let live = remote.iter().skip(1).filter(|member| !member.is_silent);
+        let relays = remote.iter().take(1).chain(live).take(RELAYS);
+        let presumed = relays.clone().find(|member| !member.is_silent);
+        for relay in relays {
+            let is_coordinator = presumed.is_some_and(|presumed| presumed.name == relay.name);
+            let interval = if is_coordinator {
+                COORDINATOR_INTERVAL
+            } else {
+                STANDBY_INTERVAL
             };
             if is_first {
                 plan.add(&relay.name, interval, Scope::DataCentre);
             }
-            plan.sources.insert(relay.name.clone(), STANDBY_INTERVAL);
+            if is_coordinator {
+                plan.sources.insert(relay.name.clone(), STANDBY_INTERVAL);
+            }
         }
     }
     plan
--- a/lib/src/quota.rs
+++ b/lib/src/quota.rs
@@ -173,7 +173,11 @@
     last_report_at: time::Instant,
     /// Whether its reports have stopped for so long that its share is reserved.
     silent: bool,
+    /// Whether it reports on nodes of this data centre.
+    is_local: bool,
     usage: BTreeMap<id::Workspace, Usage>,
+    /// Units that it reported since its first report here.
+    received: BTreeMap<id::Workspace, f64>,
 }
 
 /// One node's view of all quotas.
@@ -184,6 +188,31 @@
     started: Option<time::Instant>,
     buckets: BTreeMap<id::Workspace, Bucket>,
     peers: BTreeMap<id::Node, Peer>,
+    /// Nodes that share the quotas, if not each of them reports here.
+    node_count: Option<usize>,
+    /// Units that peers reported which report here no more, those of this data centre
+    /// first.
+    retired: [BTreeMap<id::Workspace, f64>; 2],
+}
+
+/// The nodes on whose usage a report is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Coverage {
+    /// Nodes of this data centre.
+    Local,
+    /// Nodes of another data centre.
+    Remote,
+    /// All other nodes; it is not passed on.
+    Fleet,
+}
+
+/// Whose usage is summed up for a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Audience<'a> {
+    /// Another data centre: the usage of the nodes of this one.
+    DataCentre,
+    /// A node of this data centre: the usage of all others.
+    Node(&'a id::Node),
 }
 
 impl Limiter {
@@ -217,7 +246,75 @@
         }
     }
 
-    /// Applies another node's report. `incarnation` differs between processes
+    /// Sets the peers that report here, on themselves or on other nodes as well, and the
+    /// number of all nodes. A single new reporter takes the place of those before: until
+    /// its first report, the demand that they reported is taken as its own.
+    pub fn set_reporters(&mut self, now: time::Instant, nodes: &[id::Node], node_count: usize) {
+        self.node_count = Some(node_count);
+        let mut inherited = None;
+        if let [reporter] = nodes
+            && !self.peers.contains_key(reporter)
+        {
+            let mut usage: BTreeMap<id::Workspace, Usage> = BTreeMap::new();
+            for peer in self.peers.values() {
+                for (workspace, reported) in &peer.usage {
+                    usage.entry(workspace.clone()).or_default().demand += reported.demand;
+                }
+            }
+            inherited = Some((reporter.clone(), usage));
+        }
+        let kept: BTreeSet<&id::Node> = nodes.iter().collect();
+        for (name, peer) in &self.peers {
+            if kept.contains(name) {
+                continue;
+            }
+            let retired = &mut self.retired[usize::from(!peer.is_local)];
+            for (workspace, units) in &peer.received {
+                *retired.entry(workspace.clone()).or_default() += units;
+            }
+        }
+        self.set_peers(now, nodes);
+        if let Some((name, usage)) = inherited
+            && let Some(peer) = self.peers.get_mut(&name)
+        {
+            peer.usage = usage;
+        }
+    }
+
+    /// Makes each of the listed peers report for itself again.
+    pub fn set_all_reporting(&mut self) {
+        self.node_count = None;
+    }
+
+    /// Returns the summed usage for a report to others. What is admitted grows only, as
+    /// long as this process lives.
+    #[must_use]
+    pub fn summed_usage(&self, audience: Audience<'_>) -> BTreeMap<id::Workspace, Usage> {
+        let mut sums: BTreeMap<id::Workspace, Usage> = BTreeMap::new();
+        for (workspace, bucket) in &self.buckets {
+            sums.insert(workspace.clone(), bucket.own_usage);
+        }
+        let includes_remote = audience != Audience::DataCentre;
+        for (retired, is_included) in self.retired.iter().zip([true, includes_remote]) {
+            for (workspace, units) in retired.iter().filter(|_| is_included) {
+                sums.entry(workspace.clone()).or_default().admitted += units;
+            }
+        }
+        for (name, peer) in &self.peers {
+            if Audience::Node(name) == audience || !(peer.is_local || includes_remote) {
+                continue;
+            }
+            for (workspace, units) in &peer.received {
+                sums.entry(workspace.clone()).or_default().admitted += units;
+            }
+            for (workspace, usage) in &peer.usage {
+                sums.entry(workspace.clone()).or_default().demand += usage.demand;
+            }
+        }
+        sums
+    }
+
+    /// Applies another node's report on itself. `incarnation` differs between processes
     /// of the same node.
     pub fn record_peer_usage(
         &mut self,
@@ -225,6 +322,18 @@
         node: &id::Node,
         incarnation: u64,
         usage: BTreeMap<id::Workspace, Usage>,
+    ) {
+        self.record_report(now, node, incarnation, Coverage::Local, usage);
+    }
+
+    /// Applies a report on the nodes that it covers.
+    pub fn record_report(
+        &mut self,
+        now: time::Instant,
+        node: &id::Node,
+        incarnation: u64,
+        coverage: Coverage,
+        usage: BTreeMap<id::Workspace, Usage>,
     ) {
         let reserved = self.reserved_for(now, node);
         let peer = self.peers.entry(node.clone()).or_default();
@@ -235,13 +344,23 @@
         for (workspace, reported) in &usage {
             let before = match peer.usage.get(workspace) {
                 Some(before) if same_process => before.admitted,
+                // A reporter that took the place of others may have admitted since.
+                Some(before) if first_report => {
+                    let gap = now.since(peer.last_report_at).as_secs_f64();
+                    (reported.admitted - before.demand * gap).max(0.0)
+                }
                 _ if first_report => reported.admitted,
                 _ => 0.0,
             };
+            let units = (reported.admitted - before).max(0.0);
+            if coverage != Coverage::Fleet {
+                *peer.received.entry(workspace.clone()).or_default() += units;
+            }
             let bucket = self.buckets.entry(workspace.clone()).or_default();
             let reserved = reserved.get(workspace).copied().unwrap_or_default();
-            bucket.deduct(now, (reported.admitted - before - reserved).max(0.0));
+            bucket.deduct(now, (units - reserved).max(0.0));
         }
+        peer.is_local = coverage != Coverage::Remote;
         peer.incarnation = incarnation;
         peer.last_report_at = now;
         peer.silent = false;
@@ -389,7 +508,8 @@
     /// Returns the demand of all nodes, in units per second, and their number.
     fn demand(&self, workspace: &id::Workspace, own_demand: f64) -> (f64, f64) {
         let others = self.peers.values().map(|peer| peer.demand(workspace));
-        let nodes = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
+        let nodes = self.node_count.unwrap_or(self.peers.len() + 1).max(1);
+        let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
         (own_demand + others.sum::<f64>(), f64::from(nodes))
     }
 }
--- a/lib/src/suspicion.rs
+++ b/lib/src/suspicion.rs
@@ -155,9 +155,16 @@
     next_news: Option<Key>,
     /// Suspicions that were dropped for lack of space.
     dropped: u64,
+    /// Whether this node passes on what others report.
+    is_relaying: bool,
 }
 
 impl Register {
+    /// Sets whether this node passes on what others report.
+    pub fn set_relaying(&mut self, is_relaying: bool) {
+        self.is_relaying = is_relaying;
+    }
+
     /// Returns what is known about a request.
     #[must_use]
     pub fn verdict(&self, now: time::Instant, fingerprint: id::Fingerprint) -> Verdict {
@@ -349,13 +356,21 @@
                 return false;
             }
             known.kind = mark.kind;
+            if self.is_relaying {
+                known.news_until = now + NEWS_TIME;
+            }
             return true;
         }
+        let news_time = if self.is_relaying {
+            NEWS_TIME
+        } else {
+            Duration::ZERO
+        };
         let suspicion = Suspicion {
             kind: mark.kind,
             since: now,
             expires: now + mark.valid.min(SUSPICION_TTL),
-            news_until: now,
+            news_until: now + news_time,
             own: false,
             is_withdrawn_silently: false,
         };
--- a/proto/schema/gateway.capnp
+++ b/proto/schema/gateway.capnp
@@ -34,8 +34,8 @@
 struct View {
   # Hash of what matters of the directory.
   digest @0 :UInt64;
-  # Revision of the store at the last read.
-  revision @1 :UInt64;
+  # Number of the last read, counted by the process.
+  number @1 :UInt64;
   # Time since that read was sent.
   ageMs @2 :UInt32;
 }
--- a/proto/src/gateway_capnp.rs
+++ b/proto/src/gateway_capnp.rs
@@ -799,7 +799,7 @@
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_revision(self) -> u64 {
+        pub fn get_number(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
         #[inline]
@@ -869,11 +869,11 @@
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_revision(self) -> u64 {
+        pub fn get_number(self) -> u64 {
             self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn set_revision(&mut self, value: u64)  {
+        pub fn set_number(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
@@ -895,7 +895,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(233, 68, 238, 45, 230, 178, 23, 192),
             ::capnp::word(14, 0, 0, 0, 1, 0, 3, 0),
@@ -923,17 +923,17 @@
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -942,8 +942,7 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
