--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -301,7 +301,7 @@
         let now = self.shared.clock.now();
         let leaving = self.lock().dispatcher.record_peer_notices(now, reports);
         for endpoint in leaving {
-            tracing::info!(%endpoint, %node, "endpoint leaves, as it told another node");
+            tracing::info!(%endpoint, %node, "endpoint leaves, as another node reports");
         }
     }
 
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -204,7 +204,7 @@
         match message {
             Message::Registered(nodes) => state.update_registered(nodes),
             Message::Received(heartbeat, from) => state.receive(&heartbeat, from),
-            Message::News => state.hasten(),
+            Message::News => state.advance_heartbeats(),
             Message::Tick => state.tick(),
         }
         Ok(())
@@ -421,16 +421,16 @@
     fn reporters(&self, members: &[exchange::Member]) -> BTreeSet<id::Node> {
         let own = &self.arguments.own_node.data_centre;
         let mut reporters = BTreeSet::new();
-        let mut heard = BTreeSet::new();
+        let mut covered = BTreeSet::new();
         for member in members {
             let is_local = member.data_centre == *own;
             let is_used = match self.exchange.role {
                 Role::Mesh => true,
                 Role::Leaf | Role::Standby => {
-                    is_local && !member.is_silent && heard.insert(&member.data_centre)
+                    is_local && !member.is_silent && covered.insert(&member.data_centre)
                 }
                 Role::Coordinator if is_local => !member.is_silent,
-                Role::Coordinator => !member.is_silent && heard.insert(&member.data_centre),
+                Role::Coordinator => !member.is_silent && covered.insert(&member.data_centre),
             };
             if is_used {
                 reporters.insert(member.name.clone());
@@ -440,7 +440,7 @@
     }
 
     /// Sends the next heartbeats soon, as they carry news.
-    fn hasten(&mut self) {
+    fn advance_heartbeats(&mut self) {
         let delay = match self.exchange.role {
             Role::Mesh => NEWS_DELAY.0,
             _ => NEWS_DELAY.1,
@@ -576,7 +576,7 @@
                 .apply(|dispatcher, now| dispatcher.record_peer_load(now, &heartbeat.node, loads));
         }
         if self.exchange.role == Role::Coordinator && !heartbeat.marks.is_empty() {
-            self.hasten();
+            self.advance_heartbeats();
         }
     }
 
@@ -740,7 +740,7 @@
             let Some(limit) = self.silence_limit(name) else {
                 continue;
             };
-            // Among relays, one that was never heard is replaced as well.
+            // Among relays, one that never sent a heartbeat is replaced as well.
             let since = match self.exchange.role {
                 Role::Mesh => peer.last_received,
                 _ => peer.last_received.max(peer.expected_since),
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -4,8 +4,8 @@
 //! them to a few *relays* of its data centre, the nodes that rank first there. The first
 //! live one is the coordinator: it sums up what it receives, reports that to the relays
 //! of the other data centres, and sends each node of its own one report on all others.
-//! What a node sends and receives then does not grow with the fleet. A node that hears no
-//! relay, or a node that does not know this exchange, sends to all others again.
+//! What a node sends and receives then does not grow with the fleet. A node that receives
+//! nothing from relays, or a node that does not know this exchange, sends to all others again.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/lib/src/notice.rs
+++ b/lib/src/notice.rs
@@ -50,7 +50,7 @@
 #[derive(Clone, Debug)]
 struct Departure {
     at: time::Instant,
-    /// The endpoint's address, `ip:port`; `None` if another node was told so.
+    /// The endpoint's address, `ip:port`; `None` if another node reported it.
     address: Option<String>,
     /// When its process started; `None` if unknown.
     started_ms: Option<u64>,
--- a/lib/tests/test_exchange.rs
+++ b/lib/tests/test_exchange.rs
@@ -164,7 +164,7 @@
     assert!(far.targets.contains_key(&fleet.nodes[0].name));
 }
 
-/// Nodes that hear no relay, and nodes beside an older version, send to all others.
+/// Nodes that receive nothing from relays, and nodes beside an older version, send to all others.
 #[rstest]
 #[case::no_relay(true, false)]
 #[case::older_version(false, true)]
--- a/lib/tests/test_notice.rs
+++ b/lib/tests/test_notice.rs
@@ -230,7 +230,7 @@
     assert_eq!(node.standing(&name), Some(Standing::Live));
 }
 
-/// What another node was told about an earlier process says nothing about this one.
+/// What another node reports about an earlier process says nothing about this one.
 #[rstest]
 #[case::same_process(7, Standing::Leaving)]
 #[case::earlier_process(6, Standing::Live)]
