--- a/lib/src/notice.rs
+++ b/lib/src/notice.rs
@@ -107,12 +107,6 @@
             && is_same(departure.started_ms, started_ms)
     }
 
-    /// Returns when an endpoint said that it leaves; `None` if it did not.
-    #[must_use]
-    pub fn left_at(&self, endpoint: &id::Endpoint) -> Option<time::Instant> {
-        Some(self.by_endpoint.get(endpoint)?.at)
-    }
-
     /// Returns the endpoints that said so, and when their processes started.
     pub fn iter(&self) -> impl Iterator<Item = (&id::Endpoint, time::Instant, Option<u64>)> {
         let all = self.by_endpoint.iter();
