test_follow: failing tests of endpoints that leave during an outage (DRAIN)

A call that fails after the return of the source makes the time for renewals begin anew, and a node whose coordinator reads takes its reads for the return of its own path.

--- a/gateway/tests/common/directory.rs
+++ b/gateway/tests/common/directory.rs
@@ -62,6 +62,8 @@
     /// Whether calls for changes are cut.
     cuts: u64,
     calls: u64,
+    /// Calls that still fail although the source is back; probes don't.
+    failing: u32,
 }
 
 /// The source; clones share its content.
@@ -107,6 +109,11 @@
         });
     }
 
+    /// Makes the next calls fail that are no probes, as if their connections had died.
+    pub fn fail_calls(&self, calls: u32) {
+        self.read(|state| state.failing = calls);
+    }
+
     /// Cuts the calls that wait for changes, and drops the history.
     pub fn cut(&self) {
         self.read(|state| {
@@ -120,6 +127,20 @@
         self.read(|state| state.calls)
     }
 
+    /// Fails if calls that are no probes are to fail; otherwise as [`Self::pass`].
+    async fn pass_call(&self, limit: Duration) -> Result<u64, Error> {
+        let outages = self.pass(limit).await?;
+        let fails = self.read(|state| {
+            let fails = state.failing > 0;
+            state.failing = state.failing.saturating_sub(1);
+            fails
+        });
+        if fails {
+            return Err(Error::Lost("connection reset".to_owned()));
+        }
+        Ok(outages)
+    }
+
     /// Waits while the source is away; fails if the call is lost or turned away.
     async fn pass(&self, limit: Duration) -> Result<u64, Error> {
         let (away, outages) = self.read(|state| {
@@ -139,7 +160,7 @@
 
 impl Source for Directory {
     async fn snapshot(&self) -> Result<Snapshot, Error> {
-        self.pass(READ_LIMIT).await?;
+        self.pass_call(READ_LIMIT).await?;
         Ok(self.read(|state| Snapshot {
             revision: Revision(state.revision),
             endpoints: state.entries.clone(),
@@ -153,7 +174,7 @@
 
     async fn changes(&self, after: Revision, wait: Duration) -> Result<Changes, Error> {
         let start = Instant::now();
-        let outages = self.pass(wait + CALL_LIMIT).await?;
+        let outages = self.pass_call(wait + CALL_LIMIT).await?;
         let cuts = self.read(|state| state.cuts);
         loop {
             if self.read(|state| state.cuts) != cuts {
@@ -223,6 +244,8 @@
 pub struct Follower {
     pub admission: admission::Handle,
     pub controller: ActorRef<controller::Message>,
+    /// How recent the node's view is.
+    pub view: view::Handle,
     following: JoinHandle<()>,
 }
 
@@ -250,6 +273,7 @@
                 limits: PATIENT,
             },
         );
+        let view = view::Handle::new(clock);
         let outputs = Outputs {
             clock,
             plan: watch::Sender::new(None),
@@ -261,7 +285,7 @@
             own_name: id::Node::from("n"),
             crashes,
             origins,
-            view: view::Handle::new(clock),
+            view: view.clone(),
         };
         let (controller, _running) = Actor::spawn(None, Controller, outputs).await.unwrap();
         let poll_interval = PollInterval::within(Duration::from_secs(2));
@@ -271,11 +295,12 @@
             clock,
             controller.clone(),
             metrics,
-            view::Handle::new(clock),
+            view.clone(),
         );
         Self {
             admission,
             controller,
+            view,
             following: tokio::spawn(following),
         }
     }
--- a/gateway/tests/test_follow.rs
+++ b/gateway/tests/test_follow.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use common::directory::{Away, Directory, Follower};
-use dottereltally_lib::endpoint::Standing;
+use dottereltally_lib::{endpoint::Standing, exchange::View};
 use rstest::rstest;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Time after an outage from which a node must know what its source knows.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -69,7 +69,7 @@
         if lapses {
             directory.write("lives", Standing::Live, 1);
         }
-        tokio::time::sleep_until(returned + CONTACT_TIME).await;
+        sleep_until(returned + CONTACT_TIME).await;
         assert!(
             !follower.uses("leaves"),
             "still used {CONTACT_TIME:?} after an outage of {length:?}"
@@ -98,3 +98,68 @@
         assert!(follower.uses("lives"), "phase {phase}");
     }
 }
+
+/// Guards against DRAIN where calls go on to fail after the source returned: the time for
+/// renewals does not begin anew with each of them.
+#[rstest]
+#[case::silent(Away::Silent)]
+#[case::refused(Away::Refused)]
+#[tokio::test(start_paused = true)]
+#[ignore = "known red; see KNOWN-RED.txt"]
+async fn calls_that_fail_after_the_return_do_not_delay_leaving(#[case] away: Away) {
+    for step in 0..STEPS {
+        let length = Duration::from_secs(8) + STEP * step;
+        let (directory, follower) = with_two_endpoints().await;
+        directory.set_away(Some(away));
+        sleep(length / 2).await;
+        directory.remove("leaves");
+        sleep(length / 2).await;
+        directory.fail_calls(1 + step % 3);
+        directory.set_away(None);
+        sleep(CONTACT_TIME).await;
+        assert!(
+            !follower.uses("leaves"),
+            "still used {CONTACT_TIME:?} after an outage of {length:?}"
+        );
+        assert!(follower.uses("lives"), "given up after {length:?}");
+    }
+}
+
+/// Guards against DRAIN at a node whose own path to the source is cut, while its coordinator
+/// goes on reading: what the coordinator reads is not taken for the return of that path.
+#[tokio::test(start_paused = true)]
+#[ignore = "known red; see KNOWN-RED.txt"]
+async fn a_coordinator_that_reads_does_not_delay_leaving() {
+    const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(400);
+    for step in 0..STEPS {
+        let length = Duration::from_secs(8) + STEP * step;
+        let (directory, follower) = with_two_endpoints().await;
+        let view = follower.view.clone();
+        let announcing = tokio::spawn(async move {
+            for number in 1.. {
+                let (digest, age) = (0, Duration::ZERO);
+                view.apply(
+                    1,
+                    &View {
+                        digest,
+                        number,
+                        age,
+                    },
+                );
+                sleep(ANNOUNCEMENT_INTERVAL).await;
+            }
+        });
+        directory.set_away(Some(Away::Silent));
+        sleep(length / 2).await;
+        directory.remove("leaves");
+        sleep(length / 2).await;
+        directory.set_away(None);
+        sleep(CONTACT_TIME).await;
+        assert!(
+            !follower.uses("leaves"),
+            "still used {CONTACT_TIME:?} after an outage of {length:?}"
+        );
+        assert!(follower.uses("lives"), "given up after {length:?}");
+        announcing.abort();
+    }
+}
