--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -146,6 +146,7 @@
                     );
                     self.outputs.crashes.set_directory_available(true);
                 }
+                self.endpoints.begin_read(snapshot.revision);
                 self.outputs.endpoints_known.send_replace(true);
                 let origins = &self.outputs.origins;
                 origins.record_history(History::restart);
@@ -176,6 +177,7 @@
                     );
                     self.outputs.crashes.set_directory_available(true);
                 }
+                self.endpoints.begin_read(changes.revision);
                 self.outputs.origins.record_history(History::record_read);
                 for change in changes.changes {
                     self.apply_change(change);
@@ -191,7 +193,7 @@
             }
             Message::Read(sent) => self.outputs.view.record_read(sent, self.digest()),
             Message::SourceReturned(at) => self.endpoints.record_return(at),
-            Message::Tick => {}
+            Message::Tick => self.apply_listings(),
         }
         self.publish_endpoints();
     }
@@ -219,6 +221,16 @@
         self.publish_nodes();
     }
 
+    /// Applies what other nodes read of the directory.
+    fn apply_listings(&mut self) {
+        let now = self.outputs.clock.now();
+        for report in self.outputs.view.take_reported() {
+            if self.endpoints.record_listing(now, &report) {
+                self.record_removed(&report.endpoint);
+            }
+        }
+    }
+
     fn apply_change(&mut self, change: Change) {
         let now = self.outputs.clock.now();
         match change {
@@ -325,6 +337,9 @@
             }
         }
         let records = self.endpoints.take_changed(now);
+        if let Some(listings) = self.endpoints.take_listings(now) {
+            self.outputs.view.set_listings(listings);
+        }
         let changed = records.is_some();
         self.outputs.admission.apply(|dispatcher, now| {
             let effects = match records {
--- a/gateway/src/controller/endpoints.rs
+++ b/gateway/src/controller/endpoints.rs
@@ -17,7 +17,9 @@
     id, time,
 };
 
-use crate::directory::Entry;
+use dottereltally_store::kv::Revision;
+
+use crate::{directory::Entry, listing};
 
 /// Time after an outage of the source within which endpoints write expired
 /// descriptions again.
@@ -33,6 +35,8 @@
     entry: Entry,
     /// Whether its description disappeared during or shortly after an outage.
     missing: bool,
+    /// Revision of the directory at which the description was valid.
+    shown_at: Revision,
 }
 
 /// The endpoints that this node uses: those of the source, and those whose
@@ -48,6 +52,11 @@
     /// End of the last outage in which descriptions may have expired; `None` if there
     /// was none.
     outage_end: Option<time::Instant>,
+    /// Revision of the source that was read last.
+    revision: Revision,
+    /// Endpoints that left, as this node or another one read.
+    listings: listing::Listings,
+    listings_changed: bool,
     changed: bool,
     observations: Vec<Observation>,
 }
@@ -126,6 +135,83 @@
         (!left.is_zero()).then_some(left)
     }
 
+    /// Records the revision of the source that is applied next.
+    pub fn begin_read(&mut self, revision: Revision) {
+        self.revision = revision;
+    }
+
+    /// Applies what another node read about an endpoint; returns whether the endpoint is
+    /// given up for it.
+    pub fn record_listing(&mut self, now: time::Instant, report: &listing::Report) -> bool {
+        let was_used = self.is_used(&report.endpoint);
+        if !self.listings.record(now, report) {
+            return false;
+        }
+        self.listings_changed = true;
+        let is_used = self.is_used(&report.endpoint);
+        if was_used == is_used {
+            return false;
+        }
+        self.changed = true;
+        if is_used {
+            tracing::info!(
+                endpoint = %report.endpoint,
+                revision = report.revision.0,
+                "endpoint used again: another node read that it is listed"
+            );
+            return false;
+        }
+        tracing::info!(
+            endpoint = %report.endpoint,
+            revision = report.revision.0,
+            age_ms = crate::chain::millis(report.age),
+            "endpoint given up: another node read that it left"
+        );
+        self.observations
+            .push(Observation::Removed(report.endpoint.clone()));
+        true
+    }
+
+    /// Returns what to report to the other nodes if it changed since the last call.
+    pub fn take_listings(&mut self, now: time::Instant) -> Option<Vec<listing::Report>> {
+        mem::take(&mut self.listings_changed).then(|| self.listings.reports(now))
+    }
+
+    /// Returns whether an endpoint is known and has not left.
+    fn is_used(&self, name: &id::Endpoint) -> bool {
+        let known = self.tracked.get(name);
+        known.is_some_and(|known| !self.has_left(name, known))
+    }
+
+    fn has_left(&self, name: &id::Endpoint, known: &Tracked) -> bool {
+        let started_ms = known.entry.started_ms;
+        self.listings.has_left(name, started_ms, known.shown_at)
+    }
+
+    /// Returns the endpoints that are known and have not left.
+    fn used(&self) -> impl Iterator<Item = (&id::Endpoint, &Tracked)> {
+        let known = self.tracked.iter();
+        known.filter(|(name, known)| !self.has_left(name, known))
+    }
+
+    /// Records what this node read about an endpoint, for the other nodes.
+    fn record_own_listing(
+        &mut self,
+        now: time::Instant,
+        name: &id::Endpoint,
+        started_ms: Option<u64>,
+        (revision, is_listed): (Revision, bool),
+    ) {
+        let report = listing::Report {
+            endpoint: name.clone(),
+            started_ms,
+            revision,
+            is_listed,
+            age: Duration::ZERO,
+        };
+        self.listings_changed |= self.listings.record(now, &report);
+    }
+
     /// Applies a complete set of descriptions.
     pub fn replace(&mut self, now: time::Instant, entries: BTreeMap<id::Endpoint, Entry>) {
         self.initialized = true;
@@ -169,8 +255,16 @@
             self.changed = true;
         }
         self.observe(&name, &entry);
+        let shown_at = entry.revision.unwrap_or(self.revision);
+        let is_listed = entry.record.standing == Standing::Live;
+        self.record_own_listing(now, &name, entry.started_ms, (shown_at, is_listed));
         let missing = false;
-        self.tracked.insert(name, Tracked { entry, missing });
+        let tracked = Tracked {
+            entry,
+            missing,
+            shown_at,
+        };
+        self.tracked.insert(name, tracked);
     }
 
     /// Notes what a description shows about processes that it replaces.
@@ -195,7 +289,7 @@
 
     /// Applies the removal of a description.
     pub fn remove(&mut self, now: time::Instant, name: &id::Endpoint) {
-        let uncertain = self.removals_uncertain(now);
+        let uncertain = self.removals_uncertain(now) && self.is_used(name);
         let Some(known) = self.tracked.get_mut(name) else {
             return;
         };
@@ -209,7 +303,9 @@
             }
             return;
         }
+        let started_ms = known.entry.started_ms;
         self.tracked.remove(name);
+        self.record_own_listing(now, name, started_ms, (self.revision, false));
         self.observations.push(Observation::Removed(name.clone()));
         self.changed = true;
         tracing::info!(endpoint = %name, "endpoint removed");
@@ -218,13 +314,14 @@
     /// Returns the records if they changed since the last call, otherwise `None`.
     pub fn take_changed(&mut self, now: time::Instant) -> Option<Vec<Record>> {
         if !self.removals_uncertain(now) {
-            self.remove_missing();
+            self.remove_missing(now);
         }
+        self.listings.expire(now);
         if !mem::take(&mut self.changed) {
             return None;
         }
-        let known = self.tracked.values();
-        Some(known.map(|known| known.entry.record.clone()).collect())
+        let used = self.used();
+        Some(used.map(|(_, known)| known.entry.record.clone()).collect())
     }
 
     /// Returns what the directory showed about the endpoints' processes since the
@@ -243,7 +340,7 @@
     /// Hashes what is used of the descriptions: without what endpoints renew only to show
     /// that they live.
     pub fn hash_used(&self, hasher: &mut impl Hasher) {
-        for (name, known) in &self.tracked {
+        for (name, known) in self.used() {
             let record = &known.entry.record;
             name.as_str().hash(hasher);
             record.address.hash(hasher);
@@ -261,26 +358,28 @@
     /// Returns the descriptions.
     #[must_use]
     pub fn entries(&self) -> BTreeMap<id::Endpoint, Entry> {
-        let known = self.tracked.iter();
-        known
-            .map(|(name, known)| (name.clone(), known.entry.clone()))
+        let used = self.used();
+        used.map(|(name, known)| (name.clone(), known.entry.clone()))
             .collect()
     }
 
-    fn remove_missing(&mut self) {
-        let before = self.tracked.len();
-        let observations = &mut self.observations;
-        self.tracked.retain(|name, known| {
+    fn remove_missing(&mut self, now: time::Instant) {
+        let mut removed = Vec::new();
+        for (name, known) in &self.tracked {
             if known.missing {
-                observations.push(Observation::Removed(name.clone()));
-                tracing::info!(
-                    endpoint = %name,
-                    "endpoint removed: its description was not renewed after an outage"
-                );
+                removed.push((name.clone(), known.entry.started_ms));
             }
-            !known.missing
-        });
-        self.changed |= self.tracked.len() != before;
+        }
+        for (name, started_ms) in removed {
+            tracing::info!(
+                endpoint = %name,
+                "endpoint removed: its description was not renewed after an outage"
+            );
+            self.tracked.remove(&name);
+            self.record_own_listing(now, &name, started_ms, (self.revision, false));
+            self.observations.push(Observation::Removed(name));
+            self.changed = true;
+        }
     }
 
     /// Returns whether descriptions may be missing only because of an outage
--- a/gateway/src/heartbeat.rs
+++ b/gateway/src/heartbeat.rs
@@ -15,7 +15,12 @@
     share::Rate,
     suspicion::{Kind, Mark},
 };
-use dottereltally_proto::gateway_capnp::{beat, held, notice as wire_notice};
+use dottereltally_proto::gateway_capnp::{
+    beat, held, listing as wire_listing, notice as wire_notice,
+};
+use dottereltally_store::kv::Revision;
+
+use crate::listing;
 
 /// Size limit of a heartbeat that is read, in 8-byte words: 128 KiB unpacked.
 const MAX_HEARTBEAT_WORDS: usize = 16 * 1024;
@@ -53,6 +58,8 @@
     pub carriers: Vec<id::Node>,
     /// What the node last read from the source of the directory.
     pub view: Option<View>,
+    /// Whether endpoints are listed that had left, or that the sender knew to have left.
+    pub listings: Vec<listing::Report>,
 }
 
 impl Heartbeat {
@@ -111,6 +118,12 @@
         for (index, report) in self.notices.iter().enumerate() {
             write_notice(report, list.reborrow().get(list_length(index)));
         }
+        let mut list = root
+            .reborrow()
+            .init_listings(list_length(self.listings.len()));
+        for (index, report) in self.listings.iter().enumerate() {
+            write_listing(report, list.reborrow().get(list_length(index)));
+        }
         let mut list = root.init_marks(list_length(self.marks.len()));
         for (index, mark) in self.marks.iter().enumerate() {
             let mut entry = list.reborrow().get(list_length(index));
@@ -159,6 +172,9 @@
         for entry in root.get_notices()? {
             heartbeat.notices.push(read_notice(entry)?);
         }
+        for entry in root.get_listings()? {
+            heartbeat.listings.push(read_listing(entry)?);
+        }
         heartbeat.loads = read_loads(root.get_held()?)?;
         for entry in root.get_usage()? {
             let usage = Usage {
@@ -236,6 +252,25 @@
     })
 }
 
+fn write_listing(report: &listing::Report, mut wire: wire_listing::Builder<'_>) {
+    wire.set_endpoint(report.endpoint.as_str());
+    wire.set_started_ms(report.started_ms.unwrap_or_default());
+    wire.set_revision(report.revision.0);
+    wire.set_is_listed(report.is_listed);
+    wire.set_age_ms(whole_millis(report.age));
+}
+
+fn read_listing(wire: wire_listing::Reader<'_>) -> capnp::Result<listing::Report> {
+    let started_ms = wire.get_started_ms();
+    Ok(listing::Report {
+        endpoint: Endpoint::from(wire.get_endpoint()?.to_str()?),
+        started_ms: (started_ms > 0).then_some(started_ms),
+        revision: Revision(wire.get_revision()),
+        is_listed: wire.get_is_listed(),
+        age: Duration::from_millis(wire.get_age_ms().into()),
+    })
+}
+
 fn whole_millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod examiner;
 pub mod heartbeat;
 pub mod job;
+pub mod listing;
 pub mod logging;
 pub mod metrics;
 pub mod node;
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -562,6 +562,7 @@
         chain
             .admission
             .record_peer_notices(&heartbeat.node, &heartbeat.notices);
+        chain.view.record_listings(&heartbeat.listings);
         if Some(&heartbeat.node) == self.own_coordinator.as_ref()
             && let Some(view) = &heartbeat.view
         {
@@ -655,6 +656,7 @@
             scope: Scope::Node,
             carriers: Vec::new(),
             view: chain.view.announcement(),
+            listings: chain.view.listings(),
         }
     }
 
--- a/gateway/src/view.rs
+++ b/gateway/src/view.rs
@@ -6,6 +6,7 @@
 //! announcements, reads the source.
 
 use std::{
+    mem,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -14,11 +15,14 @@
 use dottereltally_lib::exchange::View;
 use tokio::{sync::Notify, time::Instant};
 
-use crate::chain::lock;
+use crate::{chain::lock, listing};
 
 /// Time without an announcement after which a node no longer relies on its coordinator.
 const READER_TTL: Duration = Duration::from_secs(3);
 
+/// Most reports of other nodes that are kept until they are applied.
+const MAX_REPORTED: usize = 10_000;
+
 #[derive(Clone, Copy, Debug, Default)]
 struct State {
     digest: u64,
@@ -34,8 +38,18 @@
     announcing: Option<Duration>,
 }
 
+/// What nodes report to each other about the endpoints that are listed.
+#[derive(Clone, Debug)]
+struct Listings {
+    /// For the other nodes, as of a time.
+    own: (Vec<listing::Report>, Instant),
+    /// From the other nodes, not applied yet.
+    reported: Vec<listing::Report>,
+}
+
 struct Shared {
     state: Mutex<State>,
+    listings: Mutex<Listings>,
     clock: Clock,
     /// Signalled when the coordinator announced a further read.
     read_announced: Notify,
@@ -54,6 +68,10 @@
         Self {
             shared: Arc::new(Shared {
                 state: Mutex::default(),
+                listings: Mutex::new(Listings {
+                    own: (Vec::new(), Instant::now()),
+                    reported: Vec::new(),
+                }),
                 clock,
                 read_announced: Notify::new(),
             }),
@@ -110,6 +128,45 @@
         self.shared.read_announced.notify_waiters();
     }
 
+    /// Sets what other nodes are to know about the endpoints that are listed.
+    pub fn set_listings(&self, reports: Vec<listing::Report>) {
+        lock(&self.shared.listings).own = (reports, Instant::now());
+    }
+
+    /// Returns what to report to the other nodes about the endpoints that are listed.
+    #[must_use]
+    pub fn listings(&self) -> Vec<listing::Report> {
+        let listings = lock(&self.shared.listings);
+        let (own, at) = &listings.own;
+        let elapsed = at.elapsed();
+        own.iter()
+            .filter_map(|report| report.after(elapsed))
+            .collect()
+    }
+
+    /// Takes what another node reported about the endpoints that are listed.
+    pub fn record_listings(&self, reports: &[listing::Report]) {
+        let mut listings = lock(&self.shared.listings);
+        for report in reports {
+            let is_same = |other: &listing::Report| {
+                other.endpoint == report.endpoint && other.revision >= report.revision
+            };
+            let (own, _) = &listings.own;
+            if own.iter().chain(&listings.reported).any(is_same) {
+                continue;
+            }
+            if listings.reported.len() < MAX_REPORTED {
+                listings.reported.push(report.clone());
+            }
+        }
+    }
+
+    /// Returns what other nodes reported since the last call.
+    #[must_use]
+    pub fn take_reported(&self) -> Vec<listing::Report> {
+        mem::take(&mut lock(&self.shared.listings).reported)
+    }
+
     /// Returns whether another node reads the source for this one, as far as is known.
     #[must_use]
     pub fn has_reader(&self) -> bool {
--- a/gateway/tests/test_follow.rs
+++ b/gateway/tests/test_follow.rs
@@ -161,3 +161,88 @@
         announcing.abort();
     }
 }
+
+/// A node and its view of the directory; each node has its own path to it.
+struct Nodes {
+    directories: [Directory; 2],
+    followers: [Follower; 2],
+}
+
+impl Nodes {
+    async fn start() -> Self {
+        let (first, first_follower) = with_two_endpoints().await;
+        let (second, second_follower) = with_two_endpoints().await;
+        Self {
+            directories: [first, second],
+            followers: [first_follower, second_follower],
+        }
+    }
+
+    fn write(&self, name: &str, started_ms: u64) {
+        for directory in &self.directories {
+            directory.write(name, Standing::Live, started_ms);
+        }
+    }
+
+    fn remove(&self, name: &str) {
+        for directory in &self.directories {
+            directory.remove(name);
+        }
+    }
+
+    /// Lets time pass while the nodes exchange heartbeats.
+    async fn exchange(&self, span: Duration) {
+        let start = Instant::now();
+        while start.elapsed() < span {
+            let [first, second] = &self.followers;
+            first.view.record_listings(&second.view.listings());
+            second.view.record_listings(&first.view.listings());
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
+
+/// Guards against DRAIN at a node that can't read the source: it learns from another node
+/// which endpoints left, and which are back, while its own path is cut.
+#[tokio::test(start_paused = true)]
+async fn a_node_that_is_cut_learns_from_others_who_left() {
+    let nodes = Nodes::start().await;
+    let [reader, cut] = &nodes.followers;
+    nodes.directories[1].set_away(Some(Away::Silent));
+    nodes.exchange(Duration::from_secs(5)).await;
+    nodes.remove("leaves");
+    nodes.exchange(DRAIN_TIME).await;
+    assert!(!reader.uses("leaves") && !cut.uses("leaves"), "it left");
+    assert!(
+        reader.uses("lives") && cut.uses("lives"),
+        "it did not leave"
+    );
+    // Its description expired, and it wrote it again.
+    nodes.remove("lives");
+    nodes.exchange(DRAIN_TIME).await;
+    assert!(!cut.uses("lives"));
+    nodes.write("lives", 1);
+    nodes.exchange(DRAIN_TIME).await;
+    assert!(reader.uses("lives") && cut.uses("lives"), "it is back");
+    nodes.directories[1].set_away(None);
+    nodes.exchange(CONTACT_TIME).await;
+    assert!(!cut.uses("leaves") && cut.uses("lives"));
+}
+
+/// A node whose view is older than the other's does not take endpoints away that are listed
+/// there, and a later process of an endpoint that left is used.
+#[tokio::test(start_paused = true)]
+async fn a_later_process_of_an_endpoint_is_used_again() {
+    let nodes = Nodes::start().await;
+    let [reader, cut] = &nodes.followers;
+    nodes.remove("leaves");
+    sleep(DRAIN_TIME).await;
+    nodes.directories[1].set_away(Some(Away::Silent));
+    nodes.exchange(Duration::from_secs(3)).await;
+    nodes.write("leaves", 2);
+    nodes.exchange(DRAIN_TIME).await;
+    assert!(reader.uses("leaves"));
+    nodes.directories[1].set_away(None);
+    nodes.exchange(CONTACT_TIME).await;
+    assert!(reader.uses("leaves") && cut.uses("leaves"));
+}
--- a/gateway/tests/test_heartbeat.rs
+++ b/gateway/tests/test_heartbeat.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use dottereltally_gateway::heartbeat::Heartbeat;
+use dottereltally_gateway::{heartbeat::Heartbeat, listing};
 use dottereltally_lib::{
     dispatcher::{Load, limit, rejection},
     exchange::{self, Scope, View},
@@ -11,6 +11,17 @@
     suspicion::{Kind, Mark, Register},
     time,
 };
+use dottereltally_store::kv::Revision;
+
+fn listing_report(started_ms: Option<u64>, is_listed: bool) -> listing::Report {
+    listing::Report {
+        endpoint: id::Endpoint::from("e"),
+        started_ms,
+        revision: Revision(i64::MAX / 5),
+        is_listed,
+        age: Duration::from_millis(70),
+    }
+}
 
 #[test]
 fn a_heartbeat_survives_encoding_and_decoding() {
@@ -54,6 +65,7 @@
             number: 17,
             age: Duration::from_millis(40),
         }),
+        listings: vec![listing_report(Some(3), false), listing_report(None, true)],
     };
     let bytes = heartbeat.encode().unwrap();
     assert_eq!(Heartbeat::decode(&bytes).unwrap(), heartbeat);
--- /dev/null
+++ b/gateway/tests/test_listing.rs
@@ -0,0 +1,82 @@
+//! What nodes report to each other about the endpoints that the directory lists.
+
+use std::time::Duration;
+
+use dottereltally_gateway::listing::{Listings, REPORT_TIME, Report};
+use dottereltally_lib::{id, time};
+use dottereltally_store::kv::Revision;
+use rstest::rstest;
+
+fn at(seconds: u64) -> time::Instant {
+    time::Instant::from_micros(seconds * 1_000_000)
+}
+
+fn endpoint() -> id::Endpoint {
+    id::Endpoint::from("e")
+}
+
+fn report(revision: i64, is_listed: bool) -> Report {
+    Report {
+        endpoint: endpoint(),
+        started_ms: Some(7),
+        revision: Revision(revision),
+        is_listed,
+        age: Duration::ZERO,
+    }
+}
+
+/// A report is about one process, and older than a description that was read later.
+#[rstest]
+#[case::same_process(Some(7), 9, true)]
+#[case::unknown_process(None, 9, true)]
+#[case::later_process(Some(8), 9, false)]
+#[case::later_description(Some(7), 10, false)]
+#[case::much_later_description(Some(7), 11, false)]
+fn a_report_of_leaving_holds_for_what_was_read_before(
+    #[case] started_ms: Option<u64>,
+    #[case] shown_at: i64,
+    #[case] expected: bool,
+) {
+    let mut listings = Listings::default();
+    assert!(listings.record(at(100), &report(10, false)));
+    let left = listings.has_left(&endpoint(), started_ms, Revision(shown_at));
+    assert_eq!(left, expected);
+}
+
+/// Reports that arrive late or twice change nothing; a later one brings the endpoint back.
+#[test]
+fn the_revision_decides_between_reports() {
+    let mut listings = Listings::default();
+    assert!(!listings.record(at(100), &report(8, true)), "nothing known");
+    assert!(listings.record(at(100), &report(10, false)));
+    assert!(
+        !listings.record(at(100), &report(10, false)),
+        "a repetition"
+    );
+    assert!(!listings.record(at(100), &report(9, true)), "an older view");
+    assert!(listings.has_left(&endpoint(), Some(7), Revision(5)));
+    assert!(listings.record(at(101), &report(12, true)));
+    assert!(!listings.has_left(&endpoint(), Some(7), Revision(5)));
+    assert!(
+        !listings.record(at(102), &report(11, false)),
+        "an older view"
+    );
+    assert!(listings.record(at(103), &report(13, false)));
+    assert!(listings.has_left(&endpoint(), Some(7), Revision(12)));
+}
+
+/// Listings are passed on with their age, for a limited time; what they say holds longer.
+#[test]
+fn listings_are_reported_for_a_limited_time() {
+    let mut listings = Listings::default();
+    let age = REPORT_TIME / 2;
+    let old = Report {
+        age,
+        ..report(10, false)
+    };
+    listings.record(at(100), &old);
+    assert_eq!(listings.reports(at(100)), [old]);
+    listings.expire(at(100) + age);
+    assert!(listings.reports(at(100) + age).is_empty());
+    assert!(listings.has_left(&endpoint(), Some(7), Revision(5)));
+}
--- a/proto/schema/gateway.capnp
+++ b/proto/schema/gateway.capnp
@@ -28,6 +28,21 @@
   carriers @13 :List(Text);
   # What the sender last read from the platform's store; zeros if nothing.
   view @14 :View;
+  # What the sender knows of endpoints that left lately.
+  listings @15 :List(Listing);
+}
+
+# Whether the directory listed an endpoint at a revision.
+struct Listing {
+  endpoint @0 :Text;
+  # Unix milliseconds of the start of its process; zero if unknown.
+  startedMs @1 :UInt64;
+  # Revision of the directory.
+  revision @2 :Int64;
+  # Whether it takes requests, by what was read.
+  isListed @3 :Bool;
+  # Time since that was read.
+  ageMs @4 :UInt32;
 }
 
 # What a node read from the platform's store.
--- a/proto/src/gateway_capnp.rs
+++ b/proto/src/gateway_capnp.rs
@@ -162,11 +162,19 @@
         pub fn has_view(&self) -> bool {
             !self.reader.get_pointer_field(8).is_null()
         }
+        #[inline]
+        pub fn get_listings(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::gateway_capnp::listing::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(9), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_listings(&self) -> bool {
+            !self.reader.get_pointer_field(9).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 9 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 10 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -408,6 +416,22 @@
         pub fn has_view(&self) -> bool {
             !self.builder.is_pointer_field_null(8)
         }
+        #[inline]
+        pub fn get_listings(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::gateway_capnp::listing::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(9), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_listings(&mut self, value: ::capnp::struct_list::Reader<'_,crate::gateway_capnp::listing::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(9), value, false)
+        }
+        #[inline]
+        pub fn init_listings(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::gateway_capnp::listing::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(9), size)
+        }
+        #[inline]
+        pub fn has_listings(&self) -> bool {
+            !self.builder.is_pointer_field_null(9)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -422,129 +446,136 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 272] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 292] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(99, 102, 229, 232, 187, 231, 249, 147),
             ::capnp::word(14, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(39, 106, 78, 201, 208, 163, 248, 177),
-            ::capnp::word(9, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(10, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 79, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 66, 101),
             ::capnp::word(97, 116, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(17, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(37, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(61, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 25, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(69, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(73, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(97, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 111, 100, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -695,6 +726,19 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 115, 116, 105, 110, 103, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(218, 247, 164, 128, 33, 11, 116, 170),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -713,6 +757,7 @@
                 12 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                 13 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 14 => <crate::gateway_capnp::view::Owned as ::capnp::introspect::Introspect>::introspect(),
+                15 => <::capnp::struct_list::Owned<crate::gateway_capnp::listing::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -726,13 +771,336 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[13,9,3,11,4,5,1,8,7,0,10,12,2,6,14];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[13,9,3,11,4,5,1,8,15,7,0,10,12,2,6,14];
         pub(crate) const TYPE_ID: u64 = 0x93f9_e7bb_e8e5_6663;
     }
 }
 
+pub mod listing {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_started_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_revision(self) -> i64 {
+            self.reader.get_data_field::<i64>(1)
+        }
+        #[inline]
+        pub fn get_is_listed(self) -> bool {
+            self.reader.get_bool_field(128)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(5)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_started_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_started_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_revision(self) -> i64 {
+            self.builder.get_data_field::<i64>(1)
+        }
+        #[inline]
+        pub fn set_revision(&mut self, value: i64)  {
+            self.builder.set_data_field::<i64>(1, value);
+        }
+        #[inline]
+        pub fn get_is_listed(self) -> bool {
+            self.builder.get_bool_field(128)
+        }
+        #[inline]
+        pub fn set_is_listed(&mut self, value: bool)  {
+            self.builder.set_bool_field(128, value);
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(5, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(218, 247, 164, 128, 33, 11, 116, 170),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(39, 106, 78, 201, 208, 163, 248, 177),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 76, 105),
+            ::capnp::word(115, 116, 105, 110, 103, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 128, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 114, 116, 101, 100, 77),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 76, 105, 115, 116, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <i64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,0,3,2,1];
+        pub(crate) const TYPE_ID: u64 = 0xaa74_0b21_80a4_f7da;
+    }
+}
+
 pub mod view {
     #[derive(Copy, Clone)]
     pub struct Owned(());
