--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -346,6 +346,17 @@
 ) -> Attempt {
     let (mut parts, body) = response.into_parts();
     let head = chain.dialect.read_answer(parts.status, &parts.headers);
+    let broken = |cause: &str| {
+        End::Broken {
+            cause: cause.to_owned(),
+        }
+        .into()
+    };
+    // An endpoint may write an answer twice, the second time in place of the next one.
+    // Dropping the body closes the connection.
+    if head.correlation_id.as_deref() != Some(job.correlation_id.as_str()) {
+        return broken("the answer belongs to another request");
+    }
     chain.record_limit(&choice.endpoint, head.limit);
     if is_from(&choice.endpoint, parts.status, head.endpoint.as_ref()) {
         chain.record_notice(&choice.endpoint, &head.notice);
@@ -360,15 +371,6 @@
         let status = parts.status;
         return End::Rejected { status }.into();
     }
-    let broken = |cause: &str| {
-        End::Broken {
-            cause: cause.to_owned(),
-        }
-        .into()
-    };
-    if head.correlation_id.as_deref() != Some(job.correlation_id.as_str()) {
-        return broken("the answer belongs to another request");
-    }
     let success = parts.status.is_success();
     if success && !head.sealed {
         return broken("the answer is not sealed by the endpoint");
