--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -476,7 +476,9 @@
         };
         match splitter.feed(data) {
             Ok(Some(first)) => {
-                if let Err(error) = first.check_follows(last_event_id) {
+                if let Some(last) = last_event_id
+                    && let Err(error) = first.check_resumes(last)
+                {
                     let cause = error.to_string();
                     return End::Broken { cause }.into();
                 }
--- a/gateway/src/events.rs
+++ b/gateway/src/events.rs
@@ -16,6 +16,8 @@
     pub bytes: Bytes,
     /// The number of events.
     pub events: u64,
+    /// The identifier of the first event, if it is a number.
+    pub first_event_id: Option<u64>,
     /// The first event identifier that is a number.
     pub first_id: Option<u64>,
     /// The last event identifier that is a number.
@@ -114,10 +116,21 @@
 
 /// Events of a stream are missing or repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("event {first} came after event {last}; check the endpoint")]
-pub struct Gap {
-    last: u64,
-    first: u64,
+pub enum Gap {
+    /// Another event came than the next one.
+    #[error("event {first} came after event {last}; check the endpoint")]
+    Between {
+        /// Number of the last event.
+        last: u64,
+        /// Number of the event that came.
+        first: u64,
+    },
+    /// What came is not known to be the next event.
+    #[error("an event without a number came after event {last}; check the endpoint")]
+    Unnumbered {
+        /// Number of the last event.
+        last: u64,
+    },
 }
 
 impl Batch {
@@ -129,16 +142,30 @@
     pub fn check_follows(&self, last: Option<u64>) -> Result<(), Gap> {
         match (last, self.first_id) {
             (Some(last), Some(first)) if last.checked_add(1) != Some(first) => {
-                Err(Gap { last, first })
+                Err(Gap::Between { last, first })
             }
             _ => Ok(()),
         }
     }
 
+    /// Checks that the first events of another endpoint go on with a stream. It may have
+    /// sent an error in place of them, so that the first one has to have a number.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the first event is not the one after the last event of the stream.
+    pub fn check_resumes(&self, last: u64) -> Result<(), Gap> {
+        if self.first_event_id.is_none() {
+            return Err(Gap::Unnumbered { last });
+        }
+        self.check_follows(Some(last))
+    }
+
     fn parse(bytes: Bytes) -> Self {
         let mut batch = Self {
             bytes: Bytes::new(),
             events: 0,
+            first_event_id: None,
             first_id: None,
             last_id: None,
         };
@@ -159,6 +186,9 @@
             let Some(id) = parse_id(value) else {
                 continue;
             };
+            if batch.events == 1 {
+                batch.first_event_id = batch.first_event_id.or(Some(id));
+            }
             batch.first_id = batch.first_id.or(Some(id));
             batch.last_id = Some(id);
         }
