--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -146,6 +146,10 @@
                     );
                     self.outputs.crashes.set_directory_available(true);
                 }
+                self.outputs
+                    .metrics
+                    .unusable_entries
+                    .inc_by(snapshot.unusable);
                 self.endpoints.begin_read(snapshot.revision);
                 self.outputs.endpoints_known.send_replace(true);
                 let origins = &self.outputs.origins;
@@ -177,6 +181,10 @@
                     );
                     self.outputs.crashes.set_directory_available(true);
                 }
+                self.outputs
+                    .metrics
+                    .unusable_entries
+                    .inc_by(changes.unusable);
                 self.endpoints.begin_read(changes.revision);
                 self.outputs.origins.record_history(History::record_read);
                 for change in changes.changes {
--- a/gateway/src/controller/endpoints.rs
+++ b/gateway/src/controller/endpoints.rs
@@ -229,7 +229,6 @@
     /// Applies one description; `None` is an unusable one.
     pub fn update(&mut self, now: time::Instant, name: id::Endpoint, entry: Option<Entry>) {
         let Some(entry) = entry else {
-            tracing::warn!(endpoint = %name, "endpoint description is unusable");
             return self.remove(now, &name);
         };
         let known = self.tracked.get(&name);
--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -75,6 +75,9 @@
     /// are not sent here.
     #[serde(skip)]
     pub marks: Vec<Mark>,
+    /// Entries that were found to be unusable by this read, and not before.
+    #[serde(skip)]
+    pub unusable: u64,
 }
 
 /// Changes up to a revision.
@@ -84,6 +87,8 @@
     pub revision: Revision,
     /// The changes in order.
     pub changes: Vec<Change>,
+    /// Entries that were found to be unusable by this read, and not before.
+    pub unusable: u64,
 }
 
 /// The service that stores the directory.
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -134,6 +134,8 @@
     pub store_calls: Counter,
     /// Calls to it that failed.
     pub store_failures: Counter,
+    /// Entries of the directory that can't be read.
+    pub unusable_entries: Counter,
     /// Times that an endpoint began to name limits that could not be read.
     pub unreadable_limits: Counter,
     /// Times that an endpoint began to say what could not be read.
@@ -188,6 +190,7 @@
             store_calls: Counter::default(),
             store_failures: Counter::default(),
             store_probes: Counter::default(),
+            unusable_entries: Counter::default(),
             unreadable_limits: Counter::default(),
             unreadable_notices: Counter::default(),
             detours: Gauge::default(),
@@ -278,6 +281,11 @@
                 "Calls of the key-value service that failed",
                 &self.store_failures,
             ),
+            (
+                "unusable_entries",
+                "Entries of the directory that can't be read",
+                &self.unusable_entries,
+            ),
             (
                 "unreadable_limits",
                 "Times that an endpoint began to name limits that can't be read",
--- a/gateway/tests/common/directory.rs
+++ b/gateway/tests/common/directory.rs
@@ -196,7 +196,11 @@
                 let changes: Vec<Change> = newer.map(|(_, change)| change.clone()).collect();
                 let ended = start.elapsed() >= wait;
                 let revision = Revision(state.revision);
-                (ended || !changes.is_empty()).then_some(Ok(Changes { revision, changes }))
+                (ended || !changes.is_empty()).then_some(Ok(Changes {
+                    revision,
+                    changes,
+                    unusable: 0,
+                }))
             });
             if let Some(answer) = answer {
                 return answer;
--- a/gateway/tests/test_kept_quarantine.rs
+++ b/gateway/tests/test_kept_quarantine.rs
@@ -164,6 +164,7 @@
         Message::Changes(Changes {
             revision: Revision(1),
             changes: vec![Change::Quarantined(marks)],
+            unusable: 0,
         })
     };
     controller.send_message(message).unwrap();
