dispatcher: sums of what other nodes report saturate

Loads that other nodes report, and those that endpoints name, were added without regard to their size: two reports of 2^32 - 1 requests ended the task in a build with overflow checks, and made a full endpoint look idle without them. reports_of_too_many_requests_do_not_overflow failed before ("attempt to add with overflow").

--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -705,8 +705,7 @@
         let mut sums = admission.read(|dispatcher| dispatcher.reported_load(others));
         for (name, load) in &own.loads {
             let sum = sums.entry(name.clone()).or_default();
-            sum.requests += load.requests;
-            sum.pending += load.pending;
+            sum.add(*load);
             sum.event_interval = load.event_interval;
         }
         sums.into_iter().collect()
--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -229,6 +229,15 @@
     pub event_interval: Option<Duration>,
 }
 
+impl Load {
+    /// Adds the requests of another node; a sum that is too large for its type is the largest
+    /// number.
+    pub fn add(&mut self, other: Self) {
+        self.requests = self.requests.saturating_add(other.requests);
+        self.pending = self.pending.saturating_add(other.pending);
+    }
+}
+
 /// A request in flight at an endpoint.
 #[derive(Clone, Debug)]
 struct InFlight {
@@ -350,8 +359,7 @@
         {
             for (name, load) in loads {
                 let sum = sums.entry(name.clone()).or_default();
-                sum.requests += load.requests;
-                sum.pending += load.pending;
+                sum.add(*load);
             }
         }
         sums
@@ -840,7 +848,7 @@
         waiting: u32,
     ) {
         if let Some(member) = self.members.get_mut(name) {
-            member.reported_requests = Some((now, running + waiting));
+            member.reported_requests = Some((now, running.saturating_add(waiting)));
         }
     }
 
@@ -867,7 +875,7 @@
             }
             if outcome == Outcome::Rejected && !in_flight.delegated {
                 // The request that ends is still in the load that peers may know.
-                let load = member.running() + 1;
+                let load = member.running().saturating_add(1);
                 member.tolerance.record_rejection(now, load);
             } else {
                 member.tolerance.record_end(now);
@@ -1235,8 +1243,7 @@
                 let Some(member) = self.members.get_mut(name) else {
                     continue;
                 };
-                member.peer_load.requests += load.requests;
-                member.peer_load.pending += load.pending;
+                member.peer_load.add(*load);
             }
         }
     }
--- a/lib/src/dispatcher/member.rs
+++ b/lib/src/dispatcher/member.rs
@@ -206,12 +206,12 @@
         {
             peer_requests = peer_requests.max(total.saturating_sub(self.own_requests));
         }
-        Some(self.own_requests + peer_requests)
+        Some(self.own_requests.saturating_add(peer_requests))
     }
 
     /// Returns the number of requests in flight from all nodes.
     pub(super) fn running(&self) -> u32 {
-        self.own_requests + self.peer_load.requests
+        self.own_requests.saturating_add(self.peer_load.requests)
     }
 
     /// Returns the fraction of its capacity that is in use.
@@ -222,7 +222,8 @@
     /// Returns the prompt tokens of all nodes' requests still waiting for their
     /// first byte.
     pub(super) fn pending_tokens(&self) -> u64 {
-        self.own_pending_tokens + self.peer_load.pending
+        self.own_pending_tokens
+            .saturating_add(self.peer_load.pending)
     }
 
     /// Records the seconds between two events of a stream of this node.
--- a/lib/src/dispatcher/rejection.rs
+++ b/lib/src/dispatcher/rejection.rs
@@ -236,7 +236,11 @@
             .map_or(before, |held| grown(held, now).min(before));
         let held = if is_repeated { held * DECREASE } else { held };
         self.held = Some((held.max(1.0), now));
-        self.hold(now, most, self.recent(now) + self.peers_recent(now));
+        self.hold(
+            now,
+            most,
+            self.recent(now).saturating_add(self.peers_recent(now)),
+        );
     }
 
     /// Records what another node knows.
@@ -259,7 +263,7 @@
         if report.recent > 0 {
             let rejections = (report.recent, at);
             self.peer_rejections.insert(node.clone(), rejections);
-            let recent = self.recent(now) + self.peers_recent(now);
+            let recent = self.recent(now).saturating_add(self.peers_recent(now));
             self.hold(at, report.most, recent);
         }
     }
@@ -267,7 +271,11 @@
     /// Keeps requests from it after `recent` rejections, the last one at `at`: for a
     /// whole window if it bears no more than one further.
     fn hold(&mut self, at: time::Instant, most: u32, recent: u32) {
-        let hold = if recent + 1 >= most { WINDOW } else { HOLD };
+        let hold = if recent.saturating_add(1) >= most {
+            WINDOW
+        } else {
+            HOLD
+        };
         self.held_until = self.held_until.max(at + hold);
     }
 
--- a/lib/tests/test_dispatcher.rs
+++ b/lib/tests/test_dispatcher.rs
@@ -2,9 +2,12 @@
 
 mod engines;
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
-use dottereltally_lib::{dispatcher::Outcome, id};
+use dottereltally_lib::{
+    dispatcher::{Load, Outcome},
+    id,
+};
 use engines::{Reply, Simulation, at, request};
 use rstest::rstest;
 
@@ -378,3 +381,28 @@
     assert!(new < 0.98, "no overload: {new}");
     assert!(bound >= new, "{bound} go on, {new} begin");
 }
+
+/// Guards against a node that ends or takes an endpoint for idle as other nodes report more
+/// requests than can be counted.
+#[test]
+fn reports_of_too_many_requests_do_not_overflow() {
+    let mut simulation = Simulation::new(1, &[1.0], 10);
+    let most = Load {
+        requests: u32::MAX,
+        pending: u64::MAX,
+        event_interval: Some(Duration::MAX),
+    };
+    let endpoints = simulation.dispatchers[0].live_endpoints(&id::DataCentre::from("dc"));
+    let names = endpoints.iter().map(|record| record.id.clone());
+    let loads: HashMap<id::Endpoint, Load> = names.map(|name| (name, most)).collect();
+    assert!(!loads.is_empty());
+    let dispatcher = &mut simulation.dispatchers[0];
+    let (one, two) = (id::Node::from("one"), id::Node::from("two"));
+    dispatcher.record_peer_load(at(0), &one, loads.clone());
+    dispatcher.record_peer_load(at(0), &two, loads);
+    let sums = dispatcher.reported_load([&one, &two]);
+    assert!(sums.values().all(|load| load.requests == u32::MAX));
+    let requests = submit(&mut simulation, (0, 100, 20), (0, 600, 300));
+    simulation.run(at(10_000));
+    assert!(simulation.served(&requests) < 0.01, "the endpoint is full");
+}
