--- a/gateway/src/controller/follow.rs
+++ b/gateway/src/controller/follow.rs
@@ -316,10 +316,9 @@
     /// would ask too often.
     async fn wait_for_answer(&self, recovery: &Recovery) -> Return {
         let started = Instant::now();
-        let relies_on_reader = recovery.trusts_reader && self.view.has_reader();
         select! {
             returned = self.wait_for_probe(recovery) => returned,
-            read_at = self.view.wait_for_read(started), if relies_on_reader => Return {
+            read_at = self.view.wait_for_read(started), if recovery.trusts_reader => Return {
                 answered: self.clock.now() - read_at.elapsed(),
                 renewal_end: read_at + RENEWAL_TIME,
                 is_of_reader: true,
