attempt: an interim answer without a statement does not lift it (LIMIT)

Each interim answer without the number of rejections that an endpoint bears made the node take the endpoint for one that bears any number, until its final answer.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -13,6 +13,7 @@
 use dottereltally_lib::{
     dispatcher::{Choice, Outcome, Timing},
     id,
+    notice::Notice,
 };
 use dottereltally_store::buffer;
 use http::{
@@ -326,7 +327,9 @@
                 biased;
                 Some((status, headers)) = self.0.recv() => {
                     let head = chain.dialect.read_answer(status, &headers);
-                    if is_from(&choice.endpoint, status, head.endpoint.as_ref()) {
+                    let is_own = is_from(&choice.endpoint, status, head.endpoint.as_ref());
+                    // Only the final answer shows what the endpoint does not say any more.
+                    if is_own && head.notice != Notice::default() {
                         chain.record_notice(&choice.endpoint, &head.notice);
                     }
                 }
