--- a/lib/tests/test_notice.rs
+++ b/lib/tests/test_notice.rs
@@ -97,6 +97,10 @@
     answered: usize,
     next: u64,
     work: Duration,
+    /// Nodes that neither send nor receive reports, and get no requests.
+    dead: Vec<usize>,
+    /// Whether nodes receive no reports of others.
+    is_cut: bool,
 }
 
 fn brittle() -> Notice {
@@ -143,6 +147,8 @@
             answered: 0,
             next: 0,
             work,
+            dead: Vec::new(),
+            is_cut: false,
         };
         for number in 0..nodes {
             let seed = 100 * seed + u64::try_from(number).unwrap();
@@ -259,6 +265,9 @@
             self.carry_out(node, effects);
         }
         for node in 0..self.nodes.len() {
+            if self.dead.contains(&node) {
+                continue;
+            }
             self.next += 1;
             let id = id::Request(self.next);
             let effects = self.nodes[node].submit(now, id, request(now));
@@ -273,11 +282,14 @@
 
     fn report(&mut self) {
         for from in 0..self.nodes.len() {
+            if self.is_cut || self.dead.contains(&from) {
+                continue;
+            }
             let name = id::Node::from(format!("n{from}"));
             let loads = self.nodes[from].take_load();
             let notices = self.nodes[from].notices(self.now);
             for to in 0..self.nodes.len() {
-                if to == from {
+                if to == from || self.dead.contains(&to) {
                     continue;
                 }
                 self.nodes[to].record_peer_notices(self.now, &name, &notices);
@@ -408,6 +420,63 @@
     fleet.assert_few_fell(before);
 }
 
+/// What changes in the middle of an overload.
+#[derive(Clone, Copy)]
+enum Disruption {
+    /// Endpoints take three times as long for each request.
+    Slowdown,
+    /// A node ends; its requests are lost, and the others notice that after a second.
+    Death,
+    /// Nodes receive nothing from each other for three seconds.
+    Cut,
+    /// A quarter of the endpoints is taken away.
+    ScaleIn,
+}
+
+/// Guards against falls (LIMIT) of brittle endpoints beside disruptions.
+#[rstest]
+fn disruptions_under_overload_make_few_fall(
+    #[values(
+        Disruption::Slowdown,
+        Disruption::Death,
+        Disruption::Cut,
+        Disruption::ScaleIn
+    )]
+    disruption: Disruption,
+    #[values(2, 3, 4)] nodes: usize,
+    #[values(0, 1, 2)] seed: u64,
+) {
+    let mut fleet = Fleet::new(seed, nodes, 12, Duration::from_millis(200));
+    for number in 0..500 {
+        fleet.step(number);
+    }
+    let before = fleet.falls();
+    match disruption {
+        Disruption::Slowdown => fleet.work *= 3,
+        Disruption::Death => {
+            fleet.dead.push(0);
+            fleet.running.retain(|(_, node, ..)| *node != 0);
+        }
+        Disruption::Cut => fleet.is_cut = true,
+        Disruption::ScaleIn => {
+            fleet.endpoints.truncate(9);
+            fleet.list_endpoints();
+        }
+    }
+    for number in 500..1500 {
+        if number == 600 && matches!(disruption, Disruption::Death) {
+            for node in &mut fleet.nodes {
+                node.forget_peer(&id::Node::from("n0"));
+            }
+        }
+        if number == 800 {
+            fleet.is_cut = false;
+        }
+        fleet.step(number);
+    }
+    fleet.assert_few_fell(before);
+}
+
 fn leaving() -> Notice {
     Notice {
         is_leaving: true,
