--- a/review/stand-ins/src/drill.rs
+++ b/review/stand-ins/src/drill.rs
@@ -19,17 +19,17 @@
     store::Store,
 };
 
-const ZONES: [&str; 3] = ["plovdiv", "stara-zagora", "haskovo"];
+pub const ZONES: [&str; 3] = ["plovdiv", "stara-zagora", "haskovo"];
 
 /// `configApplyMs`, `contactMs` and `outerMs` of the deployment.
 const CONFIG_APPLY: Duration = Duration::from_millis(2000);
-const CONTACT: Duration = Duration::from_millis(3000);
+pub const CONTACT: Duration = Duration::from_millis(3000);
 const OUTER: Duration = Duration::from_millis(5000);
 
 /// Age of the copy when the store is back.
 const COPY_AGE: Duration = Duration::from_secs(5);
 /// Time for which the store is away.
-const AWAY: Duration = Duration::from_secs(1);
+pub const AWAY: Duration = Duration::from_secs(1);
 /// Time between two tries of the operator's call while the store does not answer.
 const OPERATOR_RETRY: Duration = Duration::from_millis(20);
 /// Time for which requests are judged.
@@ -77,7 +77,7 @@
     service: String,
 }
 
-fn wait_until(limit: Duration, mut holds: impl FnMut() -> bool) -> bool {
+pub fn wait_until(limit: Duration, mut holds: impl FnMut() -> bool) -> bool {
     let end = Instant::now() + limit;
     while Instant::now() < end {
         if holds() {
--- a/review/stand-ins/src/gateway.rs
+++ b/review/stand-ins/src/gateway.rs
@@ -2,32 +2,28 @@
 
 use std::{
     fs::File,
-    net::{SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    time::{Duration, Instant},
+    sync::atomic::{AtomicU8, Ordering},
+    time::Duration,
 };
 
 use crate::http::ask;
 
-unsafe extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
-}
-
-pub const SIGTERM: i32 = 15;
-
 /// The program that the deploy file's build makes.
 const PROGRAM: &str = "target/release/dottereltally-gateway";
 
+/// Last byte of the next gateway's address.
+static NEXT_ADDRESS: AtomicU8 = AtomicU8::new(1);
+
 pub struct Gateway {
     pub name: String,
-    pub zone: String,
     pub callers: SocketAddr,
     pub health: SocketAddr,
     settings: PathBuf,
     pids: PathBuf,
     child: Option<Child>,
-    pub started: Instant,
 }
 
 impl Drop for Gateway {
@@ -40,8 +36,11 @@
     /// Writes the settings of a gateway, as the platform does from `deploy/settings.yaml`;
     /// does not start it.
     pub fn new(name: &str, zone: &str, store: SocketAddr, folder: &Path) -> Self {
+        // Clients connect from 127.0.0.1, so that they never take these ports.
+        let [low, high, ..] = std::process::id().to_le_bytes();
+        let ip = Ipv4Addr::new(127, 16 + high % 200, low, NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed));
         let listeners: Vec<TcpListener> = (0..5)
-            .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+            .map(|_| TcpListener::bind((ip, 0)).expect("a free port"))
             .collect();
         let address: Vec<SocketAddr> = listeners
             .iter()
@@ -78,13 +77,11 @@
         std::fs::write(&settings, text).expect("the settings");
         Self {
             name: name.to_owned(),
-            zone: zone.to_owned(),
             callers: address[0],
             health: address[1],
             settings,
             pids: folder.join("pids"),
             child: None,
-            started: Instant::now(),
         }
     }
 
@@ -101,17 +98,9 @@
         let mut pids = File::options().create(true).append(true).open(&self.pids)?;
         std::io::Write::write_all(&mut pids, format!("{}\n", child.id()).as_bytes())?;
         self.child = Some(child);
-        self.started = Instant::now();
         Ok(())
     }
 
-    pub fn signal(&self, signal: i32) {
-        if let Some(child) = &self.child {
-            // SAFETY: `kill` takes any numbers; the process is this one's child.
-            unsafe { kill(i32::try_from(child.id()).unwrap_or(i32::MAX), signal) };
-        }
-    }
-
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ended = child.kill();
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -4,12 +4,15 @@
 //! With `TROUBLE=0` in the environment, the disruption is left out.
 
 mod drill;
+mod engine;
 mod gateway;
 mod http;
 mod json;
 mod record;
+mod renewed;
 mod server;
 mod store;
+mod versions;
 
 use std::{env, path::PathBuf, process::ExitCode};
 
@@ -37,6 +40,8 @@
     let folder = PathBuf::from(folder);
     let outcome = match case.as_str() {
         "drill" => drill::run(&record, &folder, has_trouble),
+        "renewed" => renewed::run(&record, &folder, has_trouble),
+        "versions" => versions::run(&record, &folder, has_trouble),
         other => Err(format!("no case `{other}`")),
     };
     let (code, text) = match outcome {
--- a/review/stand-ins/src/server.rs
+++ b/review/stand-ins/src/server.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use crate::{http::Connection, record::Record};
+use crate::{http::Connection, record::Record, store::Store};
 
 #[derive(Clone)]
 pub struct Server {
@@ -22,6 +22,9 @@
     record: Record,
 }
 
+/// `heartbeatMs` of the deployment.
+pub const HEARTBEAT: Duration = Duration::from_millis(1200);
+
 /// Requests that a replica runs at once.
 const SLOTS: usize = 6;
 
@@ -55,6 +58,17 @@
         )
     }
 
+    /// Writes its description into the store from now on, about every `heartbeatMs`.
+    pub fn register(&self, store: &Store, born: u64) {
+        let (store, key, value) = (store.clone(), format!("servers/{}", self.id), self.description(born));
+        thread::spawn(move || {
+            loop {
+                let _answered = store.beat(&key, &value);
+                thread::sleep(HEARTBEAT);
+            }
+        });
+    }
+
     fn serve(&self, mut connection: Connection) {
         while let Ok(Some(request)) = connection.read_request() {
             let words = request.words();
--- a/review/stand-ins/src/store.rs
+++ b/review/stand-ins/src/store.rs
@@ -176,8 +176,24 @@
         self.record.line(&format!("store: goes away at revision {}", state.content.revision));
     }
 
-    /// Comes back from the copy; what the operator and the servers wrote since is written
-    /// again.
+    /// Writes a server's description, as each of its heartbeats does; one that is stored
+    /// already is no change. Returns whether the store answered.
+    pub fn beat(&self, key: &str, value: &str) -> bool {
+        let mut state = self.shared.0.lock().unwrap();
+        if state.away {
+            return false;
+        }
+        let value = base64(value.as_bytes());
+        let stored = state.content.items.get(key).map(|item| &item.value);
+        if stored != Some(&value) {
+            let revision = write(&mut state.content, key, Some(value));
+            self.shared.1.notify_all();
+            self.record.line(&format!("store: {key} written by its server at revision {revision}"));
+        }
+        true
+    }
+
+    /// Comes back from the copy; what [`Self::write_outside`] wrote since is written again.
     pub fn come_back(&self) {
         let mut state = self.shared.0.lock().unwrap();
         state.content = state.copy.clone();
