--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -4,7 +4,6 @@
 //! With `TROUBLE=0` in the environment, the disruption is left out.
 
 mod drill;
-mod engine;
 mod gateway;
 mod http;
 mod json;
@@ -12,7 +11,6 @@
 mod renewed;
 mod server;
 mod store;
-mod versions;
 
 use std::{env, path::PathBuf, process::ExitCode};
 
@@ -41,7 +39,6 @@
     let outcome = match case.as_str() {
         "drill" => drill::run(&record, &folder, has_trouble),
         "renewed" => renewed::run(&record, &folder, has_trouble),
-        "versions" => versions::run(&record, &folder, has_trouble),
         other => Err(format!("no case `{other}`")),
     };
     let (code, text) = match outcome {
