--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -15,6 +15,6 @@
   rm -rf "$folder"
 }
 trap end EXIT
-timeout -k 2 110 "$program" drill "$here/record.txt" "$folder"
+timeout -k 2 110 "$program" added "$here/record.txt" "$folder"
 code=$?
 case "$code" in 0 | 1) exit "$code" ;; *) exit 2 ;; esac
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -3,6 +3,7 @@
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 //! With `TROUBLE=0` in the environment, the disruption is left out.
 
+mod added;
 mod drill;
 mod gateway;
 mod http;
@@ -37,6 +38,7 @@
     };
     let folder = PathBuf::from(folder);
     let outcome = match case.as_str() {
+        "added" => added::run(&record, &folder, has_trouble),
         "drill" => drill::run(&record, &folder, has_trouble),
         "renewed" => renewed::run(&record, &folder, has_trouble),
         other => Err(format!("no case `{other}`")),
--- a/review/stand-ins/src/server.rs
+++ b/review/stand-ins/src/server.rs
@@ -25,6 +25,14 @@
 /// `heartbeatMs` of the deployment.
 pub const HEARTBEAT: Duration = Duration::from_millis(1200);
 
+/// Returns the time that a request takes: that at the end of its path, as in `/report/work-2500`,
+/// in milliseconds, or 15 ms.
+fn work(path: &str) -> Duration {
+    let named = path.rsplit_once("/work-");
+    let named = named.and_then(|(_, milliseconds)| milliseconds.parse().ok());
+    Duration::from_millis(named.unwrap_or(15))
+}
+
 /// Requests that a replica runs at once.
 const SLOTS: usize = 6;
 
@@ -102,7 +110,7 @@
                 self.service,
                 request.header("tenant").unwrap_or("-")
             ));
-            thread::sleep(Duration::from_millis(15));
+            thread::sleep(work(&path));
             let load = self.running.fetch_sub(1, Ordering::Relaxed);
             let body = format!("{} {attempt}", self.service);
             let answer = format!(
