follow: pauses between calls end with the time for renewals (DRAIN)

Cause: the pauses between calls that fail after an outage are random, 0.3 to 1.7 times 150, 300, 600 and 800 ms. After three failures they take up to 3.1 s, longer than the bound. Ruled out: the time for renewals that begins anew.

A pause now ends with the time for renewals, counted from the first answer, so that the directory is read by then whatever was drawn.

--- a/gateway/src/controller/follow.rs
+++ b/gateway/src/controller/follow.rs
@@ -122,6 +122,9 @@
     relies_on_reader: bool,
     /// Whether the coordinator's reads show that the source answers this node, too.
     trusts_reader: bool,
+    /// Until when endpoints write expired descriptions again, since the source first
+    /// answered.
+    renewal_end: Option<Instant>,
 }
 
 impl Default for Recovery {
@@ -131,6 +134,25 @@
             is_pending: false,
             relies_on_reader: false,
             trusts_reader: true,
+            renewal_end: None,
+        }
+    }
+}
+
+impl Recovery {
+    /// Returns the pause before the next call, `jitter` times its mean. It ends with the time
+    /// for renewals, however many calls failed: what was written until then is read before
+    /// endpoints are given up.
+    fn next_pause(&mut self, returned: &Return, jitter: f64) -> Duration {
+        let now = Instant::now();
+        let end = self.renewal_end.filter(|end| *end > now);
+        let end = end.unwrap_or(returned.renewal_end);
+        self.renewal_end = Some(end);
+        let pause = self.pause.mul_f64(jitter);
+        self.pause = (self.pause * 2).min(BACKOFF.1);
+        match end.saturating_duration_since(now) {
+            Duration::ZERO => pause,
+            left => pause.min(left),
         }
     }
 }
@@ -306,9 +328,13 @@
         recovery.relies_on_reader = returned.is_of_reader;
         self.send(Message::SourceReturned(returned.answered + READ_TIME));
         let jitter = rand::rng().random_range(0.3..1.7);
-        sleep(recovery.pause.mul_f64(jitter)).await;
-        recovery.pause = (recovery.pause * 2).min(BACKOFF.1);
-        returned.renewal_end
+        let pause = recovery.next_pause(&returned, jitter);
+        tracing::debug!(
+            pause_ms = crate::chain::millis(pause),
+            "key-value service is read again after a pause"
+        );
+        sleep(pause).await;
+        recovery.renewal_end.unwrap_or(returned.renewal_end)
     }
 
     /// Waits until the source answers a probe, or the coordinator reads it. A node whose
--- a/gateway/tests/test_follow.rs
+++ b/gateway/tests/test_follow.rs
@@ -124,6 +124,29 @@
     }
 }
 
+/// Guards against DRAIN where the random pauses between calls that fail after the return add
+/// up: the source is read when the time for renewals is over, whatever pauses were drawn.
+#[rstest]
+#[case::silent(Away::Silent)]
+#[case::refused(Away::Refused)]
+#[tokio::test(start_paused = true)]
+async fn long_pauses_after_the_return_do_not_delay_leaving(#[case] away: Away) {
+    const LENGTH: Duration = Duration::from_secs(8);
+    const RUNS: u32 = 400;
+    for run in 0..RUNS {
+        let (directory, follower) = with_two_endpoints().await;
+        directory.set_away(Some(away));
+        sleep(LENGTH / 2).await;
+        directory.remove("leaves");
+        sleep(LENGTH / 2).await;
+        directory.fail_calls(3);
+        directory.set_away(None);
+        sleep(CONTACT_TIME).await;
+        assert!(!follower.uses("leaves"), "run {run}");
+        assert!(follower.uses("lives"), "run {run}");
+    }
+}
+
 /// Guards against DRAIN at a node whose own path to the source is cut, while its coordinator
 /// goes on reading: what the coordinator reads is not taken for the return of that path.
 #[tokio::test(start_paused = true)]
