--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -140,7 +140,7 @@
                 if let Some(outage) = self.endpoints.end_outage(now) {
                     tracing::info!(
                         away_ms = crate::chain::millis(outage),
-                        revision = snapshot.revision.0,
+                        revision = %snapshot.revision,
                         endpoints = snapshot.endpoints.len(),
                         "key-value service available again"
                     );
@@ -176,7 +176,7 @@
                 if let Some(outage) = self.endpoints.end_outage(now) {
                     tracing::info!(
                         away_ms = crate::chain::millis(outage),
-                        revision = changes.revision.0,
+                        revision = %changes.revision,
                         "key-value service available again"
                     );
                     self.outputs.crashes.set_directory_available(true);
@@ -199,7 +199,10 @@
                     tracing::warn!(cause, "key-value service unavailable");
                 }
             }
-            Message::Read(sent) => self.outputs.view.record_read(sent, self.digest()),
+            Message::Read(sent) => {
+                let era = self.endpoints.revision().era;
+                self.outputs.view.record_read(sent, era, self.digest());
+            }
             Message::SourceReturned(at) => self.endpoints.record_return(at),
             Message::Tick => self.apply_listings(),
         }
--- a/gateway/src/controller/endpoints.rs
+++ b/gateway/src/controller/endpoints.rs
@@ -14,11 +14,10 @@
 
 use dottereltally_lib::{
     endpoint::{Record, Standing},
+    era::Revision,
     id, time,
 };
 
-use dottereltally_store::kv::Revision;
-
 use crate::{directory::Entry, listing};
 
 /// Time after an outage of the source within which endpoints write expired
@@ -135,6 +134,12 @@
         (!left.is_zero()).then_some(left)
     }
 
+    /// Returns the revision of the source that was read last.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
     /// Records the revision of the source that is applied next.
     pub fn begin_read(&mut self, revision: Revision) {
         self.revision = revision;
@@ -156,14 +161,14 @@
         if is_used {
             tracing::info!(
                 endpoint = %report.endpoint,
-                revision = report.revision.0,
+                revision = %report.revision,
                 "endpoint used again: another node read that it is listed"
             );
             return false;
         }
         tracing::info!(
             endpoint = %report.endpoint,
-            revision = report.revision.0,
+            revision = %report.revision,
             age_ms = crate::chain::millis(report.age),
             "endpoint given up: another node read that it left"
         );
@@ -199,12 +204,13 @@
         &mut self,
         now: time::Instant,
         name: &id::Endpoint,
-        started_ms: Option<u64>,
+        entry: &Entry,
         (revision, is_listed): (Revision, bool),
     ) {
         let report = listing::Report {
             endpoint: name.clone(),
-            started_ms,
+            started_ms: entry.started_ms,
+            sequence: entry.sequence,
             revision,
             is_listed,
             age: Duration::ZERO,
@@ -256,7 +262,7 @@
         self.observe(&name, &entry);
         let shown_at = entry.revision.unwrap_or(self.revision);
         let is_listed = entry.record.standing == Standing::Live;
-        self.record_own_listing(now, &name, entry.started_ms, (shown_at, is_listed));
+        self.record_own_listing(now, &name, &entry, (shown_at, is_listed));
         let missing = false;
         let tracked = Tracked {
             entry,
@@ -302,9 +308,10 @@
             }
             return;
         }
-        let started_ms = known.entry.started_ms;
-        self.tracked.remove(name);
-        self.record_own_listing(now, name, started_ms, (self.revision, false));
+        let Some(known) = self.tracked.remove(name) else {
+            return;
+        };
+        self.record_own_listing(now, name, &known.entry, (self.revision, false));
         self.observations.push(Observation::Removed(name.clone()));
         self.changed = true;
         tracing::info!(endpoint = %name, "endpoint removed");
@@ -366,16 +373,16 @@
         let mut removed = Vec::new();
         for (name, known) in &self.tracked {
             if known.missing {
-                removed.push((name.clone(), known.entry.started_ms));
+                removed.push((name.clone(), known.entry.clone()));
             }
         }
-        for (name, started_ms) in removed {
+        for (name, entry) in removed {
             tracing::info!(
                 endpoint = %name,
                 "endpoint removed: its description was not renewed after an outage"
             );
             self.tracked.remove(&name);
-            self.record_own_listing(now, &name, started_ms, (self.revision, false));
+            self.record_own_listing(now, &name, &entry, (self.revision, false));
             self.observations.push(Observation::Removed(name));
             self.changed = true;
         }
--- a/gateway/src/controller/follow.rs
+++ b/gateway/src/controller/follow.rs
@@ -4,8 +4,8 @@
 use std::{future::Future, pin::pin, time::Duration};
 
 use dottereltally::clock::Clock;
-use dottereltally_lib::time;
-use dottereltally_store::kv::{Error, Revision};
+use dottereltally_lib::{era::Revision, time};
+use dottereltally_store::kv::Error;
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use ractor::ActorRef;
 use rand::Rng;
@@ -222,7 +222,7 @@
                 }
                 Err(Error::Refused(cause)) => {
                     tracing::info!(
-                        revision = revision.0,
+                        %revision,
                         cause,
                         "changes are no longer available; reading the whole directory"
                     );
--- a/gateway/src/controller/registration.rs
+++ b/gateway/src/controller/registration.rs
@@ -8,13 +8,13 @@
     time::Duration,
 };
 
-use dottereltally_store::kv::{Error, Lease};
+use dottereltally_store::kv::Error;
 use rand::Rng;
 use tokio::time::sleep;
 
 use crate::{
     chain::lock,
-    directory::{Node, Source},
+    directory::{Lease, Node, Source},
     metrics::Metrics,
 };
 
--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -3,26 +3,80 @@
 
 use std::{collections::BTreeMap, future::Future, time::Duration};
 
-use dottereltally_lib::{endpoint, id, plan::Plan, suspicion::Mark};
-use dottereltally_store::kv::{Error, Lease, Revision};
+use dottereltally_lib::{
+    endpoint,
+    era::{Era, Revision},
+    id,
+    plan::Plan,
+    suspicion::Mark,
+};
+use dottereltally_store::kv::{self, Error};
 use serde::{Deserialize, Serialize};
 
+use crate::era;
+
 /// The most recent description that an endpoint wrote of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "WireEntry", into = "WireEntry")]
 pub struct Entry {
     /// Its content.
     pub record: endpoint::Record,
     /// Start time of the endpoint's process in milliseconds since the Unix
     /// epoch, if it reports it.
-    #[serde(rename = "born")]
     pub started_ms: Option<u64>,
     /// Number of the description, counted from the process's start.
     pub sequence: u64,
     /// Revision at which the source took it; `None` if unknown.
-    #[serde(default)]
     pub revision: Option<Revision>,
 }
 
+/// A description as nodes send it to each other.
+#[derive(Serialize, Deserialize)]
+struct WireEntry {
+    record: endpoint::Record,
+    born: Option<u64>,
+    sequence: u64,
+    /// Number of its revision.
+    #[serde(default)]
+    revision: Option<i64>,
+    /// Era of its revision; nodes that know no eras send none.
+    #[serde(default)]
+    era: Era,
+}
+
+impl From<Entry> for WireEntry {
+    fn from(entry: Entry) -> Self {
+        Self {
+            record: entry.record,
+            born: entry.started_ms,
+            sequence: entry.sequence,
+            revision: entry.revision.map(|revision| revision.number),
+            era: entry.revision.unwrap_or_default().era,
+        }
+    }
+}
+
+impl From<WireEntry> for Entry {
+    fn from(wire: WireEntry) -> Self {
+        let era = wire.era;
+        Self {
+            record: wire.record,
+            started_ms: wire.born,
+            sequence: wire.sequence,
+            revision: wire.revision.map(|number| Revision { era, number }),
+        }
+    }
+}
+
+/// Lease of a registration. Its number may be given out again in another era.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lease {
+    /// Its number.
+    pub id: kv::Lease,
+    /// Era of the source that granted it.
+    pub era: Era,
+}
+
 /// A node as it registered itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Node {
@@ -93,7 +147,10 @@
 
 /// The service that stores the directory.
 pub trait Source: Clone + Send + Sync + 'static {
-    /// Reads the whole directory.
+    /// Returns the era of the service, which each answer announces, whatever it answers.
+    fn eras(&self) -> &era::Handle;
+
+    /// Reads the whole directory, within one era.
     ///
     /// # Errors
     ///
@@ -107,7 +164,8 @@
     /// Fails if the service can't be reached or does not answer in time.
     fn probe(&self) -> impl Future<Output = Result<(), Error>> + Send;
 
-    /// Waits up to `wait` for changes after a revision.
+    /// Waits up to `wait` for changes after a revision. In another era than that of the
+    /// revision, what it returns lacks some of them.
     ///
     /// # Errors
     ///
--- a/gateway/src/heartbeat.rs
+++ b/gateway/src/heartbeat.rs
@@ -8,6 +8,7 @@
 };
 use dottereltally_lib::{
     dispatcher::{Load, limit, rejection},
+    era::{Era, Revision},
     exchange::{Scope, View},
     id::{self, DataCentre, Endpoint, Fingerprint, Generation, Incarnation, Workspace},
     notice,
@@ -18,7 +19,6 @@
 use dottereltally_proto::gateway_capnp::{
     beat, held, listing as wire_listing, notice as wire_notice,
 };
-use dottereltally_store::kv::Revision;
 
 use crate::listing;
 
@@ -105,6 +105,8 @@
             wire.set_digest(view.digest);
             wire.set_number(view.number);
             wire.set_age_ms(whole_millis(view.age));
+            wire.set_era(view.era.announced);
+            wire.set_era_falls(view.era.falls);
         }
         let mut list = root
             .reborrow()
@@ -164,6 +166,10 @@
                 digest: view.get_digest(),
                 number: view.get_number(),
                 age: Duration::from_millis(view.get_age_ms().into()),
+                era: Era {
+                    announced: view.get_era(),
+                    falls: view.get_era_falls(),
+                },
             });
         }
         for name in root.get_carriers()? {
@@ -255,7 +261,10 @@
 fn write_listing(report: &listing::Report, mut wire: wire_listing::Builder<'_>) {
     wire.set_endpoint(report.endpoint.as_str());
     wire.set_started_ms(report.started_ms.unwrap_or_default());
-    wire.set_revision(report.revision.0);
+    wire.set_sequence(report.sequence);
+    wire.set_revision(report.revision.number);
+    wire.set_era(report.revision.era.announced);
+    wire.set_era_falls(report.revision.era.falls);
     wire.set_is_listed(report.is_listed);
     wire.set_age_ms(whole_millis(report.age));
 }
@@ -265,7 +274,14 @@
     Ok(listing::Report {
         endpoint: Endpoint::from(wire.get_endpoint()?.to_str()?),
         started_ms: (started_ms > 0).then_some(started_ms),
-        revision: Revision(wire.get_revision()),
+        sequence: wire.get_sequence(),
+        revision: Revision {
+            era: Era {
+                announced: wire.get_era(),
+                falls: wire.get_era_falls(),
+            },
+            number: wire.get_revision(),
+        },
         is_listed: wire.get_is_listed(),
         age: Duration::from_millis(wire.get_age_ms().into()),
     })
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod crashes;
 pub mod dialect;
 pub mod directory;
+pub mod era;
 pub mod events;
 pub mod examiner;
 pub mod heartbeat;
--- a/gateway/src/listing.rs
+++ b/gateway/src/listing.rs
@@ -6,8 +6,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use dottereltally_lib::{id, time};
-use dottereltally_store::kv::Revision;
+use dottereltally_lib::{era::Revision, id, time};
 
 /// Time for which other nodes are informed of a listing. An endpoint that left ends in that
 /// time.
@@ -29,6 +28,8 @@
     pub endpoint: id::Endpoint,
     /// When its process started, in milliseconds since the Unix epoch; `None` if unknown.
     pub started_ms: Option<u64>,
+    /// Number of its last description, counted by its process; zero if unknown.
+    pub sequence: u64,
     /// Revision of the directory that was read.
     pub revision: Revision,
     /// Whether the endpoint took requests, as its description showed.
@@ -53,6 +54,7 @@
 #[derive(Clone, Debug)]
 struct Listing {
     started_ms: Option<u64>,
+    sequence: u64,
     revision: Revision,
     is_listed: bool,
     at: time::Instant,
@@ -79,6 +81,7 @@
         }
         let listing = Listing {
             started_ms: report.started_ms,
+            sequence: report.sequence,
             revision: report.revision,
             is_listed: report.is_listed,
             at: now - report.age,
@@ -117,6 +120,7 @@
             reports.push(Report {
                 endpoint: endpoint.clone(),
                 started_ms: listing.started_ms,
+                sequence: listing.sequence,
                 revision: listing.revision,
                 is_listed: listing.is_listed,
                 age,
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -150,6 +150,10 @@
     pub refused_parts: Gauge,
     /// Probes of it while it did not answer.
     pub store_probes: Counter,
+    /// Times that another era of it was read.
+    pub store_restorations: Counter,
+    /// Era of it that was read last, as it announced it.
+    pub store_era: Gauge,
     /// Generation of the plan in force.
     pub generation: Gauge,
     /// Endpoints that may get requests.
@@ -190,6 +194,8 @@
             store_calls: Counter::default(),
             store_failures: Counter::default(),
             store_probes: Counter::default(),
+            store_restorations: Counter::default(),
+            store_era: Gauge::default(),
             unusable_entries: Counter::default(),
             unreadable_limits: Counter::default(),
             unreadable_notices: Counter::default(),
@@ -306,6 +312,11 @@
                 "Probes of the key-value service while it did not answer",
                 &self.store_probes,
             ),
+            (
+                "store_restorations",
+                "Times that another era of the key-value service was read",
+                &self.store_restorations,
+            ),
         ] {
             registry.register(name, help, counter.clone());
         }
@@ -315,6 +326,11 @@
     fn register_gauges(&self, registry: &mut Registry) {
         for (name, help, gauge) in [
             ("generation", "Plan in force", &self.generation),
+            (
+                "store_era",
+                "Era of the key-value service that was read last",
+                &self.store_era,
+            ),
             ("endpoints", "Listed endpoints", &self.endpoints),
             ("peers", "Other nodes that are heard", &self.peers),
             ("waiting", "Requests that wait", &self.waiting),
--- a/gateway/src/view.rs
+++ b/gateway/src/view.rs
@@ -12,7 +12,7 @@
 };
 
 use dottereltally::clock::Clock;
-use dottereltally_lib::exchange::View;
+use dottereltally_lib::{era::Era, exchange::View};
 use tokio::{sync::Notify, time::Instant};
 
 use crate::{chain::lock, listing};
@@ -26,6 +26,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct State {
     digest: u64,
+    /// Era of the source in the last read.
+    era: Era,
     /// Number of the last read, and when it was sent, by the machine's uptime.
     read: Option<(u64, Duration)>,
     /// Process of the coordinator, and the number of its last read that it announced.
@@ -84,10 +86,12 @@
         self.shared.clock.uptime()
     }
 
-    /// Records a read of the source that was `sent` at a time, and what the node has since.
-    pub fn record_read(&self, sent: Duration, digest: u64) {
+    /// Records a read of the source that was `sent` at a time, the source's era in it, and
+    /// what the node has since.
+    pub fn record_read(&self, sent: Duration, era: Era, digest: u64) {
         let mut state = lock(&self.shared.state);
         state.digest = digest;
+        state.era = era;
         let number = state.read.map_or(1, |(number, _)| number + 1);
         state.read = Some((number, sent));
     }
@@ -101,6 +105,7 @@
             digest: state.digest,
             number,
             age: self.shared.clock.uptime().saturating_sub(sent),
+            era: state.era,
         })
     }
 
--- a/gateway/tests/common/directory.rs
+++ b/gateway/tests/common/directory.rs
@@ -11,17 +11,19 @@
     admission,
     controller::{self, Controller, Outputs, PollInterval},
     crashes,
-    directory::{Change, Changes, Entry, Node, Snapshot, Source},
+    directory::{Change, Changes, Entry, Lease, Node, Snapshot, Source},
+    era::{self, Announcement},
     metrics::Metrics,
     origins, view,
 };
 use dottereltally_lib::{
     dispatcher::{Dispatcher, Settings},
     endpoint::{Record, Standing},
+    era::Revision,
     id,
     suspicion::Mark,
 };
-use dottereltally_store::kv::{Error, Lease, Revision};
+use dottereltally_store::kv::{self, Error};
 use ractor::{Actor, ActorRef};
 use tokio::{
     sync::watch,
@@ -49,11 +51,21 @@
     Refused,
 }
 
-#[derive(Default)]
-struct State {
+/// What the source stores.
+#[derive(Clone, Default)]
+struct Content {
     entries: BTreeMap<id::Endpoint, Entry>,
     history: Vec<(i64, Change)>,
     revision: i64,
+}
+
+#[derive(Default)]
+struct State {
+    content: Content,
+    /// What the source is restored from.
+    copy: Content,
+    /// Era that it announces; zero if it announces none.
+    era: u64,
     away: Option<Away>,
     /// Number of times that the source went away.
     outages: u64,
@@ -62,6 +74,8 @@
     /// Whether calls for changes are cut.
     cuts: u64,
     calls: u64,
+    /// Times that the whole content was read.
+    snapshots: u64,
     /// Calls that still fail although the source is back; probes don't.
     failing: u32,
 }
@@ -70,22 +84,75 @@
 #[derive(Clone, Default)]
 pub struct Directory {
     state: Arc<Mutex<State>>,
+    eras: era::Handle,
 }
 
 impl Directory {
+    /// Returns a source that announces its eras.
+    pub fn with_eras() -> Self {
+        let directory = Self::default();
+        directory.read(|state| state.era = 1);
+        directory
+    }
+
+    /// Takes the copy that the source is restored from.
+    pub fn take_copy(&self) {
+        self.read(|state| state.copy = state.content.clone());
+    }
+
+    /// Restores the source from the copy.
+    pub fn restore(&self) {
+        self.read(|state| {
+            state.content = state.copy.clone();
+            state.era += u64::from(state.era > 0);
+        });
+    }
+
+    /// Returns the number of the current revision.
+    pub fn revision(&self) -> i64 {
+        self.read(|state| state.content.revision)
+    }
+
+    /// Records what the answer to a call that was `sent` at a time announces.
+    fn announce(&self, sent: Instant) -> Result<Revision, Error> {
+        let (announced, number) = self.read(|state| (state.era, state.content.revision));
+        let announcement = match announced {
+            0 => Announcement::Missing,
+            number => Announcement::Number(number),
+        };
+        let era = self.eras.record(sent, announcement);
+        let era = era.map_err(|error| Error::Refused(error.to_string()))?;
+        Ok(self.eras.record_revision(sent, Revision { era, number }))
+    }
+
     fn read<T>(&self, read: impl FnOnce(&mut State) -> T) -> T {
         read(&mut self.state.lock().unwrap())
     }
 
     /// Writes the description of an endpoint.
     pub fn write(&self, name: &str, standing: Standing, started_ms: u64) {
+        let entry = entry(&id::Endpoint::from(name), standing, started_ms);
+        self.write_entry(name, entry);
+    }
+
+    /// Writes the description of an endpoint that its process numbered.
+    pub fn write_numbered(&self, name: &str, standing: Standing, started_ms: u64, sequence: u64) {
+        let entry = entry(&id::Endpoint::from(name), standing, started_ms);
+        self.write_entry(name, Entry { sequence, ..entry });
+    }
+
+    /// Writes a description. Only a source that announces its eras tells the revision of an
+    /// entry.
+    fn write_entry(&self, name: &str, mut entry: Entry) {
         let name = id::Endpoint::from(name);
-        let entry = entry(&name, standing, started_ms);
         self.read(|state| {
-            state.revision += 1;
+            let content = &mut state.content;
+            content.revision += 1;
+            let revision = Revision::from(content.revision);
+            entry.revision = (state.era > 0).then_some(revision);
             let change = Change::Endpoint(name.clone(), Some(entry.clone()));
-            state.history.push((state.revision, change));
-            state.entries.insert(name, entry);
+            content.history.push((content.revision, change));
+            content.entries.insert(name, entry);
         });
     }
 
@@ -93,10 +160,11 @@
     pub fn remove(&self, name: &str) {
         let name = id::Endpoint::from(name);
         self.read(|state| {
-            if state.entries.remove(&name).is_some() {
-                state.revision += 1;
+            let content = &mut state.content;
+            if content.entries.remove(&name).is_some() {
+                content.revision += 1;
                 let change = Change::EndpointRemoved(name);
-                state.history.push((state.revision, change));
+                content.history.push((content.revision, change));
             }
         });
     }
@@ -118,7 +186,7 @@
     pub fn cut(&self) {
         self.read(|state| {
             state.cuts += 1;
-            state.dropped = state.revision;
+            state.dropped = state.content.revision;
         });
     }
 
@@ -127,6 +195,11 @@
         self.read(|state| state.calls)
     }
 
+    /// Returns how often the whole content was read.
+    pub fn snapshots(&self) -> u64 {
+        self.read(|state| state.snapshots)
+    }
+
     /// Fails if calls that are no probes are to fail; otherwise as [`Self::pass`].
     async fn pass_call(&self, limit: Duration) -> Result<u64, Error> {
         let outages = self.pass(limit).await?;
@@ -143,12 +216,16 @@
 
     /// Waits while the source is away; fails if the call is lost or turned away.
     async fn pass(&self, limit: Duration) -> Result<u64, Error> {
+        let sent = Instant::now();
         let (away, outages) = self.read(|state| {
             state.calls += 1;
             (state.away, state.outages)
         });
         match away {
-            None => Ok(outages),
+            None => {
+                self.announce(sent)?;
+                Ok(outages)
+            }
             Some(Away::Refused) => Err(Error::Lost("503".to_owned())),
             Some(Away::Silent) => {
                 sleep(limit).await;
@@ -158,14 +235,37 @@
     }
 }
 
+/// Returns a description as it was read in the era of a revision.
+fn read_in(revision: Revision, mut entry: Entry) -> Entry {
+    entry.revision = entry.revision.map(|written| Revision {
+        era: revision.era,
+        ..written
+    });
+    entry
+}
+
 impl Source for Directory {
+    fn eras(&self) -> &era::Handle {
+        &self.eras
+    }
+
     async fn snapshot(&self) -> Result<Snapshot, Error> {
+        let sent = Instant::now();
         self.pass_call(READ_LIMIT).await?;
-        Ok(self.read(|state| Snapshot {
-            revision: Revision(state.revision),
-            endpoints: state.entries.clone(),
+        let revision = self.announce(sent)?;
+        let entries = self.read(|state| {
+            state.snapshots += 1;
+            state.content.entries.clone()
+        });
+        let mut endpoints = BTreeMap::new();
+        for (name, entry) in entries {
+            endpoints.insert(name, read_in(revision, entry));
+        }
+        Ok(Snapshot {
+            revision,
+            endpoints,
             ..Snapshot::default()
-        }))
+        })
     }
 
     async fn probe(&self) -> Result<(), Error> {
@@ -187,23 +287,31 @@
                 sleep_until(start + wait + CALL_LIMIT).await;
                 return Err(Error::Lost("timed out".to_owned()));
             }
-            let answer = self.read(|state| {
-                if after.0 < state.dropped {
-                    return Some(Err(Error::Refused("history dropped".to_owned())));
+            let newer = self.read(|state| {
+                let current = state.content.revision;
+                if after.number < state.dropped || after.number > current {
+                    return Err(Error::Refused("not in the history".to_owned()));
+                }
+                let history = state.content.history.iter();
+                let newer = history.filter(|(revision, _)| *revision > after.number);
+                Ok(newer.map(|(_, change)| change.clone()).collect::<Vec<_>>())
+            })?;
+            if start.elapsed() >= wait || !newer.is_empty() {
+                let revision = self.announce(start)?;
+                let mut changes = Vec::new();
+                for change in newer {
+                    changes.push(match change {
+                        Change::Endpoint(name, Some(entry)) => {
+                            Change::Endpoint(name, Some(read_in(revision, entry)))
+                        }
+                        other => other,
+                    });
                 }
-                let history = state.history.iter();
-                let newer = history.filter(|(revision, _)| *revision > after.0);
-                let changes: Vec<Change> = newer.map(|(_, change)| change.clone()).collect();
-                let ended = start.elapsed() >= wait;
-                let revision = Revision(state.revision);
-                (ended || !changes.is_empty()).then_some(Ok(Changes {
+                return Ok(Changes {
                     revision,
                     changes,
                     unusable: 0,
-                }))
-            });
-            if let Some(answer) = answer {
-                return answer;
+                });
             }
             sleep(POLL_INTERVAL).await;
         }
@@ -214,7 +322,10 @@
     }
 
     async fn register(&self, _: &Node, _: Duration) -> Result<Lease, Error> {
-        Ok(Lease(1))
+        Ok(Lease {
+            id: kv::Lease(1),
+            era: self.eras.current(),
+        })
     }
 
     async fn renew(&self, _: Lease) -> Result<(), Error> {
--- a/gateway/tests/test_endpoints.rs
+++ b/gateway/tests/test_endpoints.rs
@@ -8,9 +8,9 @@
 };
 use dottereltally_lib::{
     endpoint::{Record, Standing},
+    era::Revision,
     id, time,
 };
-use dottereltally_store::kv::Revision;
 use rstest::rstest;
 
 fn at(millis: u64) -> time::Instant {
@@ -201,7 +201,7 @@
 fn the_revision_decides_which_description_is_newer() {
     let mut endpoints = with_live_endpoint();
     let at_revision = |revision, standing, started_ms| Entry {
-        revision: Some(Revision(revision)),
+        revision: Some(Revision::from(revision)),
         ..entry(standing, Some(started_ms), 1)
     };
     endpoints.update(
--- a/gateway/tests/test_follow.rs
+++ b/gateway/tests/test_follow.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::directory::{Away, Directory, Follower};
-use dottereltally_lib::{endpoint::Standing, exchange::View};
+use dottereltally_lib::{endpoint::Standing, era::Era, exchange::View};
 use rstest::rstest;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -165,6 +165,7 @@
                         digest,
                         number,
                         age,
+                        era: Era::default(),
                     },
                 );
                 sleep(ANNOUNCEMENT_INTERVAL).await;
--- a/gateway/tests/test_heartbeat.rs
+++ b/gateway/tests/test_heartbeat.rs
@@ -5,19 +5,29 @@
 use dottereltally_gateway::{heartbeat::Heartbeat, listing};
 use dottereltally_lib::{
     dispatcher::{Load, limit, rejection},
+    era::{Era, Revision},
     exchange::{self, Scope, View},
     id, notice,
     quota::Usage,
     suspicion::{Kind, Mark, Register},
     time,
 };
-use dottereltally_store::kv::Revision;
+
+/// An era that was announced, in which the revision fell.
+const ERA: Era = Era {
+    announced: 3,
+    falls: 1,
+};
 
 fn listing_report(started_ms: Option<u64>, is_listed: bool) -> listing::Report {
     listing::Report {
         endpoint: id::Endpoint::from("e"),
         started_ms,
-        revision: Revision(i64::MAX / 5),
+        sequence: 4,
+        revision: Revision {
+            era: ERA,
+            number: i64::MAX / 5,
+        },
         is_listed,
         age: Duration::from_millis(70),
     }
@@ -64,6 +74,7 @@
             digest: u64::MAX / 3,
             number: 17,
             age: Duration::from_millis(40),
+            era: ERA,
         }),
         listings: vec![listing_report(Some(3), false), listing_report(None, true)],
     };
--- a/gateway/tests/test_kept_quarantine.rs
+++ b/gateway/tests/test_kept_quarantine.rs
@@ -17,14 +17,16 @@
     chain::Chain,
     controller::{self, Controller, Message, Outputs},
     dialect::Head,
-    directory::{Change, Changes, Node, Snapshot, Source},
+    directory::{Change, Changes, Lease, Node, Snapshot, Source},
+    era,
 };
 use dottereltally_lib::{
+    era::{Era, Revision},
     id,
     quarantine::Verdict,
     suspicion::{Kind, Mark},
 };
-use dottereltally_store::kv::{Error, Lease, Revision};
+use dottereltally_store::kv::{self, Error};
 use ractor::{Actor, ActorRef};
 use rstest::rstest;
 use tokio::{
@@ -36,6 +38,7 @@
 #[derive(Clone, Default)]
 struct Kept {
     state: Arc<Mutex<State>>,
+    eras: era::Handle,
 }
 
 #[derive(Default)]
@@ -51,6 +54,10 @@
 }
 
 impl Source for Kept {
+    fn eras(&self) -> &era::Handle {
+        &self.eras
+    }
+
     async fn snapshot(&self) -> Result<Snapshot, Error> {
         Ok(Snapshot::default())
     }
@@ -74,7 +81,10 @@
     }
 
     async fn register(&self, _: &Node, _: Duration) -> Result<Lease, Error> {
-        Ok(Lease(1))
+        Ok(Lease {
+            id: kv::Lease(1),
+            era: Era::default(),
+        })
     }
 
     async fn renew(&self, _: Lease) -> Result<(), Error> {
@@ -162,7 +172,7 @@
         }))
     } else {
         Message::Changes(Changes {
-            revision: Revision(1),
+            revision: Revision::from(1),
             changes: vec![Change::Quarantined(marks)],
             unusable: 0,
         })
--- a/gateway/tests/test_old_layout.rs
+++ b/gateway/tests/test_old_layout.rs
@@ -15,6 +15,7 @@
 use dottereltally_gateway::heartbeat::Heartbeat;
 use dottereltally_lib::{
     dispatcher::Load,
+    era::Era,
     exchange::{self, Scope, View},
     id, notice,
     quota::Usage,
@@ -89,6 +90,7 @@
             digest: 1,
             number: 2,
             age: Duration::from_secs(3),
+            era: Era::from(4),
         }),
         ..Heartbeat::default()
     };
--- a/gateway/tests/test_registration.rs
+++ b/gateway/tests/test_registration.rs
@@ -7,22 +7,31 @@
 
 use dottereltally_gateway::{
     controller::Registration,
-    directory::{Changes, Node, Snapshot, Source},
+    directory::{Changes, Lease, Node, Snapshot, Source},
+    era::{self, Announcement},
     metrics::Metrics,
 };
-use dottereltally_lib::{id, suspicion::Mark};
-use dottereltally_store::kv::{Error, Lease, Revision};
-use tokio::time::sleep;
+use dottereltally_lib::{
+    era::{Era, Revision},
+    id,
+    suspicion::Mark,
+};
+use dottereltally_store::kv::{self, Error};
+use tokio::time::{Instant, sleep};
 
 /// Source that keeps only leases.
 #[derive(Clone, Default)]
 struct Leases {
     state: Arc<Mutex<State>>,
+    eras: era::Handle,
 }
 
 #[derive(Default)]
 struct State {
     next: i64,
+    era: u64,
+    /// Numbers of the leases of which renewal or end was asked for.
+    used: Vec<i64>,
     live: Vec<Lease>,
 }
 
@@ -30,9 +39,18 @@
     fn live(&self) -> Vec<Lease> {
         self.state.lock().unwrap().live.clone()
     }
+
+    fn answer(&self) -> Era {
+        let announced = Announcement::Number(self.state.lock().unwrap().era);
+        self.eras.record(Instant::now(), announced).unwrap()
+    }
 }
 
 impl Source for Leases {
+    fn eras(&self) -> &era::Handle {
+        &self.eras
+    }
+
     async fn snapshot(&self) -> Result<Snapshot, Error> {
         Ok(Snapshot::default())
     }
@@ -50,30 +68,41 @@
     }
 
     async fn register(&self, _: &Node, _: Duration) -> Result<Lease, Error> {
+        let era = self.answer();
         let mut state = self.state.lock().unwrap();
         state.next += 1;
-        let lease = Lease(state.next);
+        let id = kv::Lease(state.next);
+        let lease = Lease { id, era };
         state.live.push(lease);
         Ok(lease)
     }
 
     async fn renew(&self, lease: Lease) -> Result<(), Error> {
-        if self.live().contains(&lease) {
+        self.answer();
+        self.state.lock().unwrap().used.push(lease.id.0);
+        // The source knows a lease by its number only.
+        if self.live().iter().any(|live| live.id == lease.id) {
             return Ok(());
         }
-        Err(Error::UnknownLease(lease))
+        Err(Error::UnknownLease(lease.id))
     }
 
     async fn deregister(&self, lease: Lease) -> Result<(), Error> {
-        self.state
-            .lock()
-            .unwrap()
-            .live
-            .retain(|live| *live != lease);
+        self.answer();
+        let mut state = self.state.lock().unwrap();
+        state.used.push(lease.id.0);
+        state.live.retain(|live| live.id != lease.id);
         Ok(())
     }
 }
 
+fn lease(id: i64, era: u64) -> Lease {
+    Lease {
+        id: kv::Lease(id),
+        era: Era::from(era),
+    }
+}
+
 fn registration(leases: &Leases) -> Arc<Registration<Leases>> {
     let node = Node {
         name: id::Node::from("n"),
@@ -92,10 +121,10 @@
     let renewed = Arc::clone(&registration);
     tokio::spawn(async move { renewed.run().await });
     sleep(Duration::from_secs(1)).await;
-    assert_eq!(leases.live(), [Lease(1)]);
+    assert_eq!(leases.live(), [lease(1, 0)]);
     leases.state.lock().unwrap().live.clear();
     sleep(Duration::from_secs(10)).await;
-    assert_eq!(leases.live(), [Lease(2)]);
+    assert_eq!(leases.live(), [lease(2, 0)]);
 }
 
 #[tokio::test(start_paused = true)]
--- a/gateway/tests/test_view.rs
+++ b/gateway/tests/test_view.rs
@@ -4,7 +4,7 @@
 
 use dottereltally::clock::Clock;
 use dottereltally_gateway::view::Handle;
-use dottereltally_lib::exchange::View;
+use dottereltally_lib::{era::Era, exchange::View};
 use tokio::time::{Instant, advance, timeout};
 
 /// Process of the coordinator.
@@ -12,7 +12,7 @@
 
 fn handle(digest: u64) -> Handle {
     let handle = Handle::new(Clock::start());
-    handle.record_read(handle.uptime(), digest);
+    handle.record_read(handle.uptime(), Era::from(1), digest);
     handle
 }
 
@@ -21,6 +21,7 @@
         digest,
         number,
         age,
+        era: Era::from(1),
     }
 }
 
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -14,7 +14,7 @@
 
 use derive_more::Display;
 
-use crate::id;
+use crate::{era::Era, id};
 
 /// Version of this exchange.
 pub const VERSION: u16 = 1;
@@ -86,6 +86,8 @@
     pub number: u64,
     /// Time since that read was sent.
     pub age: Duration,
+    /// Era of the source in that read.
+    pub era: Era,
 }
 
 /// A node as the exchange sees it.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod dispatcher;
 pub mod effect;
 pub mod endpoint;
+pub mod era;
 pub mod estimate;
 pub mod event;
 pub mod exchange;
--- a/proto/schema/gateway.capnp
+++ b/proto/schema/gateway.capnp
@@ -43,6 +43,13 @@
   isListed @3 :Bool;
   # Time since that was read.
   ageMs @4 :UInt32;
+  # Era of the revision, as the store announced it; zero if it announced none, or from
+  # nodes that know no eras.
+  era @5 :UInt64;
+  # Number of times that the store's revision fell in that era.
+  eraFalls @6 :UInt32;
+  # Number of its last description, counted by the process; zero if unknown.
+  sequence @7 :UInt64;
 }
 
 # What a node read from the platform's store.
@@ -53,6 +60,9 @@
   number @1 :UInt64;
   # Time since that read was sent.
   ageMs @2 :UInt32;
+  # Era of the store in that read, and the number of falls in it, as in Listing.
+  era @3 :UInt64;
+  eraFalls @4 :UInt32;
 }
 
 # What an endpoint said about itself in an answer.
--- a/proto/src/gateway_capnp.rs
+++ b/proto/src/gateway_capnp.rs
@@ -863,11 +863,23 @@
         pub fn get_age_ms(self) -> u32 {
             self.reader.get_data_field::<u32>(5)
         }
+        #[inline]
+        pub fn get_era(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn get_era_falls(self) -> u32 {
+            self.reader.get_data_field::<u32>(8)
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.reader.get_data_field::<u64>(5)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -965,6 +977,30 @@
         pub fn set_age_ms(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(5, value);
         }
+        #[inline]
+        pub fn get_era(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_era(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
+        #[inline]
+        pub fn get_era_falls(self) -> u32 {
+            self.builder.get_data_field::<u32>(8)
+        }
+        #[inline]
+        pub fn set_era_falls(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(8, value);
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.builder.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn set_sequence(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(5, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -976,59 +1012,80 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 143] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(218, 247, 164, 128, 33, 11, 116, 170),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(39, 106, 78, 201, 208, 163, 248, 177),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 76, 105),
             ::capnp::word(115, 116, 105, 110, 103, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -1073,6 +1130,32 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 114, 97, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 114, 97, 70, 97, 108, 108, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1081,6 +1164,9 @@
                 2 => <i64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1094,9 +1180,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,0,3,2,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,0,5,6,3,2,7,1];
         pub(crate) const TYPE_ID: u64 = 0xaa74_0b21_80a4_f7da;
     }
 }
@@ -1174,11 +1260,19 @@
         pub fn get_age_ms(self) -> u32 {
             self.reader.get_data_field::<u32>(4)
         }
+        #[inline]
+        pub fn get_era(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn get_era_falls(self) -> u32 {
+            self.reader.get_data_field::<u32>(5)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1252,6 +1346,22 @@
         pub fn set_age_ms(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(4, value);
         }
+        #[inline]
+        pub fn get_era(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_era(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
+        #[inline]
+        pub fn get_era_falls(self) -> u32 {
+            self.builder.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn set_era_falls(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(5, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1263,45 +1373,59 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(233, 68, 238, 45, 230, 178, 23, 192),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(39, 106, 78, 201, 208, 163, 248, 177),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 86, 105),
             ::capnp::word(101, 119, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1326,12 +1450,31 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 114, 97, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 114, 97, 70, 97, 108, 108, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1345,9 +1488,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,3,4,1];
         pub(crate) const TYPE_ID: u64 = 0xc017_b2e6_2dee_44e9;
     }
 }
--- a/store/src/http.rs
+++ b/store/src/http.rs
@@ -11,7 +11,7 @@
 };
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::{
     body::{Body as _, Incoming},
@@ -70,6 +70,8 @@
 pub struct Answer {
     /// Its status.
     pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
 }
@@ -131,8 +133,7 @@
     ) -> Result<Answer, Error> {
         let full = |error: buffer::Full| Error::Lost(error.to_string());
         let response = self.send(request).await?;
-        let status = response.status();
-        let mut body = response.into_body();
+        let (head, mut body) = response.into_parts();
         let mut answer = buffer::Answer::new(memory.reserve(MAX_ANSWER_BYTES));
         answer
             .check_length(body.size_hint().lower())
@@ -146,7 +147,8 @@
             answer.append(&part).map_err(full)?;
         }
         Ok(Answer {
-            status,
+            status: head.status,
+            headers: head.headers,
             body: answer.finish(),
         })
     }
