registration: a lease of a former era is neither renewed nor ended

After the store was restored from a copy, lease numbers are given out again: a node that renewed or ended its old lease could renew or end another node's registration, and stayed unregistered until a renewal failed. Leases carry the era in which they were granted; a node registers again as soon as any answer announces another era, spread over 0.8 s.

--- a/gateway/src/controller/registration.rs
+++ b/gateway/src/controller/registration.rs
@@ -10,7 +10,7 @@
 
 use dottereltally_store::kv::Error;
 use rand::Rng;
-use tokio::time::sleep;
+use tokio::{select, time::sleep};
 
 use crate::{
     chain::lock,
@@ -19,11 +19,14 @@
 };
 
 /// Time after which a registration expires unless it is renewed.
-const LEASE_TTL: Duration = Duration::from_secs(12);
+pub(super) const LEASE_TTL: Duration = Duration::from_secs(12);
 
 /// Time between two renewals; three in a row may fail.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(3);
 
+/// Time over which nodes spread their registrations after the source was restored.
+const RESTORATION_SPREAD: Duration = Duration::from_millis(800);
+
 /// Registration of one node.
 pub struct Registration<S> {
     source: S,
@@ -51,8 +54,18 @@
     /// Keeps the node registered until [`Self::deregister`] is called.
     pub async fn run(&self) {
         while !self.ended.load(Ordering::Acquire) {
-            self.metrics.store_calls.inc();
+            let era = self.source.eras().current();
             let current = *lock(&self.lease);
+            if let Some(lease) = current
+                && lease.era != era
+            {
+                tracing::info!(lease = %lease.id, granted = %lease.era, %era, "registration is of a former era");
+                *lock(&self.lease) = None;
+                let part = rand::rng().random_range(0.0..1.0);
+                sleep(RESTORATION_SPREAD.mul_f64(part)).await;
+                continue;
+            }
+            self.metrics.store_calls.inc();
             let result = match current {
                 None => self.source.register(&self.node, LEASE_TTL).await.map(Some),
                 Some(lease) => self.source.renew(lease).await.map(|()| Some(lease)),
@@ -75,7 +88,11 @@
                 }
             }
             let jitter = rand::rng().random_range(0.8..1.2);
-            sleep(RENEWAL_INTERVAL.mul_f64(jitter)).await;
+            let eras = self.source.eras();
+            select! {
+                () = sleep(RENEWAL_INTERVAL.mul_f64(jitter)) => {}
+                () = eras.wait_for_change(era) => {}
+            }
         }
     }
 
@@ -86,6 +103,11 @@
         let Some(lease) = current else {
             return;
         };
+        // Its number may be that of another node's registration.
+        if lease.era != self.source.eras().current() {
+            tracing::info!(lease = %lease.id, granted = %lease.era, "registration is of a former era and is not ended");
+            return;
+        }
         self.metrics.store_calls.inc();
         if let Err(error) = self.source.deregister(lease).await {
             tracing::info!(%error, "registration could not be ended and will expire");
--- a/gateway/tests/test_registration.rs
+++ b/gateway/tests/test_registration.rs
@@ -17,6 +17,7 @@
     suspicion::Mark,
 };
 use dottereltally_store::kv::{self, Error};
+use rstest::rstest;
 use tokio::time::{Instant, sleep};
 
 /// Source that keeps only leases.
@@ -138,3 +139,59 @@
     running.await.unwrap();
     assert!(leases.live().is_empty());
 }
+
+/// Guards against a lease of a former era that renews or ends the registration of another
+/// node, which was given the same number, and against a node that stays unregistered.
+#[rstest]
+#[case::heard_from_another_call(true)]
+#[case::heard_from_the_renewal(false)]
+#[tokio::test(start_paused = true)]
+async fn a_lease_of_a_former_era_is_not_used(#[case] is_heard: bool) {
+    let leases = Leases::default();
+    leases.state.lock().unwrap().era = 1;
+    let registration = registration(&leases);
+    let renewed = Arc::clone(&registration);
+    tokio::spawn(async move { renewed.run().await });
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(leases.live(), [lease(1, 1)]);
+    {
+        let mut state = leases.state.lock().unwrap();
+        state.era = 2;
+        // Another node registered first in the new era.
+        state.live = vec![lease(1, 2)];
+        state.next = 1;
+        state.used.clear();
+    }
+    if is_heard {
+        leases.answer();
+        // Time over which nodes spread their registrations.
+        sleep(Duration::from_secs(1)).await;
+        let used = leases.state.lock().unwrap().used.clone();
+        assert!(used.is_empty(), "used leases {used:?}");
+    } else {
+        sleep(Duration::from_secs(5)).await;
+    }
+    assert_eq!(leases.live(), [lease(1, 2), lease(2, 2)]);
+    registration.deregister().await;
+    assert_eq!(leases.live(), [lease(1, 2)]);
+}
+
+/// Guards against a node that stops after the source was restored, and ends the
+/// registration of another node.
+#[tokio::test(start_paused = true)]
+async fn a_lease_of_a_former_era_is_not_ended() {
+    let leases = Leases::default();
+    leases.state.lock().unwrap().era = 1;
+    let registration = registration(&leases);
+    let renewed = Arc::clone(&registration);
+    tokio::spawn(async move { renewed.run().await });
+    sleep(Duration::from_secs(1)).await;
+    {
+        let mut state = leases.state.lock().unwrap();
+        state.era = 2;
+        state.live = vec![lease(1, 2)];
+    }
+    leases.answer();
+    registration.deregister().await;
+    assert_eq!(leases.live(), [lease(1, 2)]);
+}
