--- a/gateway/tests/test_kept_quarantine.rs
+++ b/gateway/tests/test_kept_quarantine.rs
@@ -30,8 +30,8 @@
 use ractor::{Actor, ActorRef};
 use rstest::rstest;
 use tokio::{
-    sync::watch,
-    time::{sleep, timeout},
+    sync::{mpsc, watch},
+    time::{Instant, sleep, timeout},
 };
 
 /// Source that keeps only suspicions; the first calls fail.
@@ -217,3 +217,38 @@
     assert_eq!(verdict(&gateway.chain.crashes), Verdict::Confirmed);
     assert!(gateway.refused.try_recv().is_err());
 }
+
+/// Guards against a crashing request that is forgotten when the key-value service is
+/// restored from a copy: the node that found it out writes it again.
+#[tokio::test(start_paused = true)]
+async fn a_crashing_request_is_written_again_after_a_restoration() {
+    let source = Kept::default();
+    let gateway = Gateway::start(Some(plan()), &[]).await;
+    let node = id::Node::from("n");
+    let data_centre = id::DataCentre::from("dc");
+    for incarnation in 0..3 {
+        let mark = Mark {
+            fingerprint: fatal(),
+            incarnation: id::Incarnation(incarnation),
+            kind: Kind::Died,
+            valid: Duration::from_mins(1),
+        };
+        let crashes = &gateway.chain.crashes;
+        crashes.apply_marks(&node, &data_centre, &[mark]);
+    }
+    let (refuse, refused) = mpsc::channel(4);
+    tokio::spawn(controller::quarantine::keep(
+        source.clone(),
+        gateway.chain.crashes.clone(),
+        refused,
+        gateway.chain.metrics.clone(),
+    ));
+    refuse.send(fatal()).await.unwrap();
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(source.kept().len(), 1);
+    source.state.lock().unwrap().kept.clear();
+    let announced = era::Announcement::Number(2);
+    source.eras.record(Instant::now(), announced).unwrap();
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(source.kept().len(), 1, "written once");
+}
