--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -6,11 +6,11 @@
 
 mod endpoints;
 pub mod follow;
+mod nodes;
 pub mod quarantine;
 mod registration;
 
 use std::{
-    collections::BTreeMap,
     hash::{Hash, Hasher},
     sync::Arc,
     time::Duration,
@@ -22,6 +22,7 @@
 use tokio::sync::watch;
 use xxhash_rust::xxh3::Xxh3;
 
+use self::nodes::Nodes;
 pub use self::{
     endpoints::{Endpoints, Observation},
     follow::PollInterval,
@@ -85,13 +86,25 @@
     pub view: view::Handle,
 }
 
+/// Where a snapshot comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    /// From the source: nodes that it lacks are removed.
+    Source,
+    /// From the source, which was restored from a copy since it was read last: the copy may
+    /// lack nodes.
+    RestoredSource,
+    /// From another node, which may lack nodes.
+    Node,
+}
+
 /// Actor that owns the directory.
 pub struct Controller;
 
 /// State of the actor.
 pub struct State {
     endpoints: Endpoints,
-    nodes: BTreeMap<id::Node, Node>,
+    nodes: Nodes,
     outputs: Outputs,
 }
 
@@ -108,7 +121,7 @@
         myself.send_interval(TICK, || Message::Tick);
         Ok(State {
             endpoints: Endpoints::default(),
-            nodes: BTreeMap::new(),
+            nodes: Nodes::default(),
             outputs,
         })
     }
@@ -150,11 +163,16 @@
                     .metrics
                     .unusable_entries
                     .inc_by(snapshot.unusable);
-                self.endpoints.begin_read(snapshot.revision);
+                let is_restored = self.endpoints.begin_read(now, snapshot.revision);
                 self.outputs.endpoints_known.send_replace(true);
                 let origins = &self.outputs.origins;
                 origins.record_history(History::restart);
-                self.apply_snapshot(*snapshot, true);
+                let origin = if is_restored {
+                    Origin::RestoredSource
+                } else {
+                    Origin::Source
+                };
+                self.apply_snapshot(*snapshot, origin);
             }
             Message::PeerSnapshot(snapshot) => {
                 if self.endpoints.is_initialized() {
@@ -170,7 +188,7 @@
                     "directory received from another node"
                 );
                 self.outputs.endpoints_known.send_replace(true);
-                self.apply_snapshot(*snapshot, false);
+                self.apply_snapshot(*snapshot, Origin::Node);
             }
             Message::Changes(changes) => {
                 if let Some(outage) = self.endpoints.end_outage(now) {
@@ -185,7 +203,7 @@
                     .metrics
                     .unusable_entries
                     .inc_by(changes.unusable);
-                self.endpoints.begin_read(changes.revision);
+                self.endpoints.begin_read(now, changes.revision);
                 self.outputs.origins.record_history(History::record_read);
                 for change in changes.changes {
                     self.apply_change(change);
@@ -204,14 +222,18 @@
                 self.outputs.view.record_read(sent, era, self.digest());
             }
             Message::SourceReturned(at) => self.endpoints.record_return(at),
-            Message::Tick => self.apply_listings(),
+            Message::Tick => {
+                self.apply_listings();
+                if self.nodes.expire(now) {
+                    self.publish_nodes();
+                }
+            }
         }
         self.publish_endpoints();
     }
 
-    /// Applies a snapshot. Only one that comes from the source is
-    /// `authoritative` and removes nodes that it does not contain.
-    fn apply_snapshot(&mut self, snapshot: Snapshot, authoritative: bool) {
+    /// Applies a snapshot.
+    fn apply_snapshot(&mut self, snapshot: Snapshot, origin: Origin) {
         if let Some(plan) = snapshot.plan {
             self.adopt_plan(plan);
         }
@@ -221,14 +243,15 @@
             self.record_listed(name, entry);
         }
         self.endpoints.replace(now, snapshot.endpoints);
-        if !authoritative {
-            for node in snapshot.nodes {
-                self.nodes.entry(node.name.clone()).or_insert(node);
+        match origin {
+            Origin::Source => self.nodes.replace(now, snapshot.nodes, false),
+            Origin::RestoredSource => self.nodes.replace(now, snapshot.nodes, true),
+            Origin::Node => {
+                for node in snapshot.nodes {
+                    self.nodes.add(node);
+                }
             }
-            return self.publish_nodes();
         }
-        let nodes = snapshot.nodes.into_iter();
-        self.nodes = nodes.map(|node| (node.name.clone(), node)).collect();
         self.publish_nodes();
     }
 
@@ -258,12 +281,12 @@
                 self.endpoints.remove(now, &name);
             }
             Change::Node(node) => {
-                self.nodes.insert(node.name.clone(), node);
+                self.nodes.insert(node);
                 self.publish_nodes();
             }
             Change::Quarantined(marks) => self.outputs.crashes.apply_kept_marks(&marks),
             Change::NodeRemoved(name) => {
-                if self.nodes.remove(&name).is_some() {
+                if self.nodes.remove(&name) {
                     tracing::info!(node = %name, "registration of a node ended");
                     self.publish_nodes();
                 }
@@ -317,8 +340,8 @@
         let generation = plan.as_ref().map(|plan| plan.generation.0);
         generation.hash(&mut hasher);
         self.endpoints.hash_used(&mut hasher);
-        for (name, node) in &self.nodes {
-            name.as_str().hash(&mut hasher);
+        for node in self.nodes.iter() {
+            node.name.as_str().hash(&mut hasher);
             node.address.hash(&mut hasher);
         }
         hasher.finish()
@@ -327,7 +350,7 @@
     fn publish_nodes(&self) {
         let others = self
             .nodes
-            .values()
+            .iter()
             .filter(|node| node.name != self.outputs.own_name);
         self.outputs.nodes.send_replace(others.cloned().collect());
     }
@@ -373,7 +396,7 @@
         self.outputs.snapshot.send_replace(Arc::new(Snapshot {
             plan,
             endpoints: self.endpoints.entries(),
-            nodes: self.nodes.values().cloned().collect(),
+            nodes: self.nodes.iter().cloned().collect(),
             ..Snapshot::default()
         }));
     }
--- a/gateway/src/controller/endpoints.rs
+++ b/gateway/src/controller/endpoints.rs
@@ -51,6 +51,8 @@
     /// End of the last outage in which descriptions may have expired; `None` if there
     /// was none.
     outage_end: Option<time::Instant>,
+    /// End of the last outage, however short.
+    last_return: Option<time::Instant>,
     /// Revision of the source that was read last.
     revision: Revision,
     /// Endpoints that left, as this node or another one read.
@@ -118,6 +120,7 @@
         let Some(start) = self.outage_start.take() else {
             return;
         };
+        self.last_return = Some(end);
         if end.since(start) >= SHORTEST_OUTAGE {
             self.outage_end = Some(end);
         }
@@ -140,9 +143,18 @@
         self.revision
     }
 
-    /// Records the revision of the source that is applied next.
-    pub fn begin_read(&mut self, revision: Revision) {
-        self.revision = revision;
+    /// Records the revision of the source that is applied next; returns whether the source
+    /// was restored since the last read. Endpoints may have to write their descriptions
+    /// again then, as after an outage.
+    pub fn begin_read(&mut self, now: time::Instant, revision: Revision) -> bool {
+        let previous = mem::replace(&mut self.revision, revision);
+        let is_restored = previous != Revision::default() && previous.era != revision.era;
+        if is_restored {
+            let returned = self.last_return;
+            let returned = returned.filter(|returned| now.since(*returned) < RENEWAL_TIME);
+            self.outage_end = self.outage_end.max(Some(returned.unwrap_or(now)));
+        }
+        is_restored
     }
 
     /// Applies what another node read about an endpoint; returns whether the endpoint is
@@ -189,8 +201,8 @@
     }
 
     fn has_left(&self, name: &id::Endpoint, known: &Tracked) -> bool {
-        let started_ms = known.entry.started_ms;
-        self.listings.has_left(name, started_ms, known.shown_at)
+        let process = listing::Process::from(&known.entry);
+        self.listings.has_left(name, process, known.shown_at)
     }
 
     /// Returns the endpoints that are known and have not left.
@@ -209,8 +221,7 @@
     ) {
         let report = listing::Report {
             endpoint: name.clone(),
-            started_ms: entry.started_ms,
-            sequence: entry.sequence,
+            process: listing::Process::from(entry),
             revision,
             is_listed,
             age: Duration::ZERO,
@@ -237,15 +248,28 @@
         let Some(entry) = entry else {
             return self.remove(now, &name);
         };
-        let known = self.tracked.get(&name);
-        if known.is_some_and(|known| is_older(&entry, &known.entry)) {
+        let shown_at = entry.revision.unwrap_or(self.revision);
+        let known = self.tracked.get_mut(&name);
+        if let Some(known) = known
+            && is_older(&entry, &known.entry)
+        {
             tracing::info!(
                 endpoint = %name,
                 sequence = entry.sequence,
+                revision = %shown_at,
                 "outdated endpoint description ignored"
             );
+            let is_live = |entry: &Entry| entry.record.standing == Standing::Live;
+            let is_same = entry.started_ms == known.entry.started_ms;
+            // A copy that the source was restored from lists the process, although with an
+            // earlier description.
+            if is_same && is_live(&entry) && is_live(&known.entry) {
+                known.missing = false;
+            }
             return;
         }
+        let was_used = self.is_used(&name);
+        let known = self.tracked.get(&name);
         if known.is_none_or(|known| known.entry.record != entry.record || known.missing) {
             tracing::info!(
                 endpoint = %name,
@@ -260,7 +284,6 @@
             self.changed = true;
         }
         self.observe(&name, &entry);
-        let shown_at = entry.revision.unwrap_or(self.revision);
         let is_listed = entry.record.standing == Standing::Live;
         self.record_own_listing(now, &name, &entry, (shown_at, is_listed));
         let missing = false;
@@ -269,6 +292,8 @@
             missing,
             shown_at,
         };
+        // One that left is known, but not used, while a restored copy lists it.
+        self.changed |= was_used == self.has_left(&name, &tracked);
         self.tracked.insert(name, tracked);
     }
 
@@ -399,13 +424,28 @@
 /// revision, by an earlier process of the endpoint, or earlier by the same process.
 ///
 /// Only the revision is certain, as the clock that start times come from can be set
-/// back. Without it, a description without a start time counts as older than one with
-/// it. If neither has one, or both have the same, the sequence decides, but only
-/// between descriptions with the same address.
+/// back. In a later era, a description may be of the copy that the source was restored
+/// from, at a revision that is not above the known one; the processes decide then.
 fn is_older(entry: &Entry, known: &Entry) -> bool {
-    if let (Some(revision), Some(known)) = (entry.revision, known.revision) {
-        return revision < known;
+    let (Some(revision), Some(known_revision)) = (entry.revision, known.revision) else {
+        return is_of_earlier_process(entry, known);
+    };
+    if let Some(order) = revision.partial_cmp(&known_revision) {
+        return order.is_lt();
+    }
+    if !revision.is_after(&known_revision) {
+        return true;
     }
+    revision.number <= known_revision.number && is_of_earlier_process(entry, known)
+}
+
+/// Returns whether a description is of an earlier process than the known one, or an
+/// earlier one of the same process.
+///
+/// A description without a start time counts as older than one with it. If neither has
+/// one, or both have the same, the sequence decides, but only between descriptions with
+/// the same address.
+fn is_of_earlier_process(entry: &Entry, known: &Entry) -> bool {
     match (entry.started_ms, known.started_ms) {
         (Some(entry_start), Some(known_start)) if entry_start != known_start => {
             entry_start < known_start
--- a/gateway/src/heartbeat.rs
+++ b/gateway/src/heartbeat.rs
@@ -260,8 +260,8 @@
 
 fn write_listing(report: &listing::Report, mut wire: wire_listing::Builder<'_>) {
     wire.set_endpoint(report.endpoint.as_str());
-    wire.set_started_ms(report.started_ms.unwrap_or_default());
-    wire.set_sequence(report.sequence);
+    wire.set_started_ms(report.process.started_ms.unwrap_or_default());
+    wire.set_sequence(report.process.sequence);
     wire.set_revision(report.revision.number);
     wire.set_era(report.revision.era.announced);
     wire.set_era_falls(report.revision.era.falls);
@@ -273,8 +273,10 @@
     let started_ms = wire.get_started_ms();
     Ok(listing::Report {
         endpoint: Endpoint::from(wire.get_endpoint()?.to_str()?),
-        started_ms: (started_ms > 0).then_some(started_ms),
-        sequence: wire.get_sequence(),
+        process: listing::Process {
+            started_ms: (started_ms > 0).then_some(started_ms),
+            sequence: wire.get_sequence(),
+        },
         revision: Revision {
             era: Era {
                 announced: wire.get_era(),
--- a/gateway/src/listing.rs
+++ b/gateway/src/listing.rs
@@ -2,12 +2,16 @@
 //!
 //! A node that can't read the directory keeps the endpoints that it knows. Reports of nodes
 //! that can read it show which of them have left. Revisions of the directory order what
-//! different nodes read, so that an older view is never preferred to a newer one.
+//! different nodes read, so that an older view is never preferred to a newer one. Where the
+//! source was restored from a copy, they order nothing; what left before the restoration is
+//! told from what was written after it by the endpoint's process and its descriptions.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use dottereltally_lib::{era::Revision, id, time};
 
+use crate::directory::Entry;
+
 /// Time for which other nodes are informed of a listing. An endpoint that left ends in that
 /// time.
 pub const REPORT_TIME: Duration = Duration::from_secs(30);
@@ -21,15 +25,47 @@
 /// Most listings in a report to another node, the latest ones.
 const MAX_REPORTS: usize = 256;
 
+/// A process of an endpoint, as its last description shows it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Process {
+    /// When it started, in milliseconds since the Unix epoch; `None` if unknown.
+    pub started_ms: Option<u64>,
+    /// Number of the description, counted by the process; zero if unknown.
+    pub sequence: u64,
+}
+
+impl Process {
+    /// Returns whether both may be the same process.
+    fn is_same(self, other: Self) -> bool {
+        let started = self.started_ms.zip(other.started_ms);
+        started.is_none_or(|(started, other)| started == other)
+    }
+
+    /// Returns whether the description is not later than another one.
+    fn is_not_after(self, other: Self) -> bool {
+        if self.is_same(other) {
+            return self.sequence <= other.sequence;
+        }
+        self.started_ms < other.started_ms
+    }
+}
+
+impl From<&Entry> for Process {
+    fn from(entry: &Entry) -> Self {
+        Self {
+            started_ms: entry.started_ms,
+            sequence: entry.sequence,
+        }
+    }
+}
+
 /// What a node read about an endpoint, for the other nodes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Report {
     /// The endpoint.
     pub endpoint: id::Endpoint,
-    /// When its process started, in milliseconds since the Unix epoch; `None` if unknown.
-    pub started_ms: Option<u64>,
-    /// Number of its last description, counted by its process; zero if unknown.
-    pub sequence: u64,
+    /// Its process.
+    pub process: Process,
     /// Revision of the directory that was read.
     pub revision: Revision,
     /// Whether the endpoint took requests, as its description showed.
@@ -53,13 +89,25 @@
 /// What was read last about one endpoint.
 #[derive(Clone, Debug)]
 struct Listing {
-    started_ms: Option<u64>,
-    sequence: u64,
+    process: Process,
     revision: Revision,
     is_listed: bool,
     at: time::Instant,
 }
 
+impl Listing {
+    /// Returns whether a process is shown by a copy that was taken before it left: the source
+    /// was restored from it, and lists the process again. What is written after that has a
+    /// higher revision than the copy, although it may be lower than the one at which the
+    /// process left.
+    fn is_departed(&self, process: Process, shown_at: Revision) -> bool {
+        !self.is_listed
+            && shown_at.era > self.revision.era
+            && shown_at.number <= self.revision.number
+            && process.is_not_after(self.process)
+    }
+}
+
 /// Endpoints that left, and those that are listed again.
 #[derive(Clone, Debug, Default)]
 pub struct Listings {
@@ -72,7 +120,12 @@
     pub fn record(&mut self, now: time::Instant, report: &Report) -> bool {
         let known = self.by_endpoint.get(&report.endpoint);
         let is_new = match known {
-            Some(known) if known.revision >= report.revision => false,
+            Some(known) if !report.revision.is_after(&known.revision) => false,
+            Some(known)
+                if report.is_listed && known.is_departed(report.process, report.revision) =>
+            {
+                false
+            }
             Some(known) => known.is_listed != report.is_listed || !report.is_listed,
             None => !report.is_listed && self.by_endpoint.len() < MAX_LISTINGS,
         };
@@ -80,8 +133,7 @@
             return false;
         }
         let listing = Listing {
-            started_ms: report.started_ms,
-            sequence: report.sequence,
+            process: report.process,
             revision: report.revision,
             is_listed: report.is_listed,
             at: now - report.age,
@@ -93,19 +145,16 @@
     /// Returns whether a process of an endpoint left after its description was read at a
     /// revision.
     #[must_use]
-    pub fn has_left(
-        &self,
-        endpoint: &id::Endpoint,
-        started_ms: Option<u64>,
-        revision: Revision,
-    ) -> bool {
+    pub fn has_left(&self, endpoint: &id::Endpoint, process: Process, revision: Revision) -> bool {
         let Some(listing) = self.by_endpoint.get(endpoint) else {
             return false;
         };
-        let processes = listing.started_ms.zip(started_ms);
+        if listing.is_departed(process, revision) {
+            return true;
+        }
         !listing.is_listed
-            && listing.revision > revision
-            && processes.is_none_or(|(known, other)| known == other)
+            && listing.revision.is_after(&revision)
+            && listing.process.is_same(process)
     }
 
     /// Returns what to report to the other nodes.
@@ -119,8 +168,7 @@
             }
             reports.push(Report {
                 endpoint: endpoint.clone(),
-                started_ms: listing.started_ms,
-                sequence: listing.sequence,
+                process: listing.process,
                 revision: listing.revision,
                 is_listed: listing.is_listed,
                 age,
--- a/gateway/tests/common/directory.rs
+++ b/gateway/tests/common/directory.rs
@@ -42,6 +42,12 @@
 /// Interval at which a waiting call looks for changes.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Time that the source is away before it is restored.
+const DRILL_TIME: Duration = Duration::from_secs(1);
+
+/// Time in which a node has read its directory.
+const SETTLING_TIME: Duration = Duration::from_secs(3);
+
 /// How calls fail while the source is away.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Away {
@@ -108,6 +114,16 @@
         });
     }
 
+    /// Restores the source from the copy after it was away; `write` is what is written before
+    /// any node reads it.
+    pub async fn drill(&self, write: impl FnOnce(&Self)) {
+        self.set_away(Some(Away::Refused));
+        sleep(DRILL_TIME).await;
+        self.restore();
+        write(self);
+        self.set_away(None);
+    }
+
     /// Returns the number of the current revision.
     pub fn revision(&self) -> i64 {
         self.read(|state| state.content.revision)
@@ -420,6 +436,13 @@
         }
     }
 
+    /// Starts to follow a directory; returns when it was read.
+    pub async fn settled(directory: &Directory) -> Self {
+        let follower = Self::start(directory).await;
+        sleep(SETTLING_TIME).await;
+        follower
+    }
+
     /// Returns whether the node may send requests to an endpoint.
     pub fn uses(&self, name: &str) -> bool {
         let name = id::Endpoint::from(name);
--- a/gateway/tests/test_heartbeat.rs
+++ b/gateway/tests/test_heartbeat.rs
@@ -22,8 +22,10 @@
 fn listing_report(started_ms: Option<u64>, is_listed: bool) -> listing::Report {
     listing::Report {
         endpoint: id::Endpoint::from("e"),
-        started_ms,
-        sequence: 4,
+        process: listing::Process {
+            started_ms,
+            sequence: 4,
+        },
         revision: Revision {
             era: ERA,
             number: i64::MAX / 5,
--- a/gateway/tests/test_listing.rs
+++ b/gateway/tests/test_listing.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dottereltally_gateway::listing::{Listings, REPORT_TIME, Report};
+use dottereltally_gateway::listing::{Listings, Process, REPORT_TIME, Report};
 use dottereltally_lib::{era::Revision, id, time};
 use rstest::rstest;
 
@@ -14,11 +14,17 @@
     id::Endpoint::from("e")
 }
 
+fn process(started_ms: Option<u64>) -> Process {
+    Process {
+        started_ms,
+        sequence: 0,
+    }
+}
+
 fn report(revision: i64, is_listed: bool) -> Report {
     Report {
         endpoint: endpoint(),
-        started_ms: Some(7),
-        sequence: 0,
+        process: process(Some(7)),
         revision: Revision::from(revision),
         is_listed,
         age: Duration::ZERO,
@@ -39,7 +45,7 @@
 ) {
     let mut listings = Listings::default();
     assert!(listings.record(at(100), &report(10, false)));
-    let left = listings.has_left(&endpoint(), started_ms, Revision::from(shown_at));
+    let left = listings.has_left(&endpoint(), process(started_ms), Revision::from(shown_at));
     assert_eq!(left, expected);
 }
 
@@ -54,15 +60,15 @@
         "a repetition"
     );
     assert!(!listings.record(at(100), &report(9, true)), "an older view");
-    assert!(listings.has_left(&endpoint(), Some(7), Revision::from(5)));
+    assert!(listings.has_left(&endpoint(), process(Some(7)), Revision::from(5)));
     assert!(listings.record(at(101), &report(12, true)));
-    assert!(!listings.has_left(&endpoint(), Some(7), Revision::from(5)));
+    assert!(!listings.has_left(&endpoint(), process(Some(7)), Revision::from(5)));
     assert!(
         !listings.record(at(102), &report(11, false)),
         "an older view"
     );
     assert!(listings.record(at(103), &report(13, false)));
-    assert!(listings.has_left(&endpoint(), Some(7), Revision::from(12)));
+    assert!(listings.has_left(&endpoint(), process(Some(7)), Revision::from(12)));
 }
 
 /// Listings are passed on with their age, for a limited time; what they say holds longer.
@@ -78,5 +84,5 @@
     assert_eq!(listings.reports(at(100)), [old]);
     listings.expire(at(100) + age);
     assert!(listings.reports(at(100) + age).is_empty());
-    assert!(listings.has_left(&endpoint(), Some(7), Revision::from(5)));
+    assert!(listings.has_left(&endpoint(), process(Some(7)), Revision::from(5)));
 }
