--- a/gateway/src/controller/follow.rs
+++ b/gateway/src/controller/follow.rs
@@ -1,7 +1,7 @@
 //! Follows the source by long polling and sends what it reads to the
 //! controller.
 
-use std::{future::Future, pin::pin, time::Duration};
+use std::{cmp::Ordering, future::Future, pin::pin, time::Duration};
 
 use dottereltally::clock::Clock;
 use dottereltally_lib::{era::Revision, time};
@@ -85,9 +85,16 @@
         metrics,
         view,
     };
+    let mut known: Option<Revision> = None;
     loop {
-        let (revision, renewal_end) = follower.read_snapshot().await;
-        follower.follow_changes(revision, renewal_end).await;
+        let (revision, mut renewal_end) = follower.read_snapshot().await;
+        if known.is_some_and(|known| known.era != revision.era) {
+            follower.record_restoration(revision);
+            // Endpoints write again what the copy lacks.
+            renewal_end.get_or_insert(Instant::now() + RENEWAL_TIME);
+        }
+        known = Some(follower.follow_changes(revision, renewal_end).await);
+        follower.wait_for_turn().await;
     }
 }
 
@@ -185,10 +192,24 @@
         }
     }
 
-    /// Reads changes until the source no longer keeps those after `revision`.
-    async fn follow_changes(&self, mut revision: Revision, mut renewal_end: Option<Instant>) {
+    /// Reads changes until the source no longer keeps those after the last revision, or is
+    /// in another era, in which they are not known; returns that revision.
+    async fn follow_changes(
+        &self,
+        mut revision: Revision,
+        mut renewal_end: Option<Instant>,
+    ) -> Revision {
         let mut recovery = Recovery::default();
         loop {
+            let era = self.source.eras().current();
+            if era != revision.era {
+                tracing::info!(
+                    %revision,
+                    %era,
+                    "another era of the key-value service; reading the whole directory"
+                );
+                return revision;
+            }
             let mut next_call = Instant::now() + self.poll_interval();
             // What was written until then is read before endpoints are given up.
             if let Some(end) = renewal_end.take_if(|end| *end < next_call) {
@@ -207,6 +228,14 @@
             let read = || self.source.changes(revision, wait);
             let (result, returned) = self.supervise(sent, wait + OVERDUE, &recovery, read).await;
             match result {
+                Ok(changes) if !is_continued(changes.revision, revision) => {
+                    tracing::info!(
+                        %revision,
+                        returned = %changes.revision,
+                        "changes are of another era; reading the whole directory"
+                    );
+                    return revision;
+                }
                 Ok(changes) => {
                     revision = changes.revision;
                     recovery = Recovery::default();
@@ -226,7 +255,7 @@
                         cause,
                         "changes are no longer available; reading the whole directory"
                     );
-                    return;
+                    return revision;
                 }
                 Err(error) => {
                     let recovered = self.recover(&error, sent, returned, &mut recovery);
@@ -236,6 +265,23 @@
         }
     }
 
+    /// Records that the source was read in another era.
+    fn record_restoration(&self, revision: Revision) {
+        self.metrics.store_restorations.inc();
+        let announced = i64::try_from(revision.era.announced).unwrap_or(i64::MAX);
+        self.metrics.store_era.set(announced);
+        tracing::info!(%revision, "directory read in another era");
+    }
+
+    /// Waits before the whole directory is read again. Nodes whose coordinator reads for them
+    /// spread these reads.
+    async fn wait_for_turn(&self) {
+        if self.view.has_reader() {
+            let part = rand::rng().random_range(0.0..1.0);
+            sleep(self.poll_interval.0.mul_f64(part)).await;
+        }
+    }
+
     /// Returns the time between the starts of two calls. A node that reads for others
     /// makes them so often that they learn of each call before their own is due.
     fn poll_interval(&self) -> Duration {
@@ -397,3 +443,8 @@
         }
     }
 }
+
+/// Returns whether changes up to a revision follow those up to another one.
+fn is_continued(revision: Revision, previous: Revision) -> bool {
+    revision.partial_cmp(&previous).is_some_and(Ordering::is_ge)
+}
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -269,6 +269,11 @@
             Unit::Seconds,
             self.answer_duration.clone(),
         );
+        self.register_counters(registry);
+        self.register_gauges(registry);
+    }
+
+    fn register_counters(&self, registry: &mut Registry) {
         for (name, help, counter) in [
             ("resumed", "Streams that went on elsewhere", &self.resumed),
             ("cut", "Streams that broke off", &self.cut),
@@ -320,7 +325,6 @@
         ] {
             registry.register(name, help, counter.clone());
         }
-        self.register_gauges(registry);
     }
 
     fn register_gauges(&self, registry: &mut Registry) {
--- a/gateway/src/view.rs
+++ b/gateway/src/view.rs
@@ -126,7 +126,9 @@
             return;
         };
         state.last_announcement = Some((now, read_at));
-        if view.digest == state.digest && state.read.is_some() {
+        // Nodes that know no eras send none.
+        let is_same_era = view.era == state.era || view.era.is_unknown() || state.era.is_unknown();
+        if is_same_era && view.digest == state.digest && state.read.is_some() {
             state.confirmed = state.confirmed.max(Some(read_at));
         }
         drop(state);
@@ -151,17 +153,23 @@
 
     /// Takes what another node reported about the endpoints that are listed.
     pub fn record_listings(&self, reports: &[listing::Report]) {
+        let era = lock(&self.shared.state).era;
         let mut listings = lock(&self.shared.listings);
         for report in reports {
+            let mut report = report.clone();
+            // A node that knows no eras sends none: what it read is taken to be of this one.
+            if report.revision.era.is_unknown() {
+                report.revision.era = era;
+            }
             let is_same = |other: &listing::Report| {
-                other.endpoint == report.endpoint && other.revision >= report.revision
+                other.endpoint == report.endpoint && !report.revision.is_after(&other.revision)
             };
             let (own, _) = &listings.own;
             if own.iter().chain(&listings.reported).any(is_same) {
                 continue;
             }
             if listings.reported.len() < MAX_REPORTED {
-                listings.reported.push(report.clone());
+                listings.reported.push(report);
             }
         }
     }
