--- a/gateway/src/coordinator/wire.rs
+++ b/gateway/src/coordinator/wire.rs
@@ -19,6 +19,7 @@
 /// of zero means none.
 pub(super) fn write_request(request: &Request, now: time::Instant, mut wire: ask::Builder<'_>) {
     wire.set_service(request.service.as_str());
+    wire.set_route(request.route.as_str());
     wire.set_tier(request.tier.0);
     wire.set_class(request.class.0);
     wire.set_prompt(request.prompt);
@@ -47,6 +48,7 @@
     }
     Ok(Request {
         service: id::Service::from(wire.get_service()?.to_str()?),
+        route: id::Route::from(wire.get_route()?.to_str()?),
         tier: id::Tier(wire.get_tier()),
         class: id::Tier(wire.get_class()),
         prompt: wire.get_prompt(),
--- a/gateway/src/job.rs
+++ b/gateway/src/job.rs
@@ -52,6 +52,7 @@
     pub fn request(&self, excluded: &[id::Endpoint]) -> dispatcher::Request {
         dispatcher::Request {
             service: self.service.clone(),
+            route: self.route.name.clone(),
             tier: self.tier,
             class: self.route.tier,
             prompt: self.tokens.0,
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -144,6 +144,9 @@
     pub detours: Gauge,
     /// Endpoints that name a limit.
     pub limited_endpoints: Gauge,
+    /// Requests so far that were accepted to show how long they take, although they were not
+    /// expected to end in time.
+    pub trials: Gauge,
     /// Parts of prompts that could not be read, or were too many.
     pub unread_parts: Counter,
     /// Parts of prompts with which requests are refused.
@@ -201,6 +204,7 @@
             unreadable_notices: Counter::default(),
             detours: Gauge::default(),
             limited_endpoints: Gauge::default(),
+            trials: Gauge::default(),
             unread_parts: Counter::default(),
             refused_parts: Gauge::default(),
             generation: Gauge::default(),
@@ -349,6 +353,11 @@
                 "Endpoints that name a limit of requests a second",
                 &self.limited_endpoints,
             ),
+            (
+                "trials",
+                "Requests accepted to show how long they take, although not expected in time",
+                &self.trials,
+            ),
             (
                 "refused_parts",
                 "Parts of prompts with which requests are refused",
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -549,6 +549,9 @@
             .set(gauge(admission.read(Dispatcher::running)));
         let limited = admission.read(Dispatcher::limited_endpoints);
         metrics.limited_endpoints.set(gauge(limited));
+        metrics
+            .trials
+            .set(gauge(admission.read(Dispatcher::trials)));
         chain.crashes.maintain();
         let total = log.dropped();
         metrics.dropped_lines.set(gauge(total));
--- a/gateway/tests/test_coordinator.rs
+++ b/gateway/tests/test_coordinator.rs
@@ -92,6 +92,7 @@
     let minute = Duration::from_mins(1);
     Request {
         service: id::Service::from("s"),
+        route: id::Route::from("r"),
         tier: id::Tier(1),
         class: id::Tier(2),
         prompt: 100,
--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -6,6 +6,7 @@
 //! deadline go before late ones; within each group they are ordered by tier,
 //! then class, then the time left.
 
+mod kind;
 pub mod limit;
 mod member;
 mod model;
@@ -122,6 +123,8 @@
 pub struct Request {
     /// The service that it is for.
     pub service: id::Service,
+    /// Its route, whose requests take similar times; empty if unknown.
+    pub route: id::Route,
     /// Its tier.
     pub tier: id::Tier,
     /// Its priority among requests of the same tier.
@@ -256,6 +259,13 @@
     delegated: bool,
 }
 
+impl InFlight {
+    /// Returns whether its caller has given up by now, as no byte arrived.
+    fn is_abandoned(&self, now: time::Instant) -> bool {
+        self.first_byte_at.is_none() && now + TRANSIT_MARGIN >= self.request.caller_leaves_at
+    }
+}
+
 /// Queues a node's requests and decides which endpoint each is sent to.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -272,6 +282,8 @@
     departures: Departures,
     /// Nodes that share the endpoints, this one included.
     node_count: usize,
+    /// Requests that were accepted to show how long they take.
+    trials: usize,
     rng: SmallRng,
     /// Effects of the current call, returned at its end.
     effects: Vec<Effect>,
@@ -291,6 +303,7 @@
             limit_reports: Reports::default(),
             departures: Departures::default(),
             node_count: 1,
+            trials: 0,
             effects: Vec::new(),
         }
     }
@@ -417,7 +430,8 @@
         let is_infeasible = queue.is_infeasible(now + wait, &request)
             || (wait > Duration::ZERO
                 && queue.is_likely_incomplete(now + wait.mul_f64(LONG_WAIT_FACTOR), &request));
-        if queue.len() >= MAX_QUEUED_REQUESTS || is_infeasible {
+        let is_trial = is_infeasible && queue.allows_trial(now, &request);
+        if queue.len() >= MAX_QUEUED_REQUESTS || (is_infeasible && !is_trial) {
             let reason = if queue.len() >= MAX_QUEUED_REQUESTS {
                 refusal::Reason::Overload
             } else {
@@ -427,6 +441,10 @@
             self.refuse(id, reason, wait);
             return mem::take(&mut self.effects);
         }
+        if is_trial {
+            queue.begin_trial(now, id, &request);
+            self.trials += 1;
+        }
         queue.push(now, id, request);
         self.dispatch(now, &service);
         mem::take(&mut self.effects)
@@ -541,7 +559,8 @@
             return self.finish(now, id, Outcome::Cancelled);
         }
         for queue in self.queues.values_mut() {
-            if queue.remove(id).is_some() {
+            if let Some(request) = queue.remove(id) {
+                queue.end_trial(id, &request.route);
                 break;
             }
         }
@@ -886,7 +905,8 @@
             }
             // An endpoint also rejects what waited there until its deadline, which shows no
             // lack of room.
-            let is_expired = now + TRANSIT_MARGIN >= in_flight.request.deadline;
+            let request = &in_flight.request;
+            let is_expired = now + TRANSIT_MARGIN >= request.deadline;
             let outcome = match outcome {
                 Outcome::Rejected if is_expired => Outcome::Cancelled,
                 other => other,
@@ -899,6 +919,20 @@
                 member.tolerance.record_end(now);
             }
             member.record_outcome(now, outcome);
+            if let Some(queue) = self.queues.get_mut(&service) {
+                let took = now.since(in_flight.sent_at);
+                let relative_speed = member.relative_speed(queue.mean_event_interval);
+                match outcome {
+                    Outcome::Answered(_) => {
+                        queue.record_end(now, id, request, (true, took), relative_speed);
+                    }
+                    Outcome::Cancelled if is_expired || in_flight.is_abandoned(now) => {
+                        queue.record_end(now, id, request, (false, took), relative_speed);
+                    }
+                    // A caller that leaves early shows nothing.
+                    _ => queue.end_trial(id, &request.route),
+                }
+            }
             if in_flight.first_byte_at.is_none()
                 && in_flight.request.expected_output == 0
                 && let Some(queue) = self.queues.get_mut(&service)
@@ -957,6 +991,13 @@
         mem::take(&mut self.effects)
     }
 
+    /// Returns the number of requests so far that were accepted to show how long they take,
+    /// although they were not expected to end in time.
+    #[must_use]
+    pub fn trials(&self) -> usize {
+        self.trials
+    }
+
     /// Returns the number of queued requests.
     #[must_use]
     pub fn waiting(&self) -> usize {
@@ -1092,7 +1133,7 @@
                 let Some(request) = queue.get(id) else {
                     continue;
                 };
-                let selection = self.choose(now, queue, request, timeliness);
+                let selection = self.choose(now, queue, (id, request), timeliness);
                 match selection {
                     Selection::At(name, first_byte_secs) => {
                         self.send(now, service, id, &name, first_byte_secs);
@@ -1115,9 +1156,10 @@
         &self,
         now: time::Instant,
         queue: &Queue,
-        request: &Request,
+        (id, request): (id::Request, &Request),
         timeliness: Timeliness,
     ) -> Selection {
+        let is_trial = queue.is_trial(id, &request.route);
         let time_to_due = (request.first_byte_due - TRANSIT_MARGIN)
             .since(now)
             .as_secs_f64();
@@ -1138,21 +1180,17 @@
             if request.excluded.contains(name) || !member.serves(request) {
                 continue;
             }
-            let first_byte_secs = wait
-                + queue.model.time_to_first_byte(
-                    request.prompt,
-                    member.pending_tokens(),
-                    relative_speed,
-                );
+            let first_byte_secs =
+                wait + queue.time_to_first_byte(request, member.pending_tokens(), relative_speed);
             let remote_cost = if is_local { 0.0 } else { REMOTE_COST_SECS };
             // A request that needs one version has few endpoints, and gains nothing by
             // waiting for a better one.
             let misses_due = timeliness == Timeliness::OnTime
                 && request.version.is_none()
                 && first_byte_secs > time_to_due;
-            let stream_time = queue.model.stream_time(request.expected_output) / relative_speed;
+            let stream_time = queue.stream_time(request, relative_speed);
             let shortest = queue.shortest_duration(request, first_byte_secs, relative_speed);
-            if misses_due || shortest > time_to_deadline {
+            if !is_trial && (misses_due || shortest > time_to_deadline) {
                 continue;
             }
             let incomplete_cost = if first_byte_secs + stream_time > time_to_deadline {
--- a/lib/src/dispatcher/model.rs
+++ b/lib/src/dispatcher/model.rs
@@ -229,28 +229,15 @@
         (constant + self.prefill_time(tokens)) / relative_speed
     }
 
-    /// Returns the time in which most answers are whole, in seconds, at an endpoint that has no
-    /// other prompts.
-    pub(super) fn safe_duration(
-        &self,
-        prompt: u64,
-        expected_output: u64,
-        relative_speed: f64,
-    ) -> f64 {
-        let first_byte = self.time_to_first_byte(prompt, 0, relative_speed);
-        first_byte * (1.0 + SAFE_SPREADS * self.spread())
-            + self.stream_time(expected_output) / relative_speed
+    /// Returns the time in which most answers are whole, in seconds, where the first byte is
+    /// expected after `first_byte` seconds and the end `stream_time` seconds later.
+    pub(super) fn safe_duration(&self, first_byte: f64, stream_time: f64) -> f64 {
+        first_byte * (1.0 + SAFE_SPREADS * self.spread()) + stream_time
     }
 
-    /// Returns the time below which few answers are whole, in seconds, where the first byte is
-    /// expected after `first_byte` seconds.
-    pub(super) fn shortest_duration(
-        &self,
-        first_byte: f64,
-        expected_output: u64,
-        relative_speed: f64,
-    ) -> f64 {
-        let stream_time = self.stream_time(expected_output) / relative_speed;
+    /// Returns the time below which few answers are whole, in seconds, with the same
+    /// expectations.
+    pub(super) fn shortest_duration(&self, first_byte: f64, stream_time: f64) -> f64 {
         self.shortest_first_byte(first_byte) + stream_time * MIN_STREAM_FRACTION
     }
 
--- a/lib/src/dispatcher/queue.rs
+++ b/lib/src/dispatcher/queue.rs
@@ -6,7 +6,12 @@
 };
 
 use crate::{
-    dispatcher::{Request, TRANSIT_MARGIN, member::Member, model::Model},
+    dispatcher::{
+        Request, TRANSIT_MARGIN,
+        kind::{Kind, Measurement},
+        member::Member,
+        model::Model,
+    },
     id,
     share::Demand,
     time,
@@ -87,6 +92,8 @@
     pub(super) tolerated_rejections: Option<u32>,
     /// Model of the service's answer times.
     pub(super) model: Model,
+    /// What was measured of its routes.
+    kinds: HashMap<id::Route, Kind>,
     /// Mean seconds between two events of a stream, over the endpoints; `None`
     /// until one is known.
     pub(super) mean_event_interval: Option<f64>,
@@ -207,7 +214,7 @@
             let Some(entry) = self.entries.get(&rank.id) else {
                 continue;
             };
-            if self.timeliness(now, &entry.request) == Timeliness::Late {
+            if self.timeliness(now, rank.id, &entry.request) == Timeliness::Late {
                 late.push(rank.id);
             }
         }
@@ -222,14 +229,114 @@
     pub(super) fn remove_infeasible(&mut self, now: time::Instant) -> Vec<(id::Request, Request)> {
         let mut infeasible = Vec::new();
         for (&id, entry) in &self.entries {
-            if self.is_infeasible(now, &entry.request) {
+            let request = &entry.request;
+            let is_infeasible = if self.is_trial(id, &request.route) {
+                has_expired(now, request)
+            } else {
+                self.is_infeasible(now, request)
+            };
+            if is_infeasible {
                 infeasible.push(id);
             }
         }
-        let removed = infeasible.into_iter();
+        let mut removed = Vec::new();
+        for id in infeasible {
+            let Some(request) = self.remove(id) else {
+                continue;
+            };
+            self.end_trial(id, &request.route);
+            removed.push((id, request));
+        }
         removed
-            .filter_map(|id| Some((id, self.remove(id)?)))
-            .collect()
+    }
+
+    /// Returns whether a request that is not expected to end in time is sent all the same, as
+    /// nothing that was measured lately shows that it can't. One that could end if it did not
+    /// have to wait shows nothing.
+    pub(super) fn allows_trial(&self, now: time::Instant, request: &Request) -> bool {
+        if has_expired(now, request) || !self.is_infeasible(now, request) {
+            return false;
+        }
+        let is_idle = self.entries.is_empty();
+        let kind = self.kinds.get(&request.route);
+        kind.is_none_or(|kind| kind.allows_trial(now, is_idle))
+    }
+
+    /// Records that a request is sent as a trial.
+    pub(super) fn begin_trial(&mut self, now: time::Instant, id: id::Request, request: &Request) {
+        let deadline = request.deadline.min(request.caller_leaves_at);
+        if let Some(kind) = self.kind(&request.route) {
+            kind.begin_trial(now, id, deadline);
+        }
+    }
+
+    /// Returns whether a request is a trial.
+    pub(super) fn is_trial(&self, id: id::Request, route: &id::Route) -> bool {
+        let kind = self.kinds.get(route);
+        kind.is_some_and(|kind| kind.is_trial(id))
+    }
+
+    /// Records that a request ended without showing how long it takes.
+    pub(super) fn end_trial(&mut self, id: id::Request, route: &id::Route) {
+        if let Some(kind) = self.kinds.get_mut(route) {
+            kind.end_trial(id);
+        }
+    }
+
+    /// Records how a request at an endpoint of this relative speed ended, and the time that it
+    /// took. Nothing is expected of streams that go on.
+    pub(super) fn record_end(
+        &mut self,
+        now: time::Instant,
+        id: id::Request,
+        request: &Request,
+        (is_answered, took): (bool, Duration),
+        relative_speed: f64,
+    ) {
+        if request.version.is_some() {
+            return self.end_trial(id, &request.route);
+        }
+        let model = &self.model;
+        let expected = model.duration(request.prompt, request.expected_output);
+        let (took, expected) = (took.as_secs_f64() * relative_speed, expected.as_secs_f64());
+        let measurement = if is_answered {
+            Measurement::Answered { took, expected }
+        } else {
+            Measurement::Missing { took, expected }
+        };
+        if let Some(kind) = self.kind(&request.route) {
+            kind.record(now, id, measurement);
+        }
+    }
+
+    /// Returns what is known of a route, unless too many are known.
+    fn kind(&mut self, route: &id::Route) -> Option<&mut Kind> {
+        if !self.kinds.contains_key(route) && self.kinds.len() >= MAX_KINDS {
+            return None;
+        }
+        Some(self.kinds.entry(route.clone()).or_default())
+    }
+
+    /// Returns the factor on the times that the service's model expects of a request.
+    pub(super) fn factor(&self, request: &Request) -> f64 {
+        self.kinds.get(&request.route).map_or(1.0, Kind::factor)
+    }
+
+    /// Returns the expected seconds to the first byte at an endpoint with `pending` prompt
+    /// tokens of other requests.
+    pub(super) fn time_to_first_byte(
+        &self,
+        request: &Request,
+        pending: u64,
+        relative_speed: f64,
+    ) -> f64 {
+        let model = &self.model;
+        model.time_to_first_byte(request.prompt, pending, relative_speed) * self.factor(request)
+    }
+
+    /// Returns the expected seconds from the first byte of an answer to its end.
+    pub(super) fn stream_time(&self, request: &Request, relative_speed: f64) -> f64 {
+        self.model.stream_time(request.expected_output) * self.factor(request) / relative_speed
     }
 
     /// Returns whether the first byte would come after the caller has left, or the answer
@@ -237,7 +344,7 @@
     /// and was quicker than usual.
     pub(super) fn is_infeasible(&self, now: time::Instant, request: &Request) -> bool {
         let speed = self.fastest_speed();
-        let first_byte = self.model.time_to_first_byte(request.prompt, 0, speed);
+        let first_byte = self.time_to_first_byte(request, 0, speed);
         now + seconds(self.model.shortest_first_byte(first_byte)) > request.caller_leaves_at
             || now + seconds(self.shortest_duration(request, first_byte, speed)) > request.deadline
     }
@@ -246,11 +353,11 @@
     /// first byte is expected after `first_byte` seconds. What is left of a stream that goes on
     /// is not known, so that only its first byte counts.
     pub(super) fn shortest_duration(&self, request: &Request, first_byte: f64, speed: f64) -> f64 {
-        let output = match request.version {
-            Some(_) => 0,
-            None => request.expected_output,
+        let stream_time = match request.version {
+            Some(_) => 0.0,
+            None => self.stream_time(request, speed),
         };
-        self.model.shortest_duration(first_byte, output, speed)
+        self.model.shortest_duration(first_byte, stream_time)
     }
 
     fn fastest_speed(&self) -> f64 {
@@ -287,20 +394,25 @@
             }
             seconds(work / available.max(f64::MIN_POSITIVE))
         };
-        let on_time = wait(&self.rank(now, id::Request(u64::MAX), request));
-        if self.timeliness(now + on_time, request) == Timeliness::OnTime {
+        let id = id::Request(u64::MAX);
+        let on_time = wait(&self.rank(now, id, request));
+        if self.timeliness(now + on_time, id, request) == Timeliness::OnTime {
             return on_time;
         }
         // By then the request is late, and all that can still be on time are
         // served before it.
-        wait(&self.rank(now + on_time, id::Request(u64::MAX), request))
+        wait(&self.rank(now + on_time, id, request))
     }
 
     /// Returns whether the first byte can be on time, and the answer whole by the deadline, if
-    /// the fastest endpoint takes the request now.
-    fn timeliness(&self, now: time::Instant, request: &Request) -> Timeliness {
+    /// the fastest endpoint takes the request now. A trial counts as on time: behind all
+    /// others it would show nothing while the service is overloaded.
+    fn timeliness(&self, now: time::Instant, id: id::Request, request: &Request) -> Timeliness {
+        if self.is_trial(id, &request.route) {
+            return Timeliness::OnTime;
+        }
         let speed = self.fastest_speed();
-        let first_byte = self.model.time_to_first_byte(request.prompt, 0, speed);
+        let first_byte = self.time_to_first_byte(request, 0, speed);
         if now + seconds(first_byte) > request.first_byte_due {
             return Timeliness::Late;
         }
@@ -317,14 +429,16 @@
             return false;
         }
         let speed = self.fastest_speed();
-        let (prompt, output) = (request.prompt, request.expected_output);
-        let duration = self.model.safe_duration(prompt, output, speed);
+        let first_byte = self.time_to_first_byte(request, 0, speed);
+        let stream_time = self.stream_time(request, speed);
+        let duration = self.model.safe_duration(first_byte, stream_time);
         now + seconds(duration) + TRANSIT_MARGIN > request.deadline
     }
 
     /// Returns the expected time of a complete answer at an idle endpoint of mean speed.
     pub(super) fn duration(&self, request: &Request) -> Duration {
-        self.model.duration(request.prompt, request.expected_output)
+        let duration = self.model.duration(request.prompt, request.expected_output);
+        duration.mul_f64(self.factor(request))
     }
 
     /// Returns the priority within the tier. Short requests get the highest, as
@@ -338,7 +452,7 @@
     }
 
     fn rank(&self, now: time::Instant, id: id::Request, request: &Request) -> Rank {
-        let timeliness = self.timeliness(now, request);
+        let timeliness = self.timeliness(now, id, request);
         let due = match timeliness {
             Timeliness::OnTime => request.first_byte_due.min(request.deadline),
             Timeliness::Late => request.caller_leaves_at,
@@ -359,6 +473,9 @@
     }
 }
 
+/// Most routes of a service of which times are remembered.
+const MAX_KINDS: usize = 1000;
+
 /// Number of live endpoints of a version from which a broken stream can go on at
 /// another one.
 const MIN_VERSION_ENDPOINTS: usize = 2;
@@ -376,6 +493,11 @@
 /// Minimum fraction of the drain rate that less urgent requests get.
 const MIN_DRAIN_FRACTION: f64 = 0.1;
 
+/// Returns whether an answer would be of no use any more.
+fn has_expired(now: time::Instant, request: &Request) -> bool {
+    now >= request.deadline || now >= request.caller_leaves_at
+}
+
 fn seconds(value: f64) -> Duration {
     Duration::from_secs_f64(value.clamp(0.0, 3600.0))
 }
--- a/lib/tests/engines/mod.rs
+++ b/lib/tests/engines/mod.rs
@@ -97,6 +97,7 @@
 ) -> Request {
     Request {
         service: id::Service::from("model"),
+        route: id::Route::from("r"),
         tier: id::Tier(0),
         class: id::Tier(class),
         prompt,
--- a/lib/tests/test_deadline.rs
+++ b/lib/tests/test_deadline.rs
@@ -271,6 +271,7 @@
         self.counts.arrived += usize::from(self.is_counted(id));
         let request = Request {
             service: id::Service::from("s"),
+            route: id::Route::from("r"),
             tier: id::Tier(0),
             class: id::Tier(0),
             prompt: 0,
--- a/lib/tests/test_limit.rs
+++ b/lib/tests/test_limit.rs
@@ -32,6 +32,7 @@
 fn request(now: time::Instant, tier: u8, patience: Duration) -> Request {
     Request {
         service: id::Service::from("s"),
+        route: id::Route::from("r"),
         tier: id::Tier(tier),
         class: id::Tier(0),
         prompt: 0,
--- a/lib/tests/test_notice.rs
+++ b/lib/tests/test_notice.rs
@@ -43,6 +43,7 @@
     let patience = Duration::from_millis(800);
     Request {
         service: id::Service::from("s"),
+        route: id::Route::from("r"),
         tier: id::Tier(0),
         class: id::Tier(0),
         prompt: 0,
--- a/lib/tests/test_versions.rs
+++ b/lib/tests/test_versions.rs
@@ -34,6 +34,7 @@
     let now = at(0);
     Request {
         service: id::Service::from("model"),
+        route: id::Route::from("r"),
         tier: id::Tier(tier),
         class: id::Tier(0),
         prompt: 100,
--- a/proto/schema/gateway.capnp
+++ b/proto/schema/gateway.capnp
@@ -211,6 +211,8 @@
   version @10 :Text;
   # Whether its stream may be resumed at another endpoint of the same version.
   resumable @11 :Bool;
+  # Its route; empty from nodes that send none.
+  route @12 :Text;
 }
 
 struct Decision {
--- a/proto/src/gateway_capnp.rs
+++ b/proto/src/gateway_capnp.rs
@@ -7281,11 +7281,19 @@
         pub fn get_resumable(self) -> bool {
             self.reader.get_bool_field(16)
         }
+        #[inline]
+        pub fn get_route(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_route(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7455,6 +7463,22 @@
         pub fn set_resumable(&mut self, value: bool)  {
             self.builder.set_bool_field(16, value);
         }
+        #[inline]
+        pub fn get_route(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_route(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_route(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(3).init_text(size)
+        }
+        #[inline]
+        pub fn has_route(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7466,108 +7490,115 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 206] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 221] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(51, 53, 238, 254, 49, 35, 72, 165),
             ::capnp::word(14, 0, 0, 0, 1, 0, 7, 0),
             ::capnp::word(39, 106, 78, 201, 208, 163, 248, 177),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 65, 115),
             ::capnp::word(107, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(113, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(165, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7673,6 +7704,14 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 117, 116, 101, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -7688,6 +7727,7 @@
                 9 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 11 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                12 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -7701,9 +7741,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,2,8,6,7,4,5,3,11,0,1,10];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,2,8,6,7,4,5,3,11,12,0,1,10];
         pub(crate) const TYPE_ID: u64 = 0xa548_2331_feee_3533;
     }
 }
