inbound, attempt: interim answers and small parts have bounds of their own (LOST)

Cause: the node copied the head of each interim answer into a channel without bound, which it read only when the connection paused; the bound of 512 KiB allows some 15,000 of them. Ruled out: read buffers, 64 KiB a connection.

128 interim answers to one request are read, then the connection is closed. An answer may come in 16,384 parts and one for each 16 bytes, as small chunks cost time the same way.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -15,7 +15,7 @@
     id,
     notice::Notice,
 };
-use dottereltally_store::buffer;
+use dottereltally_store::{buffer, inbound::MAX_INTERIM_ANSWERS};
 use http::{
     HeaderMap, Method, Request, Response, StatusCode, Uri, Version,
     header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING},
@@ -271,13 +271,18 @@
         via = Paths::carrier(&connection),
         "request sent"
     );
-    let mut message =
-        job.template
-            .message(&chain.dialect, &choice.endpoint, remaining, last_event_id);
-    let interim = Interim::watch(&mut message);
+    let message = job
+        .template
+        .message(&chain.dialect, &choice.endpoint, remaining, last_event_id);
+    let (heads, interim) = mpsc::channel(MAX_INTERIM_ANSWERS);
+    let interim = Interim(interim);
     let deadline = Instant::now() + remaining;
     let is_direct = Paths::carrier(&connection).is_none();
-    let sending = interim.record_until(chain, &choice, connection.send(message));
+    let sending = connection.send_watched(message, move |status, headers| {
+        // The request may have ended in the meantime.
+        let _ended = heads.try_send((status, headers.clone()));
+    });
+    let sending = interim.record_until(chain, &choice, sending);
     let response = match timeout_at(deadline, sending).await {
         Ok(Ok(response)) => response,
         Ok(Err(Failure::Unsent { cause, .. })) => return End::Unsent { cause }.into(),
@@ -304,19 +309,9 @@
 }
 
 /// The interim answers to one request.
-struct Interim(mpsc::UnboundedReceiver<(StatusCode, HeaderMap)>);
+struct Interim(mpsc::Receiver<(StatusCode, HeaderMap)>);
 
 impl Interim {
-    /// Receives the interim answers to a message.
-    fn watch(message: &mut Message) -> Self {
-        let (heads, receiver) = mpsc::unbounded_channel();
-        hyper::ext::on_informational(message, move |answer| {
-            // The request may have ended in the meantime.
-            let _ended = heads.send((answer.status(), answer.headers().clone()));
-        });
-        Self(receiver)
-    }
-
     /// Records what the endpoint says in interim answers until `answering` ends.
     async fn record_until<D: Dialect, T>(
         mut self,
--- a/gateway/src/examiner.rs
+++ b/gateway/src/examiner.rs
@@ -177,7 +177,7 @@
         Some(service.health_path.clone())
     });
     let stream = timeout(CONNECT_TIMEOUT, chain.paths.open(address)).await??;
-    let request = Request::get(path.as_deref().unwrap_or("/"))
+    let mut request = Request::get(path.as_deref().unwrap_or("/"))
         .header(HOST, address)
         .body(Empty::<Bytes>::new())
         .map_err(io::Error::other)?;
@@ -186,7 +186,8 @@
         Vec::new()
     });
     let answering = async {
-        let (mut sender, connection, _progress) = inbound::handshake(stream).await?;
+        let (mut sender, connection, progress) = inbound::handshake(stream).await?;
+        progress.watch(&mut request, |_, _| {});
         tokio::select! {
             response = sender.send_request(request) => response,
             // A connection that ends also ends the request, with the cause.
--- a/gateway/tests/test_endless.rs
+++ b/gateway/tests/test_endless.rs
@@ -105,7 +105,7 @@
 #[case::header_count(endless("HTTP/1.1 200 X\r\n", "a: b\r\n"), "head is too large")]
 #[case::interim_answers(
     endless("", "HTTP/1.1 100 Continue\r\n\r\n"),
-    "without a part of an answer"
+    "interim answers to one request"
 )]
 #[case::declared_length(
     endless(&format!("{HEAD}content-length: 1000000000\r\n\r\n"), "x"),
@@ -118,7 +118,7 @@
 )]
 #[case::small_chunks(
     endless(&format!("{HEAD}transfer-encoding: chunked\r\n\r\n"), "1\r\nx\r\n"),
-    "without a part of an answer"
+    "parts of an answer with a few bytes"
 )]
 #[case::chunk_size(
     endless(&format!("{HEAD}transfer-encoding: chunked\r\n\r\n"), "0"),
--- a/node/src/observer/load.rs
+++ b/node/src/observer/load.rs
@@ -94,7 +94,9 @@
     ) -> Result<Response<Incoming>, Error> {
         self.sender.ready().await?;
         self.progress.restart();
-        Ok(self.sender.send_request(get(address, path)).await?)
+        let mut request = get(address, path);
+        self.progress.watch(&mut request, |_, _| {});
+        Ok(self.sender.send_request(request).await?)
     }
 
     /// Records content that was taken from the answer.
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use dottereltally_store::inbound::{self, Progress};
-use http::{HeaderMap, Response};
+use http::{HeaderMap, Response, StatusCode};
 use http_body::{Frame, SizeHint};
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1::SendRequest};
@@ -273,8 +273,24 @@
     /// # Errors
     ///
     /// Fails with [`Failure::Unsent`] only if nothing was sent.
-    pub async fn send(mut self, message: Message) -> Result<Response<Body>, Failure> {
-        self.connection.progress.restart();
+    pub async fn send(self, message: Message) -> Result<Response<Body>, Failure> {
+        self.send_watched(message, |_, _| {}).await
+    }
+
+    /// Sends a request like [`Self::send`]; the heads of interim answers are passed to
+    /// `handle`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Failure::Unsent`] only if nothing was sent.
+    pub async fn send_watched(
+        mut self,
+        mut message: Message,
+        handle: impl Fn(StatusCode, &HeaderMap) + Send + Sync + 'static,
+    ) -> Result<Response<Body>, Failure> {
+        let progress = &self.connection.progress;
+        progress.restart();
+        progress.watch(&mut message, handle);
         let response = match self.connection.sender.try_send_request(message).await {
             Ok(response) => response,
             Err(mut error) => {
--- a/store/src/http.rs
+++ b/store/src/http.rs
@@ -107,12 +107,16 @@
         })
     }
 
-    async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
+    async fn send(
+        &mut self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Error> {
         self.sender
             .ready()
             .await
             .map_err(|error| Error::Unsent(inbound::cause(&error)))?;
         self.progress.restart();
+        self.progress.watch(&mut request, |_, _| {});
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut error) => {
--- a/store/src/inbound.rs
+++ b/store/src/inbound.rs
@@ -7,11 +7,12 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     task::{Context, Poll, ready},
 };
 
+use http::{HeaderMap, Request, StatusCode};
 use hyper::{
     body::Body,
     client::conn::http1::{Builder, Connection, SendRequest},
@@ -31,12 +32,30 @@
 /// it: interim answers, heads, the framing of chunks, and what is read ahead.
 const MAX_OVERHEAD_BYTES: u64 = 512 * 1024;
 
+/// Parts in which the content of an answer may come, however small they are, and bytes of
+/// content that allow a further one.
+const MAX_SMALL_PARTS: u64 = 16 * 1024;
+const BYTES_PER_PART: u64 = 16;
+
+/// Most interim answers to one request.
+pub const MAX_INTERIM_ANSWERS: usize = 128;
+
 /// The other host sent too much that is no content.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error(
-    "it sent more than {MAX_OVERHEAD_BYTES} bytes without a part of an answer; check the other host"
-)]
-struct Overhead;
+enum Overhead {
+    #[error(
+        "it sent more than {MAX_OVERHEAD_BYTES} bytes without a part of an answer; check the other host"
+    )]
+    Bytes,
+    #[error(
+        "it sent more than {MAX_INTERIM_ANSWERS} interim answers to one request; check the other host"
+    )]
+    Interim,
+    #[error(
+        "it sent more than {MAX_SMALL_PARTS} parts of an answer with a few bytes each; check the other host"
+    )]
+    Parts,
+}
 
 /// Counts the bytes of the answer that a connection carries; clones share the
 /// counts.
@@ -47,6 +66,8 @@
 struct Counts {
     received: AtomicU64,
     taken: AtomicU64,
+    parts: AtomicU64,
+    interim: AtomicUsize,
 }
 
 impl Progress {
@@ -54,10 +75,29 @@
     pub fn restart(&self) {
         self.0.received.store(0, Ordering::Relaxed);
         self.0.taken.store(0, Ordering::Relaxed);
+        self.0.parts.store(0, Ordering::Relaxed);
+        self.0.interim.store(0, Ordering::Relaxed);
     }
 
-    /// Records content that was taken from the answer.
+    /// Counts the interim answers to a request, which must be sent on this connection, and
+    /// passes the first [`MAX_INTERIM_ANSWERS`] to `handle`. After more of them, the next read
+    /// fails: each costs far more time and memory than its bytes show.
+    pub fn watch<B>(
+        &self,
+        request: &mut Request<B>,
+        handle: impl Fn(StatusCode, &HeaderMap) + Send + Sync + 'static,
+    ) {
+        let counts = Arc::clone(&self.0);
+        hyper::ext::on_informational(request, move |answer| {
+            if counts.interim.fetch_add(1, Ordering::Relaxed) < MAX_INTERIM_ANSWERS {
+                handle(answer.status(), answer.headers());
+            }
+        });
+    }
+
+    /// Records a part of the content that was taken from the answer.
     pub fn record(&self, bytes: usize) {
+        self.0.parts.fetch_add(1, Ordering::Relaxed);
         self.0.taken.fetch_add(bytes as u64, Ordering::Relaxed);
     }
 
@@ -66,7 +106,13 @@
         let received = self.0.received.fetch_add(bytes, Ordering::Relaxed) + bytes;
         let taken = self.0.taken.load(Ordering::Relaxed);
         if received > taken.saturating_mul(2).saturating_add(MAX_OVERHEAD_BYTES) {
-            return Err(Overhead);
+            return Err(Overhead::Bytes);
+        }
+        if self.0.parts.load(Ordering::Relaxed) > MAX_SMALL_PARTS + taken / BYTES_PER_PART {
+            return Err(Overhead::Parts);
+        }
+        if self.0.interim.load(Ordering::Relaxed) > MAX_INTERIM_ANSWERS {
+            return Err(Overhead::Interim);
         }
         Ok(())
     }
--- a/store/tests/test_endless.rs
+++ b/store/tests/test_endless.rs
@@ -1,12 +1,19 @@
 //! Servers that send bytes without end to the clients of outside systems.
 
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use dottereltally_store::{
     buffer::{Answer, Full, Pool},
     etcd::Store,
     http::{Client, Deadlines, Error},
+    inbound::{self, MAX_INTERIM_ANSWERS},
     kv::{Revision, Store as _, Watch as _},
 };
 use eyre::Result;
@@ -14,7 +21,7 @@
 use http_body_util::Full as FullBody;
 use rstest::rstest;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncReadExt, AsyncWriteExt, duplex},
     net::TcpListener,
     sync::mpsc,
     time::timeout,
@@ -74,7 +81,7 @@
 #[case::reason("HTTP/1.1 200 ", "x", "head is too large")]
 #[case::header_value("HTTP/1.1 200 OK\r\na: ", "x", "head is too large")]
 #[case::header_count("HTTP/1.1 200 OK\r\n", "a: b\r\n", "head is too large")]
-#[case::interim_answers("", "HTTP/1.1 100 Continue\r\n\r\n", "without a part of an answer")]
+#[case::interim_answers("", "HTTP/1.1 100 Continue\r\n\r\n", "interim answers to one request")]
 #[case::declared_length(
     "HTTP/1.1 200 OK\r\ncontent-length: 1000000000\r\n\r\n",
     "x",
@@ -82,7 +89,7 @@
 )]
 #[case::no_length("HTTP/1.1 200 OK\r\n\r\n", "x", "larger than")]
 #[case::chunk_size(CHUNKED, "0", "without a part of an answer")]
-#[case::small_chunks(CHUNKED, "1\r\nx\r\n", "without a part of an answer")]
+#[case::small_chunks(CHUNKED, "1\r\nx\r\n", "parts of an answer with a few bytes")]
 #[tokio::test]
 async fn a_call_fails_before_its_deadline_and_closes_the_connection(
     #[case] start: &str,
@@ -201,3 +208,64 @@
     assert!(answer.check_length(10).is_ok());
     assert_eq!(answer.check_length(11), Err(Full::Limit(10)));
 }
+
+/// Guards against interim answers without end, each of which costs far more time and memory
+/// than its bytes (LOST): few are read, and the connection is closed.
+#[tokio::test]
+async fn few_interim_answers_are_read() -> Result<()> {
+    const INTERIM: &str = "HTTP/1.1 103 Early Hints\r\na: b\r\n\r\n";
+    // One read of the client takes at most this much.
+    const READ_BYTES: usize = 8 * 1024;
+    let (client, mut server) = duplex(READ_BYTES);
+    let sent = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&sent);
+    let sending = tokio::spawn(async move {
+        let mut request = [0; 4096];
+        let _read = server.read(&mut request).await;
+        while server.write_all(INTERIM.as_bytes()).await.is_ok() {
+            counted.fetch_add(1, Ordering::Relaxed);
+        }
+    });
+    let (mut sender, connection, progress) = inbound::handshake(client).await?;
+    tokio::spawn(connection);
+    let mut request = Request::get("/").body(FullBody::new(Bytes::new()))?;
+    let handled = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&handled);
+    progress.watch(&mut request, move |_, _| {
+        counted.fetch_add(1, Ordering::Relaxed);
+    });
+    let answer = timeout(PATIENCE, sender.send_request(request)).await?;
+    assert!(answer.is_err());
+    timeout(PATIENCE, sending).await??;
+    assert_eq!(handled.load(Ordering::Relaxed), MAX_INTERIM_ANSWERS);
+    let bound = MAX_INTERIM_ANSWERS + 3 * READ_BYTES / INTERIM.len();
+    let sent = sent.load(Ordering::Relaxed);
+    assert!(sent <= bound, "{sent} interim answers were taken");
+    Ok(())
+}
+
+/// Interim answers below the bound are passed on, and the answer after them is read; each
+/// request on a connection has its own count.
+#[tokio::test]
+async fn an_answer_after_many_interim_ones_is_read() -> Result<()> {
+    let (client, mut server) = duplex(64 * 1024);
+    tokio::spawn(async move {
+        let mut request = [0; 4096];
+        while server.read(&mut request).await.is_ok_and(|read| read > 0) {
+            let mut answer = "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(MAX_INTERIM_ANSWERS);
+            answer += "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+            let _written = server.write_all(answer.as_bytes()).await;
+        }
+    });
+    let (mut sender, connection, progress) = inbound::handshake(client).await?;
+    tokio::spawn(connection);
+    for _ in 0..3 {
+        progress.restart();
+        let mut request = Request::get("/").body(FullBody::new(Bytes::new()))?;
+        progress.watch(&mut request, |_, _| {});
+        sender.ready().await?;
+        let answer = timeout(PATIENCE, sender.send_request(request)).await??;
+        assert_eq!(answer.status(), 200);
+    }
+    Ok(())
+}
