--- a/node/tests/test_endless.rs
+++ b/node/tests/test_endless.rs
@@ -103,7 +103,7 @@
 #[case::header_count(endless("HTTP/1.1 200 OK\r\n", "a: b\r\n"), "head is too large")]
 #[case::interim_answers(
     endless("", "HTTP/1.1 100 Continue\r\n\r\n"),
-    "without a part of an answer"
+    "interim answers to one request"
 )]
 #[tokio::test]
 async fn a_head_without_end_breaks_its_connection(#[case] flood: Flood, #[case] cause: &str) {
@@ -124,7 +124,7 @@
     endless("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;a=", "x"),
     "extensions"
 )]
-#[case::small_chunks(endless(CHUNKED, "1\r\nx\r\n"), "without a part of an answer")]
+#[case::small_chunks(endless(CHUNKED, "1\r\nx\r\n"), "parts of an answer with a few bytes")]
 #[case::trailers(
     endless(
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
