--- a/gateway/tests/common/directory.rs
+++ b/gateway/tests/common/directory.rs
@@ -43,7 +43,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Time that the source is away before it is restored.
-const DRILL_TIME: Duration = Duration::from_secs(1);
+const AWAY_TIME: Duration = Duration::from_secs(1);
 
 /// Time in which a node has read its directory.
 const SETTLING_TIME: Duration = Duration::from_secs(3);
@@ -116,9 +116,9 @@
 
     /// Restores the source from the copy after it was away; `write` is what is written before
     /// any node reads it.
-    pub async fn drill(&self, write: impl FnOnce(&Self)) {
+    pub async fn restore_after_absence(&self, write: impl FnOnce(&Self)) {
         self.set_away(Some(Away::Refused));
-        sleep(DRILL_TIME).await;
+        sleep(AWAY_TIME).await;
         self.restore();
         write(self);
         self.set_away(None);
--- a/gateway/tests/test_era.rs
+++ b/gateway/tests/test_era.rs
@@ -38,7 +38,7 @@
     } else {
         Directory::default()
     };
-    for drill in 0..3 {
+    for number in 0..3 {
         directory.write("before", Standing::Live, 1);
         let follower = Follower::settled(&directory).await;
         directory.take_copy();
@@ -46,9 +46,9 @@
             directory.write("before", Standing::Live, 1);
         }
         sleep(Duration::from_secs(2)).await;
-        let added = format!("added-{drill}");
+        let added = format!("added-{number}");
         directory
-            .drill(|directory| {
+            .restore_after_absence(|directory| {
                 directory.write(&added, Standing::Live, 1);
                 for _ in 1..written {
                     directory.write("before", Standing::Live, 1);
@@ -56,11 +56,11 @@
             })
             .await;
         sleep(CONTACT_TIME).await;
-        assert!(follower.uses(&added), "drill {drill}");
+        assert!(follower.uses(&added), "restoration {number}");
         sleep(LONG).await;
         assert!(
             follower.uses(&added) && follower.uses("before"),
-            "drill {drill}"
+            "restoration {number}"
         );
     }
 }
@@ -71,7 +71,7 @@
 #[case::once(1)]
 #[case::twice(2)]
 #[tokio::test(start_paused = true)]
-async fn what_is_written_while_a_node_is_cut_is_read(#[case] drills: u32) {
+async fn what_is_written_while_a_node_is_cut_is_read(#[case] restorations: u32) {
     for rest in 0..4 {
         let directory = Directory::with_eras();
         directory.write("before", Standing::Live, 1);
@@ -81,7 +81,7 @@
         directory.write("before", Standing::Live, 1);
         sleep(Duration::from_secs(2)).await;
         directory.set_away(Some(Away::Silent));
-        for _ in 0..drills {
+        for _ in 0..restorations {
             sleep(Duration::from_secs(4)).await;
             directory.restore();
         }
@@ -105,7 +105,7 @@
     directory.write("before", Standing::Live, 1);
     sleep(Duration::from_secs(1)).await;
     directory
-        .drill(|directory| {
+        .restore_after_absence(|directory| {
             directory.write("before", Standing::Live, 1);
         })
         .await;
--- a/gateway/tests/test_restoration.rs
+++ b/gateway/tests/test_restoration.rs
@@ -39,7 +39,7 @@
     }
     let follower = Follower::settled(&directory).await;
     let known = directory.revision();
-    directory.drill(|_| {}).await;
+    directory.restore_after_absence(|_| {}).await;
     sleep(RENEWAL_TIME).await;
     assert!(follower.uses("started"), "given up before it could write");
     if is_lost {
@@ -58,7 +58,10 @@
 #[case::removed(false, 1)]
 #[case::removed_twice(false, 2)]
 #[tokio::test(start_paused = true)]
-async fn an_endpoint_that_left_is_not_used_again(#[case] is_drained: bool, #[case] drills: u32) {
+async fn an_endpoint_that_left_is_not_used_again(
+    #[case] is_drained: bool,
+    #[case] restorations: u32,
+) {
     let directory = Directory::with_eras();
     directory.write_numbered("leaves", Standing::Live, 1, 1);
     directory.write("stays", Standing::Live, 1);
@@ -71,8 +74,8 @@
         directory.remove("leaves");
     }
     sleep(CONTACT_TIME).await;
-    for _ in 0..drills {
-        directory.drill(|_| {}).await;
+    for _ in 0..restorations {
+        directory.restore_after_absence(|_| {}).await;
         for _ in 0..60 {
             sleep(Duration::from_millis(100)).await;
             assert!(!follower.uses("leaves"));
@@ -97,7 +100,7 @@
     directory.remove("lapses");
     sleep(CONTACT_TIME).await;
     assert!(!follower.uses("lapses"));
-    directory.drill(|_| {}).await;
+    directory.restore_after_absence(|_| {}).await;
     sleep(CONTACT_TIME).await;
     assert!(!follower.uses("lapses"), "the copy shows it");
     directory.write("lapses", Standing::Live, 1);
@@ -141,7 +144,7 @@
     // The second node is cut from before the restoration until after it.
     paths[1].set_away(Some(Away::Silent));
     paths[1].restore();
-    paths[0].drill(|_| {}).await;
+    paths[0].restore_after_absence(|_| {}).await;
     // The endpoint writes late: the first node gives it up before.
     exchange(CONTACT_TIME).await;
     for path in &paths {
