dispatcher: what is expected of a request is looked up once

The factor of a route was looked up by its name for each endpoint and again for each time that is expected, and each pass over the queue asked by name whether a request is a trial. An Expectation holds both for one request; the queue's entry says whether it is a trial. No decision changes: all tests of lib pass as they were.

--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -442,10 +442,11 @@
             return mem::take(&mut self.effects);
         }
         if is_trial {
-            queue.begin_trial(now, id, &request);
             self.trials += 1;
+            queue.push_trial(now, id, request);
+        } else {
+            queue.push(now, id, request);
         }
-        queue.push(now, id, request);
         self.dispatch(now, &service);
         mem::take(&mut self.effects)
     }
@@ -922,15 +923,14 @@
             if let Some(queue) = self.queues.get_mut(&service) {
                 let took = now.since(in_flight.sent_at);
                 let relative_speed = member.relative_speed(queue.mean_event_interval);
-                match outcome {
-                    Outcome::Answered(_) => {
-                        queue.record_end(now, id, request, (true, took), relative_speed);
-                    }
-                    Outcome::Cancelled if is_expired || in_flight.is_abandoned(now) => {
-                        queue.record_end(now, id, request, (false, took), relative_speed);
-                    }
+                let is_answered = matches!(outcome, Outcome::Answered(_));
+                let is_missing =
+                    outcome == Outcome::Cancelled && (is_expired || in_flight.is_abandoned(now));
+                if is_answered || is_missing {
+                    queue.record_end(now, id, request, (is_answered, took), relative_speed);
+                } else {
                     // A caller that leaves early shows nothing.
-                    _ => queue.end_trial(id, &request.route),
+                    queue.end_trial(id, &request.route);
                 }
             }
             if in_flight.first_byte_at.is_none()
@@ -1159,7 +1159,8 @@
         (id, request): (id::Request, &Request),
         timeliness: Timeliness,
     ) -> Selection {
-        let is_trial = queue.is_trial(id, &request.route);
+        let is_trial = queue.is_trial(id);
+        let expected = queue.expectation(request);
         let time_to_due = (request.first_byte_due - TRANSIT_MARGIN)
             .since(now)
             .as_secs_f64();
@@ -1181,15 +1182,15 @@
                 continue;
             }
             let first_byte_secs =
-                wait + queue.time_to_first_byte(request, member.pending_tokens(), relative_speed);
+                wait + expected.first_byte(member.pending_tokens(), relative_speed);
             let remote_cost = if is_local { 0.0 } else { REMOTE_COST_SECS };
             // A request that needs one version has few endpoints, and gains nothing by
             // waiting for a better one.
             let misses_due = timeliness == Timeliness::OnTime
                 && request.version.is_none()
                 && first_byte_secs > time_to_due;
-            let stream_time = queue.stream_time(request, relative_speed);
-            let shortest = queue.shortest_duration(request, first_byte_secs, relative_speed);
+            let stream_time = expected.stream_time(relative_speed);
+            let shortest = expected.shortest_duration(first_byte_secs, relative_speed);
             if !is_trial && (misses_due || shortest > time_to_deadline) {
                 continue;
             }
--- a/lib/src/dispatcher/kind.rs
+++ b/lib/src/dispatcher/kind.rs
@@ -20,14 +20,14 @@
 /// explains by chance.
 const QUICK_FRACTION: f64 = 0.5;
 
-/// How a request of a kind ended, with the time that it took and the time that its service's
-/// model expected, in seconds.
+/// How a request of a kind ended, with the time that it took as a fraction of what its
+/// service's model expected.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum Measurement {
     /// Its answer was whole.
-    Answered { took: f64, expected: f64 },
+    Answered(f64),
     /// It had no answer after this time.
-    Missing { took: f64, expected: f64 },
+    Missing(f64),
 }
 
 /// What was measured of one kind.
@@ -62,8 +62,8 @@
         let Some(measured_at) = self.measured_at else {
             return is_idle || !self.has_trial(now);
         };
-        let doublings = self.missed_trials.min(8);
-        let ttl = MEASUREMENT_TTL.0 * 2_u32.pow(doublings);
+        let factor = 2_u32.saturating_pow(self.missed_trials);
+        let ttl = MEASUREMENT_TTL.0.saturating_mul(factor);
         now.since(measured_at) >= ttl.min(MEASUREMENT_TTL.1) && !self.has_trial(now)
     }
 
@@ -82,11 +82,6 @@
         self.trials.insert(id, deadline);
     }
 
-    /// Returns whether a request is a trial.
-    pub(super) fn is_trial(&self, id: id::Request) -> bool {
-        self.trials.contains_key(&id)
-    }
-
     /// Records that a request ended without a measurement; returns whether it was a trial.
     pub(super) fn end_trial(&mut self, id: id::Request) -> bool {
         self.trials.remove(&id).is_some()
@@ -95,17 +90,14 @@
     /// Records the end of a request.
     pub(super) fn record(&mut self, now: time::Instant, id: id::Request, measurement: Measurement) {
         let was_trial = self.end_trial(id);
-        let (Measurement::Answered { took, expected } | Measurement::Missing { took, expected }) =
-            measurement;
-        let fraction = took / expected.max(f64::MIN_POSITIVE);
         match measurement {
-            Measurement::Answered { .. } => {
+            Measurement::Answered(fraction) => {
                 // What was measured before the trial is what it was to test.
                 let known = self.fraction.filter(|_| !was_trial).unwrap_or(fraction);
                 self.fraction = Some(known + (fraction - known) * NEW_TIME_WEIGHT);
                 self.missed_trials = 0;
             }
-            Measurement::Missing { .. } => {
+            Measurement::Missing(fraction) => {
                 let known = self.fraction.unwrap_or(1.0);
                 // It would have taken longer.
                 self.fraction = Some(known + (fraction - known).max(0.0) * NEW_TIME_WEIGHT);
--- a/lib/src/dispatcher/queue.rs
+++ b/lib/src/dispatcher/queue.rs
@@ -57,6 +57,54 @@
     rank: Rank,
     /// Expected time of its complete answer, in seconds.
     work: f64,
+    /// Whether it is sent to show how long requests of its route take.
+    is_trial: bool,
+}
+
+/// What is expected of a request: by the model of its service, and by what was measured of its
+/// route.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Expectation<'a> {
+    model: &'a Model,
+    request: &'a Request,
+    /// Factor on the times that the model expects.
+    factor: f64,
+    /// Seconds from the first byte to the end, at mean speed.
+    stream_time: f64,
+}
+
+impl Expectation<'_> {
+    /// Returns the expected seconds to the first byte at an endpoint with `pending` prompt
+    /// tokens of other requests.
+    pub(super) fn first_byte(&self, pending: u64, relative_speed: f64) -> f64 {
+        let prompt = self.request.prompt;
+        self.model
+            .time_to_first_byte(prompt, pending, relative_speed)
+            * self.factor
+    }
+
+    /// Returns the expected seconds from the first byte to the end.
+    pub(super) fn stream_time(&self, relative_speed: f64) -> f64 {
+        self.stream_time / relative_speed
+    }
+
+    /// Returns the time, in seconds, below which few answers are whole, where the first byte is
+    /// expected after `first_byte` seconds. What is left of a stream that goes on is not known,
+    /// so that only its first byte counts.
+    pub(super) fn shortest_duration(&self, first_byte: f64, relative_speed: f64) -> f64 {
+        let stream_time = match self.request.version {
+            Some(_) => 0.0,
+            None => self.stream_time(relative_speed),
+        };
+        self.model.shortest_duration(first_byte, stream_time)
+    }
+
+    /// Returns the time in which most answers are whole, in seconds, where the first byte is
+    /// expected after `first_byte` seconds.
+    fn safe_duration(&self, first_byte: f64, relative_speed: f64) -> f64 {
+        let stream_time = self.stream_time(relative_speed);
+        self.model.safe_duration(first_byte, stream_time)
+    }
 }
 
 /// Rate of work, as an exponentially decaying average: seconds of expected answer
@@ -130,6 +178,11 @@
         self.entries.get(&id).map(|entry| &entry.request)
     }
 
+    /// Returns whether a queued request is sent to show how long requests of its route take.
+    pub(super) fn is_trial(&self, id: id::Request) -> bool {
+        self.entries.get(&id).is_some_and(|entry| entry.is_trial)
+    }
+
     /// Records the arrival of a request.
     pub(super) fn record_arrival(&mut self, now: time::Instant, request: &Request) {
         self.demand.record(now);
@@ -147,7 +200,28 @@
 
     /// Adds a request.
     pub(super) fn push(&mut self, now: time::Instant, id: id::Request, request: Request) {
-        let rank = self.rank(now, id, &request);
+        let timeliness = self.timeliness(now, &request);
+        self.insert(id, request, timeliness, false);
+    }
+
+    /// Adds a request that is sent to show how long requests of its route take. It counts as on
+    /// time: behind all others it would show nothing while the service is overloaded.
+    pub(super) fn push_trial(&mut self, now: time::Instant, id: id::Request, request: Request) {
+        let deadline = request.deadline.min(request.caller_leaves_at);
+        if let Some(kind) = self.kind(&request.route) {
+            kind.begin_trial(now, id, deadline);
+        }
+        self.insert(id, request, Timeliness::OnTime, true);
+    }
+
+    fn insert(
+        &mut self,
+        id: id::Request,
+        request: Request,
+        timeliness: Timeliness,
+        is_trial: bool,
+    ) {
+        let rank = self.rank(id, &request, timeliness);
         let work = self.duration(&request).as_secs_f64();
         if request.version.is_some() {
             self.bound.insert(id);
@@ -159,6 +233,7 @@
                 request,
                 rank,
                 work,
+                is_trial,
             },
         );
     }
@@ -214,7 +289,7 @@
             let Some(entry) = self.entries.get(&rank.id) else {
                 continue;
             };
-            if self.timeliness(now, rank.id, &entry.request) == Timeliness::Late {
+            if !entry.is_trial && self.timeliness(now, &entry.request) == Timeliness::Late {
                 late.push(rank.id);
             }
         }
@@ -230,7 +305,7 @@
         let mut infeasible = Vec::new();
         for (&id, entry) in &self.entries {
             let request = &entry.request;
-            let is_infeasible = if self.is_trial(id, &request.route) {
+            let is_infeasible = if entry.is_trial {
                 has_expired(now, request)
             } else {
                 self.is_infeasible(now, request)
@@ -262,20 +337,6 @@
         kind.is_none_or(|kind| kind.allows_trial(now, is_idle))
     }
 
-    /// Records that a request is sent as a trial.
-    pub(super) fn begin_trial(&mut self, now: time::Instant, id: id::Request, request: &Request) {
-        let deadline = request.deadline.min(request.caller_leaves_at);
-        if let Some(kind) = self.kind(&request.route) {
-            kind.begin_trial(now, id, deadline);
-        }
-    }
-
-    /// Returns whether a request is a trial.
-    pub(super) fn is_trial(&self, id: id::Request, route: &id::Route) -> bool {
-        let kind = self.kinds.get(route);
-        kind.is_some_and(|kind| kind.is_trial(id))
-    }
-
     /// Records that a request ended without showing how long it takes.
     pub(super) fn end_trial(&mut self, id: id::Request, route: &id::Route) {
         if let Some(kind) = self.kinds.get_mut(route) {
@@ -296,13 +357,13 @@
         if request.version.is_some() {
             return self.end_trial(id, &request.route);
         }
-        let model = &self.model;
-        let expected = model.duration(request.prompt, request.expected_output);
-        let (took, expected) = (took.as_secs_f64() * relative_speed, expected.as_secs_f64());
+        let expected = self.model.duration(request.prompt, request.expected_output);
+        let took = took.as_secs_f64() * relative_speed;
+        let fraction = took / expected.as_secs_f64().max(f64::MIN_POSITIVE);
         let measurement = if is_answered {
-            Measurement::Answered { took, expected }
+            Measurement::Answered(fraction)
         } else {
-            Measurement::Missing { took, expected }
+            Measurement::Missing(fraction)
         };
         if let Some(kind) = self.kind(&request.route) {
             kind.record(now, id, measurement);
@@ -318,25 +379,19 @@
     }
 
     /// Returns the factor on the times that the service's model expects of a request.
-    pub(super) fn factor(&self, request: &Request) -> f64 {
+    fn factor(&self, request: &Request) -> f64 {
         self.kinds.get(&request.route).map_or(1.0, Kind::factor)
     }
 
-    /// Returns the expected seconds to the first byte at an endpoint with `pending` prompt
-    /// tokens of other requests.
-    pub(super) fn time_to_first_byte(
-        &self,
-        request: &Request,
-        pending: u64,
-        relative_speed: f64,
-    ) -> f64 {
-        let model = &self.model;
-        model.time_to_first_byte(request.prompt, pending, relative_speed) * self.factor(request)
-    }
-
-    /// Returns the expected seconds from the first byte of an answer to its end.
-    pub(super) fn stream_time(&self, request: &Request, relative_speed: f64) -> f64 {
-        self.model.stream_time(request.expected_output) * self.factor(request) / relative_speed
+    /// Returns what is expected of a request.
+    pub(super) fn expectation<'a>(&'a self, request: &'a Request) -> Expectation<'a> {
+        let factor = self.factor(request);
+        Expectation {
+            model: &self.model,
+            request,
+            factor,
+            stream_time: self.model.stream_time(request.expected_output) * factor,
+        }
     }
 
     /// Returns whether the first byte would come after the caller has left, or the answer
@@ -344,20 +399,10 @@
     /// and was quicker than usual.
     pub(super) fn is_infeasible(&self, now: time::Instant, request: &Request) -> bool {
         let speed = self.fastest_speed();
-        let first_byte = self.time_to_first_byte(request, 0, speed);
+        let expected = self.expectation(request);
+        let first_byte = expected.first_byte(0, speed);
         now + seconds(self.model.shortest_first_byte(first_byte)) > request.caller_leaves_at
-            || now + seconds(self.shortest_duration(request, first_byte, speed)) > request.deadline
-    }
-
-    /// Returns the time, in seconds, below which few answers to a request are whole, where the
-    /// first byte is expected after `first_byte` seconds. What is left of a stream that goes on
-    /// is not known, so that only its first byte counts.
-    pub(super) fn shortest_duration(&self, request: &Request, first_byte: f64, speed: f64) -> f64 {
-        let stream_time = match request.version {
-            Some(_) => 0.0,
-            None => self.stream_time(request, speed),
-        };
-        self.model.shortest_duration(first_byte, stream_time)
+            || now + seconds(expected.shortest_duration(first_byte, speed)) > request.deadline
     }
 
     fn fastest_speed(&self) -> f64 {
@@ -394,25 +439,26 @@
             }
             seconds(work / available.max(f64::MIN_POSITIVE))
         };
-        let id = id::Request(u64::MAX);
-        let on_time = wait(&self.rank(now, id, request));
-        if self.timeliness(now + on_time, id, request) == Timeliness::OnTime {
+        let wait_from = |at: time::Instant| {
+            let timeliness = self.timeliness(at, request);
+            let rank = self.rank(id::Request(u64::MAX), request, timeliness);
+            wait(&rank)
+        };
+        let on_time = wait_from(now);
+        if self.timeliness(now + on_time, request) == Timeliness::OnTime {
             return on_time;
         }
         // By then the request is late, and all that can still be on time are
         // served before it.
-        wait(&self.rank(now + on_time, id, request))
+        wait_from(now + on_time)
     }
 
     /// Returns whether the first byte can be on time, and the answer whole by the deadline, if
-    /// the fastest endpoint takes the request now. A trial counts as on time: behind all
-    /// others it would show nothing while the service is overloaded.
-    fn timeliness(&self, now: time::Instant, id: id::Request, request: &Request) -> Timeliness {
-        if self.is_trial(id, &request.route) {
-            return Timeliness::OnTime;
-        }
-        let speed = self.fastest_speed();
-        let first_byte = self.time_to_first_byte(request, 0, speed);
+    /// the fastest endpoint takes the request now.
+    fn timeliness(&self, now: time::Instant, request: &Request) -> Timeliness {
+        let first_byte = self
+            .expectation(request)
+            .first_byte(0, self.fastest_speed());
         if now + seconds(first_byte) > request.first_byte_due {
             return Timeliness::Late;
         }
@@ -429,9 +475,8 @@
             return false;
         }
         let speed = self.fastest_speed();
-        let first_byte = self.time_to_first_byte(request, 0, speed);
-        let stream_time = self.stream_time(request, speed);
-        let duration = self.model.safe_duration(first_byte, stream_time);
+        let expected = self.expectation(request);
+        let duration = expected.safe_duration(expected.first_byte(0, speed), speed);
         now + seconds(duration) + TRANSIT_MARGIN > request.deadline
     }
 
@@ -451,8 +496,7 @@
         request.class
     }
 
-    fn rank(&self, now: time::Instant, id: id::Request, request: &Request) -> Rank {
-        let timeliness = self.timeliness(now, id, request);
+    fn rank(&self, id: id::Request, request: &Request, timeliness: Timeliness) -> Rank {
         let due = match timeliness {
             Timeliness::OnTime => request.first_byte_due.min(request.deadline),
             Timeliness::Late => request.caller_leaves_at,
--- a/lib/src/era.rs
+++ b/lib/src/era.rs
@@ -88,6 +88,14 @@
     pub fn is_after(&self, other: &Self) -> bool {
         (self.era, self.number) > (other.era, other.number)
     }
+
+    /// Returns whether what is shown at this revision may come from a copy that was taken
+    /// before another revision was given out in a former era. What is written after the
+    /// restoration has a higher revision than the copy.
+    #[must_use]
+    pub fn may_be_of_copy(&self, other: &Self) -> bool {
+        self.era > other.era && self.number <= other.number
+    }
 }
 
 impl From<i64> for Revision {
