--- a/node/src/observer/load.rs
+++ b/node/src/observer/load.rs
@@ -93,7 +93,6 @@
         path: &str,
     ) -> Result<Response<Incoming>, Error> {
         self.sender.ready().await?;
-        self.progress.restart();
         let mut request = get(address, path);
         self.progress.watch(&mut request, |_, _| {});
         Ok(self.sender.send_request(request).await?)
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -288,9 +288,7 @@
         mut message: Message,
         handle: impl Fn(StatusCode, &HeaderMap) + Send + Sync + 'static,
     ) -> Result<Response<Body>, Failure> {
-        let progress = &self.connection.progress;
-        progress.restart();
-        progress.watch(&mut message, handle);
+        self.connection.progress.watch(&mut message, handle);
         let response = match self.connection.sender.try_send_request(message).await {
             Ok(response) => response,
             Err(mut error) => {
--- a/store/src/http.rs
+++ b/store/src/http.rs
@@ -115,7 +115,6 @@
             .ready()
             .await
             .map_err(|error| Error::Unsent(inbound::cause(&error)))?;
-        self.progress.restart();
         self.progress.watch(&mut request, |_, _| {});
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
--- a/store/src/inbound.rs
+++ b/store/src/inbound.rs
@@ -71,22 +71,19 @@
 }
 
 impl Progress {
-    /// Starts the counts of the next answer.
-    pub fn restart(&self) {
-        self.0.received.store(0, Ordering::Relaxed);
-        self.0.taken.store(0, Ordering::Relaxed);
-        self.0.parts.store(0, Ordering::Relaxed);
-        self.0.interim.store(0, Ordering::Relaxed);
-    }
-
-    /// Counts the interim answers to a request, which must be sent on this connection, and
-    /// passes the first [`MAX_INTERIM_ANSWERS`] to `handle`. After more of them, the next read
-    /// fails: each costs far more time and memory than its bytes show.
+    /// Starts the counts of the answer to a request, which must be sent next on this
+    /// connection. The heads of the first [`MAX_INTERIM_ANSWERS`] interim answers are passed to
+    /// `handle`. After more of them, the next read fails: each costs far more time and memory
+    /// than its bytes show.
     pub fn watch<B>(
         &self,
         request: &mut Request<B>,
         handle: impl Fn(StatusCode, &HeaderMap) + Send + Sync + 'static,
     ) {
+        self.0.received.store(0, Ordering::Relaxed);
+        self.0.taken.store(0, Ordering::Relaxed);
+        self.0.parts.store(0, Ordering::Relaxed);
+        self.0.interim.store(0, Ordering::Relaxed);
         let counts = Arc::clone(&self.0);
         hyper::ext::on_informational(request, move |answer| {
             if counts.interim.fetch_add(1, Ordering::Relaxed) < MAX_INTERIM_ANSWERS {
@@ -172,8 +169,7 @@
 pub type Driver<B, S = TcpStream> = Connection<TokioIo<Meter<S>>, B>;
 
 /// Prepares an open connection for HTTP/1.1 requests; the returned counts must
-/// be restarted before each further request, and told of the content that is
-/// taken.
+/// watch each request, and be told of the content that is taken.
 ///
 /// # Errors
 ///
--- a/store/tests/test_endless.rs
+++ b/store/tests/test_endless.rs
@@ -260,7 +260,6 @@
     let (mut sender, connection, progress) = inbound::handshake(client).await?;
     tokio::spawn(connection);
     for _ in 0..3 {
-        progress.restart();
         let mut request = Request::get("/").body(FullBody::new(Bytes::new()))?;
         progress.watch(&mut request, |_, _| {});
         sender.ready().await?;
