era, follow, endpoints: one copy of the current era, of the spread and of the rule for copies

The era was kept twice (state and channel), compared twice after each whole read, and the random wait stood in three places. What may come from a restored copy is a method of Revision, which descriptions and listings share. The pause and the end of renewals are computed apart, so that no case is dead.

--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -89,11 +89,9 @@
 /// Where a snapshot comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Origin {
-    /// From the source: nodes that it lacks are removed.
-    Source,
-    /// From the source, which was restored from a copy since it was read last: the copy may
-    /// lack nodes.
-    RestoredSource,
+    /// From the source: nodes that it lacks are removed, unless it `is_restored` from a copy
+    /// since it was read last, which may lack them.
+    Source { is_restored: bool },
     /// From another node, which may lack nodes.
     Node,
 }
@@ -167,12 +165,7 @@
                 self.outputs.endpoints_known.send_replace(true);
                 let origins = &self.outputs.origins;
                 origins.record_history(History::restart);
-                let origin = if is_restored {
-                    Origin::RestoredSource
-                } else {
-                    Origin::Source
-                };
-                self.apply_snapshot(*snapshot, origin);
+                self.apply_snapshot(*snapshot, Origin::Source { is_restored });
             }
             Message::PeerSnapshot(snapshot) => {
                 if self.endpoints.is_initialized() {
@@ -244,8 +237,9 @@
         }
         self.endpoints.replace(now, snapshot.endpoints);
         match origin {
-            Origin::Source => self.nodes.replace(now, snapshot.nodes, false),
-            Origin::RestoredSource => self.nodes.replace(now, snapshot.nodes, true),
+            Origin::Source { is_restored } => {
+                self.nodes.replace(now, snapshot.nodes, is_restored);
+            }
             Origin::Node => {
                 for node in snapshot.nodes {
                     self.nodes.add(node);
--- a/gateway/src/controller/endpoints.rs
+++ b/gateway/src/controller/endpoints.rs
@@ -293,7 +293,8 @@
             shown_at,
         };
         // One that left is known, but not used, while a restored copy lists it.
-        self.changed |= was_used == self.has_left(&name, &tracked);
+        let is_used = !self.has_left(&name, &tracked);
+        self.changed |= is_used != was_used;
         self.tracked.insert(name, tracked);
     }
 
@@ -427,16 +428,12 @@
 /// back. In a later era, a description may be of the copy that the source was restored
 /// from, at a revision that is not above the known one; the processes decide then.
 fn is_older(entry: &Entry, known: &Entry) -> bool {
-    let (Some(revision), Some(known_revision)) = (entry.revision, known.revision) else {
-        return is_of_earlier_process(entry, known);
-    };
-    if let Some(order) = revision.partial_cmp(&known_revision) {
-        return order.is_lt();
-    }
-    if !revision.is_after(&known_revision) {
-        return true;
+    match (entry.revision, known.revision) {
+        (Some(revision), Some(known)) if !revision.may_be_of_copy(&known) => {
+            known.is_after(&revision)
+        }
+        _ => is_of_earlier_process(entry, known),
     }
-    revision.number <= known_revision.number && is_of_earlier_process(entry, known)
 }
 
 /// Returns whether a description is of an earlier process than the known one, or an
--- a/gateway/src/controller/follow.rs
+++ b/gateway/src/controller/follow.rs
@@ -4,7 +4,10 @@
 use std::{cmp::Ordering, future::Future, pin::pin, time::Duration};
 
 use dottereltally::clock::Clock;
-use dottereltally_lib::{era::Revision, time};
+use dottereltally_lib::{
+    era::{Era, Revision},
+    time,
+};
 use dottereltally_store::kv::Error;
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use ractor::ActorRef;
@@ -15,7 +18,7 @@
 };
 
 use super::{Message, endpoints::RENEWAL_TIME};
-use crate::{directory::Source, metrics::Metrics, view};
+use crate::{directory::Source, era::wait_for_turn, metrics::Metrics, view};
 
 /// Longest time from a change until a call returns it, beyond the poll interval:
 /// a source that drops its change history keeps calls waiting for about a second.
@@ -85,19 +88,23 @@
         metrics,
         view,
     };
-    let mut known: Option<Revision> = None;
+    let mut known: Option<Era> = None;
     loop {
         let (revision, mut renewal_end) = follower.read_snapshot().await;
-        follower.record_era(known, revision);
-        if known.is_some_and(|known| known.era != revision.era) {
+        let era = revision.era;
+        follower.metrics.set_store_era(era);
+        if known.is_some_and(|known| known != era) {
+            follower.metrics.store_restorations.inc();
+            tracing::info!(%revision, "directory read in another era");
             // Endpoints write again what the copy lacks.
             renewal_end.get_or_insert(Instant::now() + RENEWAL_TIME);
         }
-        let last = follower.follow_changes(revision, renewal_end).await;
-        if follower.source.eras().current() != last.era {
-            follower.wait_for_turn().await;
+        known = Some(era);
+        follower.follow_changes(revision, renewal_end).await;
+        // Nodes whose coordinator reads for them spread the reads of another era.
+        if follower.source.eras().current() != era && follower.view.has_reader() {
+            wait_for_turn(poll_interval.0).await;
         }
-        known = Some(last);
     }
 }
 
@@ -150,17 +157,21 @@
 }
 
 impl Recovery {
+    /// Returns until when endpoints write expired descriptions again: as it was known before,
+    /// however many calls failed since, unless that is past.
+    fn renewal_end(&mut self, returned: &Return) -> Instant {
+        let known = self.renewal_end.filter(|end| *end > Instant::now());
+        *self
+            .renewal_end
+            .insert(known.unwrap_or(returned.renewal_end))
+    }
+
     /// Returns the pause before the next call, `jitter` times its mean. It ends with the time
-    /// for renewals, however many calls failed: what was written until then is read before
-    /// endpoints are given up.
-    fn next_pause(&mut self, returned: &Return, jitter: f64) -> Duration {
-        let now = Instant::now();
-        let end = self.renewal_end.filter(|end| *end > now);
-        let end = end.unwrap_or(returned.renewal_end);
-        self.renewal_end = Some(end);
+    /// for renewals: what was written until then is read before endpoints are given up.
+    fn next_pause(&mut self, renewal_end: Instant, jitter: f64) -> Duration {
         let pause = self.pause.mul_f64(jitter);
         self.pause = (self.pause * 2).min(BACKOFF.1);
-        match end.saturating_duration_since(now) {
+        match renewal_end.saturating_duration_since(Instant::now()) {
             Duration::ZERO => pause,
             left => pause.min(left),
         }
@@ -196,12 +207,8 @@
     }
 
     /// Reads changes until the source no longer keeps those after the last revision, or is
-    /// in another era, in which they are not known; returns that revision.
-    async fn follow_changes(
-        &self,
-        mut revision: Revision,
-        mut renewal_end: Option<Instant>,
-    ) -> Revision {
+    /// in another era, in which they are not known.
+    async fn follow_changes(&self, mut revision: Revision, mut renewal_end: Option<Instant>) {
         let mut recovery = Recovery::default();
         loop {
             let era = self.source.eras().current();
@@ -211,7 +218,7 @@
                     %era,
                     "another era of the key-value service; reading the whole directory"
                 );
-                return revision;
+                return;
             }
             let mut next_call = Instant::now() + self.poll_interval();
             // What was written until then is read before endpoints are given up.
@@ -237,7 +244,7 @@
                         returned = %changes.revision,
                         "changes are of another era; reading the whole directory"
                     );
-                    return revision;
+                    return;
                 }
                 Ok(changes) => {
                     revision = changes.revision;
@@ -258,7 +265,7 @@
                         cause,
                         "changes are no longer available; reading the whole directory"
                     );
-                    return revision;
+                    return;
                 }
                 Err(error) => {
                     let recovered = self.recover(&error, sent, returned, &mut recovery);
@@ -268,25 +275,6 @@
         }
     }
 
-    /// Records the era in which the whole directory was read, and what was read before.
-    fn record_era(&self, known: Option<Revision>, revision: Revision) {
-        let announced = i64::try_from(revision.era.announced).unwrap_or(i64::MAX);
-        self.metrics.store_era.set(announced);
-        if known.is_some_and(|known| known.era != revision.era) {
-            self.metrics.store_restorations.inc();
-            tracing::info!(%revision, "directory read in another era");
-        }
-    }
-
-    /// Waits before the whole directory is read in another era. Nodes whose coordinator reads for them
-    /// spread these reads.
-    async fn wait_for_turn(&self) {
-        if self.view.has_reader() {
-            let part = rand::rng().random_range(0.0..1.0);
-            sleep(self.poll_interval.0.mul_f64(part)).await;
-        }
-    }
-
     /// Returns the time between the starts of two calls. A node that reads for others
     /// makes them so often that they learn of each call before their own is due.
     fn poll_interval(&self) -> Duration {
@@ -379,13 +367,14 @@
         recovery.relies_on_reader = returned.is_of_reader;
         self.send(Message::SourceReturned(returned.answered + READ_TIME));
         let jitter = rand::rng().random_range(0.3..1.7);
-        let pause = recovery.next_pause(&returned, jitter);
+        let renewal_end = recovery.renewal_end(&returned);
+        let pause = recovery.next_pause(renewal_end, jitter);
         tracing::debug!(
             pause_ms = crate::chain::millis(pause),
             "key-value service is read again after a pause"
         );
         sleep(pause).await;
-        recovery.renewal_end.unwrap_or(returned.renewal_end)
+        renewal_end
     }
 
     /// Waits until the source answers a probe, or the coordinator reads it. A node whose
--- a/gateway/src/controller/quarantine.rs
+++ b/gateway/src/controller/quarantine.rs
@@ -4,10 +4,9 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use dottereltally_lib::id;
-use rand::Rng;
 use tokio::{select, sync::mpsc, time::sleep};
 
-use crate::{crashes, directory::Source, metrics::Metrics};
+use crate::{crashes, directory::Source, era::wait_for_turn, metrics::Metrics};
 
 /// Pause after a failed call.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -35,8 +34,7 @@
         let received = select! {
             received = refused.recv() => received,
             () = eras.wait_for_change(era) => {
-                let part = rand::rng().random_range(0.0..1.0);
-                sleep(RESTORATION_SPREAD.mul_f64(part)).await;
+                wait_for_turn(RESTORATION_SPREAD).await;
                 era = eras.current();
                 for fingerprint in kept.clone() {
                     if !keeper.write(fingerprint).await {
--- a/gateway/src/controller/registration.rs
+++ b/gateway/src/controller/registration.rs
@@ -15,6 +15,7 @@
 use crate::{
     chain::lock,
     directory::{Lease, Node, Source},
+    era::wait_for_turn,
     metrics::Metrics,
 };
 
@@ -61,8 +62,7 @@
             {
                 tracing::info!(lease = %lease.id, granted = %lease.era, %era, "registration is of a former era");
                 *lock(&self.lease) = None;
-                let part = rand::rng().random_range(0.0..1.0);
-                sleep(RESTORATION_SPREAD.mul_f64(part)).await;
+                wait_for_turn(RESTORATION_SPREAD).await;
                 continue;
             }
             self.metrics.store_calls.inc();
--- a/gateway/src/era.rs
+++ b/gateway/src/era.rs
@@ -5,13 +5,19 @@
 //! in another one when its revision falls.
 
 use std::{
+    cmp::Ordering,
     future,
     sync::{Arc, Mutex},
+    time::Duration,
 };
 
 use derive_more::Display;
 use dottereltally_lib::era::{Era, Revision};
-use tokio::{sync::watch, time::Instant};
+use rand::Rng;
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep},
+};
 
 use crate::chain::lock;
 
@@ -41,7 +47,6 @@
 
 #[derive(Debug)]
 struct State {
-    era: Era,
     /// When the first answer of the era arrived.
     since: Instant,
     /// Highest revision that was read in the era, and when it arrived first.
@@ -61,7 +66,6 @@
     fn default() -> Self {
         Self {
             state: Arc::new(Mutex::new(State {
-                era: Era::default(),
                 since: Instant::now(),
                 highest: None,
                 ignored: None,
@@ -81,24 +85,21 @@
     /// Fails if the answer is of a former era.
     pub fn record(&self, sent: Instant, announcement: Announcement) -> Result<Era, Outdated> {
         let mut state = lock(&self.state);
-        let current = state.era;
-        let is_known = !current.is_unknown();
-        let heard = match announcement {
-            Announcement::Number(number) => Some(number),
-            Announcement::Missing | Announcement::Unreadable => None,
-        };
-        match heard {
-            Some(number) if number > current.announced => {
-                self.begin(&mut state, Era::from(number));
-                return Ok(state.era);
-            }
-            Some(number) if number < current.announced && sent < state.since => {
-                let heard = Era::from(number);
-                return Err(Outdated { heard, current });
+        let current = self.current();
+        if let Announcement::Number(number) = announcement {
+            let heard = Era::from(number);
+            match number.cmp(&current.announced) {
+                Ordering::Greater => {
+                    self.begin(&mut state, heard);
+                    return Ok(heard);
+                }
+                Ordering::Equal => return Ok(current),
+                Ordering::Less if sent < state.since => return Err(Outdated { heard, current }),
+                Ordering::Less => {}
             }
-            Some(number) if number == current.announced => return Ok(current),
-            None if announcement == Announcement::Missing && !is_known => return Ok(current),
-            _ => {}
+        }
+        if announcement == Announcement::Missing && current.is_unknown() {
+            return Ok(current);
         }
         if state.ignored.replace(announcement) != Some(announcement) {
             tracing::warn!(
@@ -116,13 +117,13 @@
     /// part in this.
     pub fn record_revision(&self, sent: Instant, revision: Revision) -> Revision {
         let mut state = lock(&self.state);
-        if revision.era != state.era {
+        let Revision { mut era, number } = revision;
+        if era != self.current() {
             return revision;
         }
-        let number = revision.number;
         match state.highest {
             Some((highest, at)) if number < highest && at < sent => {
-                let era = state.era.after_fall();
+                era = era.after_fall();
                 tracing::warn!(
                     revision = number,
                     known = highest,
@@ -134,22 +135,21 @@
             Some((highest, _)) if number <= highest => {}
             _ => state.highest = Some((number, Instant::now())),
         }
-        let era = state.era;
         Revision { era, number }
     }
 
     fn begin(&self, state: &mut State, era: Era) {
+        let previous = self.current();
         // The first announcement is no sign of a restoration.
-        if state.era.is_unknown() && state.highest.is_none() {
+        if previous.is_unknown() && state.highest.is_none() {
             tracing::info!(%era, "era of the key-value service is known");
         } else {
             tracing::warn!(
                 %era,
-                previous = %state.era,
+                %previous,
                 "key-value service was restored from a copy: another era has begun"
             );
         }
-        state.era = era;
         state.since = Instant::now();
         state.highest = None;
         self.current.send_replace(era);
@@ -158,7 +158,7 @@
     /// Returns the era of the latest answer.
     #[must_use]
     pub fn current(&self) -> Era {
-        lock(&self.state).era
+        *self.current.borrow()
     }
 
     /// Waits until another era than this one has begun.
@@ -170,3 +170,9 @@
         }
     }
 }
+
+/// Waits for a random part of a time, over which the nodes spread what they do in another era.
+pub(crate) async fn wait_for_turn(spread: Duration) {
+    let part = rand::rng().random_range(0.0..1.0);
+    sleep(spread.mul_f64(part)).await;
+}
--- a/gateway/src/listing.rs
+++ b/gateway/src/listing.rs
@@ -96,14 +96,11 @@
 }
 
 impl Listing {
-    /// Returns whether a process is shown by a copy that was taken before it left: the source
-    /// was restored from it, and lists the process again. What is written after that has a
-    /// higher revision than the copy, although it may be lower than the one at which the
-    /// process left.
+    /// Returns whether a process that left is only shown by a copy that was taken before: the
+    /// source was restored from it, and lists the process again.
     fn is_departed(&self, process: Process, shown_at: Revision) -> bool {
         !self.is_listed
-            && shown_at.era > self.revision.era
-            && shown_at.number <= self.revision.number
+            && shown_at.may_be_of_copy(&self.revision)
             && process.is_not_after(self.process)
     }
 }
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use dottereltally::problem::Reason;
-use dottereltally_lib::{crash::Finding, id};
+use dottereltally_lib::{crash::Finding, era::Era, id};
 use http::StatusCode;
 use prometheus_client::{
     encoding::{EncodeLabelSet, EncodeLabelValue},
@@ -277,6 +277,12 @@
         self.register_gauges(registry);
     }
 
+    /// Sets the era of the key-value service that was read last.
+    pub fn set_store_era(&self, era: Era) {
+        let announced = i64::try_from(era.announced).unwrap_or(i64::MAX);
+        self.store_era.set(announced);
+    }
+
     fn register_counters(&self, registry: &mut Registry) {
         for (name, help, counter) in [
             ("resumed", "Streams that went on elsewhere", &self.resumed),
