--- a/gateway/tests/test_kept_quarantine.rs
+++ b/gateway/tests/test_kept_quarantine.rs
@@ -192,11 +192,8 @@
     assert_eq!(fleet.ended(), ended);
 }
 
-/// Nodes that only learned of a crashing request leave it to those that found it
-/// out.
-#[tokio::test]
-async fn a_node_keeps_only_what_it_found_out() {
-    let mut gateway = Gateway::start(Some(plan()), &[]).await;
+/// Lets a gateway learn from another node that endpoints died of a request.
+fn tell_of_deaths(gateway: &Gateway) {
     let node = id::Node::from("n");
     let data_centre = id::DataCentre::from("dc");
     for incarnation in 0..3 {
@@ -211,6 +208,14 @@
             .crashes
             .apply_marks(&node, &data_centre, &[mark]);
     }
+}
+
+/// Nodes that only learned of a crashing request leave it to those that found it
+/// out.
+#[tokio::test]
+async fn a_node_keeps_only_what_it_found_out() {
+    let mut gateway = Gateway::start(Some(plan()), &[]).await;
+    tell_of_deaths(&gateway);
     let verdict = |crashes: &dottereltally_gateway::crashes::Handle| {
         crashes.read(|detector, now| detector.verdict(now, fatal()))
     };
@@ -224,18 +229,7 @@
 async fn a_crashing_request_is_written_again_after_a_restoration() {
     let source = Kept::default();
     let gateway = Gateway::start(Some(plan()), &[]).await;
-    let node = id::Node::from("n");
-    let data_centre = id::DataCentre::from("dc");
-    for incarnation in 0..3 {
-        let mark = Mark {
-            fingerprint: fatal(),
-            incarnation: id::Incarnation(incarnation),
-            kind: Kind::Died,
-            valid: Duration::from_mins(1),
-        };
-        let crashes = &gateway.chain.crashes;
-        crashes.apply_marks(&node, &data_centre, &[mark]);
-    }
+    tell_of_deaths(&gateway);
     let (refuse, refused) = mpsc::channel(4);
     tokio::spawn(controller::quarantine::keep(
         source.clone(),
--- a/gateway/tests/test_registration.rs
+++ b/gateway/tests/test_registration.rs
@@ -18,7 +18,10 @@
 };
 use dottereltally_store::kv::{self, Error};
 use rstest::rstest;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    task::JoinHandle,
+    time::{Instant, sleep},
+};
 
 /// Source that keeps only leases.
 #[derive(Clone, Default)]
@@ -115,13 +118,28 @@
     Arc::new(Registration::new(leases.clone(), node, Metrics::default()))
 }
 
+/// Returns a registration that runs and has registered its node, and its task.
+async fn registered(leases: &Leases) -> (Arc<Registration<Leases>>, JoinHandle<()>) {
+    let registration = registration(leases);
+    let renewed = Arc::clone(&registration);
+    let running = tokio::spawn(async move { renewed.run().await });
+    sleep(Duration::from_secs(1)).await;
+    (registration, running)
+}
+
+/// Returns a source in its first era, and a registration of which it granted the first lease.
+async fn registered_in_first_era() -> (Leases, Arc<Registration<Leases>>) {
+    let leases = Leases::default();
+    leases.state.lock().unwrap().era = 1;
+    let (registration, _running) = registered(&leases).await;
+    assert_eq!(leases.live(), [lease(1, 1)]);
+    (leases, registration)
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_expired_registration_is_renewed_under_a_new_lease() {
     let leases = Leases::default();
-    let registration = registration(&leases);
-    let renewed = Arc::clone(&registration);
-    tokio::spawn(async move { renewed.run().await });
-    sleep(Duration::from_secs(1)).await;
+    let _registered = registered(&leases).await;
     assert_eq!(leases.live(), [lease(1, 0)]);
     leases.state.lock().unwrap().live.clear();
     sleep(Duration::from_secs(10)).await;
@@ -131,10 +149,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_deregistered_node_does_not_register_again() {
     let leases = Leases::default();
-    let registration = registration(&leases);
-    let renewed = Arc::clone(&registration);
-    let running = tokio::spawn(async move { renewed.run().await });
-    sleep(Duration::from_secs(1)).await;
+    let (registration, running) = registered(&leases).await;
     registration.deregister().await;
     running.await.unwrap();
     assert!(leases.live().is_empty());
@@ -147,13 +162,7 @@
 #[case::heard_from_the_renewal(false)]
 #[tokio::test(start_paused = true)]
 async fn a_lease_of_a_former_era_is_not_used(#[case] is_heard: bool) {
-    let leases = Leases::default();
-    leases.state.lock().unwrap().era = 1;
-    let registration = registration(&leases);
-    let renewed = Arc::clone(&registration);
-    tokio::spawn(async move { renewed.run().await });
-    sleep(Duration::from_secs(1)).await;
-    assert_eq!(leases.live(), [lease(1, 1)]);
+    let (leases, registration) = registered_in_first_era().await;
     {
         let mut state = leases.state.lock().unwrap();
         state.era = 2;
@@ -180,12 +189,7 @@
 /// registration of another node.
 #[tokio::test(start_paused = true)]
 async fn a_lease_of_a_former_era_is_not_ended() {
-    let leases = Leases::default();
-    leases.state.lock().unwrap().era = 1;
-    let registration = registration(&leases);
-    let renewed = Arc::clone(&registration);
-    tokio::spawn(async move { renewed.run().await });
-    sleep(Duration::from_secs(1)).await;
+    let (leases, registration) = registered_in_first_era().await;
     {
         let mut state = leases.state.lock().unwrap();
         state.era = 2;
