--- a/gateway/src/acceptance.rs
+++ b/gateway/src/acceptance.rs
@@ -18,10 +18,12 @@
 
 use crate::{
     attempt::Template,
-    chain::{ANSWER_MARGIN, Chain, DEFAULT_RETRY_AFTER, OTHER_NODE_RETRY_AFTER, lock, millis},
+    chain::{ANSWER_MARGIN, Chain, DEFAULT_RETRY_AFTER, OTHER_NODE_RETRY_AFTER},
     dialect::{Dialect, Head},
     job::Job,
+    logging::millis,
     refusal::Refused,
+    sync::lock,
 };
 
 impl<D: Dialect> Chain<D> {
--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -41,7 +41,7 @@
 #[derive(Debug)]
 pub enum Command {
     /// Choose an endpoint for a request.
-    Admit(id::Request, Request, oneshot::Sender<Decision>),
+    Admit(id::Request, Box<Request>, oneshot::Sender<Decision>),
     /// The first byte of an answer arrived.
     FirstByte(id::Request),
     /// A request ended at its endpoint, or was withdrawn while it waited.
@@ -188,7 +188,9 @@
         let now = self.shared.clock.now();
         let unusable = self.lock().dispatcher.unusable(now, &request.service);
         asked.excluded.extend(unusable);
-        coordinator.send(Command::Admit(id, asked, reply)).ok()?;
+        coordinator
+            .send(Command::Admit(id, Box::new(asked), reply))
+            .ok()?;
         let needed = request.version.clone();
         // Dropping the permit withdraws the request.
         let permit = self.permit(id, Some(coordinator.clone()));
@@ -421,7 +423,7 @@
         tracing::info!(%endpoint, "endpoint leaves, as its answer says");
     }
     if let Some(pause) = change.paused {
-        let pause_ms = crate::chain::millis(pause);
+        let pause_ms = crate::logging::millis(pause);
         tracing::info!(%endpoint, pause_ms, "endpoint wants no requests of this node for a while");
     }
     if let Some(most) = change.bears {
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -18,7 +18,7 @@
 use dottereltally_store::{buffer, inbound::MAX_INTERIM_ANSWERS};
 use http::{
     HeaderMap, Method, Request, Response, StatusCode, Uri, Version,
-    header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING},
+    header::{CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, TRANSFER_ENCODING},
     request, response,
 };
 use http_body::Body as _;
@@ -29,7 +29,7 @@
 };
 
 use crate::{
-    chain::{Chain, end_to_end_headers},
+    chain::Chain,
     dialect::{Dialect, Forward, Head},
     events::{Batch, Splitter},
     job::Job,
@@ -264,9 +264,9 @@
         places = choice.capacity,
         waiting = choice.waiting,
         delegated = is_delegated,
-        expected_ms = crate::chain::millis(choice.expected_first_byte),
-        waited_ms = crate::chain::millis(now.since(job.received)),
-        left_ms = crate::chain::millis(remaining),
+        expected_ms = crate::logging::millis(choice.expected_first_byte),
+        waited_ms = crate::logging::millis(now.since(job.received)),
+        left_ms = crate::logging::millis(remaining),
         after = last_event_id,
         via = Paths::carrier(&connection),
         "request sent"
@@ -499,3 +499,12 @@
         }
     }
 }
+
+/// Returns the headers of a request that are forwarded: without hop-by-hop
+/// headers and `Expect`.
+#[must_use]
+pub fn end_to_end_headers(mut headers: HeaderMap) -> HeaderMap {
+    strip_hop_by_hop(&mut headers);
+    headers.remove(EXPECT);
+    headers
+}
--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -1,14 +1,12 @@
 //! Serves one request: accepts it, and sends it to endpoints until one answers.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
 use bytes::Bytes;
-use dottereltally::{
-    body::Body, clock::Clock, dispatch::strip_hop_by_hop, problem::Reason, shutdown::Phase,
-};
+use dottereltally::{body::Body, clock::Clock, problem::Reason, shutdown::Phase};
 use dottereltally_lib::{
     budget::Budget,
     crash::Subject,
@@ -25,8 +23,8 @@
 };
 use dottereltally_store::buffer;
 use http::{
-    HeaderMap, HeaderValue, Response, StatusCode,
-    header::{CONNECTION, EXPECT, TRANSFER_ENCODING},
+    HeaderValue, Response, StatusCode,
+    header::{CONNECTION, TRANSFER_ENCODING},
     request::Parts,
 };
 use tokio::{sync::watch, time::Instant};
@@ -37,6 +35,7 @@
     crashes,
     dialect::{Dialect, Head},
     job::{Job, Progress},
+    logging::millis,
     metrics::Metrics,
     origins,
     paths::Paths,
@@ -502,18 +501,6 @@
     Refuse(Refused),
 }
 
-/// Locks a mutex and ignores poisoning, as its content stays usable after a
-/// panic elsewhere.
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// Returns a duration in whole milliseconds for the log.
-#[must_use]
-pub fn millis(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Refuses a request without an answer of a node that ends now; one that was passed on may
 /// have run.
 fn refuse_at_end(progress: &Progress) -> Refused {
@@ -555,12 +542,3 @@
         retry_after: DEFAULT_RETRY_AFTER,
     })
 }
-
-/// Returns the headers of a request that are forwarded: without hop-by-hop
-/// headers and `Expect`.
-#[must_use]
-pub fn end_to_end_headers(mut headers: HeaderMap) -> HeaderMap {
-    strip_hop_by_hop(&mut headers);
-    headers.remove(EXPECT);
-    headers
-}
--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -150,7 +150,7 @@
             Message::Snapshot(snapshot) => {
                 if let Some(outage) = self.endpoints.end_outage(now) {
                     tracing::info!(
-                        away_ms = crate::chain::millis(outage),
+                        away_ms = crate::logging::millis(outage),
                         revision = %snapshot.revision,
                         endpoints = snapshot.endpoints.len(),
                         "key-value service available again"
@@ -186,7 +186,7 @@
             Message::Changes(changes) => {
                 if let Some(outage) = self.endpoints.end_outage(now) {
                     tracing::info!(
-                        away_ms = crate::chain::millis(outage),
+                        away_ms = crate::logging::millis(outage),
                         revision = %changes.revision,
                         "key-value service available again"
                     );
--- a/gateway/src/controller/endpoints.rs
+++ b/gateway/src/controller/endpoints.rs
@@ -181,7 +181,7 @@
         tracing::info!(
             endpoint = %report.endpoint,
             revision = %report.revision,
-            age_ms = crate::chain::millis(report.age),
+            age_ms = crate::logging::millis(report.age),
             "endpoint given up: another node read that it left"
         );
         self.observations
--- a/gateway/src/controller/follow.rs
+++ b/gateway/src/controller/follow.rs
@@ -370,7 +370,7 @@
         let renewal_end = recovery.renewal_end(&returned);
         let pause = recovery.next_pause(renewal_end, jitter);
         tracing::debug!(
-            pause_ms = crate::chain::millis(pause),
+            pause_ms = crate::logging::millis(pause),
             "key-value service is read again after a pause"
         );
         sleep(pause).await;
--- a/gateway/src/controller/registration.rs
+++ b/gateway/src/controller/registration.rs
@@ -13,10 +13,10 @@
 use tokio::{select, time::sleep};
 
 use crate::{
-    chain::lock,
     directory::{Lease, Node, Source},
     era::wait_for_turn,
     metrics::Metrics,
+    sync::lock,
 };
 
 /// Time after which a registration expires unless it is renewed.
--- a/gateway/src/era.rs
+++ b/gateway/src/era.rs
@@ -19,7 +19,7 @@
     time::{Instant, sleep},
 };
 
-use crate::chain::lock;
+use crate::sync::lock;
 
 /// An answer of a former era, which arrived after one of a later era.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
--- a/gateway/src/examiner.rs
+++ b/gateway/src/examiner.rs
@@ -17,11 +17,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{
-    chain::{Chain, millis},
-    crashes::Target,
-    dialect::Dialect,
-};
+use crate::{chain::Chain, crashes::Target, dialect::Dialect, logging::millis};
 
 /// Time to open a connection to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -31,5 +31,6 @@
 pub mod rpc;
 pub mod search;
 pub mod settings;
+mod sync;
 pub mod tunnel;
 pub mod view;
--- a/gateway/src/logging.rs
+++ b/gateway/src/logging.rs
@@ -1,7 +1,7 @@
 //! Logs to standard output, one JSON object a line; the buffer is bounded and
 //! a full one drops lines instead of blocking.
 
-use std::io;
+use std::{io, time::Duration};
 
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::filter::LevelFilter;
@@ -49,3 +49,9 @@
         self.dropped.dropped_lines()
     }
 }
+
+/// Returns a duration in whole milliseconds for the log.
+#[must_use]
+pub fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -15,7 +15,6 @@
     body::Body,
     clock::Clock,
     operations::{Pages, Source as StatusSource, Status},
-    pool,
     process::Process,
     server,
     shutdown::{self, Phase},
@@ -42,7 +41,7 @@
 
 use crate::{
     admission,
-    chain::{Chain, lock},
+    chain::Chain,
     controller::{self, Controller, Outputs, PollInterval, Registration},
     coordinator::Link,
     crashes,
@@ -52,10 +51,11 @@
     logging::Log,
     metrics::Metrics,
     origins,
-    paths::{Paths, Tcp},
+    paths::{Paths, Tcp, UPSTREAM_LIMITS},
     peers::{self, Peers},
     rpc::{self, Server},
     settings::Settings,
+    sync::lock,
     tunnel,
 };
 
@@ -94,19 +94,6 @@
     write_timeout: Duration::from_secs(20),
 };
 
-/// Time limits of connections to endpoints and between nodes. A data centre that is cut off
-/// must be detected before callers give up, and a host that acknowledges nothing for a
-/// second must not be taken for gone: the kernel compares `user_timeout` with the time
-/// without traffic at each keep-alive probe, so that it must exceed two intervals for two
-/// probes to be lost.
-pub const UPSTREAM_LIMITS: pool::Limits = pool::Limits {
-    connect: Duration::from_millis(250),
-    keepalive_time: Duration::from_secs(1),
-    keepalive_interval: Duration::from_secs(1),
-    user_timeout: Duration::from_millis(2200),
-    idle: Duration::from_secs(5),
-};
-
 /// Adapters to the platform that the gateway runs on.
 pub struct Adapters<D, S> {
     /// Translates the headers of requests and answers.
--- a/gateway/src/origins.rs
+++ b/gateway/src/origins.rs
@@ -32,8 +32,8 @@
 
 use self::wire::{Message, Question, Reply};
 use crate::{
-    chain::lock,
     metrics::{Metrics, OriginEvent},
+    sync::lock,
 };
 
 /// A node that may remember a stream.
--- a/gateway/src/paths.rs
+++ b/gateway/src/paths.rs
@@ -30,6 +30,19 @@
     tunnel::{self, Tunnel},
 };
 
+/// Time limits of connections to endpoints and between nodes. A data centre that is cut off
+/// must be detected before callers give up, and a host that acknowledges nothing for a
+/// second must not be taken for gone: the kernel compares `user_timeout` with the time
+/// without traffic at each keep-alive probe, so that it must exceed two intervals for two
+/// probes to be lost.
+pub const UPSTREAM_LIMITS: pool::Limits = pool::Limits {
+    connect: Duration::from_millis(250),
+    keepalive_time: Duration::from_secs(1),
+    keepalive_interval: Duration::from_secs(1),
+    user_timeout: Duration::from_millis(2200),
+    idle: Duration::from_secs(5),
+};
+
 /// Time for a direct connection, after which another node is asked as well.
 const HEAD_START: Duration = Duration::from_millis(100);
 
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -23,13 +23,8 @@
 use tokio::{net::UdpSocket, sync::watch, time::sleep};
 
 use crate::{
-    chain::{Chain, lock, millis},
-    coordinator, crashes,
-    dialect::Dialect,
-    directory::Node,
-    heartbeat::Heartbeat,
-    origins,
-    paths::Carrier,
+    chain::Chain, coordinator, crashes, dialect::Dialect, directory::Node, heartbeat::Heartbeat,
+    logging::millis, origins, paths::Carrier, sync::lock,
 };
 
 /// Interval at which due heartbeats and silent nodes are looked for.
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -21,10 +21,11 @@
 
 use crate::{
     attempt::{self, Attempt, Stream},
-    chain::{Chain, millis},
+    chain::Chain,
     dialect::Dialect,
     events::{Batch, Splitter},
     job::{Job, Progress},
+    logging::millis,
     search::{Dispatch, Event, Obstacle, Place, Search, Signal},
 };
 
--- a/gateway/src/rpc.rs
+++ b/gateway/src/rpc.rs
@@ -22,7 +22,7 @@
 
 use crate::{
     admission, coordinator::Session, directory::Snapshot, heartbeat::read_loads,
-    node::UPSTREAM_LIMITS, tunnel,
+    paths::UPSTREAM_LIMITS, tunnel,
 };
 
 /// Time for another node to return its directory.
--- a/gateway/src/search.rs
+++ b/gateway/src/search.rs
@@ -20,11 +20,13 @@
 use crate::{
     admission::Permit,
     attempt::{self, Attempt, End},
-    chain::{Chain, lock, millis},
+    chain::Chain,
     crashes::Flight,
     dialect::Dialect,
     job::{Job, Progress},
+    logging::millis,
     metrics::Silence,
+    sync::lock,
 };
 
 /// Time for which a silent endpoint and the one that is to replace it may both work
--- a/gateway/src/tunnel.rs
+++ b/gateway/src/tunnel.rs
@@ -37,8 +37,7 @@
 use crate::{
     admission,
     chain::Chain,
-    node::UPSTREAM_LIMITS,
-    paths::{Dial, Tcp},
+    paths::{Dial, Tcp, UPSTREAM_LIMITS},
 };
 
 /// First bytes of a tunnel. Calls begin with the number of their segments, whose last
--- a/gateway/src/view.rs
+++ b/gateway/src/view.rs
@@ -15,7 +15,7 @@
 use dottereltally_lib::{era::Era, exchange::View};
 use tokio::{sync::Notify, time::Instant};
 
-use crate::{chain::lock, listing};
+use crate::{listing, sync::lock};
 
 /// Time without an announcement after which a node no longer relies on its coordinator.
 const READER_TTL: Duration = Duration::from_secs(3);
--- a/gateway/tests/common/cluster.rs
+++ b/gateway/tests/common/cluster.rs
@@ -4,8 +4,8 @@
 
 use dottereltally_gateway::{
     directory::Node,
-    node::UPSTREAM_LIMITS,
     origins,
+    paths::UPSTREAM_LIMITS,
     paths::{Dial, Tcp},
     peers::{self, Peers},
     rpc, tunnel,
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -25,8 +25,8 @@
     dialect::{Answer, Dialect, Forward, Head, Malformed},
     examiner,
     metrics::Metrics,
-    node::UPSTREAM_LIMITS,
     origins,
+    paths::UPSTREAM_LIMITS,
     paths::{Dial, Paths, Tcp},
     view,
 };
