--- a/gateway/src/coordinator/wire.rs
+++ b/gateway/src/coordinator/wire.rs
@@ -8,6 +8,7 @@
     dispatcher::{Choice, Outcome, Request, Timing},
     id,
     refusal::{self, Refusal},
+    rollout::Lane,
     time,
 };
 use dottereltally_proto::gateway_capnp::{self, ask, decision, desk, refusal as wire_refusal};
@@ -38,6 +39,15 @@
     if let Some(version) = &request.version {
         wire.set_version(version.as_str());
     }
+    if let Some(workspace) = &request.workspace {
+        wire.set_workspace(workspace.as_str());
+    }
+    wire.set_fingerprint(request.fingerprint.unwrap_or_default().0);
+    match &request.lane {
+        Lane::Any => {}
+        Lane::Only(version) => wire.set_only_version(version.as_str()),
+        Lane::Not(version) => wire.set_not_version(version.as_str()),
+    }
 }
 
 pub(super) fn read_request(wire: ask::Reader<'_>, now: time::Instant) -> Result<Request, Error> {
@@ -46,6 +56,8 @@
     for endpoint in wire.get_avoid()? {
         excluded.push(id::Endpoint::from(endpoint?.to_str()?));
     }
+    let workspace = wire.get_workspace()?.to_str()?;
+    let fingerprint = wire.get_fingerprint();
     Ok(Request {
         service: id::Service::from(wire.get_service()?.to_str()?),
         route: id::Route::from(wire.get_route()?.to_str()?),
@@ -60,6 +72,16 @@
         excluded,
         version: read_version(wire.get_version()?)?,
         resumable: wire.get_resumable(),
+        workspace: (!workspace.is_empty()).then(|| id::Workspace::from(workspace)),
+        fingerprint: (fingerprint > 0).then_some(id::Fingerprint(fingerprint)),
+        lane: match (
+            read_version(wire.get_only_version()?)?,
+            read_version(wire.get_not_version()?)?,
+        ) {
+            (Some(version), _) => Lane::Only(version),
+            (None, Some(version)) => Lane::Not(version),
+            (None, None) => Lane::Any,
+        },
     })
 }
 
--- a/gateway/src/job.rs
+++ b/gateway/src/job.rs
@@ -6,6 +6,7 @@
     crash::Subject,
     dispatcher::{self, Choice},
     id,
+    rollout::Lane,
     route::{Retry, Route},
     time,
 };
@@ -64,6 +65,9 @@
             excluded: excluded.to_vec(),
             version: self.version.clone(),
             resumable: self.route.retry == Retry::Resume,
+            workspace: self.workspace.clone(),
+            fingerprint: Some(self.subject.request),
+            lane: Lane::Any,
         }
     }
 }
--- a/gateway/tests/test_coordinator.rs
+++ b/gateway/tests/test_coordinator.rs
@@ -26,6 +26,7 @@
     endpoint::{Record, Standing},
     id,
     refusal::Reason,
+    rollout::Lane,
 };
 use rstest::rstest;
 use tokio::{
@@ -104,6 +105,9 @@
         excluded: Vec::new(),
         version: None,
         resumable: false,
+        workspace: None,
+        fingerprint: None,
+        lane: Lane::Any,
     }
 }
 
--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -6,12 +6,14 @@
 //! deadline go before late ones; within each group they are ordered by tier,
 //! then class, then the time left.
 
+mod choice;
 mod kind;
 pub mod limit;
 mod member;
 mod model;
 mod queue;
 pub mod rejection;
+mod statement;
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -20,18 +22,20 @@
 };
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use xxhash_rust::xxh3;
 
+pub use self::statement::NoticeChange;
 use self::{
+    choice::{Selection, has_candidate, open_members},
     member::Member,
-    queue::{MIN_DRAIN_PER_SLOT, Queue, Timeliness},
+    queue::{MIN_DRAIN_PER_SLOT, Queue},
 };
 use crate::{
     endpoint::{self, Standing},
     id,
-    notice::{self, Departures, Notice},
+    notice::Departures,
     refusal::{self, Refusal},
-    share::{Rate, Reports},
+    rollout::Lane,
+    share::Reports,
     time,
 };
 
@@ -45,50 +49,6 @@
 /// node, subtracted from the time that an endpoint has to answer.
 const TRANSIT_MARGIN: Duration = Duration::from_millis(15);
 
-/// Cost added to an endpoint in another data centre, in seconds.
-const REMOTE_COST_SECS: f64 = 0.07;
-
-/// Upper bound of the random cost added to each endpoint, in seconds. It keeps
-/// nodes with the same information from all choosing the same endpoint.
-const MAX_JITTER_SECS: f64 = 0.006;
-
-/// Weight of the expected streaming time, relative to the time to first byte.
-const STREAM_TIME_WEIGHT: f64 = 0.1;
-
-/// Cost of each stream running at the endpoint that would pause for longer than
-/// the request's `max_pause`, in seconds.
-const STALL_COST_SECS: f64 = 0.15;
-
-/// Fraction of the request's `max_pause` above which the expected pause of the
-/// streams at an endpoint adds to the cost.
-const STALL_THRESHOLD: f64 = 0.7;
-
-/// Cost of the last free slot of an endpoint of mean speed, in seconds. It
-/// grows with speed, to keep slots of fast endpoints free for requests that
-/// need them.
-const OCCUPANCY_COST_SECS: f64 = 0.05;
-
-/// Longest mean time between two completions, in seconds, at which a full
-/// endpoint gets one request in advance. It covers the 10 ms that the message
-/// about a completion and the next request take between data centres; a larger
-/// value would delay urgent requests (see `test_dispatcher`).
-const MAX_COMPLETION_GAP_SECS: f64 = 0.06;
-
-/// Cost of an answer that would not be complete by its deadline, in seconds.
-const INCOMPLETE_COST_SECS: f64 = 2.0;
-
-/// Cost of an endpoint at which every recent request failed, in seconds; scaled
-/// by the recent failure rate.
-const FAILURE_COST_SECS: f64 = 1.5;
-
-/// Longest time for which a request that needs one version waits for an endpoint
-/// that is avoided; its caller can reach others through another node.
-const MAX_AVOIDED_WAIT: Duration = Duration::from_millis(400);
-
-/// Cost of an endpoint of a scarce version for a stream that may be resumed, in
-/// seconds. It outweighs distance, but not an answer that would not be complete.
-const SCARCE_VERSION_COST_SECS: f64 = 0.3;
-
 /// Minimum and maximum `retry_after` of a refusal, before random spread.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(4));
 
@@ -99,9 +59,6 @@
 /// until it could no longer be served.
 const BACKLOG_DRAIN_TIME: Duration = Duration::from_secs(2);
 
-/// Time for which the other nodes are informed that an endpoint leaves.
-const DEPARTURE_REPORT_TIME: Duration = Duration::from_mins(1);
-
 /// Divisor of a request's remaining time that yields the latest `retry_after`
 /// with which a retry can still be served.
 const RETRY_DIVISOR: u32 = 3;
@@ -148,6 +105,12 @@
     /// Whether its stream may be resumed at another endpoint, which must run the
     /// same software version.
     pub resumable: bool,
+    /// The workspace of its caller; `None` if unknown.
+    pub workspace: Option<id::Workspace>,
+    /// Equal when the same caller sends the same request again; `None` if unknown.
+    pub fingerprint: Option<id::Fingerprint>,
+    /// The versions that may serve it while a roll-out runs.
+    pub lane: Lane,
 }
 
 /// Timing of the events in a completed answer.
@@ -213,19 +176,6 @@
     pub waiting: usize,
 }
 
-/// What an answer of an endpoint changed beside its limit.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct NoticeChange {
-    /// It said for the first time that it leaves.
-    pub is_leaving: bool,
-    /// It wants no requests of this node for this time.
-    pub paused: Option<Duration>,
-    /// It named for the first time how many rejections in a second it bears.
-    pub bears: Option<u32>,
-    /// A statement can't be read, after an answer in which all could be.
-    pub is_unreadable: bool,
-}
-
 /// Load of one node on one endpoint, as reported to the other nodes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -515,45 +465,6 @@
         self.update_shares();
     }
 
-    /// Remembers what an endpoint of a service bears, and assumes the same of those that
-    /// have not answered yet: processes of one service mostly are alike, and one that starts
-    /// under load would fall over before it says anything.
-    fn assume_tolerance(&mut self, now: time::Instant, service: &id::Service, most: Option<u32>) {
-        let Some(queue) = self.queues.get_mut(service) else {
-            return;
-        };
-        if mem::replace(&mut queue.tolerated_rejections, most) == most {
-            return;
-        }
-        self.assume_tolerances(now);
-    }
-
-    /// Assumes of endpoints that have not answered yet what others of their services bear.
-    fn assume_tolerances(&mut self, now: time::Instant) {
-        for queue in self.queues.values() {
-            let Some(most) = queue.tolerated_rejections else {
-                continue;
-            };
-            for name in &queue.endpoints {
-                let Some(member) = self.members.get_mut(name) else {
-                    continue;
-                };
-                let capacity = member.capacity();
-                member.tolerance.assume(now, most, capacity);
-            }
-        }
-    }
-
-    /// Updates this node's part of the places of endpoints that bear few rejections.
-    fn update_shares(&mut self) {
-        let nodes = self.node_count;
-        for (name, member) in &mut self.members {
-            let hash = xxh3::xxh3_64_with_seed(name.as_str().as_bytes(), self.settings.seed);
-            let draw = rejection::fraction(hash);
-            member.tolerance.set_share(rejection::Share { nodes, draw });
-        }
-    }
-
     /// Cancels a request that is queued or in flight.
     pub fn cancel(&mut self, now: time::Instant, id: id::Request) -> Vec<Effect> {
         if self.in_flight.contains_key(&id) {
@@ -602,274 +513,6 @@
         }
     }
 
-    /// Records what an endpoint said about its limit in an answer; `None` lifts it.
-    /// Returns the change, if it is one.
-    pub fn record_limit(
-        &mut self,
-        now: time::Instant,
-        name: &id::Endpoint,
-        rate: Option<Rate>,
-    ) -> (Option<limit::Change>, Vec<Effect>) {
-        let change = self.state_limit(now, now, name, rate);
-        if change.is_some() {
-            self.dispatch_all(now);
-        }
-        (change, mem::take(&mut self.effects))
-    }
-
-    /// Records a limit that can't be read, which changes nothing; returns whether it is
-    /// the endpoint's first one since its last readable answer with a limit.
-    pub fn record_unreadable_limit(&mut self, name: &id::Endpoint) -> bool {
-        let member = self.members.get_mut(name);
-        member.is_some_and(|member| member.limit.record_unreadable())
-    }
-
-    /// Records what another node knows about limits; returns the changes.
-    pub fn record_peer_limits(
-        &mut self,
-        now: time::Instant,
-        node: &id::Node,
-        reports: &[limit::Report],
-    ) -> Vec<(id::Endpoint, limit::Change)> {
-        let mut changes = Vec::new();
-        let mut demand = HashMap::new();
-        for report in reports {
-            let change = self.state_limit(now, now - report.age, &report.endpoint, report.rate);
-            changes.extend(change.map(|change| (report.endpoint.clone(), change)));
-            demand.insert(report.endpoint.clone(), report.demand);
-        }
-        self.limit_reports.record(now, node, demand);
-        changes
-    }
-
-    fn state_limit(
-        &mut self,
-        now: time::Instant,
-        at: time::Instant,
-        name: &id::Endpoint,
-        rate: Option<Rate>,
-    ) -> Option<limit::Change> {
-        let member = self.members.get_mut(name)?;
-        if rate.is_none() && !member.limit.was_named() {
-            return None;
-        }
-        member.limit.state(now, at, rate, self.rng.random())
-    }
-
-    /// Returns what this node knows about limits, for the other nodes.
-    #[must_use]
-    pub fn limits(&self, now: time::Instant) -> Vec<limit::Report> {
-        let mut reports = Vec::new();
-        for member in self.members.values() {
-            let queue = self.queues.get(&member.record.service);
-            let demand = queue.map_or(0.0, |queue| queue.demand.get(now));
-            reports.extend(member.limit.report(now, &member.record.id, demand));
-        }
-        reports
-    }
-
-    /// Records what an endpoint said about itself in an answer, beside its limit.
-    /// Returns what changed.
-    pub fn record_notice(
-        &mut self,
-        now: time::Instant,
-        name: &id::Endpoint,
-        notice: &Notice,
-    ) -> (NoticeChange, Vec<Effect>) {
-        let mut change = NoticeChange::default();
-        let Some(member) = self.members.get_mut(name) else {
-            return (change, Vec::new());
-        };
-        let was_unreadable = member.is_unreadable;
-        member.is_unreadable = !notice.unreadable.is_empty();
-        change.is_unreadable = member.is_unreadable && !was_unreadable;
-        let capacity = member.capacity();
-        if notice.brittle.is_some() || member.tolerance.is_limited(now) {
-            change.bears = notice.brittle.filter(|_| !member.tolerance.is_stated(now));
-            member.tolerance.state(now, notice.brittle, capacity);
-            let service = member.record.service.clone();
-            self.assume_tolerance(now, &service, notice.brittle);
-        }
-        let Some(member) = self.members.get_mut(name) else {
-            return (change, Vec::new());
-        };
-        if let Some(pause) = notice.pause {
-            member.pause(now, pause);
-            change.paused = Some(pause);
-        }
-        if notice.is_leaving {
-            let (address, started) = (member.record.address.clone(), member.started_ms);
-            let departures = &mut self.departures;
-            change.is_leaving = departures.record(now, name, Some(&address), started);
-        }
-        if change.is_leaving {
-            self.update_departures();
-            self.refuse_without_candidate(now);
-            self.dispatch_all(now);
-        }
-        (change, mem::take(&mut self.effects))
-    }
-
-    /// Records what another node knows about endpoints from answers; returns those that
-    /// this node now knows to leave.
-    pub fn record_peer_notices(
-        &mut self,
-        now: time::Instant,
-        node: &id::Node,
-        reports: &[notice::Report],
-    ) -> Vec<id::Endpoint> {
-        let mut leaving = Vec::new();
-        for report in reports {
-            let member = self.members.get_mut(&report.endpoint);
-            let started_ms = member.as_ref().and_then(|member| member.started_ms);
-            if let (Some(member), Some(brittle)) = (member, &report.brittle) {
-                let capacity = member.capacity();
-                member.tolerance.apply(now, node, brittle, capacity);
-                let service = member.record.service.clone();
-                self.assume_tolerance(now, &service, Some(brittle.most));
-            }
-            let Some(age) = report.leaving else {
-                continue;
-            };
-            let is_other = started_ms.zip(report.started_ms);
-            if is_other.is_some_and(|(own, other)| own != other) {
-                continue;
-            }
-            let started_ms = report.started_ms.or(started_ms);
-            let name = &report.endpoint;
-            if self.departures.record(now - age, name, None, started_ms) {
-                leaving.push(name.clone());
-            }
-        }
-        if !leaving.is_empty() {
-            self.update_departures();
-        }
-        leaving
-    }
-
-    /// Returns what this node knows about endpoints from answers, for the other nodes.
-    #[must_use]
-    pub fn notices(&self, now: time::Instant) -> Vec<notice::Report> {
-        let mut reports = BTreeMap::new();
-        for (name, at, started_ms) in self.departures.iter() {
-            let age = now.since(at);
-            if age > DEPARTURE_REPORT_TIME {
-                continue;
-            }
-            let report = notice::Report {
-                endpoint: name.clone(),
-                started_ms,
-                leaving: Some(age),
-                brittle: None,
-            };
-            reports.insert(name, report);
-        }
-        for (name, member) in &self.members {
-            let Some(brittle) = member.tolerance.report(now) else {
-                continue;
-            };
-            let report = reports.entry(name).or_insert_with(|| notice::Report {
-                endpoint: name.clone(),
-                started_ms: member.started_ms,
-                leaving: None,
-                brittle: None,
-            });
-            report.brittle = Some(brittle);
-        }
-        reports.into_values().collect()
-    }
-
-    /// Returns the endpoints of a service that this node must not use now, which other
-    /// nodes may not know: they leave, or want no requests of this node.
-    #[must_use]
-    pub fn unusable(&self, now: time::Instant, service: &id::Service) -> Vec<id::Endpoint> {
-        let mut unusable = Vec::new();
-        let Some(queue) = self.queues.get(service) else {
-            return unusable;
-        };
-        for name in &queue.endpoints {
-            let Some(member) = self.members.get(name) else {
-                continue;
-            };
-            if member.has_left || member.is_paused(now) {
-                unusable.push(name.clone());
-            }
-        }
-        unusable
-    }
-
-    /// Returns whether an endpoint wants no requests of this node now.
-    #[must_use]
-    pub fn is_paused(&self, now: time::Instant, name: &id::Endpoint) -> bool {
-        let member = self.members.get(name);
-        member.is_some_and(|member| member.is_paused(now))
-    }
-
-    /// Updates which endpoints may get requests after they said that they leave, or
-    /// started again.
-    fn update_departures(&mut self) {
-        for (name, member) in &mut self.members {
-            let address = Some(member.record.address.as_str());
-            member.has_left = self.departures.has_left(name, address, member.started_ms);
-        }
-        self.group_by_service();
-    }
-
-    /// Returns the number of listed endpoints that name a limit.
-    #[must_use]
-    pub fn limited_endpoints(&self) -> usize {
-        let listed = self.members.values().filter(|member| member.listed);
-        listed
-            .filter(|member| member.limit.rate().is_some())
-            .count()
-    }
-
-    /// Records a request to an endpoint that was not chosen here, such as a health
-    /// check.
-    pub fn record_direct_request(&mut self, name: &id::Endpoint) {
-        if let Some(member) = self.members.get_mut(name) {
-            member.limit.spend();
-        }
-    }
-
-    /// Records when an endpoint's process started, in milliseconds since the Unix epoch.
-    /// A limit ends with the process that named it.
-    pub fn record_started(&mut self, now: time::Instant, name: &id::Endpoint, started_ms: u64) {
-        let Some(member) = self.members.get_mut(name) else {
-            return;
-        };
-        let before = member.started_ms.replace(started_ms);
-        if before == Some(started_ms) {
-            return;
-        }
-        if before.is_some() {
-            member.limit.reset(now);
-            member.paused_until = time::Instant::default();
-        }
-        if member.has_left {
-            self.update_departures();
-        }
-    }
-
-    /// Adds the permits that accrued for the limited endpoints of a service.
-    fn accrue_permits(&mut self, now: time::Instant, service: &id::Service) {
-        self.limit_reports.expire(now);
-        let Some(queue) = self.queues.get(service) else {
-            return;
-        };
-        let demand = queue.demand.get(now);
-        for name in &queue.endpoints {
-            let Some(member) = self.members.get_mut(name) else {
-                continue;
-            };
-            if member.limit.rate().is_none() {
-                continue;
-            }
-            let share = self.limit_reports.share(name, demand, self.node_count);
-            member.limit.accrue(now, share);
-        }
-    }
-
     /// Records the load that an endpoint reported about itself.
     pub fn record_endpoint_load(
         &mut self,
@@ -1150,82 +793,6 @@
         }
     }
 
-    /// Chooses the endpoint with the lowest cost for a request: the expected time
-    /// to first byte plus the penalties defined above, in seconds.
-    fn choose(
-        &self,
-        now: time::Instant,
-        queue: &Queue,
-        (id, request): (id::Request, &Request),
-        timeliness: Timeliness,
-    ) -> Selection {
-        let is_trial = queue.is_trial(id);
-        let expected = queue.expectation(request);
-        let time_to_due = (request.first_byte_due - TRANSIT_MARGIN)
-            .since(now)
-            .as_secs_f64();
-        let time_to_deadline = (request.deadline - TRANSIT_MARGIN).since(now).as_secs_f64();
-        let mut best: Option<(f64, f64, &id::Endpoint)> = None;
-        let mut has_room = false;
-        let mut rng = self.rng.clone();
-        for name in &queue.endpoints {
-            let Some(member) = self.members.get(name) else {
-                continue;
-            };
-            let relative_speed = member.relative_speed(queue.mean_event_interval);
-            let is_local = member.record.data_centre == self.settings.data_centre;
-            let Some(wait) = wait_for_slot(now, queue, member, relative_speed, is_local) else {
-                continue;
-            };
-            has_room = true;
-            if request.excluded.contains(name) || !member.serves(request) {
-                continue;
-            }
-            let first_byte_secs =
-                wait + expected.first_byte(member.pending_tokens(), relative_speed);
-            let remote_cost = if is_local { 0.0 } else { REMOTE_COST_SECS };
-            // A request that needs one version has few endpoints, and gains nothing by
-            // waiting for a better one.
-            let misses_due = timeliness == Timeliness::OnTime
-                && request.version.is_none()
-                && first_byte_secs > time_to_due;
-            let stream_time = expected.stream_time(relative_speed);
-            let shortest = expected.shortest_duration(first_byte_secs, relative_speed);
-            if !is_trial && (misses_due || shortest > time_to_deadline) {
-                continue;
-            }
-            let incomplete_cost = if first_byte_secs + stream_time > time_to_deadline {
-                INCOMPLETE_COST_SECS
-            } else {
-                0.0
-            };
-            let is_scarce = request.resumable && queue.is_scarce(member);
-            let version_cost = if is_scarce {
-                SCARCE_VERSION_COST_SECS
-            } else {
-                0.0
-            };
-            let stalled = stalled_streams(queue, request, member);
-            let cost = first_byte_secs
-                + remote_cost
-                + STREAM_TIME_WEIGHT * stream_time
-                + STALL_COST_SECS * stalled
-                + incomplete_cost
-                + version_cost
-                + OCCUPANCY_COST_SECS * relative_speed * member.occupancy()
-                + FAILURE_COST_SECS * member.failure_rate(now)
-                + rng.random_range(0.0..MAX_JITTER_SECS);
-            if best.is_none_or(|(lowest, ..)| cost < lowest) {
-                best = Some((cost, first_byte_secs, name));
-            }
-        }
-        match best {
-            Some((_, first_byte_secs, name)) => Selection::At(name.clone(), first_byte_secs),
-            None if has_room => Selection::Wait,
-            None => Selection::Full,
-        }
-    }
-
     fn send(
         &mut self,
         now: time::Instant,
@@ -1349,108 +916,6 @@
     }
 }
 
-/// Result of choosing an endpoint for a queued request.
-enum Selection {
-    /// To this endpoint, with the expected time to first byte in seconds.
-    At(id::Endpoint, f64),
-    /// Some endpoint has room, but none suits this request, which stays queued;
-    /// a later request may fit.
-    Wait,
-    /// No endpoint has room for any request.
-    Full,
-}
-
-/// Returns the expected seconds until an endpoint has a free slot. Returns `None`
-/// if the endpoint takes no requests now, if it is full and already has one in
-/// advance, or if it is full and the wait is unknown or longer than
-/// [`MAX_COMPLETION_GAP_SECS`].
-fn wait_for_slot(
-    now: time::Instant,
-    queue: &Queue,
-    member: &Member,
-    relative_speed: f64,
-    is_local: bool,
-) -> Option<f64> {
-    let capacity = member.usable_slots(now, is_local);
-    let load = member.available_load(now)?;
-    if load < capacity {
-        return Some(0.0);
-    }
-    // An endpoint that bears few rejections gets none in advance.
-    if member.tolerance.is_limited(now) {
-        return None;
-    }
-    let wait = queue.model.mean_stream_time() / (relative_speed * f64::from(capacity));
-    (load == capacity && wait > 0.0 && wait <= MAX_COMPLETION_GAP_SECS).then_some(wait)
-}
-
-/// Returns the number of streams at an endpoint that would pause for too long
-/// while it processes the request's prompt.
-///
-/// The streams serve the same service, so the request's `max_pause` is taken as
-/// the limit of all of them. Each counts from zero, at [`STALL_THRESHOLD`] of
-/// that limit, up to one, at the limit.
-fn stalled_streams(queue: &Queue, request: &Request, member: &Member) -> f64 {
-    let Some(max_pause) = request.max_pause else {
-        return 0.0;
-    };
-    let max_pause = max_pause.as_secs_f64();
-    let relative_speed = member.relative_speed(queue.mean_event_interval);
-    let longest =
-        queue
-            .model
-            .expected_pause(request.prompt, member.pending_tokens(), relative_speed);
-    let severity = (longest / max_pause - STALL_THRESHOLD) / (1.0 - STALL_THRESHOLD);
-    severity.clamp(0.0, 1.0) * f64::from(member.running())
-}
-
-/// Returns the endpoints of a service that have a free slot now.
-fn open_members<'a>(
-    now: time::Instant,
-    members: &'a BTreeMap<id::Endpoint, Member>,
-    queue: &Queue,
-    data_centre: &id::DataCentre,
-) -> Vec<&'a Member> {
-    let mut open = Vec::new();
-    for name in &queue.endpoints {
-        let Some(member) = members.get(name) else {
-            continue;
-        };
-        let relative_speed = member.relative_speed(queue.mean_event_interval);
-        let is_local = member.record.data_centre == *data_centre;
-        if wait_for_slot(now, queue, member, relative_speed, is_local).is_some() {
-            open.push(member);
-        }
-    }
-    open
-}
-
-/// Returns whether some live endpoint may take a request. A request that needs one
-/// version has few endpoints to wait for, so those that are avoided for longer than
-/// [`MAX_AVOIDED_WAIT`] don't count.
-fn has_candidate(
-    now: time::Instant,
-    members: &BTreeMap<id::Endpoint, Member>,
-    queue: &Queue,
-    request: &Request,
-) -> bool {
-    if request.excluded.is_empty() && request.version.is_none() {
-        return true;
-    }
-    for name in &queue.endpoints {
-        let Some(member) = members.get(name) else {
-            continue;
-        };
-        if request.excluded.contains(name) || !member.serves(request) {
-            continue;
-        }
-        if request.version.is_none() || member.avoided_for(now) <= MAX_AVOIDED_WAIT {
-            return true;
-        }
-    }
-    false
-}
-
 /// Returns how long a refused caller should wait before a retry: until the
 /// backlog has drained, but not so long that the retry can't be served. The
 /// factor of 0.8 leaves room for the random spread that a refusal adds, at most
--- a/lib/src/id.rs
+++ b/lib/src/id.rs
@@ -122,7 +122,19 @@
 
 /// Hash of the content of a request; a repeated request has the same one.
 #[derive(
-    Clone, Copy, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    From,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
 )]
 #[display("{_0:016x}")]
 #[serde(transparent)]
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod rendezvous;
 pub mod report;
 pub mod request;
+pub mod rollout;
 pub mod route;
 pub mod scheduler;
 pub mod share;
--- a/lib/tests/engines/mod.rs
+++ b/lib/tests/engines/mod.rs
@@ -10,6 +10,7 @@
     endpoint::{Record, Standing},
     id,
     refusal::Refusal,
+    rollout::Lane,
     time,
 };
 
@@ -109,6 +110,9 @@
         excluded: Vec::new(),
         version: None,
         resumable: false,
+        workspace: None,
+        fingerprint: None,
+        lane: Lane::Any,
     }
 }
 
--- a/lib/tests/test_deadline.rs
+++ b/lib/tests/test_deadline.rs
@@ -8,6 +8,7 @@
     endpoint::{Record, Standing},
     id,
     notice::Notice,
+    rollout::Lane,
     time,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -283,6 +284,9 @@
             excluded: Vec::new(),
             version: None,
             resumable: false,
+            workspace: None,
+            fingerprint: None,
+            lane: Lane::Any,
         };
         let effects = self.nodes[node].submit(now, id, request);
         self.carry_out(node, effects);
--- a/lib/tests/test_kinds.rs
+++ b/lib/tests/test_kinds.rs
@@ -5,7 +5,9 @@
 use dottereltally_lib::{
     dispatcher::{Dispatcher, Effect, Outcome, Request, Settings, Timing},
     endpoint::{Record, Standing},
-    id, time,
+    id,
+    rollout::Lane,
+    time,
 };
 use rstest::rstest;
 
@@ -149,6 +151,9 @@
             excluded: Vec::new(),
             version: None,
             resumable: false,
+            workspace: None,
+            fingerprint: None,
+            lane: Lane::Any,
         };
         let effects = self.node.submit(self.now, id, request);
         self.apply(effects);
--- a/lib/tests/test_limit.rs
+++ b/lib/tests/test_limit.rs
@@ -6,6 +6,7 @@
     dispatcher::{Dispatcher, Effect, Outcome, Request, Settings, Timing},
     endpoint::{Record, Standing},
     id, refusal,
+    rollout::Lane,
     share::Rate,
     time,
 };
@@ -44,6 +45,9 @@
         excluded: Vec::new(),
         version: None,
         resumable: false,
+        workspace: None,
+        fingerprint: None,
+        lane: Lane::Any,
     }
 }
 
--- a/lib/tests/test_notice.rs
+++ b/lib/tests/test_notice.rs
@@ -7,6 +7,7 @@
     endpoint::{Record, Standing},
     id,
     notice::Notice,
+    rollout::Lane,
     time,
 };
 use rstest::rstest;
@@ -55,6 +56,9 @@
         excluded: Vec::new(),
         version: None,
         resumable: false,
+        workspace: None,
+        fingerprint: None,
+        lane: Lane::Any,
     }
 }
 
--- a/lib/tests/test_versions.rs
+++ b/lib/tests/test_versions.rs
@@ -7,6 +7,7 @@
     endpoint::{Record, Standing},
     id,
     refusal::Reason,
+    rollout::Lane,
     time,
 };
 use rstest::rstest;
@@ -46,6 +47,9 @@
         excluded: Vec::new(),
         version: version.map(id::Version::from),
         resumable: false,
+        workspace: None,
+        fingerprint: None,
+        lane: Lane::Any,
     }
 }
 
--- a/proto/schema/gateway.capnp
+++ b/proto/schema/gateway.capnp
@@ -30,6 +30,58 @@
   view @14 :View;
   # What the sender knows of endpoints that left lately.
   listings @15 :List(Listing);
+  # What the sender knows of the speed of endpoints, and of those that warm up.
+  speeds @16 :List(Speed);
+  # What the sender knows of the roll-outs that run.
+  rollouts @17 :List(Rollout);
+}
+
+# How fast an endpoint works, and how many requests it may get while it warms up.
+struct Speed {
+  endpoint @0 :Text;
+  # Unix milliseconds of the start of its process; zero if unknown.
+  startedMs @1 :UInt64;
+  # Time that work takes now relative to its usual time, as the endpoint stated it; zero
+  # if it stated nothing.
+  stated @2 :Float32;
+  # Time since that statement.
+  statedAgeMs @3 :UInt32;
+  # Answers that the endpoint gave since it started or recovered, as the sender counts
+  # them; without meaning if the next is zero.
+  answers @4 :UInt32;
+  # Requests that it may hold at once while it warms up; zero if it does not.
+  window @5 :Float32;
+  # Time since the window last changed.
+  windowAgeMs @6 :UInt32;
+}
+
+# A roll-out as the sender knows it. Counts are totals since the order, over the nodes
+# of the scope of the heartbeat.
+struct Rollout {
+  service @0 :Text;
+  # Revision of the order in the store, and its era as in Listing.
+  order @1 :Int64;
+  orderEra @2 :UInt64;
+  orderEraFalls @3 :UInt32;
+  # Lowest step of the roll-out that is in force at all nodes of the scope.
+  step @4 :UInt32;
+  # Nodes of the scope, and requests that these still run at endpoints of other versions.
+  nodes @5 :UInt32;
+  running @6 :UInt32;
+  # Names of nodes at which a lower step is in force than in the record; at most 16.
+  behind @7 :List(Text);
+  counts @8 :List(RolloutCount);
+}
+
+# Requests of one route to the endpoints of the old or the new version.
+struct RolloutCount {
+  route @0 :Text;
+  isTarget @1 :Bool;
+  sent @2 :UInt32;
+  answered @3 :UInt32;
+  failed @4 :UInt32;
+  # Answers that took several times as long as expected of an endpoint of that speed.
+  slow @5 :UInt32;
 }
 
 # Whether the directory listed an endpoint at a revision.
@@ -213,6 +265,13 @@
   resumable @11 :Bool;
   # Its route; empty from nodes that send none.
   route @12 :Text;
+  # Its workspace; empty if it has none.
+  workspace @13 :Text;
+  # Hash that is equal when the same caller sends the same request again; zero if unknown.
+  fingerprint @14 :UInt64;
+  # While a roll-out runs: a version that alone may serve it, or that must not.
+  onlyVersion @15 :Text;
+  notVersion @16 :Text;
 }
 
 struct Decision {
--- a/proto/src/gateway_capnp.rs
+++ b/proto/src/gateway_capnp.rs
@@ -170,11 +170,27 @@
         pub fn has_listings(&self) -> bool {
             !self.reader.get_pointer_field(9).is_null()
         }
+        #[inline]
+        pub fn get_speeds(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::gateway_capnp::speed::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(10), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_speeds(&self) -> bool {
+            !self.reader.get_pointer_field(10).is_null()
+        }
+        #[inline]
+        pub fn get_rollouts(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::gateway_capnp::rollout::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(11), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_rollouts(&self) -> bool {
+            !self.reader.get_pointer_field(11).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 10 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 12 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -432,6 +448,38 @@
         pub fn has_listings(&self) -> bool {
             !self.builder.is_pointer_field_null(9)
         }
+        #[inline]
+        pub fn get_speeds(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::gateway_capnp::speed::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(10), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_speeds(&mut self, value: ::capnp::struct_list::Reader<'_,crate::gateway_capnp::speed::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(10), value, false)
+        }
+        #[inline]
+        pub fn init_speeds(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::gateway_capnp::speed::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(10), size)
+        }
+        #[inline]
+        pub fn has_speeds(&self) -> bool {
+            !self.builder.is_pointer_field_null(10)
+        }
+        #[inline]
+        pub fn get_rollouts(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::gateway_capnp::rollout::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(11), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_rollouts(&mut self, value: ::capnp::struct_list::Reader<'_,crate::gateway_capnp::rollout::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(11), value, false)
+        }
+        #[inline]
+        pub fn init_rollouts(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::gateway_capnp::rollout::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(11), size)
+        }
+        #[inline]
+        pub fn has_rollouts(&self) -> bool {
+            !self.builder.is_pointer_field_null(11)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -446,136 +494,150 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 292] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 331] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(99, 102, 229, 232, 187, 231, 249, 147),
             ::capnp::word(14, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(39, 106, 78, 201, 208, 163, 248, 177),
-            ::capnp::word(10, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 247, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 66, 101),
             ::capnp::word(97, 116, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(73, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(93, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(97, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(117, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 25, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(125, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(129, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(153, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(157, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(17, 0, 0, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(201, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(200, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 111, 100, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -624,51 +686,1312 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 117, 217, 10, 20, 120, 119, 165),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(185, 117, 217, 10, 20, 120, 119, 165),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 115, 97, 103, 101, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(195, 95, 115, 181, 202, 43, 112, 142),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 97, 114, 107, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 137, 134, 190, 193, 1, 142, 151),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 159, 162, 132, 27, 83, 136, 163),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 97, 114, 114, 105, 101, 115, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 111, 116, 105, 99, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 177, 149, 122, 233, 141, 135, 226),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 99, 111, 112, 101, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 97, 114, 114, 105, 101, 114, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 105, 101, 119, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(233, 68, 238, 45, 230, 178, 23, 192),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 115, 116, 105, 110, 103, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(218, 247, 164, 128, 33, 11, 116, 170),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 112, 101, 101, 100, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(27, 132, 118, 93, 91, 44, 93, 226),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 108, 108, 111, 117, 116, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(242, 249, 243, 93, 114, 220, 6, 194),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::struct_list::Owned<crate::gateway_capnp::held::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::struct_list::Owned<crate::gateway_capnp::usage::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::struct_list::Owned<crate::gateway_capnp::mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::struct_list::Owned<crate::gateway_capnp::limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                9 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                10 => <::capnp::struct_list::Owned<crate::gateway_capnp::notice::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                11 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                12 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                13 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                14 => <crate::gateway_capnp::view::Owned as ::capnp::introspect::Introspect>::introspect(),
+                15 => <::capnp::struct_list::Owned<crate::gateway_capnp::listing::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                16 => <::capnp::struct_list::Owned<crate::gateway_capnp::speed::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                17 => <::capnp::struct_list::Owned<crate::gateway_capnp::rollout::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[13,9,3,11,4,5,1,8,15,7,0,10,17,12,2,16,6,14];
+        pub(crate) const TYPE_ID: u64 = 0x93f9_e7bb_e8e5_6663;
+    }
+}
+
+pub mod speed {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_started_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_stated(self) -> f32 {
+            self.reader.get_data_field::<f32>(2)
+        }
+        #[inline]
+        pub fn get_stated_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn get_answers(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn get_window(self) -> f32 {
+            self.reader.get_data_field::<f32>(5)
+        }
+        #[inline]
+        pub fn get_window_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(6)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_started_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_started_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_stated(self) -> f32 {
+            self.builder.get_data_field::<f32>(2)
+        }
+        #[inline]
+        pub fn set_stated(&mut self, value: f32)  {
+            self.builder.set_data_field::<f32>(2, value);
+        }
+        #[inline]
+        pub fn get_stated_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_stated_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+        #[inline]
+        pub fn get_answers(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn set_answers(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(4, value);
+        }
+        #[inline]
+        pub fn get_window(self) -> f32 {
+            self.builder.get_data_field::<f32>(5)
+        }
+        #[inline]
+        pub fn set_window(&mut self, value: f32)  {
+            self.builder.set_data_field::<f32>(5, value);
+        }
+        #[inline]
+        pub fn get_window_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn set_window_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(6, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 126] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(27, 132, 118, 93, 91, 44, 93, 226),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(39, 106, 78, 201, 208, 163, 248, 177),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 83, 112),
+            ::capnp::word(101, 101, 100, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 114, 116, 101, 100, 77),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 116, 101, 100, 0, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 116, 101, 100, 65, 103),
+            ::capnp::word(101, 77, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 110, 115, 119, 101, 114, 115, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 105, 110, 100, 111, 119, 0, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 105, 110, 100, 111, 119, 65, 103),
+            ::capnp::word(101, 77, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <f32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <f32 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,0,1,2,3,5,6];
+        pub(crate) const TYPE_ID: u64 = 0xe25d_2c5b_5d76_841b;
+    }
+}
+
+pub mod rollout {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_order(self) -> i64 {
+            self.reader.get_data_field::<i64>(0)
+        }
+        #[inline]
+        pub fn get_order_era(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_order_era_falls(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn get_step(self) -> u32 {
+            self.reader.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn get_nodes(self) -> u32 {
+            self.reader.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn get_running(self) -> u32 {
+            self.reader.get_data_field::<u32>(7)
+        }
+        #[inline]
+        pub fn get_behind(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_behind(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_counts(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::gateway_capnp::rollout_count::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_counts(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 3 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_order(self) -> i64 {
+            self.builder.get_data_field::<i64>(0)
+        }
+        #[inline]
+        pub fn set_order(&mut self, value: i64)  {
+            self.builder.set_data_field::<i64>(0, value);
+        }
+        #[inline]
+        pub fn get_order_era(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_order_era(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_order_era_falls(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn set_order_era_falls(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(4, value);
+        }
+        #[inline]
+        pub fn get_step(self) -> u32 {
+            self.builder.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn set_step(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(5, value);
+        }
+        #[inline]
+        pub fn get_nodes(self) -> u32 {
+            self.builder.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn set_nodes(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(6, value);
+        }
+        #[inline]
+        pub fn get_running(self) -> u32 {
+            self.builder.get_data_field::<u32>(7)
+        }
+        #[inline]
+        pub fn set_running(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(7, value);
+        }
+        #[inline]
+        pub fn get_behind(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_behind(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_behind(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_behind(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_counts(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::gateway_capnp::rollout_count::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_counts(&mut self, value: ::capnp::struct_list::Reader<'_,crate::gateway_capnp::rollout_count::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_counts(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::gateway_capnp::rollout_count::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_counts(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 162] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(242, 249, 243, 93, 114, 220, 6, 194),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(39, 106, 78, 201, 208, 163, 248, 177),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 82, 111),
+            ::capnp::word(108, 108, 111, 117, 116, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 114, 100, 101, 114, 0, 0, 0),
+            ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 114, 100, 101, 114, 69, 114, 97),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 114, 100, 101, 114, 69, 114, 97),
+            ::capnp::word(70, 97, 108, 108, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 101, 112, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 111, 100, 101, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 117, 110, 110, 105, 110, 103, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 101, 104, 105, 110, 100, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 117, 110, 116, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 135, 208, 237, 30, 51, 27, 168),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <i64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::struct_list::Owned<crate::gateway_capnp::rollout_count::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,8,5,1,2,3,6,0,4];
+        pub(crate) const TYPE_ID: u64 = 0xc206_dc72_5df3_f9f2;
+    }
+}
+
+pub mod rollout_count {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_route(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_route(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_is_target(self) -> bool {
+            self.reader.get_bool_field(0)
+        }
+        #[inline]
+        pub fn get_sent(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn get_answered(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn get_failed(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn get_slow(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_route(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_route(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_route(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_route(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_is_target(self) -> bool {
+            self.builder.get_bool_field(0)
+        }
+        #[inline]
+        pub fn set_is_target(&mut self, value: bool)  {
+            self.builder.set_bool_field(0, value);
+        }
+        #[inline]
+        pub fn get_sent(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_sent(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+        #[inline]
+        pub fn get_answered(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_answered(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+        #[inline]
+        pub fn get_failed(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_failed(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+        #[inline]
+        pub fn get_slow(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn set_slow(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(4, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 110] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(77, 135, 208, 237, 30, 51, 27, 168),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(39, 106, 78, 201, 208, 163, 248, 177),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 82, 111),
+            ::capnp::word(108, 108, 111, 117, 116, 67, 111, 117),
+            ::capnp::word(110, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 115, 97, 103, 101, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(195, 95, 115, 181, 202, 43, 112, 142),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 97, 114, 107, 115, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 137, 134, 190, 193, 1, 142, 151),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 105, 109, 105, 116, 115, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(114, 111, 117, 116, 101, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 159, 162, 132, 27, 83, 136, 163),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 84, 97, 114, 103, 101, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 97, 114, 114, 105, 101, 115, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -676,88 +1999,48 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(110, 111, 116, 105, 99, 101, 115, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(2, 177, 149, 122, 233, 141, 135, 226),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 99, 111, 112, 101, 0, 0, 0),
-            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 110, 116, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 97, 114, 114, 105, 101, 114, 115),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 110, 115, 119, 101, 114, 101, 100),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(118, 105, 101, 119, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 68, 238, 45, 230, 178, 23, 192),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 97, 105, 108, 101, 100, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 105, 115, 116, 105, 110, 103, 115),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 108, 111, 119, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(218, 247, 164, 128, 33, 11, 116, 170),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                5 => <::capnp::struct_list::Owned<crate::gateway_capnp::held::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                6 => <::capnp::struct_list::Owned<crate::gateway_capnp::usage::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                7 => <::capnp::struct_list::Owned<crate::gateway_capnp::mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                8 => <::capnp::struct_list::Owned<crate::gateway_capnp::limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                9 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                10 => <::capnp::struct_list::Owned<crate::gateway_capnp::notice::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                11 => <u16 as ::capnp::introspect::Introspect>::introspect(),
-                12 => <u8 as ::capnp::introspect::Introspect>::introspect(),
-                13 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
-                14 => <crate::gateway_capnp::view::Owned as ::capnp::introspect::Introspect>::introspect(),
-                15 => <::capnp::struct_list::Owned<crate::gateway_capnp::listing::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -771,10 +2054,10 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[13,9,3,11,4,5,1,8,15,7,0,10,12,2,6,14];
-        pub(crate) const TYPE_ID: u64 = 0x93f9_e7bb_e8e5_6663;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,4,1,0,2,5];
+        pub(crate) const TYPE_ID: u64 = 0xa81b_331e_edd0_874d;
     }
 }
 
@@ -7289,11 +8572,39 @@
         pub fn has_route(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_workspace(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_workspace(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
+        #[inline]
+        pub fn get_fingerprint(self) -> u64 {
+            self.reader.get_data_field::<u64>(7)
+        }
+        #[inline]
+        pub fn get_only_version(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_only_version(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
+        #[inline]
+        pub fn get_not_version(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_not_version(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 7 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7479,6 +8790,62 @@
         pub fn has_route(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_workspace(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_workspace(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_workspace(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(4).init_text(size)
+        }
+        #[inline]
+        pub fn has_workspace(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
+        #[inline]
+        pub fn get_fingerprint(self) -> u64 {
+            self.builder.get_data_field::<u64>(7)
+        }
+        #[inline]
+        pub fn set_fingerprint(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(7, value);
+        }
+        #[inline]
+        pub fn get_only_version(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_only_version(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_only_version(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(5).init_text(size)
+        }
+        #[inline]
+        pub fn has_only_version(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
+        #[inline]
+        pub fn get_not_version(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_not_version(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(6), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_not_version(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(6).init_text(size)
+        }
+        #[inline]
+        pub fn has_not_version(&self) -> bool {
+            !self.builder.is_pointer_field_null(6)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7490,115 +8857,143 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 221] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 285] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(51, 53, 238, 254, 49, 35, 72, 165),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 7, 0),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 8, 0),
             ::capnp::word(39, 106, 78, 201, 208, 163, 248, 177),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 191, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 97, 116, 101, 119, 97, 121, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 65, 115),
             ::capnp::word(107, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(21, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(25, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(37, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(61, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7712,6 +9107,42 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 111, 114, 107, 115, 112, 97, 99),
+            ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
+            ::capnp::word(105, 110, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 110, 108, 121, 86, 101, 114, 115),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 111, 116, 86, 101, 114, 115, 105),
+            ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -7728,6 +9159,10 @@
                 10 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 11 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 12 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                13 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                14 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                15 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                16 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -7741,9 +9176,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,2,8,6,7,4,5,3,11,12,0,1,10];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,2,8,6,14,7,16,15,4,5,3,11,12,0,1,10,13];
         pub(crate) const TYPE_ID: u64 = 0xa548_2331_feee_3533;
     }
 }
