--- a/gateway/src/coordinator/wire.rs
+++ b/gateway/src/coordinator/wire.rs
@@ -8,7 +8,7 @@
     dispatcher::{Choice, Outcome, Request, Timing},
     id,
     refusal::{self, Refusal},
-    rollout::Lane,
+    rollout::Filter,
     time,
 };
 use dottereltally_proto::gateway_capnp::{self, ask, decision, desk, refusal as wire_refusal};
@@ -43,10 +43,10 @@
         wire.set_workspace(workspace.as_str());
     }
     wire.set_fingerprint(request.fingerprint.unwrap_or_default().0);
-    match &request.lane {
-        Lane::Any => {}
-        Lane::Only(version) => wire.set_only_version(version.as_str()),
-        Lane::Not(version) => wire.set_not_version(version.as_str()),
+    match &request.version_filter {
+        Filter::Any => {}
+        Filter::Only(version) => wire.set_only_version(version.as_str()),
+        Filter::Not(version) => wire.set_not_version(version.as_str()),
     }
 }
 
@@ -74,13 +74,13 @@
         resumable: wire.get_resumable(),
         workspace: (!workspace.is_empty()).then(|| id::Workspace::from(workspace)),
         fingerprint: (fingerprint > 0).then_some(id::Fingerprint(fingerprint)),
-        lane: match (
+        version_filter: match (
             read_version(wire.get_only_version()?)?,
             read_version(wire.get_not_version()?)?,
         ) {
-            (Some(version), _) => Lane::Only(version),
-            (None, Some(version)) => Lane::Not(version),
-            (None, None) => Lane::Any,
+            (Some(version), _) => Filter::Only(version),
+            (None, Some(version)) => Filter::Not(version),
+            (None, None) => Filter::Any,
         },
     })
 }
--- a/gateway/src/job.rs
+++ b/gateway/src/job.rs
@@ -6,7 +6,7 @@
     crash::Subject,
     dispatcher::{self, Choice},
     id,
-    rollout::Lane,
+    rollout::Filter,
     route::{Retry, Route},
     time,
 };
@@ -67,7 +67,7 @@
             resumable: self.route.retry == Retry::Resume,
             workspace: self.workspace.clone(),
             fingerprint: Some(self.subject.request),
-            lane: Lane::Any,
+            version_filter: Filter::Any,
         }
     }
 }
--- a/gateway/tests/test_coordinator.rs
+++ b/gateway/tests/test_coordinator.rs
@@ -26,7 +26,7 @@
     endpoint::{Record, Standing},
     id,
     refusal::Reason,
-    rollout::Lane,
+    rollout::Filter,
 };
 use rstest::rstest;
 use tokio::{
@@ -107,7 +107,7 @@
         resumable: false,
         workspace: None,
         fingerprint: None,
-        lane: Lane::Any,
+        version_filter: Filter::Any,
     }
 }
 
--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -34,7 +34,7 @@
     id,
     notice::Departures,
     refusal::{self, Refusal},
-    rollout::Lane,
+    rollout::Filter,
     share::Reports,
     time,
 };
@@ -110,7 +110,7 @@
     /// Equal when the same caller sends the same request again; `None` if unknown.
     pub fingerprint: Option<id::Fingerprint>,
     /// The versions that may serve it while a roll-out runs.
-    pub lane: Lane,
+    pub version_filter: Filter,
 }
 
 /// Timing of the events in a completed answer.
--- a/lib/src/dispatcher/choice.rs
+++ b/lib/src/dispatcher/choice.rs
@@ -11,7 +11,7 @@
         queue::{Queue, Timeliness},
     },
     id,
-    rollout::Lane,
+    rollout::Filter,
     time,
 };
 
@@ -222,7 +222,10 @@
     queue: &Queue,
     request: &Request,
 ) -> bool {
-    if request.excluded.is_empty() && request.version.is_none() && request.lane == Lane::Any {
+    if request.excluded.is_empty()
+        && request.version.is_none()
+        && request.version_filter == Filter::Any
+    {
         return true;
     }
     for name in &queue.endpoints {
--- a/lib/src/dispatcher/member.rs
+++ b/lib/src/dispatcher/member.rs
@@ -164,7 +164,7 @@
         let version = request.version.as_ref();
         self.standing() == Standing::Live
             && version.is_none_or(|version| self.record.version.as_ref() == Some(version))
-            && request.lane.allows(self.record.version.as_ref())
+            && request.version_filter.allows(self.record.version.as_ref())
     }
 
     /// Returns the time for which it still gets no new requests after failures.
--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -5,7 +5,7 @@
 
 /// The versions that may serve a request while a roll-out runs.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub enum Lane {
+pub enum Filter {
     /// Any version.
     #[default]
     Any,
@@ -15,7 +15,7 @@
     Not(id::Version),
 }
 
-impl Lane {
+impl Filter {
     /// Returns whether an endpoint of this version may serve the request; `None` if its
     /// version is unknown.
     #[must_use]
--- a/lib/tests/engines/mod.rs
+++ b/lib/tests/engines/mod.rs
@@ -10,7 +10,7 @@
     endpoint::{Record, Standing},
     id,
     refusal::Refusal,
-    rollout::Lane,
+    rollout::Filter,
     time,
 };
 
@@ -112,7 +112,7 @@
         resumable: false,
         workspace: None,
         fingerprint: None,
-        lane: Lane::Any,
+        version_filter: Filter::Any,
     }
 }
 
--- a/lib/tests/test_deadline.rs
+++ b/lib/tests/test_deadline.rs
@@ -8,7 +8,7 @@
     endpoint::{Record, Standing},
     id,
     notice::Notice,
-    rollout::Lane,
+    rollout::Filter,
     time,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -286,7 +286,7 @@
             resumable: false,
             workspace: None,
             fingerprint: None,
-            lane: Lane::Any,
+            version_filter: Filter::Any,
         };
         let effects = self.nodes[node].submit(now, id, request);
         self.carry_out(node, effects);
--- a/lib/tests/test_kinds.rs
+++ b/lib/tests/test_kinds.rs
@@ -6,7 +6,7 @@
     dispatcher::{Dispatcher, Effect, Outcome, Request, Settings, Timing},
     endpoint::{Record, Standing},
     id,
-    rollout::Lane,
+    rollout::Filter,
     time,
 };
 use rstest::rstest;
@@ -153,7 +153,7 @@
             resumable: false,
             workspace: None,
             fingerprint: None,
-            lane: Lane::Any,
+            version_filter: Filter::Any,
         };
         let effects = self.node.submit(self.now, id, request);
         self.apply(effects);
--- a/lib/tests/test_limit.rs
+++ b/lib/tests/test_limit.rs
@@ -6,7 +6,7 @@
     dispatcher::{Dispatcher, Effect, Outcome, Request, Settings, Timing},
     endpoint::{Record, Standing},
     id, refusal,
-    rollout::Lane,
+    rollout::Filter,
     share::Rate,
     time,
 };
@@ -47,7 +47,7 @@
         resumable: false,
         workspace: None,
         fingerprint: None,
-        lane: Lane::Any,
+        version_filter: Filter::Any,
     }
 }
 
--- a/lib/tests/test_notice.rs
+++ b/lib/tests/test_notice.rs
@@ -7,7 +7,7 @@
     endpoint::{Record, Standing},
     id,
     notice::Notice,
-    rollout::Lane,
+    rollout::Filter,
     time,
 };
 use rstest::rstest;
@@ -58,7 +58,7 @@
         resumable: false,
         workspace: None,
         fingerprint: None,
-        lane: Lane::Any,
+        version_filter: Filter::Any,
     }
 }
 
--- a/lib/tests/test_versions.rs
+++ b/lib/tests/test_versions.rs
@@ -7,7 +7,7 @@
     endpoint::{Record, Standing},
     id,
     refusal::Reason,
-    rollout::Lane,
+    rollout::Filter,
     time,
 };
 use rstest::rstest;
@@ -49,7 +49,7 @@
         resumable: false,
         workspace: None,
         fingerprint: None,
-        lane: Lane::Any,
+        version_filter: Filter::Any,
     }
 }
 
