--- a/lib/src/rollout.rs
+++ b/lib/src/rollout.rs
@@ -3,7 +3,9 @@
 //!
 //! `docs/design/rollouts.md` describes who decides, and bounds what a bad version gets.
 
+mod analysis;
 mod controller;
+mod plan;
 mod report;
 mod state;
 
--- a/lib/src/rollout/report.rs
+++ b/lib/src/rollout/report.rs
@@ -49,6 +49,28 @@
         self.sent.saturating_sub(self.answered)
     }
 
+    /// Returns the sum, saturating.
+    #[must_use]
+    pub const fn plus(&self, other: &Self) -> Self {
+        Self {
+            sent: self.sent.saturating_add(other.sent),
+            answered: self.answered.saturating_add(other.answered),
+            failed: self.failed.saturating_add(other.failed),
+            slow: self.slow.saturating_add(other.slow),
+        }
+    }
+
+    /// Returns the higher one of each count.
+    #[must_use]
+    pub fn most(&self, other: &Self) -> Self {
+        Self {
+            sent: self.sent.max(other.sent),
+            answered: self.answered.max(other.answered),
+            failed: self.failed.max(other.failed),
+            slow: self.slow.max(other.slow),
+        }
+    }
+
     /// Returns what was counted since `earlier`.
     #[must_use]
     pub const fn since(&self, earlier: &Self) -> Self {
@@ -85,9 +107,10 @@
 
 impl Report {
     /// Adds the report of other nodes. Nodes that report another order count as nodes at
-    /// step zero, as no step of this order is in force there.
+    /// step zero, as no step of this order is in force there. A report of no nodes adds the
+    /// counts of processes that ended.
     pub fn merge(&mut self, other: &Self) {
-        if other.nodes > 0 || other.order == self.order {
+        if other.nodes > 0 {
             let step = if other.order == self.order {
                 other.step
             } else {
@@ -125,10 +148,7 @@
             (id::Route::default(), group)
         };
         let total = self.samples.entry(key).or_default();
-        total.sent = total.sent.saturating_add(counts.sent);
-        total.answered = total.answered.saturating_add(counts.answered);
-        total.failed = total.failed.saturating_add(counts.failed);
-        total.slow = total.slow.saturating_add(counts.slow);
+        *total = total.plus(&counts);
     }
 
     /// Returns whether a route is counted under its own name.
@@ -155,10 +175,7 @@
             if *counted != group {
                 continue;
             }
-            total.sent = total.sent.saturating_add(counts.sent);
-            total.answered = total.answered.saturating_add(counts.answered);
-            total.failed = total.failed.saturating_add(counts.failed);
-            total.slow = total.slow.saturating_add(counts.slow);
+            total = total.plus(counts);
         }
         total
     }
--- a/lib/src/rollout/state.rs
+++ b/lib/src/rollout/state.rs
@@ -5,7 +5,10 @@
 use derive_more::{Display, From, FromStr};
 use serde::{Deserialize, Serialize};
 
-use super::{Counts, Filter, Report};
+use super::{
+    Counts, Filter, Group, Report,
+    analysis::{self, Finding},
+};
 use crate::{era, id};
 
 /// Number of a record of one order; a higher one replaces a lower. Zero stands for none.
@@ -162,14 +165,71 @@
     /// Returns the weight that a node uses now: the record's, or zero while the target runs
     /// beside other versions and the fleet's samples already condemn it.
     ///
+    /// Callers that get zero keep to it until they read a record with a higher step: a target
+    /// without requests gives no bad answers, and the totals no longer condemn it some time
+    /// later.
+    ///
     /// It never falls while draining: a node that returned to the old versions on its own
     /// could send to them as the record of completion is written, which ends them.
     #[must_use]
-    pub fn weight_under(&self, _fleet: &Report) -> Weight {
+    pub fn weight_under(&self, fleet: &Report) -> Weight {
         match self.phase {
+            Phase::Running if self.condemned(fleet).is_some() => Weight::ZERO,
             Phase::Running => self.weight,
             Phase::Draining | Phase::Completed => Weight::ALL,
             Phase::RolledBack => Weight::ZERO,
         }
     }
+
+    /// Returns the route on which the fleet's totals condemn the target, if they do.
+    pub(super) fn condemned(&self, fleet: &Report) -> Option<Finding> {
+        if fleet.order != self.order {
+            return None;
+        }
+        let most = self.weight.max(self.summary.peak);
+        analysis::condemned(fleet, most.fraction())
+    }
+}
+
+impl Tally {
+    /// Returns the counts of a report.
+    #[must_use]
+    pub fn of(fleet: &Report) -> Self {
+        Self {
+            baseline: fleet.total(Group::Baseline),
+            canary: fleet.total(Group::Canary),
+        }
+    }
+
+    /// Returns the sum, saturating.
+    #[must_use]
+    pub const fn plus(&self, other: &Self) -> Self {
+        Self {
+            baseline: self.baseline.plus(&other.baseline),
+            canary: self.canary.plus(&other.canary),
+        }
+    }
+
+    /// Returns the higher count of each kind.
+    #[must_use]
+    pub fn most(&self, other: &Self) -> Self {
+        Self {
+            baseline: self.baseline.most(&other.baseline),
+            canary: self.canary.most(&other.canary),
+        }
+    }
+
+    /// Returns the requests that were sent.
+    #[must_use]
+    pub const fn sent(&self) -> u32 {
+        self.baseline.sent.saturating_add(self.canary.sent)
+    }
+}
+
+impl Summary {
+    /// Returns the counts since the order.
+    #[must_use]
+    pub const fn total(&self) -> Tally {
+        self.carried.plus(&self.seen)
+    }
 }
