--- a/lib/src/rollout/analysis.rs
+++ b/lib/src/rollout/analysis.rs
@@ -57,6 +57,9 @@
 /// same time then, and its endpoints get their full load for the first time.
 const DRAIN_TOLERANCE: (f64, f64) = (2.0, 0.02);
 
+/// As [`DRAIN_TOLERANCE`] for all answers since the order.
+const TOTAL_TOLERANCE: (f64, f64) = (1.5, 0.01);
+
 /// Standard deviations by which the bad answers while draining may exceed the tolerated
 /// number, and a number that is added for small counts.
 const DRAIN_EXCESS: (f64, f64) = (2.5, 1.0);
@@ -184,7 +187,8 @@
                 continue;
             };
             for kind in Kind::ALL {
-                let tolerated = tolerated_rate(kind.of(baseline), baseline.answered);
+                let tolerated =
+                    tolerated_rate(kind.of(baseline), baseline.answered, DRAIN_TOLERANCE);
                 let hits = f64::from(kind.of(&canary).min(canary.answered));
                 let trials = f64::from(canary.answered);
                 let ratios = TRIED_RATES.map(|rate| {
@@ -242,22 +246,34 @@
     }
 }
 
-/// Returns the rate of bad answers that is tolerated while all requests go to the target.
-fn tolerated_rate(bad: u32, answered: u32) -> f64 {
-    let (factor, added) = DRAIN_TOLERANCE;
+/// Returns the rate of bad answers that is tolerated, given those of the other versions.
+fn tolerated_rate(bad: u32, answered: u32, tolerance: (f64, f64)) -> f64 {
+    let (factor, added) = tolerance;
     // One bad answer in ten is assumed before any was seen.
     let rate = (f64::from(bad) + 1.0) / (f64::from(answered) + 10.0);
     (factor * rate + added).min(0.45)
 }
 
-/// Returns whether the target's answers while draining support its completion, given those
-/// of the other versions since the order.
-pub(super) fn supports(drained: &Counts, baseline: &Counts) -> bool {
+/// Returns whether the target's answers since the order support its completion on each route.
+pub(super) fn supports_routes(fleet: &Report) -> bool {
+    let strata = strata(&fleet.samples);
+    strata
+        .values()
+        .all(|(baseline, canary)| supports(canary, baseline, TOTAL_TOLERANCE))
+}
+
+/// Returns whether the target's answers while draining support its completion, given those of
+/// the other versions since the order.
+pub(super) fn supports_drain(drained: &Counts, baseline: &Counts) -> bool {
+    supports(drained, baseline, DRAIN_TOLERANCE)
+}
+
+fn supports(canary: &Counts, baseline: &Counts, tolerance: (f64, f64)) -> bool {
     for kind in Kind::ALL {
-        let rate = tolerated_rate(kind.of(baseline), baseline.answered);
-        let expected = rate * f64::from(drained.answered);
+        let rate = tolerated_rate(kind.of(baseline), baseline.answered, tolerance);
+        let expected = rate * f64::from(canary.answered);
         let (deviations, added) = DRAIN_EXCESS;
-        if f64::from(kind.of(drained)) > expected + deviations * expected.sqrt() + added {
+        if f64::from(kind.of(canary)) > expected + deviations * expected.sqrt() + added {
             return false;
         }
     }
--- a/lib/src/rollout/controller.rs
+++ b/lib/src/rollout/controller.rs
@@ -5,7 +5,7 @@
 use derive_more::Display;
 
 use super::{
-    Group, Phase, Report, Requests, Settings, Spec, State, Step, Summary, Tally, Weight,
+    Counts, Group, Phase, Report, Requests, Settings, Spec, State, Step, Summary, Tally, Weight,
     analysis::{self, Analysis},
     plan::{MIN_DRAIN, Plan, Rate, SETTLING},
 };
@@ -22,9 +22,9 @@
 /// up to 500 ms to write a record.
 pub const COMPLETION_MARGIN: Duration = Duration::from_millis(500);
 
-/// Answers of the target while draining that its completion needs, or half of the requests
-/// where these are fewer.
-const MIN_DRAIN_ANSWERS: u32 = 40;
+/// Time before the deadline at which completion is decided where draining ends earlier; until
+/// then more answers come. The second in rank writes 0.7 s later than the first.
+const COMPLETION_TIME: Duration = Duration::from_millis(1200);
 
 /// What follows from the state of the fleet.
 #[derive(Clone, Debug, PartialEq)]
@@ -413,7 +413,7 @@
         let missing = self.registered_nodes.saturating_sub(self.fleet.nodes);
         let is_drained = is_current && self.fleet.baseline_in_flight == 0;
         let is_supported = self.drain_supports(state);
-        if is_drained && is_supported && !is_past {
+        if is_drained && is_supported && !is_past && self.remaining() <= COMPLETION_TIME {
             if missing == 0 {
                 return self.write(previous, Phase::Completed, Reason::Drained);
             }
@@ -440,10 +440,15 @@
     fn drain_supports(&self, state: &State) -> bool {
         let total = self.summary.total();
         let drained = total.canary.since(&state.summary.total().canary);
-        let needed = MIN_DRAIN_ANSWERS.min(drained.sent.div_ceil(2));
-        drained.answered >= needed
-            && analysis::supports(&drained, &total.baseline)
-            && !self.plan.is_drain_stuck(&state.summary.seen)
+        let overdue = self.plan.overdue(&state.summary.seen);
+        let with_overdue = Counts {
+            answered: drained.answered.saturating_add(overdue),
+            slow: drained.slow.saturating_add(overdue),
+            ..drained
+        };
+        f64::from(drained.answered) >= self.plan.drain_answers(state.elapsed)
+            && analysis::supports_drain(&with_overdue, &total.baseline)
+            && analysis::supports_routes(self.fleet)
     }
 }
 
--- a/lib/src/rollout/plan.rs
+++ b/lib/src/rollout/plan.rs
@@ -18,17 +18,18 @@
 
 /// Time to drain where the bound allows it: 0.5 s each for write, watch and the second write,
 /// and 1 s each for the heartbeats of a node and of its coordinator.
-const DRAIN_TIME: Duration = Duration::from_millis(3500);
+/// Another 0.7 s is the delay of the second in rank, if the writer ends.
+const DRAIN_TIME: Duration = Duration::from_millis(4200);
 
 /// Longest time to drain; covers streams.
 const MAX_DRAIN_TIME: Duration = Duration::from_mins(1);
 
 /// Part of the share that is used. The rest covers the random number of requests that a
 /// weight stands for, and what nodes have not reported yet.
-const USED_SHARE: f64 = 0.95;
+const USED_SHARE: f64 = 0.97;
 
 /// Part of the allowance that is used, for the same reason.
-const USED_ALLOWANCE: f64 = 0.6;
+const USED_ALLOWANCE: f64 = 0.7;
 
 /// Part of the share that draining may use before the time that it needs at least.
 const DRAIN_PART: f64 = 0.5;
@@ -59,22 +60,34 @@
 /// Steps that the ramp of a long roll-out takes.
 const STEPS: u32 = 10;
 
-/// Time by which counts lag behind, within which further requests are sent.
-const REPORT_LAG: f64 = 1.0;
+/// Time by which counts lag behind on average, within which further requests are sent, in
+/// seconds: half of the longest heartbeats of a node and of its coordinator, which are 1 s and
+/// seldom that long.
+const REPORT_LAG: f64 = 0.5;
 
-/// Time constant of the recent rate.
+/// Seconds of full traffic whose answers draining needs where these are more.
+const DRAIN_EVIDENCE: f64 = 0.25;
+
+/// Part of the requests expected while draining whose answers are enough where these are few.
+const DRAIN_ANSWERED_PART: f64 = 0.5;
+
+/// Time constant of the recent rate, in seconds.
 const RATE_TIME: f64 = 3.0;
 
 /// Answers of the target that draining needs.
 const MIN_ANSWERS: f64 = 25.0;
 
+/// Answers of the target while draining that completion needs: a version
+/// that fails three in ten under load then shows 12 on average, where four are tolerated.
+const MIN_DRAIN_ANSWERS: f64 = 40.0;
+
 /// Part of the answers that are expected at the weights so far that draining needs, where
 /// these are fewer.
 const MIN_ANSWERED_PART: f64 = 0.4;
 
 /// Factor on the expected number of requests without an answer, and a number added to it,
 /// above which the target is stuck. The number covers nodes that ended with requests.
-const STUCK: (f64, f64) = (2.5, 10.0);
+const STUCK: (f64, f64) = (2.0, 10.0);
 
 /// Requests a second of a service.
 #[derive(Clone, Copy, Debug, Default)]
@@ -142,6 +155,17 @@
         f64::from(self.total.canary.sent) + weight.fraction() * self.present_rate() * REPORT_LAG
     }
 
+    /// Returns the answers while draining that completion needs at the present rate.
+    /// It began when this time had passed since the order.
+    pub(super) fn drain_answers(&self, began: Duration) -> f64 {
+        let rate = self.present_rate();
+        let time = self.duration.saturating_sub(began).as_secs_f64();
+        let least = MIN_DRAIN_ANSWERS
+            .min(DRAIN_ANSWERED_PART * rate * time)
+            .floor();
+        least.max(DRAIN_EVIDENCE * rate)
+    }
+
     /// Returns the time for which draining is wanted.
     pub(super) fn drain_time(&self) -> Duration {
         let share = self.settings.exposure.get() * DRAIN_PART;
@@ -152,7 +176,9 @@
     /// Returns the time for which all requests may go to the target.
     pub(super) fn room(&self, weight: Weight) -> Duration {
         let left = (self.limit() - self.spent(weight)).max(0.0);
-        let seconds = left / self.present_rate().max(f64::EPSILON);
+        // Counts of a data centre that is cut off are missing from the recent rate.
+        let high = self.present_rate().max(self.mean_rate());
+        let seconds = left / high.max(f64::EPSILON);
         Duration::from_secs_f64(seconds.min(self.duration.as_secs_f64()))
     }
 
@@ -207,17 +233,19 @@
         is_more(self.total.canary.pending(), expected)
     }
 
-    /// Returns whether the target leaves far more requests unanswered than both versions did
-    /// as draining began.
-    pub(super) fn is_drain_stuck(&self, before: &Tally) -> bool {
-        let expected = before
+    /// Returns the requests that the target leaves unanswered beyond what both versions did as
+    /// draining began. Slow answers come late, so that the first ones look good without them.
+    pub(super) fn overdue(&self, before: &Tally) -> u32 {
+        let usual = before
             .baseline
             .pending()
             .saturating_add(before.canary.pending());
-        is_more(self.total.canary.pending(), f64::from(expected))
+        let tolerated = usual.saturating_add(usual / 2);
+        self.total.canary.pending().saturating_sub(tolerated)
     }
 }
 
+/// Returns whether far more requests are unanswered than expected.
 fn is_more(pending: u32, expected: f64) -> bool {
     let (factor, added) = STUCK;
     f64::from(pending) > factor * expected + added
