speed: endpoints that are slow at the moment get fewer requests

Replica-Load has a fourth figure, the time that work takes on that machine now, of which nothing was read. 15 % of endpoints are 2.5 times slower than usual at any time, each for 0.6 s, and were chosen like the others.

All figures are read and checked; a malformed header is ignored, counted and logged once for each process. What an endpoint reports is smoothed, aged with a half-life of 0.3 s, combined with measured times, and passed on in Beat.speeds (at most 16 endpoints, the most different ones). Estimates end with the process or the address. Endpoints without the fourth figure are chosen as before.

A header with two figures, accepted until now, is malformed.

--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -12,9 +12,12 @@
 
 use dottereltally::clock::Clock;
 use dottereltally_lib::{
-    dispatcher::{Choice, Dispatcher, Effect, Load, NoticeChange, Outcome, Request, limit},
+    dispatcher::{
+        Choice, Dispatcher, Effect, Load, NoticeChange, Outcome, Request, limit,
+        speed::{self, Statement},
+    },
     id,
-    notice::{self, Notice},
+    notice::{self, Notice, Unreadable},
     refusal::{self, Refusal},
     share::{NotARate, Rate},
 };
@@ -310,6 +313,32 @@
         }
     }
 
+    /// Records the load that an endpoint reported in an answer. One that can't be read
+    /// changes nothing, and is logged once for each process of the endpoint.
+    pub fn record_load(&self, endpoint: &id::Endpoint, load: Result<Statement, Unreadable>) {
+        match load {
+            Ok(load) => {
+                self.apply(|dispatcher, now| dispatcher.record_endpoint_load(now, endpoint, load));
+            }
+            Err(error) => {
+                if self.lock().dispatcher.record_unreadable_load(endpoint) {
+                    tracing::warn!(%endpoint, %error, "load of an endpoint is ignored: it can't be read");
+                }
+            }
+        }
+    }
+
+    /// Records what another node knows of the speed of endpoints.
+    pub fn record_peer_speeds(&self, node: &id::Node, reports: &[speed::Report]) {
+        if reports.is_empty() {
+            return;
+        }
+        self.apply(|dispatcher, now| {
+            dispatcher.record_peer_speeds(now, node, reports);
+            Vec::new()
+        });
+    }
+
     /// Records what another node knows about the limits of endpoints.
     pub fn record_peer_limits(&self, node: &id::Node, reports: &[limit::Report]) {
         let now = self.shared.clock.now();
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -362,12 +362,7 @@
     if is_from(&choice.endpoint, parts.status, head.endpoint.as_ref()) {
         chain.record_notice(&choice.endpoint, &head.notice);
     }
-    if let Some((running, waiting)) = head.load {
-        chain.admission.apply(|dispatcher, now| {
-            dispatcher.record_endpoint_load(now, &choice.endpoint, running, waiting);
-            Vec::new()
-        });
-    }
+    chain.record_load(&choice.endpoint, head.load);
     if head.not_run || parts.status == StatusCode::MISDIRECTED_REQUEST {
         let status = parts.status;
         return End::Rejected { status }.into();
--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -10,9 +10,9 @@
 use dottereltally_lib::{
     budget::Budget,
     crash::Subject,
-    dispatcher::{Choice, Dispatcher, Timing},
+    dispatcher::{Choice, Dispatcher, Timing, speed::Statement},
     id,
-    notice::Notice,
+    notice::{Notice, Unreadable},
     origin::Origin,
     plan::Plan,
     quota::Limiter,
@@ -264,6 +264,21 @@
         }
     }
 
+    /// Records the load that an endpoint reported in an answer, if it did.
+    pub fn record_load(
+        &self,
+        endpoint: &id::Endpoint,
+        load: Option<Result<Statement, Unreadable>>,
+    ) {
+        let is_malformed = matches!(load, Some(Err(_)));
+        if let Some(load) = load {
+            self.admission.record_load(endpoint, load);
+        }
+        if is_malformed {
+            self.metrics.unreadable_loads.inc();
+        }
+    }
+
     /// Returns the software version of an endpoint by this node's directory; `None`
     /// if it is unknown.
     #[must_use]
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use dottereltally_lib::{
+    dispatcher::speed::Statement,
     id,
-    notice::Notice,
+    notice::{Notice, Unreadable},
     share::{NotARate, Rate},
 };
 use http::{HeaderMap, HeaderValue, StatusCode};
@@ -68,8 +69,8 @@
     pub sealed: bool,
     /// Whether the endpoint reports that it did not run the request.
     pub not_run: bool,
-    /// Requests that are running and waiting at the endpoint, if it reports them.
-    pub load: Option<(u32, u32)>,
+    /// The load that the endpoint reports; `None` if it reports none.
+    pub load: Option<Result<Statement, Unreadable>>,
     /// Requests a second that the endpoint takes from all nodes together; `None` if it
     /// names no limit.
     pub limit: Option<Result<Rate, NotARate>>,
--- a/gateway/src/heartbeat.rs
+++ b/gateway/src/heartbeat.rs
@@ -7,7 +7,10 @@
     serialize_packed,
 };
 use dottereltally_lib::{
-    dispatcher::{Load, limit, rejection},
+    dispatcher::{
+        Load, limit, rejection,
+        speed::{self, Slowdown},
+    },
     era::{Era, Revision},
     exchange::{Scope, View},
     id::{self, DataCentre, Endpoint, Fingerprint, Generation, Incarnation, Workspace},
@@ -17,7 +20,7 @@
     suspicion::{Kind, Mark},
 };
 use dottereltally_proto::gateway_capnp::{
-    beat, held, listing as wire_listing, notice as wire_notice,
+    beat, held, listing as wire_listing, notice as wire_notice, speed as wire_speed,
 };
 
 use crate::listing;
@@ -60,6 +63,8 @@
     pub view: Option<View>,
     /// Whether endpoints are listed that had left, or that the sender knew to have left.
     pub listings: Vec<listing::Report>,
+    /// What the sender knows of the speed of endpoints.
+    pub speeds: Vec<speed::Report>,
 }
 
 impl Heartbeat {
@@ -126,6 +131,10 @@
         for (index, report) in self.listings.iter().enumerate() {
             write_listing(report, list.reborrow().get(list_length(index)));
         }
+        let mut list = root.reborrow().init_speeds(list_length(self.speeds.len()));
+        for (index, report) in self.speeds.iter().enumerate() {
+            write_speed(report, list.reborrow().get(list_length(index)));
+        }
         let mut list = root.init_marks(list_length(self.marks.len()));
         for (index, mark) in self.marks.iter().enumerate() {
             let mut entry = list.reborrow().get(list_length(index));
@@ -181,6 +190,9 @@
         for entry in root.get_listings()? {
             heartbeat.listings.push(read_listing(entry)?);
         }
+        for entry in root.get_speeds()? {
+            heartbeat.speeds.push(read_speed(entry)?);
+        }
         heartbeat.loads = read_loads(root.get_held()?)?;
         for entry in root.get_usage()? {
             let usage = Usage {
@@ -258,6 +270,28 @@
     })
 }
 
+fn write_speed(report: &speed::Report, mut wire: wire_speed::Builder<'_>) {
+    wire.set_endpoint(report.endpoint.as_str());
+    wire.set_started_ms(report.started_ms.unwrap_or_default());
+    if let Some((slowdown, age)) = report.stated {
+        #[expect(clippy::cast_possible_truncation, reason = "an estimate")]
+        wire.set_stated(slowdown.factor() as f32);
+        wire.set_stated_age_ms(whole_millis(age));
+    }
+}
+
+fn read_speed(wire: wire_speed::Reader<'_>) -> capnp::Result<speed::Report> {
+    let started_ms = wire.get_started_ms();
+    // A value that is no slowdown counts as none, so that the rest of the heartbeat is used.
+    let slowdown = Slowdown::try_from(f64::from(wire.get_stated())).ok();
+    let age = Duration::from_millis(wire.get_stated_age_ms().into());
+    Ok(speed::Report {
+        endpoint: Endpoint::from(wire.get_endpoint()?.to_str()?),
+        started_ms: (started_ms > 0).then_some(started_ms),
+        stated: slowdown.map(|slowdown| (slowdown, age)),
+    })
+}
+
 fn write_listing(report: &listing::Report, mut wire: wire_listing::Builder<'_>) {
     wire.set_endpoint(report.endpoint.as_str());
     wire.set_started_ms(report.process.started_ms.unwrap_or_default());
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -140,10 +140,14 @@
     pub unreadable_limits: Counter,
     /// Times that an endpoint began to say what could not be read.
     pub unreadable_notices: Counter,
+    /// Reports of an endpoint's load that could not be read.
+    pub unreadable_loads: Counter,
     /// Endpoints that are reached through another node only.
     pub detours: Gauge,
     /// Endpoints that name a limit.
     pub limited_endpoints: Gauge,
+    /// Endpoints that work slower now than usual.
+    pub slow_endpoints: Gauge,
     /// Requests so far that were accepted to show how long they take, although they were not
     /// expected to end in time.
     pub trials: Gauge,
@@ -202,8 +206,10 @@
             unusable_entries: Counter::default(),
             unreadable_limits: Counter::default(),
             unreadable_notices: Counter::default(),
+            unreadable_loads: Counter::default(),
             detours: Gauge::default(),
             limited_endpoints: Gauge::default(),
+            slow_endpoints: Gauge::default(),
             trials: Gauge::default(),
             unread_parts: Counter::default(),
             refused_parts: Gauge::default(),
@@ -317,6 +323,11 @@
                 "Times that an endpoint began to say what can't be read, beside its limit",
                 &self.unreadable_notices,
             ),
+            (
+                "unreadable_loads",
+                "Answers in which an endpoint reported a load that can't be read",
+                &self.unreadable_loads,
+            ),
             (
                 "unread_parts",
                 "Parts of prompts that were not read",
@@ -359,6 +370,11 @@
                 "Endpoints that name a limit of requests a second",
                 &self.limited_endpoints,
             ),
+            (
+                "slow_endpoints",
+                "Endpoints that work slower now than usual, by 15 % or more",
+                &self.slow_endpoints,
+            ),
             (
                 "trials",
                 "Requests accepted to show how long they take, although not expected in time",
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -536,6 +536,9 @@
             .set(gauge(admission.read(Dispatcher::running)));
         let limited = admission.read(Dispatcher::limited_endpoints);
         metrics.limited_endpoints.set(gauge(limited));
+        let now = chain.clock.now();
+        let slow = admission.read(|dispatcher| dispatcher.slow_endpoints(now));
+        metrics.slow_endpoints.set(gauge(slow));
         metrics
             .trials
             .set(gauge(admission.read(Dispatcher::trials)));
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -557,6 +557,9 @@
         chain
             .admission
             .record_peer_notices(&heartbeat.node, &heartbeat.notices);
+        chain
+            .admission
+            .record_peer_speeds(&heartbeat.node, &heartbeat.speeds);
         chain.view.record_listings(&heartbeat.listings);
         if Some(&heartbeat.node) == self.own_coordinator.as_ref()
             && let Some(view) = &heartbeat.view
@@ -652,6 +655,7 @@
             carriers: Vec::new(),
             view: chain.view.announcement(),
             listings: chain.view.listings(),
+            speeds: chain.admission.read(|dispatcher| dispatcher.speeds(now)),
         }
     }
 
--- a/gateway/tests/test_heartbeat.rs
+++ b/gateway/tests/test_heartbeat.rs
@@ -4,7 +4,7 @@
 
 use dottereltally_gateway::{heartbeat::Heartbeat, listing};
 use dottereltally_lib::{
-    dispatcher::{Load, limit, rejection},
+    dispatcher::{Load, limit, rejection, speed},
     era::{Era, Revision},
     exchange::{self, Scope, View},
     id, notice,
@@ -79,11 +79,36 @@
             era: ERA,
         }),
         listings: vec![listing_report(Some(3), false), listing_report(None, true)],
+        speeds: vec![speed_report("e", Some("250")), speed_report("f", None)],
     };
     let bytes = heartbeat.encode().unwrap();
     assert_eq!(Heartbeat::decode(&bytes).unwrap(), heartbeat);
 }
 
+fn speed_report(endpoint: &str, percent: Option<&str>) -> speed::Report {
+    let slowdown = percent.map(|percent| percent.parse().unwrap());
+    speed::Report {
+        endpoint: id::Endpoint::from(endpoint),
+        started_ms: slowdown.map(|_| 12),
+        stated: slowdown.map(|slowdown| (slowdown, Duration::from_millis(70))),
+    }
+}
+
+/// Guards against reports of speed that take too much of a node's control traffic: a
+/// coordinator sends some 60 heartbeats a second to others.
+#[test]
+fn speeds_of_as_many_endpoints_as_are_reported_are_small() {
+    let empty = Heartbeat::default().encode().unwrap().len();
+    let mut heartbeat = Heartbeat::default();
+    for number in 0..speed::MAX_REPORTS {
+        let name = format!("i-{number:010x}");
+        heartbeat.speeds.push(speed_report(&name, Some("250")));
+    }
+    let bytes = heartbeat.encode().unwrap();
+    println!("{} bytes of speeds", bytes.len() - empty);
+    assert!(bytes.len() - empty < 1024);
+}
+
 fn leaving(endpoint: &str) -> notice::Report {
     notice::Report {
         endpoint: id::Endpoint::from(endpoint),
--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -13,6 +13,7 @@
 mod model;
 mod queue;
 pub mod rejection;
+pub mod speed;
 mod statement;
 
 use std::{
@@ -305,7 +306,10 @@
             if let (Some(member), Some(event_interval)) =
                 (self.members.get_mut(name), load.event_interval)
             {
-                member.event_interval.record(event_interval.as_secs_f64());
+                member
+                    .speed
+                    .event_interval
+                    .record(event_interval.as_secs_f64());
             }
         }
         self.peer_loads.insert(node.clone(), loads);
@@ -503,7 +507,14 @@
         }
         let took = now.since(in_flight.sent_at);
         if let Some(queue) = self.queues.get_mut(&in_flight.request.service) {
-            let relative_speed = member.relative_speed(queue.mean_event_interval);
+            let request = &in_flight.request;
+            let lasting = member.lasting_speed(queue.mean_speed);
+            let pending = own_pending_tokens.saturating_sub(request.prompt);
+            let expected = queue.expectation(request).first_byte(pending, 1.0);
+            let times = (took.as_secs_f64(), expected);
+            let is_whole = request.expected_output == 0;
+            let relative_speed = member.relative_speed(now, queue.mean_speed);
+            member.speed.measure(now, times, is_whole, lasting);
             queue.model.record_first_byte(
                 in_flight.request.prompt,
                 own_pending_tokens,
@@ -513,19 +524,6 @@
         }
     }
 
-    /// Records the load that an endpoint reported about itself.
-    pub fn record_endpoint_load(
-        &mut self,
-        now: time::Instant,
-        name: &id::Endpoint,
-        running: u32,
-        waiting: u32,
-    ) {
-        if let Some(member) = self.members.get_mut(name) {
-            member.reported_requests = Some((now, running.saturating_add(waiting)));
-        }
-    }
-
     /// Records the end of a request at its endpoint.
     pub fn finish(&mut self, now: time::Instant, id: id::Request, outcome: Outcome) -> Vec<Effect> {
         let Some(in_flight) = self.in_flight.remove(&id) else {
@@ -565,7 +563,7 @@
             member.record_outcome(now, outcome);
             if let Some(queue) = self.queues.get_mut(&service) {
                 let took = now.since(in_flight.sent_at);
-                let relative_speed = member.relative_speed(queue.mean_event_interval);
+                let relative_speed = member.relative_speed(now, queue.mean_speed);
                 let is_answered = matches!(outcome, Outcome::Answered(_));
                 let is_missing =
                     outcome == Outcome::Cancelled && (is_expired || in_flight.is_abandoned(now));
@@ -581,11 +579,18 @@
                 && let Some(queue) = self.queues.get_mut(&service)
             {
                 let took = now.since(in_flight.sent_at);
-                let relative_speed = member.relative_speed(queue.mean_event_interval);
+                let relative_speed = member.relative_speed(now, queue.mean_speed);
                 match outcome {
                     // The first byte of a buffered answer reaches its caller with the last.
                     Outcome::Answered(_) => {
                         let prompt = in_flight.request.prompt;
+                        let request = &in_flight.request;
+                        if !in_flight.delegated {
+                            let expected = queue.expectation(request).first_byte(0, 1.0);
+                            let times = (took.as_secs_f64(), expected);
+                            let lasting = member.lasting_speed(queue.mean_speed);
+                            member.speed.measure(now, times, true, lasting);
+                        }
                         queue
                             .model
                             .record_first_byte(prompt, prompt, took, relative_speed);
@@ -600,13 +605,13 @@
                 && let Some(queue) = self.queues.get_mut(&service)
             {
                 let took = now.since(first_byte_at);
-                let relative_speed = member.relative_speed(queue.mean_event_interval);
+                let relative_speed = member.relative_speed(now, queue.mean_speed);
                 if let Some(event_interval) =
                     queue
                         .model
                         .record_answer(&in_flight.request, timing, took, relative_speed)
                 {
-                    member.record_event_interval(event_interval);
+                    member.record_event_interval(now, event_interval);
                 }
             }
             if !member.listed && member.own_requests == 0 {
@@ -850,18 +855,12 @@
         self.effects.push(Effect::Refuse(id, refusal));
     }
 
-    /// Updates each service's mean time between two events of a stream, and the speed of its
-    /// fastest endpoint.
+    /// Updates the mean speed of each service's endpoints, and the speed of its fastest one.
     fn update_speeds(&mut self) {
         for queue in self.queues.values_mut() {
             let members = queue.endpoints.iter();
-            let intervals = members.filter_map(|name| self.members.get(name)?.event_interval.get());
-            let (mut sum, mut count) = (0.0, 0.0);
-            for interval in intervals {
-                sum += interval;
-                count += 1.0;
-            }
-            queue.mean_event_interval = (count > 0.0).then_some(sum / count);
+            let members = members.filter_map(|name| self.members.get(name));
+            queue.mean_speed = speed::Mean::of(members.map(|member| &member.speed));
             let mut fastest: Option<f64> = None;
             for name in &queue.endpoints {
                 let Some(member) = self.members.get(name) else {
@@ -870,7 +869,7 @@
                 if member.standing() != Standing::Live {
                     continue;
                 }
-                let speed = member.relative_speed(queue.mean_event_interval);
+                let speed = member.lasting_speed(queue.mean_speed);
                 fastest = Some(fastest.map_or(speed, |fastest| fastest.max(speed)));
             }
             queue.fastest = fastest;
--- a/lib/src/dispatcher/choice.rs
+++ b/lib/src/dispatcher/choice.rs
@@ -22,6 +22,10 @@
 /// nodes with the same information from all choosing the same endpoint.
 const MAX_JITTER_SECS: f64 = 0.006;
 
+/// Difference in expected time, as a fraction, within which endpoints that state their
+/// speed count as equally fast for nodes that decide side by side.
+const NEAR_EQUAL_FRACTION: f64 = 0.1;
+
 /// Weight of the expected streaming time, relative to the time to first byte.
 const STREAM_TIME_WEIGHT: f64 = 0.1;
 
@@ -93,7 +97,7 @@
             let Some(member) = self.members.get(name) else {
                 continue;
             };
-            let relative_speed = member.relative_speed(queue.mean_event_interval);
+            let relative_speed = member.relative_speed(now, queue.mean_speed);
             let is_local = member.record.data_centre == self.settings.data_centre;
             let Some(wait) = wait_for_slot(now, queue, member, relative_speed, is_local) else {
                 continue;
@@ -126,7 +130,7 @@
             } else {
                 0.0
             };
-            let stalled = stalled_streams(queue, request, member);
+            let stalled = stalled_streams(now, queue, request, member);
             let cost = first_byte_secs
                 + remote_cost
                 + STREAM_TIME_WEIGHT * stream_time
@@ -135,7 +139,8 @@
                 + version_cost
                 + OCCUPANCY_COST_SECS * relative_speed * member.occupancy()
                 + FAILURE_COST_SECS * member.failure_rate(now)
-                + rng.random_range(0.0..MAX_JITTER_SECS);
+                + rng.random_range(0.0..MAX_JITTER_SECS)
+                    * self.jitter_scale(now, member, first_byte_secs);
             if best.is_none_or(|(lowest, ..)| cost < lowest) {
                 best = Some((cost, first_byte_secs, name));
             }
@@ -146,6 +151,16 @@
             None => Selection::Full,
         }
     }
+
+    /// Returns the factor on the random cost of an endpoint. Nodes that learn of the same
+    /// fast endpoint would all choose it; where endpoints state their speed, the random
+    /// cost grows with the expected time, so that near-equal ones share the requests.
+    fn jitter_scale(&self, now: time::Instant, member: &Member, first_byte_secs: f64) -> f64 {
+        if self.node_count <= 1 || !member.speed.is_stated(now) {
+            return 1.0;
+        }
+        1.0 + NEAR_EQUAL_FRACTION * first_byte_secs / MAX_JITTER_SECS
+    }
 }
 
 /// Returns the expected seconds until an endpoint has a free slot. Returns `None`
@@ -178,12 +193,12 @@
 /// The streams serve the same service, so the request's `max_pause` is taken as
 /// the limit of all of them. Each counts from zero, at [`STALL_THRESHOLD`] of
 /// that limit, up to one, at the limit.
-fn stalled_streams(queue: &Queue, request: &Request, member: &Member) -> f64 {
+fn stalled_streams(now: time::Instant, queue: &Queue, request: &Request, member: &Member) -> f64 {
     let Some(max_pause) = request.max_pause else {
         return 0.0;
     };
     let max_pause = max_pause.as_secs_f64();
-    let relative_speed = member.relative_speed(queue.mean_event_interval);
+    let relative_speed = member.relative_speed(now, queue.mean_speed);
     let longest =
         queue
             .model
@@ -204,7 +219,7 @@
         let Some(member) = members.get(name) else {
             continue;
         };
-        let relative_speed = member.relative_speed(queue.mean_event_interval);
+        let relative_speed = member.relative_speed(now, queue.mean_speed);
         let is_local = member.record.data_centre == *data_centre;
         if wait_for_slot(now, queue, member, relative_speed, is_local).is_some() {
             open.push(member);
--- a/lib/src/dispatcher/member.rs
+++ b/lib/src/dispatcher/member.rs
@@ -3,9 +3,8 @@
 use std::{mem, time::Duration};
 
 use crate::{
-    dispatcher::{Load, Outcome, Request, limit::Limit, rejection::Tolerance},
+    dispatcher::{Load, Outcome, Request, limit::Limit, rejection::Tolerance, speed},
     endpoint::{Record, Standing},
-    estimate::Average,
     time,
 };
 
@@ -56,8 +55,8 @@
     /// Time of the endpoint's last report of its own load, and the requests
     /// that ran or waited there; `None` if it has not reported any.
     pub(super) reported_requests: Option<(time::Instant, u32)>,
-    /// Average seconds between two events of a stream.
-    pub(super) event_interval: Average,
+    /// How fast it works.
+    pub(super) speed: speed::Estimate,
     /// Sum, in seconds, and number of the event intervals recorded since the
     /// last report to the other nodes.
     unreported_intervals: (f64, u32),
@@ -93,7 +92,7 @@
             delegated: (0, 0),
             peer_load: Load::default(),
             reported_requests: None,
-            event_interval: Average::default(),
+            speed: speed::Estimate::default(),
             unreported_intervals: (0.0, 0),
             avoided_until: time::Instant::default(),
             failed_connections: 0,
@@ -118,6 +117,7 @@
             self.limit = Limit::default();
             self.tolerance = Tolerance::default();
             self.paused_until = time::Instant::default();
+            self.reset_speed();
         }
         self.listed = true;
         self.record = record;
@@ -228,8 +228,10 @@
     }
 
     /// Records the seconds between two events of a stream of this node.
-    pub(super) fn record_event_interval(&mut self, event_interval: f64) {
-        self.event_interval.record(event_interval);
+    /// A moment's slowdown is taken out, as these are for the long term.
+    pub(super) fn record_event_interval(&mut self, now: time::Instant, event_interval: f64) {
+        let event_interval = event_interval / self.speed.slowdown(now);
+        self.speed.event_interval.record(event_interval);
         self.unreported_intervals.0 += event_interval;
         self.unreported_intervals.1 += 1;
     }
@@ -255,14 +257,24 @@
         }
     }
 
-    /// Returns the speed relative to the service's mean; one if unknown.
-    pub(super) fn relative_speed(&self, mean_event_interval: Option<f64>) -> f64 {
-        let (Some(interval), Some(mean_interval)) =
-            (self.event_interval.get(), mean_event_interval)
-        else {
-            return 1.0;
-        };
-        (mean_interval / interval.max(1e-6)).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1)
+    /// Returns the long-term speed relative to the service's mean; one if unknown.
+    pub(super) fn lasting_speed(&self, mean: speed::Mean) -> f64 {
+        self.speed.lasting(mean, SPEED_BOUNDS)
+    }
+
+    /// Returns the speed now relative to the service's mean; one if unknown.
+    pub(super) fn relative_speed(&self, now: time::Instant, mean: speed::Mean) -> f64 {
+        let speed = self.lasting_speed(mean) / self.speed.slowdown(now);
+        speed.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1)
+    }
+
+    /// Discards what is known of its speed, as its process or machine is another
+    /// one. Endpoints that report no load keep their measured speed.
+    pub(super) fn reset_speed(&mut self) {
+        if self.reported_requests.take().is_some() {
+            self.speed = speed::Estimate::default();
+        }
+        self.speed.is_unreadable = false;
     }
 
     /// Returns the fraction of recent requests that failed.
--- a/lib/src/dispatcher/queue.rs
+++ b/lib/src/dispatcher/queue.rs
@@ -11,6 +11,7 @@
         kind::{Kind, Measurement},
         member::Member,
         model::Model,
+        speed,
     },
     id,
     share::Demand,
@@ -142,9 +143,8 @@
     pub(super) model: Model,
     /// What was measured of its routes.
     kinds: HashMap<id::Route, Kind>,
-    /// Mean seconds between two events of a stream, over the endpoints; `None`
-    /// until one is known.
-    pub(super) mean_event_interval: Option<f64>,
+    /// Mean speed of the endpoints.
+    pub(super) mean_speed: speed::Mean,
     /// Speed of the fastest endpoint, relative to the mean; `None` if there is none.
     pub(super) fastest: Option<f64>,
     /// The queued requests, first to be served first.
--- a/lib/src/dispatcher/statement.rs
+++ b/lib/src/dispatcher/statement.rs
@@ -277,6 +277,7 @@
         }
         if before.is_some() {
             member.limit.reset(now);
+            member.reset_speed();
             member.paused_until = time::Instant::default();
         }
         if member.has_left {
--- a/lib/tests/engines/mod.rs
+++ b/lib/tests/engines/mod.rs
@@ -6,7 +6,10 @@
 };
 
 use dottereltally_lib::{
-    dispatcher::{Choice, Dispatcher, Effect, Load, Outcome, Request, Settings, Timing},
+    dispatcher::{
+        Choice, Dispatcher, Effect, Load, Outcome, Request, Settings, Timing,
+        speed::{Slowdown, Statement},
+    },
     endpoint::{Record, Standing},
     id,
     refusal::Refusal,
@@ -22,7 +25,7 @@
 const EVENT_MICROS: f64 = 25_000.0;
 /// Tokens per event.
 const TOKENS_PER_EVENT: u64 = 6;
-/// Time between two load reports of a dispatcher.
+/// Usual time between two load reports of a dispatcher.
 const REPORT_PERIOD: Duration = Duration::from_millis(100);
 
 /// A simulated engine.
@@ -34,12 +37,28 @@
     pub capacity: usize,
     /// Whether it accepts connections.
     pub alive: bool,
+    /// Factor by which it is slower at the moment than usual.
+    pub slowdown: f64,
+    /// What its answers report of its load.
+    pub report: Report,
     /// Its software version.
     pub version: id::Version,
     running: usize,
     queue: Vec<id::Request>,
 }
 
+/// What an engine reports of its load in its answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[allow(dead_code, reason = "not every test uses all of the simulation")]
+pub enum Report {
+    /// Nothing.
+    Nothing,
+    /// Its requests and slots.
+    Load,
+    /// These and how slow its machine is.
+    Slowdown,
+}
+
 /// Result of a request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
@@ -67,6 +86,8 @@
     pub replies: HashMap<id::Request, Reply>,
     /// Every choice of an endpoint, in order.
     pub sent: Vec<(id::Request, Choice)>,
+    /// Time between two load reports of a dispatcher.
+    pub report_period: Duration,
     /// The dispatcher that decides for all dispatchers, if there is one.
     coordinator: Option<usize>,
     jobs: HashMap<id::Request, Job>,
@@ -126,6 +147,8 @@
                 speed: *speed,
                 capacity,
                 alive: true,
+                slowdown: 1.0,
+                report: Report::Nothing,
                 version: id::Version::from("v1"),
                 running: 0,
                 queue: Vec::new(),
@@ -137,6 +160,7 @@
             dispatchers: Vec::new(),
             replies: HashMap::new(),
             sent: Vec::new(),
+            report_period: REPORT_PERIOD,
             coordinator: None,
             jobs: HashMap::new(),
             events: BTreeMap::new(),
@@ -225,7 +249,7 @@
                 self.handle(&event);
             }
             self.now = tick;
-            if self.now.since(self.last_report) >= REPORT_PERIOD {
+            if self.now.since(self.last_report) >= self.report_period {
                 self.exchange_loads();
             }
             for dispatcher in 0..self.dispatchers.len() {
@@ -255,11 +279,13 @@
         for from in 0..self.dispatchers.len() {
             let loads: HashMap<id::Endpoint, Load> =
                 self.dispatchers[from].take_load().into_iter().collect();
+            let speeds = self.dispatchers[from].speeds(self.now);
             let name = id::Node::from(format!("n{from}"));
             for to in 0..self.dispatchers.len() {
                 if from == to {
                     continue;
                 }
+                self.dispatchers[to].record_peer_speeds(self.now, &name, &speeds);
                 let effects = self.dispatchers[to].record_peer_load(self.now, &name, loads.clone());
                 self.apply(to, effects);
             }
@@ -314,7 +340,7 @@
             let id = self.engines[index].queue.remove(0);
             self.engines[index].running += 1;
             let request = &self.jobs[&id].request;
-            let speed = self.engines[index].speed;
+            let speed = self.engines[index].speed / self.engines[index].slowdown;
             #[expect(clippy::cast_precision_loss, reason = "token counts are small")]
             let first = (FIRST_EVENT_MICROS + PROMPT_TOKEN_MICROS * request.prompt as f64) / speed;
             #[expect(clippy::cast_precision_loss, reason = "token counts are small")]
@@ -324,6 +350,27 @@
         }
     }
 
+    /// Passes what an engine reports in an answer to the node that receives it.
+    fn report_load(&mut self, id: id::Request) {
+        let job = &self.jobs[&id];
+        let engine = &self.engines[job.engine.expect("a sent request")];
+        if engine.report == Report::Nothing {
+            return;
+        }
+        let count = |count: usize| u32::try_from(count).expect("counts are small");
+        let slowdown = Slowdown::try_from(engine.slowdown).expect("a slowdown");
+        let statement = Statement {
+            running: count(engine.running),
+            waiting: count(engine.queue.len()),
+            slots: count(engine.capacity),
+            slowdown: (engine.report == Report::Slowdown).then_some(slowdown),
+        };
+        let (dispatcher, name) = (job.dispatcher, engine.name.clone());
+        let receiver = &mut self.dispatchers[dispatcher];
+        let effects = receiver.record_endpoint_load(self.now, &name, statement);
+        self.apply(dispatcher, effects);
+    }
+
     fn schedule(&mut self, micros: f64, event: Event) {
         self.next_id += 1;
         let moment = self.now + Duration::from_secs_f64(micros / 1e6);
@@ -333,6 +380,7 @@
     fn handle(&mut self, event: &Event) {
         match event {
             Event::First(id) => {
+                self.report_load(*id);
                 let job = &self.jobs[id];
                 let took = self.now.since(job.arrived);
                 self.dispatchers[job.dispatcher].record_first_byte(self.now, *id);
