speed: own requests that ended after a report free their slots

An endpoint's report of its load stays in use for 0.5 s, and this node's requests were subtracted as of the choice, not as of the report. Requests that had ended since then counted as those of other nodes, so that free slots stayed unused. The requests of others are now fixed at the report.

--- a/lib/src/dispatcher/member.rs
+++ b/lib/src/dispatcher/member.rs
@@ -53,7 +53,7 @@
     /// Load of the other nodes, by their last reports.
     pub(super) peer_load: Load,
     /// Time of the endpoint's last report of its own load, and the requests
-    /// that ran or waited there; `None` if it has not reported any.
+    /// of other nodes that ran or waited there; `None` if it has not reported any.
     pub(super) reported_requests: Option<(time::Instant, u32)>,
     /// How fast it works.
     pub(super) speed: speed::Estimate,
@@ -202,10 +202,10 @@
             return None;
         }
         let mut peer_requests = self.peer_load.requests;
-        if let Some((at, total)) = self.reported_requests
+        if let Some((at, others)) = self.reported_requests
             && now.since(at) < REPORT_TTL
         {
-            peer_requests = peer_requests.max(total.saturating_sub(self.own_requests));
+            peer_requests = peer_requests.max(others);
         }
         Some(self.own_requests.saturating_add(peer_requests))
     }
--- a/lib/src/dispatcher/speed.rs
+++ b/lib/src/dispatcher/speed.rs
@@ -289,7 +289,9 @@
     ) -> Vec<Effect> {
         if let Some(member) = self.members.get_mut(name) {
             let requests = statement.running.saturating_add(statement.waiting);
-            member.reported_requests = Some((now, requests));
+            // Requests of this node that end later must not seem to be those of others.
+            let others = requests.saturating_sub(member.own_requests);
+            member.reported_requests = Some((now, others));
             if let Some(slowdown) = statement.slowdown {
                 member.speed.state(now, now, slowdown);
             }
--- a/lib/tests/test_speed.rs
+++ b/lib/tests/test_speed.rs
@@ -363,3 +363,33 @@
     dispatcher.record_started(at(1), &e0, 2);
     assert!(dispatcher.record_unreadable_load(&e0));
 }
+
+/// Guards against requests of this node that ended after a report and are taken for those of
+/// other nodes, so that free slots stay unused.
+#[test]
+fn own_requests_that_ended_after_a_report_free_their_slots() {
+    let mut dispatcher = dispatcher(&["e0"]);
+    let e0 = id::Endpoint::from("e0");
+    let mut send = |number, now| {
+        let wanted = request(now, 0, 0, 0, Duration::from_secs(5));
+        let effects = dispatcher.submit(now, id::Request(number), wanted);
+        matches!(effects.first(), Some(Effect::Send(..)))
+    };
+    for number in 0..64 {
+        assert!(send(number, at(0)));
+    }
+    let full = Statement {
+        running: 64,
+        ..statement(None)
+    };
+    dispatcher.record_endpoint_load(at(40), &e0, full);
+    for number in 0..64 {
+        let outcome = Outcome::Answered(Timing::default());
+        dispatcher.finish(at(40), id::Request(number), outcome);
+    }
+    for number in 100..164 {
+        let wanted = request(at(50), 0, 0, 0, Duration::from_secs(5));
+        let effects = dispatcher.submit(at(50), id::Request(number), wanted);
+        assert!(matches!(effects.first(), Some(Effect::Send(..))));
+    }
+}
