slow_start: endpoints that start or recover get a growing window

An endpoint that started or recovered got as many requests as it has slots at once. Where its service states a load, it now gets a window: half of its slots at most, one more for each answer in time, half of it after a late answer, a rejection or a failure, until it reaches the slots. Nodes that decide side by side keep to parts of the window; answers at all nodes count, through Beat.speeds. Windows hold nothing where no other endpoint takes requests. coldRemainingMs is not read: the answers set the pace.

--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -13,7 +13,7 @@
 use dottereltally::clock::Clock;
 use dottereltally_lib::{
     dispatcher::{
-        Choice, Dispatcher, Effect, Load, NoticeChange, Outcome, Request, limit,
+        Choice, Dispatcher, Effect, Load, NoticeChange, Outcome, Request, limit, slow_start,
         speed::{self, Statement},
     },
     id,
@@ -395,6 +395,9 @@
         let now = self.shared.clock.now();
         let mut state = self.lock();
         let mut effects = change(&mut state.dispatcher, now);
+        for change in state.dispatcher.take_slow_starts() {
+            log_slow_start(&change);
+        }
         while let Some(effect) = effects.pop() {
             match effect {
                 Effect::Send(id, choice) => {
@@ -447,6 +450,20 @@
     );
 }
 
+/// Logs that the slow start of an endpoint began or ended.
+fn log_slow_start(change: &slow_start::Change) {
+    let endpoint = &change.endpoint;
+    match change.event {
+        slow_start::Event::Begun(cause) => {
+            tracing::info!(%endpoint, %cause, "slow start of an endpoint begins");
+        }
+        slow_start::Event::Ended(took, answers) => {
+            let took_ms = crate::logging::millis(took);
+            tracing::info!(%endpoint, took_ms, answers, "slow start of an endpoint ends");
+        }
+    }
+}
+
 fn log_notice(endpoint: &id::Endpoint, notice: &Notice, change: NoticeChange) {
     if change.is_leaving {
         tracing::info!(%endpoint, "endpoint leaves, as its answer says");
--- a/gateway/src/heartbeat.rs
+++ b/gateway/src/heartbeat.rs
@@ -8,7 +8,7 @@
 };
 use dottereltally_lib::{
     dispatcher::{
-        Load, limit, rejection,
+        Load, limit, rejection, slow_start,
         speed::{self, Slowdown},
     },
     era::{Era, Revision},
@@ -278,6 +278,12 @@
         wire.set_stated(slowdown.factor() as f32);
         wire.set_stated_age_ms(whole_millis(age));
     }
+    if let Some(window) = report.window {
+        wire.set_answers(window.answers);
+        #[expect(clippy::cast_possible_truncation, reason = "a number of requests")]
+        wire.set_window(window.size as f32);
+        wire.set_window_age_ms(whole_millis(window.age));
+    }
 }
 
 fn read_speed(wire: wire_speed::Reader<'_>) -> capnp::Result<speed::Report> {
@@ -285,10 +291,16 @@
     // A value that is no slowdown counts as none, so that the rest of the heartbeat is used.
     let slowdown = Slowdown::try_from(f64::from(wire.get_stated())).ok();
     let age = Duration::from_millis(wire.get_stated_age_ms().into());
+    let size = f64::from(wire.get_window());
     Ok(speed::Report {
         endpoint: Endpoint::from(wire.get_endpoint()?.to_str()?),
         started_ms: (started_ms > 0).then_some(started_ms),
         stated: slowdown.map(|slowdown| (slowdown, age)),
+        window: (size.is_finite() && size > 0.0).then(|| slow_start::Report {
+            size,
+            age: Duration::from_millis(wire.get_window_age_ms().into()),
+            answers: wire.get_answers(),
+        }),
     })
 }
 
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -146,6 +146,8 @@
     pub detours: Gauge,
     /// Endpoints that name a limit.
     pub limited_endpoints: Gauge,
+    /// Endpoints in slow start.
+    pub starting_endpoints: Gauge,
     /// Endpoints that work slower now than usual.
     pub slow_endpoints: Gauge,
     /// Requests so far that were accepted to show how long they take, although they were not
@@ -209,6 +211,7 @@
             unreadable_loads: Counter::default(),
             detours: Gauge::default(),
             limited_endpoints: Gauge::default(),
+            starting_endpoints: Gauge::default(),
             slow_endpoints: Gauge::default(),
             trials: Gauge::default(),
             unread_parts: Counter::default(),
@@ -370,6 +373,11 @@
                 "Endpoints that name a limit of requests a second",
                 &self.limited_endpoints,
             ),
+            (
+                "starting_endpoints",
+                "Endpoints in slow start, which get few requests at first",
+                &self.starting_endpoints,
+            ),
             (
                 "slow_endpoints",
                 "Endpoints that work slower now than usual, by 15 % or more",
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -539,6 +539,8 @@
         let now = chain.clock.now();
         let slow = admission.read(|dispatcher| dispatcher.slow_endpoints(now));
         metrics.slow_endpoints.set(gauge(slow));
+        let starting = admission.read(Dispatcher::starting_endpoints);
+        metrics.starting_endpoints.set(gauge(starting));
         metrics
             .trials
             .set(gauge(admission.read(Dispatcher::trials)));
--- a/gateway/tests/test_heartbeat.rs
+++ b/gateway/tests/test_heartbeat.rs
@@ -4,7 +4,7 @@
 
 use dottereltally_gateway::{heartbeat::Heartbeat, listing};
 use dottereltally_lib::{
-    dispatcher::{Load, limit, rejection, speed},
+    dispatcher::{Load, limit, rejection, slow_start, speed},
     era::{Era, Revision},
     exchange::{self, Scope, View},
     id, notice,
@@ -91,6 +91,11 @@
         endpoint: id::Endpoint::from(endpoint),
         started_ms: slowdown.map(|_| 12),
         stated: slowdown.map(|slowdown| (slowdown, Duration::from_millis(70))),
+        window: Some(slow_start::Report {
+            size: 2.5,
+            age: Duration::from_millis(30),
+            answers: 7,
+        }),
     }
 }
 
--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -13,6 +13,7 @@
 mod model;
 mod queue;
 pub mod rejection;
+pub mod slow_start;
 pub mod speed;
 mod statement;
 
@@ -26,7 +27,7 @@
 
 pub use self::statement::NoticeChange;
 use self::{
-    choice::{Selection, has_candidate, open_members},
+    choice::{Selection, has_candidate},
     member::Member,
     queue::{MIN_DRAIN_PER_SLOT, Queue},
 };
@@ -236,6 +237,8 @@
     /// Requests that were accepted to show how long they take.
     trials: usize,
     rng: SmallRng,
+    /// Slow starts that began or ended and were not taken yet.
+    slow_starts: Vec<slow_start::Change>,
     /// Effects of the current call, returned at its end.
     effects: Vec<Effect>,
 }
@@ -255,6 +258,7 @@
             departures: Departures::default(),
             node_count: 1,
             trials: 0,
+            slow_starts: Vec::new(),
             effects: Vec::new(),
         }
     }
@@ -269,13 +273,18 @@
         for member in self.members.values_mut() {
             member.listed = false;
         }
+        let mut added = Vec::new();
         for record in records {
             if let Some(member) = self.members.get_mut(&record.id) {
                 member.update(record);
                 continue;
             }
+            added.push(record.id.clone());
             self.members.insert(record.id.clone(), Member::new(record));
         }
+        for name in added {
+            self.begin_slow_start(now, &name, slow_start::Cause::Listed);
+        }
         self.update_shares();
         self.members
             .retain(|_, member| member.listed || member.own_requests > 0);
@@ -530,6 +539,7 @@
             return Vec::new();
         };
         let service = in_flight.request.service.clone();
+        let is_late = self.is_late(now, &in_flight);
         if let Some(member) = self.members.get_mut(&in_flight.endpoint) {
             // Pending prompt tokens are released at the first byte.
             let unanswered_prompt = match in_flight.first_byte_at {
@@ -584,12 +594,8 @@
                     // The first byte of a buffered answer reaches its caller with the last.
                     Outcome::Answered(_) => {
                         let prompt = in_flight.request.prompt;
-                        let request = &in_flight.request;
                         if !in_flight.delegated {
-                            let expected = queue.expectation(request).first_byte(0, 1.0);
-                            let times = (took.as_secs_f64(), expected);
-                            let lasting = member.lasting_speed(queue.mean_speed);
-                            member.speed.measure(now, times, true, lasting);
+                            member.measure_whole(now, queue, &in_flight.request, took);
                         }
                         queue
                             .model
@@ -618,6 +624,7 @@
                 self.members.remove(&in_flight.endpoint);
             }
         }
+        self.update_slow_start(now, &in_flight, outcome, is_late);
         self.update_speeds();
         self.dispatch(now, &service);
         mem::take(&mut self.effects)
@@ -773,7 +780,10 @@
             }
             queue.demote(now);
             let mut sent = false;
-            let open = open_members(now, &self.members, queue, &self.settings.data_centre);
+            let Some(queue) = self.queues.get(service) else {
+                return;
+            };
+            let open = self.open_members(now, queue);
             for (timeliness, id) in queue.head(MAX_LOOKAHEAD, &open) {
                 let Some(queue) = self.queues.get(service) else {
                     return;
--- a/lib/src/dispatcher/choice.rs
+++ b/lib/src/dispatcher/choice.rs
@@ -93,6 +93,7 @@
         let mut best: Option<(f64, f64, &id::Endpoint)> = None;
         let mut has_room = false;
         let mut rng = self.rng.clone();
+        let applies_windows = self.applies_windows(now, queue);
         for name in &queue.endpoints {
             let Some(member) = self.members.get(name) else {
                 continue;
@@ -102,6 +103,9 @@
             let Some(wait) = wait_for_slot(now, queue, member, relative_speed, is_local) else {
                 continue;
             };
+            if applies_windows && self.is_window_full(now, member, is_local) {
+                continue;
+            }
             has_room = true;
             if request.excluded.contains(name) || !member.serves(request) {
                 continue;
@@ -152,6 +156,26 @@
         }
     }
 
+    /// Returns the endpoints of a service that have a free slot now.
+    pub(super) fn open_members(&self, now: time::Instant, queue: &Queue) -> Vec<&Member> {
+        let mut open = Vec::new();
+        let applies_windows = self.applies_windows(now, queue);
+        for name in &queue.endpoints {
+            let Some(member) = self.members.get(name) else {
+                continue;
+            };
+            let relative_speed = member.relative_speed(now, queue.mean_speed);
+            let is_local = member.record.data_centre == self.settings.data_centre;
+            if wait_for_slot(now, queue, member, relative_speed, is_local).is_none()
+                || (applies_windows && self.is_window_full(now, member, is_local))
+            {
+                continue;
+            }
+            open.push(member);
+        }
+        open
+    }
+
     /// Returns the factor on the random cost of an endpoint. Nodes that learn of the same
     /// fast endpoint would all choose it; where endpoints state their speed, the random
     /// cost grows with the expected time, so that near-equal ones share the requests.
@@ -207,27 +231,6 @@
     severity.clamp(0.0, 1.0) * f64::from(member.running())
 }
 
-/// Returns the endpoints of a service that have a free slot now.
-pub(super) fn open_members<'a>(
-    now: time::Instant,
-    members: &'a BTreeMap<id::Endpoint, Member>,
-    queue: &Queue,
-    data_centre: &id::DataCentre,
-) -> Vec<&'a Member> {
-    let mut open = Vec::new();
-    for name in &queue.endpoints {
-        let Some(member) = members.get(name) else {
-            continue;
-        };
-        let relative_speed = member.relative_speed(now, queue.mean_speed);
-        let is_local = member.record.data_centre == *data_centre;
-        if wait_for_slot(now, queue, member, relative_speed, is_local).is_some() {
-            open.push(member);
-        }
-    }
-    open
-}
-
 /// Returns whether some live endpoint may take a request. A request that needs one
 /// version has few endpoints to wait for, so those that are avoided for longer than
 /// [`MAX_AVOIDED_WAIT`] don't count.
--- a/lib/src/dispatcher/member.rs
+++ b/lib/src/dispatcher/member.rs
@@ -3,7 +3,10 @@
 use std::{mem, time::Duration};
 
 use crate::{
-    dispatcher::{Load, Outcome, Request, limit::Limit, rejection::Tolerance, speed},
+    dispatcher::{
+        Load, Outcome, Request, limit::Limit, queue::Queue, rejection::Tolerance,
+        slow_start::SlowStart, speed,
+    },
     endpoint::{Record, Standing},
     time,
 };
@@ -55,6 +58,8 @@
     /// Time of the endpoint's last report of its own load, and the requests
     /// of other nodes that ran or waited there; `None` if it has not reported any.
     pub(super) reported_requests: Option<(time::Instant, u32)>,
+    /// Its slow start.
+    pub(super) slow_start: SlowStart,
     /// How fast it works.
     pub(super) speed: speed::Estimate,
     /// Sum, in seconds, and number of the event intervals recorded since the
@@ -92,6 +97,7 @@
             delegated: (0, 0),
             peer_load: Load::default(),
             reported_requests: None,
+            slow_start: SlowStart::default(),
             speed: speed::Estimate::default(),
             unreported_intervals: (0.0, 0),
             avoided_until: time::Instant::default(),
@@ -268,6 +274,20 @@
         speed.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1)
     }
 
+    /// Records the time of a whole answer.
+    pub(super) fn measure_whole(
+        &mut self,
+        now: time::Instant,
+        queue: &Queue,
+        request: &Request,
+        took: Duration,
+    ) {
+        let expected = queue.expectation(request).first_byte(0, 1.0);
+        let lasting = self.lasting_speed(queue.mean_speed);
+        let times = (took.as_secs_f64(), expected);
+        self.speed.measure(now, times, true, lasting);
+    }
+
     /// Discards what is known of its speed, as its process or machine is another
     /// one. Endpoints that report no load keep their measured speed.
     pub(super) fn reset_speed(&mut self) {
--- a/lib/src/dispatcher/queue.rs
+++ b/lib/src/dispatcher/queue.rs
@@ -143,6 +143,8 @@
     pub(super) model: Model,
     /// What was measured of its routes.
     kinds: HashMap<id::Route, Kind>,
+    /// Whether an endpoint of the service ever reported its load.
+    pub(super) states_load: bool,
     /// Mean speed of the endpoints.
     pub(super) mean_speed: speed::Mean,
     /// Speed of the fastest endpoint, relative to the mean; `None` if there is none.
--- a/lib/src/dispatcher/speed.rs
+++ b/lib/src/dispatcher/speed.rs
@@ -7,7 +7,7 @@
 use std::{fmt, mem, str::FromStr, time::Duration};
 
 use crate::{
-    dispatcher::{Dispatcher, Effect, member::Member},
+    dispatcher::{Dispatcher, Effect, member::Member, slow_start},
     estimate::Average,
     id, time,
 };
@@ -128,6 +128,8 @@
     pub started_ms: Option<u64>,
     /// What it reported last, and the time since then.
     pub stated: Option<(Slowdown, Duration)>,
+    /// Its window, while it is in slow start and shortly after.
+    pub window: Option<slow_start::Report>,
 }
 
 /// A value with the time at which it was true.
@@ -295,6 +297,9 @@
             if let Some(slowdown) = statement.slowdown {
                 member.speed.state(now, now, slowdown);
             }
+            if let Some(queue) = self.queues.get_mut(&member.record.service) {
+                queue.states_load = true;
+            }
         }
         mem::take(&mut self.effects)
     }
@@ -307,7 +312,7 @@
     }
 
     /// Records what another node knows of the speed of endpoints.
-    pub fn record_peer_speeds(&mut self, now: time::Instant, _node: &id::Node, reports: &[Report]) {
+    pub fn record_peer_speeds(&mut self, now: time::Instant, node: &id::Node, reports: &[Report]) {
         for report in reports {
             let Some(member) = self.members.get_mut(&report.endpoint) else {
                 continue;
@@ -318,32 +323,44 @@
             if let Some((slowdown, age)) = report.stated {
                 member.speed.state(now, now - age, slowdown);
             }
+            if let Some(queue) = self.queues.get_mut(&member.record.service) {
+                queue.states_load = true;
+            }
+            if let Some(window) = &report.window {
+                self.apply_window(now, &report.endpoint, node, window);
+            }
         }
     }
 
     /// Returns what this node knows of the speed of endpoints, for the other nodes: those
-    /// that differ most from their usual speed, at most [`MAX_REPORTS`].
+    /// in slow start, then those that differ most from their usual speed, at most [`MAX_REPORTS`].
     #[must_use]
     pub fn speeds(&self, now: time::Instant) -> Vec<Report> {
         let mut ranked = Vec::new();
         for (name, member) in &self.members {
-            let Some(sample) = member.speed.fresh_statement(now) else {
-                continue;
-            };
-            let importance = sample.log.abs() * sample.weight(now, STATED_HALF_LIFE);
-            if sample.log.abs() < MIN_REPORTED {
+            let sample = member.speed.fresh_statement(now);
+            let sample = sample.filter(|sample| sample.log.abs() >= MIN_REPORTED);
+            let window = member.slow_start.report(now, member.capacity());
+            if sample.is_none() && window.is_none() {
                 continue;
             }
+            let importance = sample.map_or(0.0, |sample| {
+                sample.log.abs() * sample.weight(now, STATED_HALF_LIFE)
+            });
             let report = Report {
                 endpoint: name.clone(),
                 started_ms: member.started_ms,
-                stated: Some((Slowdown(sample.log.exp()), now.since(sample.at))),
+                stated: sample.map(|sample| (Slowdown(sample.log.exp()), now.since(sample.at))),
+                window,
             };
-            ranked.push((importance, report));
+            ranked.push((window.is_some(), importance, report));
         }
-        ranked.sort_by(|first, second| second.0.total_cmp(&first.0));
+        ranked.sort_by(|first, second| {
+            let order = second.0.cmp(&first.0);
+            order.then(second.1.total_cmp(&first.1))
+        });
         ranked.truncate(MAX_REPORTS);
-        ranked.into_iter().map(|(_, report)| report).collect()
+        ranked.into_iter().map(|(.., report)| report).collect()
     }
 
     /// Returns the number of listed endpoints that work slower now than usual by 15 % or
--- a/lib/src/dispatcher/statement.rs
+++ b/lib/src/dispatcher/statement.rs
@@ -11,7 +11,7 @@
 use xxhash_rust::xxh3;
 
 use crate::{
-    dispatcher::{Dispatcher, Effect, limit, rejection},
+    dispatcher::{Dispatcher, Effect, limit, rejection, slow_start},
     id,
     notice::{self, Notice},
     share::Rate,
@@ -129,7 +129,11 @@
         if let Some(pause) = notice.pause {
             member.pause(now, pause);
             change.paused = Some(pause);
+            self.begin_slow_start(now, name, slow_start::Cause::Paused);
         }
+        let Some(member) = self.members.get_mut(name) else {
+            return (change, Vec::new());
+        };
         if notice.is_leaving {
             let (address, started) = (member.record.address.clone(), member.started_ms);
             let departures = &mut self.departures;
@@ -283,6 +287,9 @@
         if member.has_left {
             self.update_departures();
         }
+        if before.is_some() {
+            self.begin_slow_start(now, name, slow_start::Cause::Started);
+        }
     }
 
     /// Adds the permits that accrued for the limited endpoints of a service.
--- a/lib/tests/engines/mod.rs
+++ b/lib/tests/engines/mod.rs
@@ -178,6 +178,9 @@
                 .collect();
             dispatcher.set_peers(&names);
             dispatcher.set_endpoints(simulation.now, simulation.records());
+            for engine in &simulation.engines {
+                dispatcher.record_started(simulation.now, &engine.name, 1);
+            }
             simulation.dispatchers.push(dispatcher);
         }
         simulation
@@ -350,6 +353,21 @@
         }
     }
 
+    /// Starts an engine again, as another process.
+    #[allow(dead_code, reason = "not every test uses all of the simulation")]
+    pub fn restart(&mut self, index: usize, started_ms: u64) {
+        self.engines[index].alive = true;
+        for dispatcher in &mut self.dispatchers {
+            dispatcher.record_started(self.now, &self.engines[index].name, started_ms);
+        }
+    }
+
+    /// Returns the number of slots of an engine that are in use.
+    #[allow(dead_code, reason = "not every test uses all of the simulation")]
+    pub fn running(&self, index: usize) -> usize {
+        self.engines[index].running
+    }
+
     /// Passes what an engine reports in an answer to the node that receives it.
     fn report_load(&mut self, id: id::Request) {
         let job = &self.jobs[&id];
--- a/lib/tests/test_speed.rs
+++ b/lib/tests/test_speed.rs
@@ -266,6 +266,7 @@
             Slowdown::try_from(factor).unwrap(),
             Duration::from_millis(age),
         )),
+        window: None,
     };
     let mut dispatcher = dispatcher(&["e0", "e1"]);
     dispatcher.record_peer_speeds(at(2000), &node, &[report(2.5, 50, Some(9))]);
