--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -13,6 +13,8 @@
 mod model;
 mod queue;
 pub mod rejection;
+pub mod slow_start;
+pub mod speed;
 mod statement;
 
 use std::{
@@ -25,7 +27,7 @@
 
 pub use self::statement::NoticeChange;
 use self::{
-    choice::{Selection, has_candidate, open_members},
+    choice::{Selection, has_candidate},
     member::Member,
     queue::{MIN_DRAIN_PER_SLOT, Queue},
 };
@@ -235,6 +237,8 @@
     /// Requests that were accepted to show how long they take.
     trials: usize,
     rng: SmallRng,
+    /// Slow starts that began or ended and were not taken yet.
+    slow_starts: Vec<slow_start::Change>,
     /// Effects of the current call, returned at its end.
     effects: Vec<Effect>,
 }
@@ -254,6 +258,7 @@
             departures: Departures::default(),
             node_count: 1,
             trials: 0,
+            slow_starts: Vec::new(),
             effects: Vec::new(),
         }
     }
@@ -268,13 +273,18 @@
         for member in self.members.values_mut() {
             member.listed = false;
         }
+        let mut added = Vec::new();
         for record in records {
             if let Some(member) = self.members.get_mut(&record.id) {
                 member.update(record);
                 continue;
             }
+            added.push(record.id.clone());
             self.members.insert(record.id.clone(), Member::new(record));
         }
+        for name in added {
+            self.begin_slow_start(now, &name, slow_start::Cause::Listed);
+        }
         self.update_shares();
         self.members
             .retain(|_, member| member.listed || member.own_requests > 0);
@@ -305,7 +315,10 @@
             if let (Some(member), Some(event_interval)) =
                 (self.members.get_mut(name), load.event_interval)
             {
-                member.event_interval.record(event_interval.as_secs_f64());
+                member
+                    .speed
+                    .event_interval
+                    .record(event_interval.as_secs_f64());
             }
         }
         self.peer_loads.insert(node.clone(), loads);
@@ -503,7 +516,14 @@
         }
         let took = now.since(in_flight.sent_at);
         if let Some(queue) = self.queues.get_mut(&in_flight.request.service) {
-            let relative_speed = member.relative_speed(queue.mean_event_interval);
+            let request = &in_flight.request;
+            let lasting = member.lasting_speed(queue.mean_speed);
+            let pending = own_pending_tokens.saturating_sub(request.prompt);
+            let expected = queue.expectation(request).first_byte(pending, 1.0);
+            let times = (took.as_secs_f64(), expected);
+            let is_whole = request.expected_output == 0;
+            let relative_speed = member.relative_speed(now, queue.mean_speed);
+            member.speed.measure(now, times, is_whole, lasting);
             queue.model.record_first_byte(
                 in_flight.request.prompt,
                 own_pending_tokens,
@@ -513,25 +533,13 @@
         }
     }
 
-    /// Records the load that an endpoint reported about itself.
-    pub fn record_endpoint_load(
-        &mut self,
-        now: time::Instant,
-        name: &id::Endpoint,
-        running: u32,
-        waiting: u32,
-    ) {
-        if let Some(member) = self.members.get_mut(name) {
-            member.reported_requests = Some((now, running.saturating_add(waiting)));
-        }
-    }
-
     /// Records the end of a request at its endpoint.
     pub fn finish(&mut self, now: time::Instant, id: id::Request, outcome: Outcome) -> Vec<Effect> {
         let Some(in_flight) = self.in_flight.remove(&id) else {
             return Vec::new();
         };
         let service = in_flight.request.service.clone();
+        let is_late = self.is_late(now, &in_flight);
         if let Some(member) = self.members.get_mut(&in_flight.endpoint) {
             // Pending prompt tokens are released at the first byte.
             let unanswered_prompt = match in_flight.first_byte_at {
@@ -565,7 +573,7 @@
             member.record_outcome(now, outcome);
             if let Some(queue) = self.queues.get_mut(&service) {
                 let took = now.since(in_flight.sent_at);
-                let relative_speed = member.relative_speed(queue.mean_event_interval);
+                let relative_speed = member.relative_speed(now, queue.mean_speed);
                 let is_answered = matches!(outcome, Outcome::Answered(_));
                 let is_missing =
                     outcome == Outcome::Cancelled && (is_expired || in_flight.is_abandoned(now));
@@ -581,11 +589,14 @@
                 && let Some(queue) = self.queues.get_mut(&service)
             {
                 let took = now.since(in_flight.sent_at);
-                let relative_speed = member.relative_speed(queue.mean_event_interval);
+                let relative_speed = member.relative_speed(now, queue.mean_speed);
                 match outcome {
                     // The first byte of a buffered answer reaches its caller with the last.
                     Outcome::Answered(_) => {
                         let prompt = in_flight.request.prompt;
+                        if !in_flight.delegated {
+                            member.measure_whole(now, queue, &in_flight.request, took);
+                        }
                         queue
                             .model
                             .record_first_byte(prompt, prompt, took, relative_speed);
@@ -600,19 +611,20 @@
                 && let Some(queue) = self.queues.get_mut(&service)
             {
                 let took = now.since(first_byte_at);
-                let relative_speed = member.relative_speed(queue.mean_event_interval);
+                let relative_speed = member.relative_speed(now, queue.mean_speed);
                 if let Some(event_interval) =
                     queue
                         .model
                         .record_answer(&in_flight.request, timing, took, relative_speed)
                 {
-                    member.record_event_interval(event_interval);
+                    member.record_event_interval(now, event_interval);
                 }
             }
             if !member.listed && member.own_requests == 0 {
                 self.members.remove(&in_flight.endpoint);
             }
         }
+        self.update_slow_start(now, &in_flight, outcome, is_late);
         self.update_speeds();
         self.dispatch(now, &service);
         mem::take(&mut self.effects)
@@ -768,7 +780,10 @@
             }
             queue.demote(now);
             let mut sent = false;
-            let open = open_members(now, &self.members, queue, &self.settings.data_centre);
+            let Some(queue) = self.queues.get(service) else {
+                return;
+            };
+            let open = self.open_members(now, queue);
             for (timeliness, id) in queue.head(MAX_LOOKAHEAD, &open) {
                 let Some(queue) = self.queues.get(service) else {
                     return;
@@ -850,18 +865,12 @@
         self.effects.push(Effect::Refuse(id, refusal));
     }
 
-    /// Updates each service's mean time between two events of a stream, and the speed of its
-    /// fastest endpoint.
+    /// Updates the mean speed of each service's endpoints, and the speed of its fastest one.
     fn update_speeds(&mut self) {
         for queue in self.queues.values_mut() {
             let members = queue.endpoints.iter();
-            let intervals = members.filter_map(|name| self.members.get(name)?.event_interval.get());
-            let (mut sum, mut count) = (0.0, 0.0);
-            for interval in intervals {
-                sum += interval;
-                count += 1.0;
-            }
-            queue.mean_event_interval = (count > 0.0).then_some(sum / count);
+            let members = members.filter_map(|name| self.members.get(name));
+            queue.mean_speed = speed::Mean::of(members.map(|member| &member.speed));
             let mut fastest: Option<f64> = None;
             for name in &queue.endpoints {
                 let Some(member) = self.members.get(name) else {
@@ -870,7 +879,7 @@
                 if member.standing() != Standing::Live {
                     continue;
                 }
-                let speed = member.relative_speed(queue.mean_event_interval);
+                let speed = member.lasting_speed(queue.mean_speed);
                 fastest = Some(fastest.map_or(speed, |fastest| fastest.max(speed)));
             }
             queue.fastest = fastest;
--- a/lib/src/dispatcher/member.rs
+++ b/lib/src/dispatcher/member.rs
@@ -3,9 +3,11 @@
 use std::{mem, time::Duration};
 
 use crate::{
-    dispatcher::{Load, Outcome, Request, limit::Limit, rejection::Tolerance},
+    dispatcher::{
+        Load, Outcome, Request, limit::Limit, queue::Queue, rejection::Tolerance,
+        slow_start::SlowStart, speed,
+    },
     endpoint::{Record, Standing},
-    estimate::Average,
     time,
 };
 
@@ -54,10 +56,12 @@
     /// Load of the other nodes, by their last reports.
     pub(super) peer_load: Load,
     /// Time of the endpoint's last report of its own load, and the requests
-    /// that ran or waited there; `None` if it has not reported any.
+    /// of other nodes that ran or waited there; `None` if it has not reported any.
     pub(super) reported_requests: Option<(time::Instant, u32)>,
-    /// Average seconds between two events of a stream.
-    pub(super) event_interval: Average,
+    /// Its slow start.
+    pub(super) slow_start: SlowStart,
+    /// How fast it works.
+    pub(super) speed: speed::Estimate,
     /// Sum, in seconds, and number of the event intervals recorded since the
     /// last report to the other nodes.
     unreported_intervals: (f64, u32),
@@ -93,7 +97,8 @@
             delegated: (0, 0),
             peer_load: Load::default(),
             reported_requests: None,
-            event_interval: Average::default(),
+            slow_start: SlowStart::default(),
+            speed: speed::Estimate::default(),
             unreported_intervals: (0.0, 0),
             avoided_until: time::Instant::default(),
             failed_connections: 0,
@@ -118,6 +123,7 @@
             self.limit = Limit::default();
             self.tolerance = Tolerance::default();
             self.paused_until = time::Instant::default();
+            self.reset_speed();
         }
         self.listed = true;
         self.record = record;
@@ -202,10 +208,10 @@
             return None;
         }
         let mut peer_requests = self.peer_load.requests;
-        if let Some((at, total)) = self.reported_requests
+        if let Some((at, others)) = self.reported_requests
             && now.since(at) < REPORT_TTL
         {
-            peer_requests = peer_requests.max(total.saturating_sub(self.own_requests));
+            peer_requests = peer_requests.max(others);
         }
         Some(self.own_requests.saturating_add(peer_requests))
     }
@@ -228,8 +234,10 @@
     }
 
     /// Records the seconds between two events of a stream of this node.
-    pub(super) fn record_event_interval(&mut self, event_interval: f64) {
-        self.event_interval.record(event_interval);
+    /// A moment's slowdown is taken out, as these are for the long term.
+    pub(super) fn record_event_interval(&mut self, now: time::Instant, event_interval: f64) {
+        let event_interval = event_interval / self.speed.slowdown(now);
+        self.speed.event_interval.record(event_interval);
         self.unreported_intervals.0 += event_interval;
         self.unreported_intervals.1 += 1;
     }
@@ -255,14 +263,38 @@
         }
     }
 
-    /// Returns the speed relative to the service's mean; one if unknown.
-    pub(super) fn relative_speed(&self, mean_event_interval: Option<f64>) -> f64 {
-        let (Some(interval), Some(mean_interval)) =
-            (self.event_interval.get(), mean_event_interval)
-        else {
-            return 1.0;
-        };
-        (mean_interval / interval.max(1e-6)).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1)
+    /// Returns the long-term speed relative to the service's mean; one if unknown.
+    pub(super) fn lasting_speed(&self, mean: speed::Mean) -> f64 {
+        self.speed.lasting(mean, SPEED_BOUNDS)
+    }
+
+    /// Returns the speed now relative to the service's mean; one if unknown.
+    pub(super) fn relative_speed(&self, now: time::Instant, mean: speed::Mean) -> f64 {
+        let speed = self.lasting_speed(mean) / self.speed.slowdown(now);
+        speed.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1)
+    }
+
+    /// Records the time of a whole answer.
+    pub(super) fn measure_whole(
+        &mut self,
+        now: time::Instant,
+        queue: &Queue,
+        request: &Request,
+        took: Duration,
+    ) {
+        let expected = queue.expectation(request).first_byte(0, 1.0);
+        let lasting = self.lasting_speed(queue.mean_speed);
+        let times = (took.as_secs_f64(), expected);
+        self.speed.measure(now, times, true, lasting);
+    }
+
+    /// Discards what is known of its speed, as its process or machine is another
+    /// one. Endpoints that report no load keep their measured speed.
+    pub(super) fn reset_speed(&mut self) {
+        if self.reported_requests.take().is_some() {
+            self.speed = speed::Estimate::default();
+        }
+        self.speed.is_unreadable = false;
     }
 
     /// Returns the fraction of recent requests that failed.
