dispatcher: the workspace furthest above the others leaves the schedule first

Cause: a workspace with 7 times its usual load pushed out the calls of the others as often as its own.

Change: `fairness` adds up the work sent for each workspace of a service, over all nodes that the dispatcher decides for, with a time constant of 5 s. Requests of the workspace furthest above 5 times the mean of the others leave first.

--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -7,6 +7,7 @@
 //! then class, then the time left.
 
 mod choice;
+mod fairness;
 mod kind;
 pub mod limit;
 mod member;
--- a/lib/src/dispatcher/queue.rs
+++ b/lib/src/dispatcher/queue.rs
@@ -9,6 +9,7 @@
 use crate::{
     dispatcher::{
         Request, TRANSIT_MARGIN,
+        fairness::{Total, Usage},
         kind::{Kind, Measurement},
         member::Member,
         model::Model,
@@ -204,6 +205,8 @@
     /// The queued requests that came back then, and the rate of their work.
     returned: HashSet<id::Request>,
     returned_rate: Rate,
+    /// Work sent for each workspace.
+    usage: Usage,
 }
 
 /// A queued request that will not be served.
@@ -291,7 +294,10 @@
 
     /// Removes a request that is sent to an endpoint.
     pub(super) fn send(&mut self, now: time::Instant, id: id::Request) -> Option<Request> {
-        let work = self.entries.get(&id)?.work;
+        let entry = self.entries.get(&id)?;
+        let work = entry.work;
+        self.usage
+            .record(now, entry.request.workspace.as_ref(), work);
         self.sent.record(now, work);
         self.backlog.record_send(work);
         let request = self.remove(id);
@@ -464,7 +470,12 @@
             order.push((slot, id));
         }
         order.sort_unstable();
-        let late = self.select(now, drain, &order);
+        let waiting = self.entries.values();
+        let waiting: HashSet<_> = waiting
+            .map(|entry| entry.request.workspace.as_ref())
+            .collect();
+        let total = self.usage.total(now, &waiting);
+        let late = self.select(now, drain, total, &order);
         let selected = order.iter().filter(|(_, id)| !late.contains(id));
         let selected = selected.filter_map(|(_, id)| self.entries.get(id));
         let work: f64 = selected.map(|entry| entry.work).sum();
@@ -496,6 +507,7 @@
         &self,
         now: time::Instant,
         drain: f64,
+        total: Total,
         order: &[(Slot, id::Request)],
     ) -> HashSet<id::Request> {
         let mut late = HashSet::new();
@@ -524,9 +536,11 @@
                     continue;
                 };
                 let is_returned = self.returned.contains(id);
+                let workspace = entry.request.workspace.as_ref();
                 schedule.add(Job {
                     id: *id,
                     work: entry.work,
+                    excess: self.usage.excess(now, workspace, total),
                     weight: if is_returned { RETURNED_WEIGHT } else { 1.0 },
                     latest_start: self.latest_start(&entry.request),
                 });
--- a/lib/src/dispatcher/schedule.rs
+++ b/lib/src/dispatcher/schedule.rs
@@ -26,6 +26,8 @@
     /// Factor on its work where requests are compared to leave; lower for one that has more to
     /// lose.
     pub(super) weight: f64,
+    /// How far its workspace is above its equal share; those of the furthest leave first.
+    pub(super) excess: f64,
     /// Latest time at which it can be sent and still be within its target.
     pub(super) latest_start: time::Instant,
 }
@@ -33,6 +35,8 @@
 /// A selected request; the greatest leaves first.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Selected {
+    /// Excess of its workspace, rounded down.
+    excess: f64,
     /// Logarithm of its work, in whole steps of [`EQUAL_WORK_RATIO`].
     magnitude: f64,
     id: id::Request,
@@ -49,8 +53,9 @@
 
 impl Ord for Selected {
     fn cmp(&self, other: &Self) -> Ordering {
+        let by_excess = self.excess.total_cmp(&other.excess);
         let by_magnitude = self.magnitude.total_cmp(&other.magnitude);
-        by_magnitude.then(self.id.cmp(&other.id))
+        by_excess.then(by_magnitude).then(self.id.cmp(&other.id))
     }
 }
 
@@ -94,6 +99,7 @@
         let is_timely = self.ahead + self.work * WAIT_FACTOR <= slack;
         self.work += job.work;
         self.selected.push(Selected {
+            excess: job.excess.floor(),
             magnitude: ((job.work * job.weight).max(1e-6).ln() / EQUAL_WORK_RATIO.ln()).floor(),
             id: job.id,
             work: job.work,
--- a/lib/tests/test_overload.rs
+++ b/lib/tests/test_overload.rs
@@ -431,6 +431,12 @@
     let others = callers.shares(|number, call| range.contains(&number) && call.workspace != HEAVY);
     let heavy = callers.shares(|number, call| range.contains(&number) && call.workspace == HEAVY);
     println!("others {others:?}\nheavy {heavy:?}");
+    // Without regard to workspaces, the others lose as much as the heavy one.
+    assert!(others.within > heavy.within, "{others:?}, {heavy:?}");
+    assert!(
+        others.refused_twice * 2.0 < heavy.refused_twice,
+        "{others:?}, {heavy:?}"
+    );
 }
 
 /// Guards against requests of a higher tier that are refused or late because of a lower one.
