--- a/lib/src/dispatcher/queue.rs
+++ b/lib/src/dispatcher/queue.rs
@@ -444,7 +444,10 @@
         own_places: f64,
     ) -> Vec<Unserved> {
         let count = u32::try_from(self.entries.len()).unwrap_or(u32::MAX);
-        self.next_plan = now + PLAN_INTERVAL + PLAN_INTERVAL_PER_REQUEST.saturating_mul(count);
+        self.next_plan = now;
+        if places > SMALL_PLACES || count > SMALL_QUEUE {
+            self.next_plan = now + PLAN_INTERVAL + PLAN_INTERVAL_PER_REQUEST.saturating_mul(count);
+        }
         self.backlog.record_waiting(now, places);
         let drain = self.drain(now, places, own_places);
         let mut order: Vec<(Slot, id::Request)> = Vec::new();
@@ -806,8 +809,14 @@
     }
 }
 
-/// Shortest time between two selections, and what each queued request adds to it: 2,000 are
-/// looked at every 30 ms.
+/// Places and queued requests of a service up to which requests are selected from at every
+/// arrival. With more places, a lower tier would be refused at moments that pass (see
+/// `docs/design/overload.md`).
+const SMALL_PLACES: f64 = 8.0;
+const SMALL_QUEUE: u32 = 64;
+
+/// Shortest time between two selections otherwise, and what each of them adds to it:
+/// 2,000 are looked at every 30 ms.
 const PLAN_INTERVAL: Duration = Duration::from_millis(10);
 const PLAN_INTERVAL_PER_REQUEST: Duration = Duration::from_micros(10);
 
