--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -7,12 +7,15 @@
 //! then class, then the time left.
 
 mod choice;
+mod fairness;
 mod kind;
 pub mod limit;
 mod member;
 mod model;
 mod queue;
 pub mod rejection;
+mod retry;
+mod schedule;
 pub mod slow_start;
 pub mod speed;
 mod statement;
@@ -29,7 +32,7 @@
 use self::{
     choice::{Selection, has_candidate},
     member::Member,
-    queue::{MIN_DRAIN_PER_SLOT, Queue},
+    queue::{MIN_DRAIN_PER_SLOT, Queue, Unserved},
 };
 use crate::{
     endpoint::{self, Standing},
@@ -54,12 +57,8 @@
 /// Minimum and maximum `retry_after` of a refusal, before random spread.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(4));
 
-/// Factor on the estimate of a wait; few requests wait longer than that.
-const LONG_WAIT_FACTOR: f64 = 1.25;
-
-/// Assumed time until the backlog has drained, for a request that was queued
-/// until it could no longer be served.
-const BACKLOG_DRAIN_TIME: Duration = Duration::from_secs(2);
+/// Highest random factor on the time to come back, so that callers do not return together.
+const RETRY_SPREAD: f64 = 1.25;
 
 /// Divisor of a request's remaining time that yields the latest `retry_after`
 /// with which a retry can still be served.
@@ -378,21 +377,8 @@
             return mem::take(&mut self.effects);
         }
         let service = request.service.clone();
-        let seconds = queue.duration(&request).as_secs_f64();
-        let members = queue.endpoints.iter();
-        let members = members.filter_map(|name| self.members.get(name));
-        let capacity: f64 = members
-            .map(|member| member.usable_capacity(seconds, MIN_DRAIN_PER_SLOT))
-            .sum();
-        let node_capacity =
-            capacity / f64::from(u32::try_from(self.node_count).unwrap_or(u32::MAX));
         queue.record_arrival(now, &request);
-        let wait = queue.estimate_wait(now, &request, node_capacity);
-        // One that has to wait until its answer may not be whole in time would be served after
-        // those that can be, if at all.
-        let is_infeasible = queue.is_infeasible(now + wait, &request)
-            || (wait > Duration::ZERO
-                && queue.is_likely_incomplete(now + wait.mul_f64(LONG_WAIT_FACTOR), &request));
+        let is_infeasible = queue.is_infeasible(now, &request);
         let is_trial = is_infeasible && queue.allows_trial(now, &request);
         if queue.len() >= MAX_QUEUED_REQUESTS || (is_infeasible && !is_trial) {
             let reason = if queue.len() >= MAX_QUEUED_REQUESTS {
@@ -400,20 +386,42 @@
             } else {
                 refusal::Reason::Deadline
             };
-            let wait = retry_delay(now, &request, wait);
-            self.refuse(id, reason, wait);
+            self.refuse_request(now, id, &request, reason);
             return mem::take(&mut self.effects);
         }
         if is_trial {
             self.trials += 1;
             queue.push_trial(now, id, request);
         } else {
+            queue.admit_return(now, id, &request);
             queue.push(now, id, request);
         }
         self.dispatch(now, &service);
+        self.plan(now, &service);
         mem::take(&mut self.effects)
     }
 
+    /// Refuses queued requests of a service that will not be served, and orders the others.
+    fn plan(&mut self, now: time::Instant, service: &id::Service) {
+        let Some(queue) = self.queues.get_mut(service) else {
+            return;
+        };
+        if !queue.is_plan_due(now) {
+            return;
+        }
+        let seconds = queue.mean_work();
+        let members = queue.endpoints.iter();
+        let members = members.filter_map(|name| self.members.get(name));
+        let places: f64 = members
+            .map(|member| member.usable_capacity(seconds, MIN_DRAIN_PER_SLOT))
+            .sum();
+        let own_places = places / f64::from(u32::try_from(self.node_count).unwrap_or(u32::MAX));
+        for unserved in queue.plan(now, places, own_places) {
+            let Unserved { id, request } = unserved;
+            self.refuse_request(now, id, &request, refusal::Reason::Deadline);
+        }
+    }
+
     /// Records a request that another node placed. `delegated` is true if that
     /// node still reports the request as its own load. Returns false if, as far
     /// as this node knows, the endpoint takes no new requests or runs another
@@ -633,13 +641,9 @@
     /// Refuses queued requests that can no longer be served in time and sends
     /// others while endpoints have room.
     pub fn tick(&mut self, now: time::Instant) -> Vec<Effect> {
-        let mut infeasible = Vec::new();
-        for queue in self.queues.values_mut() {
-            infeasible.extend(queue.remove_infeasible(now));
-        }
-        for (id, request) in infeasible {
-            let wait = retry_delay(now, &request, BACKLOG_DRAIN_TIME);
-            self.refuse(id, refusal::Reason::Deadline, wait);
+        let services: Vec<id::Service> = self.queues.keys().cloned().collect();
+        for service in services {
+            self.plan(now, &service);
         }
         self.refuse_without_candidate(now);
         self.dispatch_all(now);
@@ -778,7 +782,7 @@
             if queue.len() == 0 {
                 return;
             }
-            queue.demote(now);
+            queue.demote(now, MAX_LOOKAHEAD);
             let mut sent = false;
             let Some(queue) = self.queues.get(service) else {
                 return;
@@ -855,6 +859,32 @@
         self.effects.push(Effect::Send(id, choice));
     }
 
+    /// Refuses a request for lack of capacity, with a time to come back at which capacity is
+    /// expected to be free and the retry can still be served, and remembers it.
+    fn refuse_request(
+        &mut self,
+        now: time::Instant,
+        id: id::Request,
+        request: &Request,
+        reason: refusal::Reason,
+    ) {
+        let latest = request.deadline.since(now) / RETRY_DIVISOR;
+        // Leaves room for the random spread.
+        let latest = latest.min(RETRY_AFTER.1).div_f64(RETRY_SPREAD);
+        let spread = self.rng.random_range(1.0..RETRY_SPREAD);
+        let mut retry_after = latest;
+        if let Some(queue) = self.queues.get_mut(&request.service) {
+            let wait = queue.promise_return(now, request, (RETRY_AFTER.0, latest));
+            retry_after = wait.mul_f64(spread);
+            queue.expect_return(now, request, now + retry_after);
+        }
+        let refusal = Refusal {
+            reason,
+            retry_after,
+        };
+        self.effects.push(Effect::Refuse(id, refusal));
+    }
+
     fn refuse(&mut self, id: id::Request, reason: refusal::Reason, delay: Duration) {
         let spread = self.rng.random_range(1.0..1.25);
         let retry_after = delay.clamp(RETRY_AFTER.0, RETRY_AFTER.1).mul_f64(spread);
@@ -924,12 +954,3 @@
         }
     }
 }
-
-/// Returns how long a refused caller should wait before a retry: until the
-/// backlog has drained, but not so long that the retry can't be served. The
-/// factor of 0.8 leaves room for the random spread that a refusal adds, at most
-/// a quarter.
-fn retry_delay(now: time::Instant, request: &Request, wait: Duration) -> Duration {
-    let latest = request.deadline.since(now) / RETRY_DIVISOR;
-    wait.min(latest.mul_f64(0.8))
-}
