rollout: wiring of roll-outs in the gateway, first part

Orders, records and status of the store are translated; the directory carries orders and records; gateway::rollout holds them, sums the evidence of the nodes and gives each request the versions that may serve it.

--- a/gateway/src/acceptance.rs
+++ b/gateway/src/acceptance.rs
@@ -107,6 +107,7 @@
             first_byte_deadline: deadline.min(received + patience - ANSWER_MARGIN),
             subject,
             version,
+            sample: rand::random(),
             template: Template::new(parts, body, head, workspace, plan.workspaces.is_some()),
         })
     }
--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -41,6 +41,7 @@
     paths::Paths,
     refusal::Refused,
     relay::Relay,
+    rollout,
     search::{Obstacle, Place, Search},
     view,
 };
@@ -81,6 +82,8 @@
     pub origins: origins::Handle,
     /// How recent the directory is.
     pub view: view::Handle,
+    /// The roll-outs of services to other software versions.
+    pub rollouts: rollout::Handle,
     /// Metrics of the request path.
     pub metrics: Metrics,
     /// Phase of the shutdown.
--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -32,7 +32,7 @@
     admission, crashes,
     directory::{Change, Changes, Entry, Node, Snapshot},
     metrics::Metrics,
-    origins, view,
+    origins, rollout, view,
 };
 
 /// Interval at which endpoints kept through an outage are checked for expiry.
@@ -84,6 +84,8 @@
     pub origins: origins::Handle,
     /// Receives how recent the directory is.
     pub view: view::Handle,
+    /// Receives the orders and records of roll-outs.
+    pub rollouts: rollout::Handle,
 }
 
 /// Where a snapshot comes from.
@@ -104,6 +106,8 @@
     endpoints: Endpoints,
     nodes: Nodes,
     outputs: Outputs,
+    /// Number of the last change of the roll-outs that was published.
+    published_rollouts: Option<u64>,
 }
 
 impl Actor for Controller {
@@ -121,6 +125,7 @@
             endpoints: Endpoints::default(),
             nodes: Nodes::default(),
             outputs,
+            published_rollouts: None,
         })
     }
 
@@ -168,6 +173,8 @@
                 self.apply_snapshot(*snapshot, Origin::Source { is_restored });
             }
             Message::PeerSnapshot(snapshot) => {
+                let rollouts = &self.outputs.rollouts;
+                rollouts.apply_of_node(&snapshot.orders, &snapshot.records);
                 if self.endpoints.is_initialized() {
                     // The known endpoints are kept; only a newer plan is used.
                     if let Some(plan) = snapshot.plan {
@@ -212,11 +219,17 @@
             }
             Message::Read(sent) => {
                 let era = self.endpoints.revision().era;
+                let age = self.outputs.view.uptime().saturating_sub(sent);
+                self.outputs.rollouts.record_current(now - age);
                 self.outputs.view.record_read(sent, era, self.digest());
             }
             Message::SourceReturned(at) => self.endpoints.record_return(at),
             Message::Tick => {
                 self.apply_listings();
+                if let Some(confirmed) = self.outputs.view.confirmed() {
+                    let rollouts = &self.outputs.rollouts;
+                    rollouts.record_current(now - confirmed.elapsed());
+                }
                 if self.nodes.expire(now) {
                     self.publish_nodes();
                 }
@@ -238,6 +251,8 @@
         self.endpoints.replace(now, snapshot.endpoints);
         match origin {
             Origin::Source { is_restored } => {
+                let rollouts = &self.outputs.rollouts;
+                rollouts.replace(&snapshot.orders, &snapshot.records);
                 self.nodes.replace(now, snapshot.nodes, is_restored);
             }
             Origin::Node => {
@@ -278,6 +293,10 @@
                 self.nodes.insert(node);
                 self.publish_nodes();
             }
+            Change::Ordered(spec) => self.outputs.rollouts.set_order(&spec),
+            Change::OrderRemoved(service) => self.outputs.rollouts.remove_order(&service),
+            Change::Recorded(record) => self.outputs.rollouts.set_record(&record),
+            Change::RecordRemoved(service) => self.outputs.rollouts.remove_record(&service),
             Change::Quarantined(marks) => self.outputs.crashes.apply_kept_marks(&marks),
             Change::NodeRemoved(name) => {
                 if self.nodes.remove(&name) {
@@ -338,6 +357,12 @@
             node.name.as_str().hash(&mut hasher);
             node.address.hash(&mut hasher);
         }
+        // Without roll-outs the digest is that of nodes that know none.
+        for (service, order, step) in self.outputs.rollouts.read_revisions() {
+            service.as_str().hash(&mut hasher);
+            order.hash(&mut hasher);
+            step.hash(&mut hasher);
+        }
         hasher.finish()
     }
 
@@ -368,7 +393,12 @@
         if let Some(listings) = self.endpoints.take_listings(now) {
             self.outputs.view.set_listings(listings);
         }
-        let changed = records.is_some();
+        if let Some(records) = &records {
+            self.outputs.rollouts.set_endpoints(records.iter());
+        }
+        let rollouts = *self.outputs.rollouts.changes().borrow();
+        let changed =
+            records.is_some() || self.published_rollouts.replace(rollouts) != Some(rollouts);
         self.outputs.admission.apply(|dispatcher, now| {
             let effects = match records {
                 Some(records) => {
@@ -387,10 +417,13 @@
             return;
         }
         let plan = self.outputs.plan.borrow().as_deref().cloned();
+        let (orders, records) = self.outputs.rollouts.snapshot();
         self.outputs.snapshot.send_replace(Arc::new(Snapshot {
             plan,
             endpoints: self.endpoints.entries(),
             nodes: self.nodes.iter().cloned().collect(),
+            orders,
+            records,
             ..Snapshot::default()
         }));
     }
--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -8,12 +8,13 @@
     era::{Era, Revision},
     id,
     plan::Plan,
+    rollout::{Spec, State, Step},
     suspicion::Mark,
 };
 use dottereltally_store::kv::{self, Error};
 use serde::{Deserialize, Serialize};
 
-use crate::era;
+use crate::{era, rollout::wire};
 
 /// The most recent description that an endpoint wrote of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -95,6 +96,90 @@
     pub millicores: u32,
 }
 
+/// Record of a roll-out as the source has it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "WireRecord", into = "WireRecord")]
+pub struct Record {
+    /// The service.
+    pub service: id::Service,
+    /// Its content.
+    pub state: State,
+    /// Revision that wrote it; unknown in a record of another node.
+    pub revision: Revision,
+}
+
+/// A record as nodes send it to each other.
+#[derive(Clone, Serialize, Deserialize)]
+struct WireRecord {
+    service: id::Service,
+    record: wire::Record,
+}
+
+impl From<Record> for WireRecord {
+    fn from(record: Record) -> Self {
+        Self {
+            service: record.service,
+            record: wire::Record::from(&record.state),
+        }
+    }
+}
+
+impl TryFrom<WireRecord> for Record {
+    type Error = wire::Error;
+
+    fn try_from(wire: WireRecord) -> Result<Self, wire::Error> {
+        Ok(Self {
+            service: wire.service,
+            state: wire.record.try_into()?,
+            revision: Revision::default(),
+        })
+    }
+}
+
+/// Orders as nodes send them to each other.
+mod orders {
+    use dottereltally_lib::rollout::Spec;
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    use crate::rollout::wire::Order;
+
+    pub(super) fn serialize<S: Serializer>(
+        specs: &[Spec],
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        let orders: Vec<Order> = specs.iter().cloned().map(Order::from).collect();
+        orders.serialize(serializer)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Vec<Spec>, D::Error> {
+        let orders = Vec::<Order>::deserialize(deserializer)?;
+        Ok(orders.into_iter().map(Spec::from).collect())
+    }
+}
+
+/// A state that replaces the record of a roll-out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Replacement {
+    /// The service.
+    pub service: id::Service,
+    /// The new content.
+    pub state: State,
+    /// Revision of the record that it replaces; `None` if there must be none.
+    pub previous: Option<Revision>,
+    /// Revision of the order, which must still be in the source.
+    pub order: Revision,
+}
+
+impl Replacement {
+    /// Returns the step that is written.
+    #[must_use]
+    pub fn step(&self) -> Step {
+        self.state.step
+    }
+}
+
 /// A change of the directory.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
@@ -110,6 +195,14 @@
     NodeRemoved(id::Node),
     /// A node kept the suspicions against a request that it refuses.
     Quarantined(Vec<Mark>),
+    /// An operator ordered a roll-out.
+    Ordered(Spec),
+    /// The order for a service was removed.
+    OrderRemoved(id::Service),
+    /// A node wrote the record of a roll-out.
+    Recorded(Box<Record>),
+    /// The record for a service was removed.
+    RecordRemoved(id::Service),
 }
 
 /// The whole directory at one revision.
@@ -129,6 +222,12 @@
     /// are not sent here.
     #[serde(skip)]
     pub marks: Vec<Mark>,
+    /// The orders of roll-outs.
+    #[serde(default, with = "orders", skip_serializing_if = "Vec::is_empty")]
+    pub orders: Vec<Spec>,
+    /// The records of roll-outs.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub records: Vec<Record>,
     /// Entries that were found to be unusable by this read, and not before.
     #[serde(skip)]
     pub unusable: u64,
@@ -190,6 +289,20 @@
         marks: &[Mark],
     ) -> impl Future<Output = Result<(), Error>> + Send;
 
+    /// Replaces the record of a roll-out, and the status that operators read, if neither
+    /// the record nor the order changed since they were read. Returns the record that the
+    /// source has then, which is another one if another node was faster or the order
+    /// changed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service can't be reached or does not answer in time; the record may
+    /// have been written.
+    fn write_record(
+        &self,
+        replacement: &Replacement,
+    ) -> impl Future<Output = Result<Option<Record>, Error>> + Send;
+
     /// Registers this node under a new lease, which expires `ttl` after its last
     /// renewal.
     ///
--- a/gateway/src/heartbeat.rs
+++ b/gateway/src/heartbeat.rs
@@ -13,11 +13,12 @@
     id::{self, DataCentre, Endpoint, Fingerprint, Generation, Incarnation, Workspace},
     notice,
     quota::Usage,
+    rollout::{Counts, Group, MAX_LAGGING, MAX_ROUTES, Report, Step},
     share::Rate,
     suspicion::{Kind, Mark},
 };
 use dottereltally_proto::gateway_capnp::{
-    beat, held, listing as wire_listing, notice as wire_notice,
+    beat, held, listing as wire_listing, notice as wire_notice, rollout as wire_rollout,
 };
 
 use crate::listing;
@@ -60,6 +61,8 @@
     pub view: Option<View>,
     /// Whether endpoints are listed that had left, or that the sender knew to have left.
     pub listings: Vec<listing::Report>,
+    /// What was counted for the roll-outs of services, and their steps in force.
+    pub rollouts: Vec<(id::Service, Report)>,
 }
 
 impl Heartbeat {
@@ -126,6 +129,13 @@
         for (index, report) in self.listings.iter().enumerate() {
             write_listing(report, list.reborrow().get(list_length(index)));
         }
+        let mut list = root
+            .reborrow()
+            .init_rollouts(list_length(self.rollouts.len()));
+        for (index, (service, report)) in self.rollouts.iter().enumerate() {
+            let entry = list.reborrow().get(list_length(index));
+            write_rollout(service, report, entry);
+        }
         let mut list = root.init_marks(list_length(self.marks.len()));
         for (index, mark) in self.marks.iter().enumerate() {
             let mut entry = list.reborrow().get(list_length(index));
@@ -181,6 +191,9 @@
         for entry in root.get_listings()? {
             heartbeat.listings.push(read_listing(entry)?);
         }
+        for entry in root.get_rollouts()? {
+            heartbeat.rollouts.push(read_rollout(entry)?);
+        }
         heartbeat.loads = read_loads(root.get_held()?)?;
         for entry in root.get_usage()? {
             let usage = Usage {
@@ -289,6 +302,66 @@
     })
 }
 
+fn write_rollout(service: &id::Service, report: &Report, mut wire: wire_rollout::Builder<'_>) {
+    wire.set_service(service.as_str());
+    wire.set_order(report.order.number);
+    wire.set_order_era(report.order.era.announced);
+    wire.set_order_era_falls(report.order.era.falls);
+    wire.set_step(report.step.0);
+    wire.set_nodes(report.nodes);
+    wire.set_running(report.baseline_in_flight);
+    let behind = report.lagging.len().min(MAX_LAGGING);
+    let mut list = wire.reborrow().init_behind(list_length(behind));
+    for (index, node) in report.lagging.iter().take(MAX_LAGGING).enumerate() {
+        list.set(list_length(index), node.as_str());
+    }
+    let mut list = wire.init_counts(list_length(report.samples.len()));
+    for (index, ((route, group), counts)) in report.samples.iter().enumerate() {
+        let mut entry = list.reborrow().get(list_length(index));
+        entry.set_route(route.as_str());
+        entry.set_is_target(*group == Group::Canary);
+        entry.set_sent(counts.sent);
+        entry.set_answered(counts.answered);
+        entry.set_failed(counts.failed);
+        entry.set_slow(counts.slow);
+    }
+}
+
+fn read_rollout(wire: wire_rollout::Reader<'_>) -> capnp::Result<(id::Service, Report)> {
+    let mut report = Report {
+        order: Revision {
+            era: Era {
+                announced: wire.get_order_era(),
+                falls: wire.get_order_era_falls(),
+            },
+            number: wire.get_order(),
+        },
+        step: Step(wire.get_step()),
+        nodes: wire.get_nodes(),
+        baseline_in_flight: wire.get_running(),
+        ..Report::default()
+    };
+    for node in wire.get_behind()?.iter().take(MAX_LAGGING) {
+        report.lagging.push(id::Node::from(node?.to_str()?));
+    }
+    // Two groups a route, and the routes beyond the named ones.
+    for entry in wire.get_counts()?.iter().take(2 * (MAX_ROUTES + 1)) {
+        let group = if entry.get_is_target() {
+            Group::Canary
+        } else {
+            Group::Baseline
+        };
+        let counts = Counts {
+            sent: entry.get_sent(),
+            answered: entry.get_answered(),
+            failed: entry.get_failed(),
+            slow: entry.get_slow(),
+        };
+        report.record(&id::Route::from(entry.get_route()?.to_str()?), group, counts);
+    }
+    Ok((id::Service::from(wire.get_service()?.to_str()?), report))
+}
+
 fn whole_millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
--- a/gateway/src/job.rs
+++ b/gateway/src/job.rs
@@ -11,7 +11,7 @@
     time,
 };
 
-use crate::{attempt::Template, search::Obstacle};
+use crate::{attempt::Template, rollout, search::Obstacle};
 
 /// Failed connection attempts after which a request is abandoned.
 const MAX_CONNECT_FAILURES: u32 = 6;
@@ -42,15 +42,19 @@
     /// The software version that began the stream that it continues; `None` if
     /// any version may serve it.
     pub version: Option<id::Version>,
+    /// Drawn when it was accepted, uniform in [0, 1): decides which versions may serve it
+    /// while a roll-out runs.
+    pub sample: f64,
     /// The message to endpoints, whichever is chosen.
     pub template: Template,
 }
 
 impl Job {
     /// Returns what the dispatcher needs to know to choose an endpoint;
-    /// `excluded` lists those that were tried before.
+    /// `excluded` lists those that were tried before, and `filter` names the versions that
+    /// may serve it now.
     #[must_use]
-    pub fn request(&self, excluded: &[id::Endpoint]) -> dispatcher::Request {
+    pub fn request(&self, excluded: &[id::Endpoint], filter: Filter) -> dispatcher::Request {
         dispatcher::Request {
             service: self.service.clone(),
             route: self.route.name.clone(),
@@ -67,7 +71,20 @@
             resumable: self.route.retry == Retry::Resume,
             workspace: self.workspace.clone(),
             fingerprint: Some(self.subject.request),
-            version_filter: Filter::Any,
+            version_filter: filter,
+        }
+    }
+
+    /// Returns what decides which versions may serve it while a roll-out runs.
+    #[must_use]
+    pub fn rollout_request(&self) -> rollout::Request<'_> {
+        rollout::Request {
+            service: &self.service,
+            route: &self.route.name,
+            sample: self.sample,
+            version: self.version.as_ref(),
+            deadline: self.deadline,
+            prompt: self.tokens.0,
         }
     }
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod peers;
 pub mod refusal;
 pub mod relay;
+pub mod rollout;
 pub mod rpc;
 pub mod search;
 pub mod settings;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -3,7 +3,12 @@
 use std::time::Duration;
 
 use dottereltally::problem::Reason;
-use dottereltally_lib::{crash::Finding, era::Era, id};
+use dottereltally_lib::{
+    crash::Finding,
+    era::Era,
+    id,
+    rollout::{Counts, State, Weight},
+};
 use http::StatusCode;
 use prometheus_client::{
     encoding::{EncodeLabelSet, EncodeLabelValue},
@@ -108,6 +113,61 @@
     Dropped,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RolloutLabels {
+    service: String,
+    version: String,
+}
+
+impl RolloutLabels {
+    fn new(service: &id::Service, version: Option<&id::Version>) -> Self {
+        Self {
+            service: service.to_string(),
+            version: version.map(id::Version::to_string).unwrap_or_default(),
+        }
+    }
+}
+
+/// Metrics of roll-outs, by service and version.
+#[derive(Clone, Debug, Default)]
+struct Rollouts {
+    weight: Family<RolloutLabels, Gauge>,
+    step: Family<RolloutLabels, Gauge>,
+    sent: Family<RolloutLabels, Counter>,
+    failed: Family<RolloutLabels, Counter>,
+    slow: Family<RolloutLabels, Counter>,
+}
+
+impl Rollouts {
+    fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "rollout_weight",
+            "Requests of 10,000 that the target of a roll-out gets",
+            self.weight.clone(),
+        );
+        registry.register(
+            "rollout_step",
+            "Step of a roll-out that is in force at this node",
+            self.step.clone(),
+        );
+        registry.register(
+            "rollout_sent",
+            "Requests sent since the order of a roll-out",
+            self.sent.clone(),
+        );
+        registry.register(
+            "rollout_failed",
+            "Requests that failed since the order of a roll-out",
+            self.failed.clone(),
+        );
+        registry.register(
+            "rollout_slow",
+            "Answers since the order of a roll-out that took several times as long as expected",
+            self.slow.clone(),
+        );
+    }
+}
+
 /// The metrics; clones share them.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -120,6 +180,7 @@
     crash_evidence: Family<EvidenceLabels, Counter>,
     examinations: Family<ExaminationLabels, Counter>,
     stream_origins: Family<OriginLabels, Counter>,
+    rollouts: Rollouts,
     origin_datagrams: Counter,
     origin_bytes: Counter,
     first_event: Family<TierLabels, Histogram, fn() -> Histogram>,
@@ -187,6 +248,7 @@
             crash_evidence: Family::default(),
             examinations: Family::default(),
             stream_origins: Family::default(),
+            rollouts: Rollouts::default(),
             origin_datagrams: Counter::default(),
             origin_bytes: Counter::default(),
             first_event: Family::new_with_constructor(latency_histogram),
@@ -261,6 +323,7 @@
             self.examinations.clone(),
         );
         self.register_origins(registry);
+        self.rollouts.register(registry);
         registry.register_with_unit(
             "first_event",
             "Time from a request to the first event of its answer",
@@ -399,6 +462,41 @@
         );
     }
 
+    /// Records the step of a roll-out that is in force.
+    pub fn set_rollout(&self, service: &id::Service, state: &State) {
+        let labels = RolloutLabels::new(service, Some(&state.target));
+        let step = i64::from(state.step.0);
+        self.rollouts.step.get_or_create(&labels).set(step);
+        self.set_rollout_weight(service, &state.target, state.weight);
+    }
+
+    /// Records the weight of a roll-out's target that is in force.
+    pub fn set_rollout_weight(&self, service: &id::Service, target: &id::Version, weight: Weight) {
+        let labels = RolloutLabels::new(service, Some(target));
+        let weight = i64::from(weight.0);
+        self.rollouts.weight.get_or_create(&labels).set(weight);
+    }
+
+    /// Records a request that was sent while a roll-out is ordered.
+    pub fn rollout_sent(&self, service: &id::Service, version: Option<&id::Version>) {
+        let labels = RolloutLabels::new(service, version);
+        self.rollouts.sent.get_or_create(&labels).inc();
+    }
+
+    /// Records the end of a request while a roll-out is ordered.
+    pub fn rollout_ended(
+        &self,
+        service: &id::Service,
+        version: Option<&id::Version>,
+        counts: Counts,
+    ) {
+        let labels = RolloutLabels::new(service, version);
+        let failed = u64::from(counts.failed);
+        self.rollouts.failed.get_or_create(&labels).inc_by(failed);
+        let slow = u64::from(counts.slow);
+        self.rollouts.slow.get_or_create(&labels).inc_by(slow);
+    }
+
     /// Records an endpoint's answer that was passed on to its end.
     pub fn answered(&self, tier: id::Tier, status: StatusCode, elapsed: Duration) {
         let labels = AnswerLabels {
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -53,6 +53,7 @@
     origins,
     paths::{Paths, Tcp, UPSTREAM_LIMITS},
     peers::{self, Peers},
+    rollout,
     rpc::{self, Server},
     settings::Settings,
     sync::lock,
@@ -202,6 +203,7 @@
         rpc_address: settings.listen.peers.to_string(),
         millicores: millicores(settings.processor_share),
     };
+    let later_steps = watch::Sender::new(None);
     let controller = start_controller(&settings, &adapters.source, &chain, &channels).await?;
     let rpc_server = Server {
         snapshot: channels.snapshot.subscribe(),
@@ -223,8 +225,9 @@
     spawn_local(fetch_from_seeds(
         settings.seeds.clone(),
         channels.endpoints_known.subscribe(),
-        controller,
+        controller.clone(),
     ));
+    spawn_local(fetch_later_steps(later_steps.subscribe(), controller));
     let registration = Arc::new(Registration::new(
         adapters.source,
         own_node.clone(),
@@ -232,7 +235,14 @@
     ));
     let renewed = Arc::clone(&registration);
     tokio::spawn(async move { renewed.run().await });
-    start_peers(own_node, listeners.heartbeats, &chain, &channels).await?;
+    start_peers(
+        own_node,
+        listeners.heartbeats,
+        &chain,
+        &channels,
+        later_steps,
+    )
+    .await?;
     let stop = watch::Sender::new(false);
     let state = State::new(&settings, &chain, &channels);
     serve_pages(
@@ -307,6 +317,12 @@
             },
         ),
         view: crate::view::Handle::new(clock),
+        rollouts: rollout::Handle::new(
+            clock,
+            metrics.clone(),
+            settings.rollouts,
+            settings.data_centre.clone(),
+        ),
         metrics: metrics.clone(),
         phase: Phase::default(),
     };
@@ -332,10 +348,16 @@
         crashes: chain.crashes.clone(),
         origins: chain.origins.clone(),
         view: chain.view.clone(),
+        rollouts: chain.rollouts.clone(),
     };
     let (controller, _running) = Actor::spawn(None, Controller, outputs)
         .await
         .wrap_err("the directory controller can't be started")?;
+    tokio::spawn(rollout::run(
+        chain.rollouts.clone(),
+        source.clone(),
+        chain.metrics.clone(),
+    ));
     let bound = settings.bounds.drain.min(settings.bounds.apply);
     tokio::spawn(controller::follow::run(
         source.clone(),
@@ -377,12 +399,40 @@
     }
 }
 
+/// Fetches the directory of nodes that know a later step of a roll-out than this one.
+async fn fetch_later_steps(
+    mut nodes: watch::Receiver<Option<SocketAddr>>,
+    controller: ActorRef<controller::Message>,
+) {
+    while nodes.changed().await.is_ok() {
+        let Some(node) = *nodes.borrow_and_update() else {
+            continue;
+        };
+        match rpc::fetch_snapshot(node).await {
+            Ok(None) => {}
+            Ok(Some(snapshot)) => {
+                let message = controller::Message::PeerSnapshot(Box::new(snapshot));
+                if let Err(error) = controller.send_message(message) {
+                    tracing::error!(%error, "directory controller has stopped");
+                    return;
+                }
+            }
+            Err(error) => {
+                tracing::info!(%node, %error, "step of a roll-out not received from another node");
+            }
+        }
+        // The source mostly delivers the step meanwhile.
+        sleep(SEED_INTERVAL).await;
+    }
+}
+
 /// Starts the exchange of heartbeats with the other nodes.
 async fn start_peers<D: Dialect>(
     own_node: directory::Node,
     socket: UdpSocket,
     chain: &Arc<Chain<D>>,
     channels: &Channels,
+    later_steps: watch::Sender<Option<SocketAddr>>,
 ) -> eyre::Result<()> {
     let mut nodes = channels.nodes.subscribe();
     let socket = Arc::new(socket);
@@ -391,6 +441,7 @@
         socket: Arc::clone(&socket),
         chain: Arc::clone(chain),
         ranked_nodes: channels.ranked_nodes.clone(),
+        later_steps,
     };
     let (peers, _running) = Actor::spawn(None, Peers::default(), arguments)
         .await
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     chain::Chain, coordinator, crashes, dialect::Dialect, directory::Node, heartbeat::Heartbeat,
-    logging::millis, origins, paths::Carrier, sync::lock,
+    logging::millis, origins, paths::Carrier, rollout, sync::lock,
 };
 
 /// Interval at which due heartbeats and silent nodes are looked for.
@@ -144,6 +144,8 @@
     pub chain: Arc<Chain<D>>,
     /// Receives the nodes of the data centre, the coordinator first.
     pub ranked_nodes: watch::Sender<Vec<Node>>,
+    /// Receives the address for RPC of a node that knows a later step of a roll-out.
+    pub later_steps: watch::Sender<Option<SocketAddr>>,
 }
 
 /// State of the actor.
@@ -335,6 +337,32 @@
         }
         let view = &self.arguments.chain.view;
         view.set_announcing(announcing.filter(|_| is_reader));
+        self.place_writer();
+    }
+
+    /// Determines whether this node writes records of roll-outs: each coordinator does, and
+    /// in a small fleet each node.
+    fn place_writer(&self) {
+        let own = &self.arguments.own_node.name;
+        let mut writers = BTreeSet::from([own]);
+        for (name, peer) in &self.peers {
+            let is_live = peer.last_received.is_some() && !peer.silent;
+            let is_writer = match self.exchange.role {
+                Role::Mesh => self.registered.contains_key(name),
+                _ => self.coordinators.contains(name),
+            };
+            if is_live && is_writer {
+                writers.insert(name);
+            }
+        }
+        let place = writers.iter().position(|name| *name == own);
+        let is_writer = matches!(self.exchange.role, Role::Mesh | Role::Coordinator);
+        let rank = place.filter(|_| is_writer);
+        let registered = self.registered.len() + 1;
+        self.arguments.chain.rollouts.set_place(rollout::Place {
+            rank: rank.map(|rank| u32::try_from(rank).unwrap_or(u32::MAX)),
+            registered: u32::try_from(registered).unwrap_or(u32::MAX),
+        });
     }
 
     /// Determines to whom heartbeats are sent, and whose are used.
@@ -558,6 +586,7 @@
             .admission
             .record_peer_notices(&heartbeat.node, &heartbeat.notices);
         chain.view.record_listings(&heartbeat.listings);
+        self.apply_rollouts(heartbeat);
         if Some(&heartbeat.node) == self.own_coordinator.as_ref()
             && let Some(view) = &heartbeat.view
         {
@@ -576,6 +605,24 @@
         }
     }
 
+    /// Applies what a heartbeat reports about roll-outs.
+    fn apply_rollouts(&self, heartbeat: &Heartbeat) {
+        let sender = rollout::Sender {
+            node: heartbeat.node.clone(),
+            incarnation: heartbeat.incarnation,
+            data_centre: heartbeat.data_centre.clone(),
+            scope: heartbeat.scope,
+        };
+        let rollouts = &self.arguments.chain.rollouts;
+        if !rollouts.record_reports(&sender, &heartbeat.rollouts) {
+            return;
+        }
+        let node = self.registered.get(&heartbeat.node);
+        if let Some(address) = node.and_then(|node| node.rpc_address.parse().ok()) {
+            self.arguments.later_steps.send_replace(Some(address));
+        }
+    }
+
     fn tick(&mut self) {
         let now = self.now();
         self.detect_silence(now);
@@ -652,6 +699,7 @@
             carriers: Vec::new(),
             view: chain.view.announcement(),
             listings: chain.view.listings(),
+            rollouts: chain.rollouts.reports(rollout::Audience::Node),
         }
     }
 
@@ -666,6 +714,7 @@
             usage: lock(&chain.limiter).summed_usage(Audience::DataCentre),
             carriers: self.carriers(|peer| peer.local),
             view: None,
+            rollouts: chain.rollouts.reports(rollout::Audience::DataCentre),
             ..own.clone()
         }
     }
@@ -686,6 +735,7 @@
             loads,
             usage: lock(&chain.limiter).summed_usage(Audience::Node(receiver)),
             carriers,
+            rollouts: chain.rollouts.reports(rollout::Audience::Fleet(receiver)),
             ..own.clone()
         }
     }
@@ -762,6 +812,7 @@
                 dispatcher.forget_peer(name);
                 Vec::new()
             });
+            self.arguments.chain.rollouts.forget_node(name);
             if let Some(peer) = self.peers.get_mut(name) {
                 peer.silent = true;
             }
--- a/gateway/src/search.rs
+++ b/gateway/src/search.rs
@@ -12,10 +12,11 @@
 use dottereltally_lib::{
     dispatcher::{self, Choice, Outcome},
     id, refusal,
+    rollout::Filter,
     route::Retry,
 };
 use futures_util::{FutureExt, future::BoxFuture};
-use tokio::time::sleep;
+use tokio::{sync::watch, time::sleep};
 
 use crate::{
     admission::Permit,
@@ -26,6 +27,7 @@
     job::{Job, Progress},
     logging::millis,
     metrics::Silence,
+    rollout::{Ending, Trial},
     sync::lock,
 };
 
@@ -47,6 +49,7 @@
     pub choice: Choice,
     permit: Permit,
     flight: Flight,
+    trial: Trial,
     /// Whether a unit of the retry budget was spent for it.
     is_retry: bool,
 }
@@ -59,6 +62,7 @@
 
     /// Records the end of a request that got an answer, or that did not run.
     pub fn finish(self, outcome: Outcome) {
+        self.trial.end(ending(outcome));
         self.permit.end(outcome);
         self.flight.finish();
     }
@@ -66,12 +70,14 @@
     /// Records the end of a request whose answer is complete only if its endpoint
     /// lives.
     pub fn finish_unconfirmed(self, outcome: Outcome) {
+        self.trial.end(ending(outcome));
         self.permit.end(outcome);
         self.flight.finish_unconfirmed();
     }
 
     /// Records the end of a request that got no complete answer.
     pub fn lose(self, outcome: Outcome) {
+        self.trial.end(ending(outcome));
         self.permit.end(outcome);
     }
 
@@ -122,12 +128,30 @@
     }
 }
 
+/// Returns what the outcome of a request says about the version of its endpoint.
+fn ending(outcome: Outcome) -> Ending {
+    match outcome {
+        Outcome::Answered(_) => Ending::Answered,
+        Outcome::Failed | Outcome::Broken | Outcome::Silent => Ending::Failed,
+        Outcome::Cancelled => Ending::Unanswered,
+        Outcome::Rejected | Outcome::Misdirected | Outcome::Unreachable => Ending::Neutral,
+    }
+}
+
 /// An endpoint that was found, and a connection to it.
 pub struct Target {
     place: Place,
     connection: pool::Ready,
 }
 
+/// What a connection to an endpoint led to.
+enum Connected {
+    /// The request can be sent.
+    Target(Box<Target>),
+    /// The version of this endpoint may not serve the request any more.
+    Changed(id::Endpoint),
+}
+
 /// A request that was sent to an endpoint.
 pub struct Dispatch<'a> {
     place: Place,
@@ -182,6 +206,19 @@
     }
 }
 
+/// Waits until something changed, and with it what `is_other` tells.
+async fn changed(
+    changes: &mut watch::Receiver<u64>,
+    is_other: impl Fn() -> bool,
+) -> Result<(), watch::error::RecvError> {
+    loop {
+        changes.changed().await?;
+        if is_other() {
+            return Ok(());
+        }
+    }
+}
+
 /// What an endpoint does next.
 pub trait Signal {
     /// Returns whether the endpoint went on with its answer.
@@ -271,8 +308,72 @@
             chain.metrics.budget_exhausted.inc();
             return Err(Obstacle::Budget);
         }
-        let admitting = chain.admission.admit(self.request(progress));
-        let (choice, permit) = admitting.await.map_err(Obstacle::Refused)?;
+        let mut excluded = progress.tried.clone();
+        loop {
+            let (choice, permit) = self.admit(&excluded).await.map_err(Obstacle::Refused)?;
+            match self.connect(progress, choice, permit, is_retry).await? {
+                Connected::Target(found) => return Ok(*found),
+                Connected::Changed(endpoint) => excluded.push(endpoint),
+            }
+        }
+    }
+
+    /// Waits until an endpoint is chosen whose version may serve the request. What waits is
+    /// asked for anew as soon as other versions may serve it.
+    async fn admit(
+        &self,
+        excluded: &[id::Endpoint],
+    ) -> Result<(Choice, Permit), refusal::Refusal> {
+        let (chain, job) = (self.chain, self.job);
+        let mut changes = chain.rollouts.changes();
+        let mut is_spread = true;
+        loop {
+            changes.borrow_and_update();
+            let filter = self.allowed(is_spread);
+            let admitting = chain.admission.admit(self.request(excluded, filter.clone()));
+            let admitted = tokio::select! {
+                biased;
+                admitted = admitting => admitted,
+                Ok(()) = changed(&mut changes, || self.allowed(is_spread) != filter) => continue,
+            };
+            match admitted {
+                // The target takes less than its share rather than that requests are refused.
+                Err(refusal)
+                    if is_spread
+                        && matches!(filter, Filter::Only(_))
+                        && chain.rollouts.is_spread(&job.service) =>
+                {
+                    tracing::debug!(
+                        id = job.correlation_id,
+                        reason = %refusal.reason,
+                        "no endpoint of the roll-out's target takes the request"
+                    );
+                    is_spread = false;
+                }
+                admitted => return admitted,
+            }
+        }
+    }
+
+    /// Returns the versions that may serve the request, by its sample or, if it is not
+    /// spread, beside the target.
+    fn allowed(&self, is_spread: bool) -> Filter {
+        let mut request = self.job.rollout_request();
+        if !is_spread {
+            request.sample = 1.0;
+        }
+        self.chain.rollouts.filter(&request)
+    }
+
+    /// Connects to the endpoint that was chosen, and records that the request is sent.
+    async fn connect(
+        &self,
+        progress: &Progress,
+        choice: Choice,
+        permit: Permit,
+        is_retry: bool,
+    ) -> Result<Connected, Obstacle> {
+        let (chain, job) = (self.chain, self.job);
         // The shutdown may have been announced while the request waited.
         if !chain.can_end(&job.service, job.tokens, job.deadline, job.route.retry) {
             return Err(Obstacle::Shutdown);
@@ -287,10 +388,23 @@
         };
         // Nothing is awaited from here to the send, so that neither a retry nor a
         // flight is recorded for a search that is withdrawn.
+        let trial = chain.rollouts.start(
+            &job.rollout_request(),
+            choice.version.as_ref(),
+            choice.expected_first_byte,
+        );
+        let Ok(trial) = trial else {
+            permit.end(Outcome::Cancelled);
+            return Ok(Connected::Changed(choice.endpoint));
+        };
         let started = chain.crashes.start(&job.service, &job.subject, &choice);
-        let flight = started.map_err(|_verdict| Obstacle::Quarantine)?;
+        let Ok(flight) = started else {
+            trial.withdraw();
+            return Err(Obstacle::Quarantine);
+        };
         if is_retry && !lock(&chain.budget).spend(chain.clock.now(), &job.service) {
             flight.finish();
+            trial.withdraw();
             chain.metrics.budget_exhausted.inc();
             return Err(Obstacle::Budget);
         }
@@ -298,13 +412,15 @@
             choice,
             permit,
             flight,
+            trial,
             is_retry,
         };
-        Ok(Target { place, connection })
+        let found = Target { place, connection };
+        Ok(Connected::Target(Box::new(found)))
     }
 
-    fn request(&self, progress: &Progress) -> dispatcher::Request {
-        let mut request = self.job.request(&progress.tried);
+    fn request(&self, excluded: &[id::Endpoint], filter: Filter) -> dispatcher::Request {
+        let mut request = self.job.request(excluded, filter);
         if self.is_resuming {
             request.first_byte_due = self.chain.clock.now();
             request.caller_leaves_at = request.deadline;
@@ -369,6 +485,7 @@
                 Event::Heard(attempt) => {
                     if matches!(attempt, Attempt::Stream(_)) {
                         sent.place.permit.record_first_byte();
+                        sent.place.trial.record_first_byte();
                     }
                     return (sent.place, attempt);
                 }
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, net::SocketAddr, str::FromStr, time::Duration};
 
-use dottereltally_lib::{budget, id, quota};
+use dottereltally_lib::{budget, id, quota, rollout};
 use serde::Deserialize;
 
 /// A faulty setting; the text names the field and how to correct it.
@@ -37,6 +37,8 @@
     pub retries: budget::Limits,
     /// Excess over a quota that is tolerated.
     pub quotas: quota::Tolerance,
+    /// Limits of roll-outs.
+    pub rollouts: rollout::Settings,
 }
 
 /// Addresses to listen on.
@@ -80,6 +82,8 @@
     bounds: WireBounds,
     retries: WireRetries,
     quotas: WireQuotas,
+    #[serde(default)]
+    rollouts: WireRollouts,
 }
 
 fn default_processor_share() -> f64 {
@@ -120,6 +124,15 @@
     window_s: f64,
 }
 
+/// A limit that is missing or null has the default of [`rollout::Settings`].
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct WireRollouts {
+    share: Option<f64>,
+    allowance: Option<f64>,
+    rollback_ms: Option<f64>,
+}
+
 /// Validates the fields of a settings file and collects every fault; a faulty
 /// field gets a placeholder value, as the settings are then rejected.
 #[derive(Default)]
@@ -161,6 +174,30 @@
         }
     }
 
+    fn rollouts(&mut self, wire: &WireRollouts) -> rollout::Settings {
+        let mut settings = rollout::Settings::default();
+        if let Some(share) = wire.share {
+            match rollout::Share::try_from(share) {
+                Ok(share) => settings.exposure = share,
+                Err(error) => self.report("rollouts.share", format_args!("`{share}` is {error}")),
+            }
+        }
+        if let Some(allowance) = wire.allowance {
+            let whole = self.non_negative("rollouts.allowance", allowance);
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "not negative; saturates"
+            )]
+            let whole = whole as u32;
+            settings.allowance = rollout::Requests(whole);
+        }
+        if let Some(rollback_ms) = wire.rollback_ms {
+            settings.rollback = self.seconds("rollouts.rollback_ms", rollback_ms / 1e3);
+        }
+        settings
+    }
+
     fn non_negative(&mut self, field: &str, value: f64) -> f64 {
         if value.is_finite() && value >= 0.0 {
             return value;
@@ -221,6 +258,7 @@
         excess: check.non_negative("quotas.tolerated_tokens", wire.quotas.tolerated_tokens),
         window: check.seconds("quotas.window_s", wire.quotas.window_s),
     };
+    let rollouts = check.rollouts(&wire.rollouts);
     if !check.faults.is_empty() {
         return Err(check.faults);
     }
@@ -234,5 +272,6 @@
         bounds,
         retries,
         quotas,
+        rollouts,
     })
 }
--- a/gateway/tests/common/directory.rs
+++ b/gateway/tests/common/directory.rs
@@ -11,16 +11,16 @@
     admission,
     controller::{self, Controller, Outputs, PollInterval},
     crashes,
-    directory::{Change, Changes, Entry, Lease, Node, Snapshot, Source},
+    directory::{Change, Changes, Entry, Lease, Node, Record, Replacement, Snapshot, Source},
     era::{self, Announcement},
     metrics::Metrics,
-    origins, view,
+    origins, rollout, view,
 };
 use dottereltally_lib::{
     dispatcher::{Dispatcher, Settings},
     endpoint::{Record, Standing},
     era::Revision,
-    id,
+    id, rollout as rollouts,
     suspicion::Mark,
 };
 use dottereltally_store::kv::{self, Error};
@@ -333,6 +333,10 @@
         }
     }
 
+    async fn write_record(&self, _: &Replacement) -> Result<Option<Record>, Error> {
+        Ok(None)
+    }
+
     async fn quarantine(&self, _: id::Fingerprint, _: &[Mark]) -> Result<(), Error> {
         Ok(())
     }
@@ -377,6 +381,8 @@
     pub controller: ActorRef<controller::Message>,
     /// How recent the node's view is.
     pub view: view::Handle,
+    /// The roll-outs that the node knows.
+    pub rollouts: rollout::Handle,
     following: JoinHandle<()>,
 }
 
@@ -405,6 +411,12 @@
             },
         );
         let view = view::Handle::new(clock);
+        let rollouts = rollout::Handle::new(
+            clock,
+            metrics.clone(),
+            rollouts::Settings::default(),
+            id::DataCentre::from("dc"),
+        );
         let outputs = Outputs {
             clock,
             plan: watch::Sender::new(None),
@@ -417,6 +429,7 @@
             crashes,
             origins,
             view: view.clone(),
+            rollouts: rollouts.clone(),
         };
         let (controller, _running) = Actor::spawn(None, Controller, outputs).await.unwrap();
         let poll_interval = PollInterval::within(Duration::from_secs(2));
@@ -432,6 +445,7 @@
             admission,
             controller,
             view,
+            rollouts,
             following: tokio::spawn(following),
         }
     }
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -28,7 +28,7 @@
     origins,
     paths::UPSTREAM_LIMITS,
     paths::{Dial, Paths, Tcp},
-    view,
+    rollout, view,
 };
 use dottereltally_lib::{
     budget::{self, Budget},
@@ -38,6 +38,7 @@
     notice::Notice,
     plan::{Plan, Quota, Service, Unit, Workspace, Workspaces},
     quota::{Limiter, Tolerance},
+    rollout as rollouts,
     route::{Retry, Route, Target},
 };
 use dottereltally_store::buffer;
@@ -546,6 +547,12 @@
             crashes,
             origins,
             view: view::Handle::new(clock),
+            rollouts: rollout::Handle::new(
+                clock,
+                metrics.clone(),
+                rollouts::Settings::default(),
+                id::DataCentre::from("dc"),
+            ),
             metrics,
             phase: Phase::default(),
         });
--- a/gateway/tests/test_kept_quarantine.rs
+++ b/gateway/tests/test_kept_quarantine.rs
@@ -70,6 +70,10 @@
         Ok(Changes::default())
     }
 
+    async fn write_record(&self, _: &Replacement) -> Result<Option<Record>, Error> {
+        Ok(None)
+    }
+
     async fn quarantine(&self, fingerprint: id::Fingerprint, marks: &[Mark]) -> Result<(), Error> {
         let mut state = self.state.lock().unwrap();
         if state.failures > 0 {
@@ -110,6 +114,7 @@
         crashes: chain.crashes.clone(),
         origins: chain.origins.clone(),
         view: chain.view.clone(),
+        rollouts: chain.rollouts.clone(),
     };
     let (controller, _running) = Actor::spawn(None, Controller, outputs).await.unwrap();
     controller
--- a/gateway/tests/test_registration.rs
+++ b/gateway/tests/test_registration.rs
@@ -67,6 +67,10 @@
         Ok(Changes::default())
     }
 
+    async fn write_record(&self, _: &Replacement) -> Result<Option<Record>, Error> {
+        Ok(None)
+    }
+
     async fn quarantine(&self, _: id::Fingerprint, _: &[Mark]) -> Result<(), Error> {
         unreachable!("a registration keeps no suspicions")
     }
