--- a/gateway/src/heartbeat.rs
+++ b/gateway/src/heartbeat.rs
@@ -357,7 +357,11 @@
             failed: entry.get_failed(),
             slow: entry.get_slow(),
         };
-        report.record(&id::Route::from(entry.get_route()?.to_str()?), group, counts);
+        report.record(
+            &id::Route::from(entry.get_route()?.to_str()?),
+            group,
+            counts,
+        );
     }
     Ok((id::Service::from(wire.get_service()?.to_str()?), report))
 }
--- a/gateway/src/rollout.rs
+++ b/gateway/src/rollout.rs
@@ -21,13 +21,15 @@
     endpoint, era,
     exchange::Scope,
     id,
-    rollout::{Controller, Counts, Filter, Group, Phase, Report, Settings, Spec, State, Step, Weight},
+    rollout::{
+        Controller, Counts, Filter, Group, Phase, Report, Settings, Spec, State, Step, Weight,
+    },
     time,
 };
 use tokio::sync::watch;
 
-use self::{evidence::Evidence, expectation::Expectation};
 pub use self::writer::run;
+use self::{evidence::Evidence, expectation::Expectation};
 use crate::{
     directory::{Record, Replacement},
     metrics::Metrics,
@@ -239,7 +241,10 @@
             }
             return;
         }
-        if let Some(known) = rollout.known.take_if(|known| known.state.order != spec.revision) {
+        if let Some(known) = rollout
+            .known
+            .take_if(|known| known.state.order != spec.revision)
+        {
             let State { target, phase, .. } = known.state;
             if phase != Phase::Completed {
                 rollout.barred.insert(target);
@@ -505,7 +510,15 @@
         };
         let is_fallback = target.is_some_and(|target| {
             version != Some(target)
-                && inner.filter(now, &Request { sample: 1.0, ..*request }).allows(version)
+                && inner
+                    .filter(
+                        now,
+                        &Request {
+                            sample: 1.0,
+                            ..*request
+                        },
+                    )
+                    .allows(version)
         });
         if !allowed.allows(version) && !is_fallback {
             return Err(Changed);
@@ -582,6 +595,7 @@
 
     /// Applies the reports of a heartbeat that another node sent. Returns whether the node
     /// knows a step of a roll-out that is not in force here.
+    #[must_use]
     pub fn record_reports(&self, sender: &Sender, reports: &[(id::Service, Report)]) -> bool {
         let now = self.now();
         let mut inner = lock(&self.shared.inner);
@@ -656,7 +670,9 @@
                     "weight of a roll-out's target changed from the evidence of the nodes"
                 );
                 rollout.weight = weight;
-                self.shared.metrics.set_rollout_weight(&service, &spec.target, weight);
+                self.shared
+                    .metrics
+                    .set_rollout_weight(&service, &spec.target, weight);
                 is_changed = true;
             }
             let Some(rank) = place.rank else {
@@ -683,24 +699,19 @@
         due
     }
 
-    /// Records the end of a write, with the record that the source has then; `None` if it is
-    /// unknown.
-    pub(crate) fn finish_write(
-        &self,
-        replacement: &Replacement,
-        found: Option<Option<&Record>>,
-    ) {
+    /// Records the end of a write.
+    pub(crate) fn finish_write(&self, service: &id::Service) {
         let now = self.now();
-        let mut inner = lock(&self.shared.inner);
-        if let Some(rollout) = inner.rollouts.get_mut(&replacement.service) {
+        if let Some(rollout) = lock(&self.shared.inner).rollouts.get_mut(service) {
             rollout.writing.finish(now);
-            if found == Some(None) {
-                rollout.stored = None;
-            }
         }
-        drop(inner);
-        if let Some(Some(record)) = found {
-            self.set_record(record);
+    }
+
+    /// Records what the source has after a write.
+    pub(crate) fn record_found(&self, service: &id::Service, found: Option<&Record>) {
+        match found {
+            Some(record) => self.set_record(record),
+            None => self.remove_record(service),
         }
     }
 }
@@ -737,7 +748,10 @@
     fn own_report(&self, service: &id::Service, rollout: &Rollout) -> Report {
         let target = rollout.target().cloned().unwrap_or_default();
         Report {
-            order: rollout.order.as_ref().map_or_else(Default::default, |spec| spec.revision),
+            order: rollout
+                .order
+                .as_ref()
+                .map_or_else(Default::default, |spec| spec.revision),
             step: rollout.step(),
             nodes: 1,
             baseline_in_flight: self.running_beside(service, &target),
@@ -871,7 +885,10 @@
         };
         let mut inner = lock(&self.handle.shared.inner);
         if let Some(rollout) = inner.rollouts.get_mut(&self.service)
-            && rollout.order.as_ref().is_some_and(|spec| spec.revision == order)
+            && rollout
+                .order
+                .as_ref()
+                .is_some_and(|spec| spec.revision == order)
         {
             rollout.expectation.record(&self.route, took);
         }
@@ -916,7 +933,11 @@
         let Some(rollout) = inner.rollouts.get_mut(&self.service) else {
             return;
         };
-        if rollout.order.as_ref().is_none_or(|spec| spec.revision != order) {
+        if rollout
+            .order
+            .as_ref()
+            .is_none_or(|spec| spec.revision != order)
+        {
             return;
         }
         let counts = Counts {
--- a/gateway/src/rollout/evidence.rs
+++ b/gateway/src/rollout/evidence.rs
@@ -173,7 +173,10 @@
             if let Subject::DataCentre(other) = subject
                 && other != data_centre
             {
-                raise(&mut totals.entry(other).or_default().samples, &report.samples);
+                raise(
+                    &mut totals.entry(other).or_default().samples,
+                    &report.samples,
+                );
             }
         }
         let mut others = Report::default();
--- a/gateway/src/rollout/expectation.rs
+++ b/gateway/src/rollout/expectation.rs
@@ -37,7 +37,10 @@
         if self.taken.len() >= MAX_ROUTES && !self.taken.contains_key(route) {
             return;
         }
-        let mean = self.taken.entry(route.clone()).or_insert(took.as_secs_f64());
+        let mean = self
+            .taken
+            .entry(route.clone())
+            .or_insert(took.as_secs_f64());
         *mean += MEAN_WEIGHT * (took.as_secs_f64() - *mean);
     }
 
--- a/gateway/src/rollout/writer.rs
+++ b/gateway/src/rollout/writer.rs
@@ -127,9 +127,13 @@
     replacement: &Replacement,
 ) {
     metrics.store_calls.inc();
-    match source.write_record(replacement).await {
+    let written = source.write_record(replacement).await;
+    handle.finish_write(&replacement.service);
+    match written {
         Ok(found) => {
-            let is_own = found.as_ref().is_some_and(|found| found.state == replacement.state);
+            let is_own = found
+                .as_ref()
+                .is_some_and(|found| found.state == replacement.state);
             tracing::info!(
                 service = %replacement.service,
                 step = replacement.step().0,
@@ -137,7 +141,7 @@
                 is_own,
                 "record of a roll-out written, or that of another node read"
             );
-            handle.finish_write(replacement, Some(found.as_ref()));
+            handle.record_found(&replacement.service, found.as_ref());
         }
         Err(error) => {
             metrics.store_failures.inc();
@@ -147,7 +151,6 @@
                 %error,
                 "record of a roll-out not written; retrying"
             );
-            handle.finish_write(replacement, None);
         }
     }
 }
--- a/gateway/src/search.rs
+++ b/gateway/src/search.rs
@@ -320,17 +320,16 @@
 
     /// Waits until an endpoint is chosen whose version may serve the request. What waits is
     /// asked for anew as soon as other versions may serve it.
-    async fn admit(
-        &self,
-        excluded: &[id::Endpoint],
-    ) -> Result<(Choice, Permit), refusal::Refusal> {
+    async fn admit(&self, excluded: &[id::Endpoint]) -> Result<(Choice, Permit), refusal::Refusal> {
         let (chain, job) = (self.chain, self.job);
         let mut changes = chain.rollouts.changes();
         let mut is_spread = true;
         loop {
             changes.borrow_and_update();
             let filter = self.allowed(is_spread);
-            let admitting = chain.admission.admit(self.request(excluded, filter.clone()));
+            let admitting = chain
+                .admission
+                .admit(self.request(excluded, filter.clone()));
             let admitted = tokio::select! {
                 biased;
                 admitted = admitting => admitted,
--- a/gateway/tests/common/cluster.rs
+++ b/gateway/tests/common/cluster.rs
@@ -91,6 +91,7 @@
             own_node: node.clone(),
             socket: Arc::clone(&socket),
             chain: Arc::clone(&gateway.chain),
+            later_steps: watch::Sender::new(None),
             ranked_nodes: watch::Sender::new(Vec::new()),
         };
         let (actor, _running) = Actor::spawn(None, Peers::default(), arguments)
--- a/gateway/tests/common/directory.rs
+++ b/gateway/tests/common/directory.rs
@@ -11,7 +11,7 @@
     admission,
     controller::{self, Controller, Outputs, PollInterval},
     crashes,
-    directory::{Change, Changes, Entry, Lease, Node, Record, Replacement, Snapshot, Source},
+    directory::{self, Change, Changes, Entry, Lease, Node, Replacement, Snapshot, Source},
     era::{self, Announcement},
     metrics::Metrics,
     origins, rollout, view,
@@ -333,7 +333,7 @@
         }
     }
 
-    async fn write_record(&self, _: &Replacement) -> Result<Option<Record>, Error> {
+    async fn write_record(&self, _: &Replacement) -> Result<Option<directory::Record>, Error> {
         Ok(None)
     }
 
--- a/gateway/tests/test_heartbeat.rs
+++ b/gateway/tests/test_heartbeat.rs
@@ -9,6 +9,7 @@
     exchange::{self, Scope, View},
     id, notice,
     quota::Usage,
+    rollout::{Counts, Group, MAX_LAGGING, MAX_ROUTES, Report, Step},
     suspicion::{Kind, Mark, Register},
     time,
 };
@@ -79,11 +80,60 @@
             era: ERA,
         }),
         listings: vec![listing_report(Some(3), false), listing_report(None, true)],
+        rollouts: vec![(id::Service::from("s"), rollout_report(16, 16))],
     };
     let bytes = heartbeat.encode().unwrap();
     assert_eq!(Heartbeat::decode(&bytes).unwrap(), heartbeat);
 }
 
+fn rollout_report(routes: u32, lagging: u32) -> Report {
+    let mut report = Report {
+        order: Revision {
+            era: ERA,
+            number: 812,
+        },
+        step: Step(4),
+        nodes: 50,
+        baseline_in_flight: 12,
+        ..Report::default()
+    };
+    for number in 0..lagging {
+        report.lagging.push(id::Node::from(format!("n{number}")));
+    }
+    for number in 0..routes {
+        for group in [Group::Baseline, Group::Canary] {
+            let counts = Counts {
+                sent: 100 + number,
+                answered: 90,
+                failed: 2,
+                slow: 1,
+            };
+            report.record(&id::Route::from(format!("r{number}")), group, counts);
+        }
+    }
+    report
+}
+
+/// Guards against a datagram that a sender of many names or counts makes a node keep: what is
+/// beyond the bounds is left out or summed up.
+#[test]
+fn reports_on_roll_outs_are_bounded() {
+    let mut report = rollout_report(16, 0);
+    for number in 0..40 {
+        report.lagging.push(id::Node::from(format!("n{number}")));
+        let key = (id::Route::from(format!("x{number}")), Group::Canary);
+        report.samples.insert(key, Counts::default());
+    }
+    let heartbeat = Heartbeat {
+        rollouts: vec![(id::Service::from("s"), report)],
+        ..Heartbeat::default()
+    };
+    let decoded = Heartbeat::decode(&heartbeat.encode().unwrap()).unwrap();
+    let (_, report) = &decoded.rollouts[0];
+    assert_eq!(report.lagging.len(), MAX_LAGGING);
+    assert!(report.samples.len() <= 2 * (MAX_ROUTES + 1));
+}
+
 fn leaving(endpoint: &str) -> notice::Report {
     notice::Report {
         endpoint: id::Endpoint::from(endpoint),
--- a/gateway/tests/test_kept_quarantine.rs
+++ b/gateway/tests/test_kept_quarantine.rs
@@ -17,7 +17,7 @@
     chain::Chain,
     controller::{self, Controller, Message, Outputs},
     dialect::Head,
-    directory::{Change, Changes, Lease, Node, Snapshot, Source},
+    directory::{Change, Changes, Lease, Node, Record, Replacement, Snapshot, Source},
     era,
 };
 use dottereltally_lib::{
--- a/gateway/tests/test_old_layout.rs
+++ b/gateway/tests/test_old_layout.rs
@@ -19,6 +19,7 @@
     exchange::{self, Scope, View},
     id, notice,
     quota::Usage,
+    rollout::{Report, Step},
 };
 
 use self::beat_capnp::beat;
@@ -48,6 +49,7 @@
     assert_eq!(heartbeat.scope, Scope::Node);
     assert_eq!(heartbeat.view, None);
     assert!(heartbeat.notices.is_empty() && heartbeat.carriers.is_empty());
+    assert!(heartbeat.rollouts.is_empty());
     assert!((heartbeat.usage[&id::Workspace::from("w")].admitted - 12.5).abs() < 1e-9);
     assert_eq!(heartbeat.loads[0].1.requests, 2);
 }
@@ -77,6 +79,14 @@
             },
         )]),
         carries: true,
+        rollouts: vec![(
+            id::Service::from("s"),
+            Report {
+                step: Step(3),
+                nodes: 1,
+                ..Report::default()
+            },
+        )],
         notices: vec![notice::Report {
             endpoint: id::Endpoint::from("e"),
             started_ms: Some(1),
--- a/gateway/tests/test_registration.rs
+++ b/gateway/tests/test_registration.rs
@@ -7,7 +7,7 @@
 
 use dottereltally_gateway::{
     controller::Registration,
-    directory::{Changes, Lease, Node, Snapshot, Source},
+    directory::{Changes, Lease, Node, Record, Replacement, Snapshot, Source},
     era::{self, Announcement},
     metrics::Metrics,
 };
--- a/gateway/tests/test_settings.rs
+++ b/gateway/tests/test_settings.rs
@@ -34,6 +34,33 @@
     assert_eq!(settings.bounds.grace.as_secs(), 8);
 }
 
+/// Settings without limits of roll-outs, or with empty ones, have the platform's defaults.
+#[test]
+fn missing_limits_of_roll_outs_have_defaults() {
+    for text in [
+        "",
+        "rollouts:\n  share:\n  allowance: null\n  rollback_ms:\n",
+    ] {
+        let settings = parse(&format!("{VALID}{text}")).unwrap();
+        assert!((settings.rollouts.exposure.get() - 0.1).abs() < 1e-9);
+        assert_eq!(settings.rollouts.allowance.0, 50);
+        assert_eq!(settings.rollouts.rollback.as_millis(), 5000);
+    }
+}
+
+#[test]
+fn limits_of_roll_outs_are_read() {
+    let text = "rollouts:\n  share: 0.2\n  allowance: 30\n  rollback_ms: 4000\n";
+    let settings = parse(&format!("{VALID}{text}")).unwrap();
+    assert!((settings.rollouts.exposure.get() - 0.2).abs() < 1e-9);
+    assert_eq!(settings.rollouts.allowance.0, 30);
+    assert_eq!(settings.rollouts.rollback.as_millis(), 4000);
+    let wrong = text.replace("0.2", "1.5").replace("4000", "-1");
+    let faults = parse(&format!("{VALID}{wrong}")).unwrap_err();
+    let fields: Vec<&str> = faults.iter().map(|fault| fault.field.as_str()).collect();
+    assert_eq!(fields, ["rollouts.share", "rollouts.rollback_ms"]);
+}
+
 #[test]
 fn all_faults_are_reported_at_once() {
     let wrong = VALID
