--- a/gateway/tests/test_rollouts.rs
+++ b/gateway/tests/test_rollouts.rs
@@ -17,6 +17,7 @@
     time,
 };
 use rstest::rstest;
+use tokio::time::advance;
 
 /// Time after which a node that is not heard counts as silent, of `work.md`'s contact.
 const SILENCE: Duration = Duration::from_secs(4);
@@ -216,7 +217,8 @@
     let (late, hanging) = (fixture.start(0.0, "v2"), fixture.start(0.0, "v2"));
     let left = fixture.start(0.0, "v2").unwrap();
     left.end(Ending::Unanswered);
-    std::thread::sleep(Duration::from_millis(170));
+    // More than three times the 50 ms expected.
+    advance(Duration::from_millis(170)).await;
     late.unwrap().end(Ending::Answered);
     hanging.unwrap().end(Ending::Unanswered);
     let canary = fixture.own_report().total(Group::Canary);
