--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -358,7 +358,8 @@
         let place = writers.iter().position(|name| *name == own);
         let is_writer = matches!(self.exchange.role, Role::Mesh | Role::Coordinator);
         let rank = place.filter(|_| is_writer);
-        let registered = self.registered.len() + 1;
+        // A node that shuts down has no registration, and may still run requests.
+        let registered = self.peers.len() + 1;
         self.arguments.chain.rollouts.set_place(rollout::Place {
             rank: rank.map(|rank| u32::try_from(rank).unwrap_or(u32::MAX)),
             registered: u32::try_from(registered).unwrap_or(u32::MAX),
--- a/gateway/src/rollout.rs
+++ b/gateway/src/rollout.rs
@@ -53,7 +53,7 @@
 pub struct Place {
     /// Place of this node among those that write records; `None` if it writes none.
     pub rank: Option<u32>,
-    /// Registered nodes, this one included.
+    /// Nodes that are registered or heard, this one included.
     pub registered: u32,
 }
 
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Returns whether the evidence condemned the target since this step is in force.
+    fn is_condemned(&self, state: &State) -> bool {
+        state.phase == Phase::Running && self.weight == Weight::ZERO && state.weight != Weight::ZERO
+    }
+
     /// Returns the time of the deadline less the margin, no later than any other node takes
     /// it to be; `None` if no order runs.
     fn cut_off(&self) -> Option<time::Instant> {
@@ -650,6 +655,9 @@
             let (baseline, target) = inner.count_endpoints(&service, &spec.target);
             let state = rollout.known.as_ref().map(|known| known.state.clone());
             let weight = match &state {
+                // Without requests to the target the evidence no longer condemns it some time
+                // later; only a further step gives it requests again.
+                Some(state) if rollout.is_condemned(state) => Weight::ZERO,
                 Some(state) => state.weight_under(&fleet),
                 None => Weight::ZERO,
             };
@@ -791,8 +799,7 @@
                 _ => Filter::Not(target.clone()),
             },
             Some(known) => {
-                let is_condemned =
-                    rollout.weight == Weight::ZERO && known.state.weight != Weight::ZERO;
+                let is_condemned = rollout.is_condemned(&known.state);
                 match known.state.phase {
                     // A resumed stream stays with its version.
                     Phase::Running if request.version.is_some() && !is_condemned => Filter::Any,
