--- a/gateway/src/rollout.rs
+++ b/gateway/src/rollout.rs
@@ -45,6 +45,10 @@
 /// 1.5 s, a write of 0.5 s and 1 s for an interval of heartbeats.
 const CUT_OFF_MARGIN: Duration = Duration::from_secs(3);
 
+/// Time for which nodes report a roll-out that ended, so that those that did not read the last
+/// record learn of it: ten contact times.
+const REPORT_TIME: Duration = Duration::from_secs(30);
+
 /// Name that no version has: requests that no version may serve are refused.
 const NO_VERSION: &str = "\u{1}none";
 
@@ -98,6 +102,12 @@
             .map_or_else(Step::default, |known| known.state.step)
     }
 
+    /// Returns whether its last step is in force.
+    fn is_final(&self) -> bool {
+        let known = self.known.as_ref();
+        known.is_some_and(|known| known.state.phase.is_final())
+    }
+
     /// Returns the version that requests move to, or were to move to.
     fn target(&self) -> Option<&id::Version> {
         match (&self.order, &self.known) {
@@ -218,7 +228,8 @@
     /// Applies an order that was read; one that is known already changes nothing.
     pub fn set_order(&self, spec: &Spec) {
         let now = self.now();
-        let mut inner = lock(&self.shared.inner);
+        let mut guard = lock(&self.shared.inner);
+        let inner = &mut *guard;
         let rollout = inner.rollouts.entry(spec.service.clone()).or_default();
         let previous = rollout.order.replace(spec.clone());
         if previous.as_ref() == Some(spec) {
@@ -251,7 +262,15 @@
             .take_if(|known| known.state.order != spec.revision)
         {
             let State { target, phase, .. } = known.state;
-            if phase != Phase::Completed {
+            if phase == Phase::Completed {
+                // The endpoints of other versions may have stopped, and still be listed.
+                let listed = inner.versions.get(&spec.service).into_iter().flatten();
+                for version in listed.filter_map(|(version, _)| version.as_ref()) {
+                    if *version != target {
+                        rollout.barred.insert(version.clone());
+                    }
+                }
+            } else {
                 rollout.barred.insert(target);
             }
         }
@@ -264,7 +283,7 @@
             .as_ref()
             .map_or(Weight::ZERO, |known| known.state.weight);
         inner.controller.remove(&spec.service);
-        drop(inner);
+        drop(guard);
         self.notify();
     }
 
@@ -290,6 +309,11 @@
     pub fn set_record(&self, record: &Record) {
         let mut inner = lock(&self.shared.inner);
         let rollout = inner.rollouts.entry(record.service.clone()).or_default();
+        // What a write found may have been read later than a change that arrives now.
+        let is_older = |stored: &Stored| stored.revision.is_after(&record.revision);
+        if rollout.stored.as_ref().is_some_and(is_older) {
+            return;
+        }
         rollout.stored = Some(Stored {
             revision: record.revision,
             order: record.state.order,
@@ -540,7 +564,9 @@
             } else {
                 Group::Baseline
             };
-            if let Some(spec) = &rollout.order {
+            if let Some(spec) = &rollout.order
+                && !rollout.is_final()
+            {
                 counted = Some((spec.revision, group));
                 let own = Counts {
                     sent: 1,
@@ -575,12 +601,15 @@
         let inner = lock(&self.shared.inner);
         let mut reports = Vec::new();
         for (service, rollout) in &inner.rollouts {
-            if rollout.order.is_none() {
+            let is_over = rollout.known.as_ref().is_some_and(|known| {
+                known.state.phase.is_final() && now.since(known.since) > REPORT_TIME
+            });
+            if rollout.order.is_none() || is_over {
                 continue;
             }
             let own = inner.own_report(service, rollout);
             let own_data_centre = &self.shared.data_centre;
-            let report = match audience {
+            let mut report = match audience {
                 Audience::Node => own,
                 Audience::DataCentre => {
                     rollout
@@ -593,6 +622,9 @@
                         .fleet(now, own, &inner.nodes, own_data_centre, Some(receiver))
                 }
             };
+            if rollout.is_final() {
+                report.samples.clear();
+            }
             reports.push((service.clone(), report));
         }
         reports
@@ -809,16 +841,17 @@
             }
         };
         let is_old = matches!(&filter, Filter::Any | Filter::Not(_));
-        let is_final = rollout
-            .known
-            .as_ref()
-            .is_some_and(|known| known.state.phase.is_final());
         let is_late = rollout
             .cut_off()
             .is_some_and(|cut_off| now.max(request.deadline) >= cut_off);
         // The roll-out may be completed without a node that hears nothing.
         let is_of_target = request.version == Some(target);
-        if is_old && !is_of_target && !is_final && is_late && !self.is_in_contact(now, rollout) {
+        if is_old
+            && !is_of_target
+            && !rollout.is_final()
+            && is_late
+            && !self.is_in_contact(now, rollout)
+        {
             return Filter::Only(id::Version::from(NO_VERSION));
         }
         filter
--- a/gateway/tests/test_rollouts.rs
+++ b/gateway/tests/test_rollouts.rs
@@ -258,6 +258,33 @@
     assert!(fixture.start(0.0, "v2").is_ok());
 }
 
+/// Guards against requests at endpoints that stopped as an earlier order was completed, and
+/// are still listed.
+#[tokio::test]
+async fn versions_that_a_completed_order_replaced_get_nothing() {
+    let fixture = Fixture::new(1);
+    fixture.rollouts.set_order(&spec(1, "v2"));
+    fixture.set_step(1, Phase::Completed, 10_000);
+    fixture.rollouts.set_order(&spec(7, "v3"));
+    assert!(fixture.start(0.5, "v1").is_err());
+    assert!(fixture.start(0.5, "v2").is_ok());
+}
+
+/// Guards against control traffic for roll-outs that ended: an order stays in the store.
+#[tokio::test(start_paused = true)]
+async fn a_roll_out_that_ended_is_not_reported_for_long() {
+    let fixture = Fixture::new(1);
+    fixture.rollouts.set_order(&spec(1, "v2"));
+    fixture.set_step(1, Phase::Running, 5000);
+    fixture.start(0.0, "v2").unwrap().end(Ending::Answered);
+    fixture.set_step(2, Phase::Completed, 10_000);
+    fixture.start(0.0, "v2").unwrap().end(Ending::Answered);
+    assert_eq!(fixture.own_report().step, Step(2));
+    assert!(fixture.own_report().samples.is_empty());
+    advance(Duration::from_secs(31)).await;
+    assert!(fixture.rollouts.reports(Audience::Node).is_empty());
+}
+
 /// Guards against a store that was restored from a copy: the order is the same, and the nodes
 /// keep the step that they know.
 #[tokio::test]
