--- a/gateway/tests/test_heartbeat.rs
+++ b/gateway/tests/test_heartbeat.rs
@@ -114,6 +114,21 @@
     report
 }
 
+/// Guards against control traffic beyond the 16 KB/s of a node: at 50 heartbeats a second, the
+/// most that a node sends, a report on a roll-out of a service with three routes takes at most
+/// half of it.
+#[test]
+fn a_report_on_a_roll_out_is_small() {
+    let without = Heartbeat::default().encode().unwrap().len();
+    let heartbeat = Heartbeat {
+        rollouts: vec![(id::Service::from("s-4f2a91"), rollout_report(3, 0))],
+        ..Heartbeat::default()
+    };
+    let bytes = heartbeat.encode().unwrap().len() - without;
+    println!("{bytes} bytes");
+    assert!(bytes * 50 <= 8 * 1024, "{bytes} bytes");
+}
+
 /// Guards against a datagram that a sender of many names or counts makes a node keep: what is
 /// beyond the bounds is left out or summed up.
 #[test]
