--- a/gateway/tests/test_heartbeat.rs
+++ b/gateway/tests/test_heartbeat.rs
@@ -9,6 +9,7 @@
     exchange::{self, Scope, View},
     id, notice,
     quota::Usage,
+    rollout::{Counts, Group, MAX_LAGGING, MAX_ROUTES, Report, Step},
     suspicion::{Kind, Mark, Register},
     time,
 };
@@ -80,6 +81,7 @@
         }),
         listings: vec![listing_report(Some(3), false), listing_report(None, true)],
         speeds: vec![speed_report("e", Some("250")), speed_report("f", None)],
+        rollouts: vec![(id::Service::from("s"), rollout_report(16, 16))],
     };
     let bytes = heartbeat.encode().unwrap();
     assert_eq!(Heartbeat::decode(&bytes).unwrap(), heartbeat);
@@ -114,6 +116,69 @@
     assert!(bytes.len() - empty < 1024);
 }
 
+fn rollout_report(routes: u32, lagging: u32) -> Report {
+    let mut report = Report {
+        order: Revision {
+            era: ERA,
+            number: 812,
+        },
+        step: Step(4),
+        nodes: 50,
+        baseline_in_flight: 12,
+        ..Report::default()
+    };
+    for number in 0..lagging {
+        report.lagging.push(id::Node::from(format!("n{number}")));
+    }
+    for number in 0..routes {
+        for group in [Group::Baseline, Group::Canary] {
+            let counts = Counts {
+                sent: 100 + number,
+                answered: 90,
+                failed: 2,
+                slow: 1,
+            };
+            report.record(&id::Route::from(format!("r{number}")), group, counts);
+        }
+    }
+    report
+}
+
+/// Guards against control traffic beyond the 16 KB/s of a node: at 50 heartbeats a second, the
+/// most that a node sends, a report on a roll-out of a service with three routes takes at most
+/// half of it.
+#[test]
+fn a_report_on_a_roll_out_is_small() {
+    let without = Heartbeat::default().encode().unwrap().len();
+    let heartbeat = Heartbeat {
+        rollouts: vec![(id::Service::from("s-4f2a91"), rollout_report(3, 0))],
+        ..Heartbeat::default()
+    };
+    let bytes = heartbeat.encode().unwrap().len() - without;
+    println!("{bytes} bytes");
+    assert!(bytes * 50 <= 8 * 1024, "{bytes} bytes");
+}
+
+/// Guards against a datagram that a sender of many names or counts makes a node keep: what is
+/// beyond the bounds is left out or summed up.
+#[test]
+fn reports_on_roll_outs_are_bounded() {
+    let mut report = rollout_report(16, 0);
+    for number in 0..40 {
+        report.lagging.push(id::Node::from(format!("n{number}")));
+        let key = (id::Route::from(format!("x{number}")), Group::Canary);
+        report.samples.insert(key, Counts::default());
+    }
+    let heartbeat = Heartbeat {
+        rollouts: vec![(id::Service::from("s"), report)],
+        ..Heartbeat::default()
+    };
+    let decoded = Heartbeat::decode(&heartbeat.encode().unwrap()).unwrap();
+    let (_, report) = &decoded.rollouts[0];
+    assert_eq!(report.lagging.len(), MAX_LAGGING);
+    assert!(report.samples.len() <= 2 * (MAX_ROUTES + 1));
+}
+
 fn leaving(endpoint: &str) -> notice::Report {
     notice::Report {
         endpoint: id::Endpoint::from(endpoint),
