--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::{
     env,
-    fs::File,
+    fs::{self, File},
     path::{Path, PathBuf},
     process::{ExitStatus, Stdio},
 };
@@ -111,6 +111,28 @@
         kill(self.pid, signal).wrap_err_with(|| format!("can't send {signal} to the process"))
     }
 
+    /// Returns the memory of the process at its peak, bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process has ended.
+    pub fn peak_memory(&self) -> Result<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.pid))?;
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = peak.ok_or_else(|| eyre!("the process has ended"))?;
+        let kilobytes: u64 = kilobytes.trim().trim_end_matches(" kB").parse()?;
+        Ok(kilobytes * 1024)
+    }
+
+    /// Returns the number of descriptors that the process has open.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process has ended.
+    pub fn descriptors(&self) -> Result<usize> {
+        Ok(fs::read_dir(format!("/proc/{}/fd", self.pid))?.count())
+    }
+
     /// Returns whether the process is running.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
