ingress: one pool for the bodies of requests

Each body was collected into a buffer of its own, so that many callers together took more memory than a host has; bodies over the limit were read on up to four times the limit. Bodies of a process now share a pool of a quarter of the host's memory (setting memory_mb, 110 MB if it is not stated). A body without room waits; the largest incomplete one is refused with 503 no-memory, among equal ones the one that received nothing for longest. A length announced over the limit is refused at once. A refused caller that still sends gets its answer (lingering close, 16 MiB and 2 s). HTTP/2 windows are 128 and 256 KiB.

--- a/gateway/src/acceptance.rs
+++ b/gateway/src/acceptance.rs
@@ -3,7 +3,10 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use dottereltally::{filter, problem::Reason};
+use dottereltally::{
+    filter::{self, MEMORY_RETRY_AFTER},
+    problem::Reason,
+};
 use dottereltally_lib::{
     crash::Subject,
     id,
@@ -13,7 +16,6 @@
     time,
 };
 use http::{HeaderMap, StatusCode, header::HOST, request::Parts};
-use tokio::time::timeout;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
@@ -57,16 +59,9 @@
             )
         })?;
         let workspace = workspace(&plan, route, &head)?;
-        let receiving = filter::collect(&mut body, plan.limits.body);
-        let Ok(body) = timeout(plan.limits.receive, receiving).await else {
-            let refused = Refused::unsent(
-                StatusCode::REQUEST_TIMEOUT,
-                Reason::SlowSender,
-                "the body did not arrive in time; send the request again",
-            );
-            return Err(refused.closing());
-        };
-        let body = body.map_err(refuse_and_close)?;
+        let (limit, time_limit) = (plan.limits.body, plan.limits.receive);
+        let reading = filter::read_body(&mut body, &self.bodies, limit, time_limit);
+        let body = reading.await.map_err(refuse_and_close)?;
         // A stream that its caller resumes goes on at the service that began it.
         let first_attempt = resumed_after(route, &head).and(head.resumes.as_ref());
         let target = first_attempt.unwrap_or(&head.correlation_id);
@@ -238,9 +233,10 @@
 /// Refuses a request that was not read to its end, so that its connection must
 /// be closed.
 fn refuse_and_close(problem: dottereltally::problem::Problem) -> Refused {
+    let retry_after = (problem.reason() == Reason::NoMemory).then_some(MEMORY_RETRY_AFTER);
     Refused {
         problem,
-        retry_after: None,
+        retry_after,
         close: true,
     }
 }
--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use dottereltally::{body::Body, clock::Clock, problem::Reason, shutdown::Phase};
+use dottereltally::{body::Body, clock::Clock, linger::Linger, problem::Reason, shutdown::Phase};
 use dottereltally_lib::{
     budget::Budget,
     crash::Subject,
@@ -21,7 +21,7 @@
     share::{NotARate, Rate},
     time,
 };
-use dottereltally_store::buffer;
+use dottereltally_store::{buffer, ingress};
 use http::{
     HeaderValue, Response, StatusCode,
     header::{CONNECTION, TRANSFER_ENCODING},
@@ -71,6 +71,8 @@
     pub paths: Paths,
     /// Memory for answers that are not complete or not sent on yet.
     pub answers: buffer::Pool,
+    /// Memory for the bodies of requests.
+    pub bodies: ingress::Pool,
     /// Quota usage of the workspaces.
     pub limiter: Mutex<Limiter>,
     /// Retry budget.
@@ -125,8 +127,11 @@
             }
         };
         if has_transfer_encoding || close {
-            let close = HeaderValue::from_static("close");
-            response.headers_mut().insert(CONNECTION, close);
+            let closed = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, closed);
+        }
+        if close {
+            response.extensions_mut().insert(Linger);
         }
         response
     }
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -167,6 +167,8 @@
     pub waiting: Gauge,
     /// Requests at endpoints.
     pub running: Gauge,
+    /// Memory that the bodies of requests take, bytes.
+    pub body_bytes: Gauge,
     /// Log lines that were dropped.
     pub dropped_lines: Gauge,
 }
@@ -212,6 +214,7 @@
             peers: Gauge::default(),
             waiting: Gauge::default(),
             running: Gauge::default(),
+            body_bytes: Gauge::default(),
             dropped_lines: Gauge::default(),
         }
     }
@@ -369,6 +372,11 @@
                 "Parts of prompts with which requests are refused",
                 &self.refused_parts,
             ),
+            (
+                "body_bytes",
+                "Memory that the bodies of requests take, bytes",
+                &self.body_bytes,
+            ),
             (
                 "dropped_lines",
                 "Log lines that were dropped",
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -26,7 +26,7 @@
     plan::Plan,
     quota::Limiter,
 };
-use dottereltally_store::buffer;
+use dottereltally_store::{buffer, ingress};
 use eyre::WrapErr;
 use http::{Response, StatusCode};
 use prometheus_client::registry::Registry;
@@ -294,6 +294,7 @@
             metrics.clone(),
         ),
         answers: buffer::Pool::default(),
+        bodies: ingress::Pool::for_host(settings.memory),
         limiter: Mutex::new(limiter),
         budget: Mutex::new(Budget::new(settings.retries)),
         crashes,
@@ -536,6 +537,7 @@
             .set(gauge(admission.read(Dispatcher::running)));
         let limited = admission.read(Dispatcher::limited_endpoints);
         metrics.limited_endpoints.set(gauge(limited));
+        metrics.body_bytes.set(gauge(chain.bodies.used()));
         metrics
             .trials
             .set(gauge(admission.read(Dispatcher::trials)));
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::{fmt, net::SocketAddr, str::FromStr, time::Duration};
 
 use dottereltally_lib::{budget, id, quota};
+use dottereltally_store::ingress;
 use serde::Deserialize;
 
 /// A faulty setting; the text names the field and how to correct it.
@@ -24,6 +25,8 @@
     pub data_centre: id::DataCentre,
     /// Share of a processor core that the node may use, 1.0 for a whole one.
     pub processor_share: f64,
+    /// Memory of the host, bytes.
+    pub memory: usize,
     /// Addresses that it listens on.
     pub listen: Listen,
     /// Address of the key-value service.
@@ -73,6 +76,7 @@
     data_centre: String,
     #[serde(default = "default_processor_share")]
     processor_share: f64,
+    memory_mb: Option<f64>,
     listen: WireListen,
     store: String,
     #[serde(default)]
@@ -155,6 +159,24 @@
         })
     }
 
+    /// Returns a size in bytes.
+    fn megabytes(&mut self, field: &str, value: f64) -> usize {
+        if value.is_finite() && value >= 1.0 {
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "clamped to the range"
+            )]
+            let bytes = (value * 1e6).min(1e15) as usize;
+            return bytes;
+        }
+        self.report(
+            field,
+            format_args!("`{value}` is out of range; write the memory of the host in MB"),
+        );
+        0
+    }
+
     fn non_empty(&mut self, field: &str, text: &str) {
         if text.is_empty() {
             self.report(field, "is empty; write a name");
@@ -195,6 +217,10 @@
     check.non_empty("data_centre", &wire.data_centre);
     check.address("store", &wire.store);
     let processor_share = check.non_negative("processor_share", wire.processor_share);
+    let memory = match wire.memory_mb {
+        Some(megabytes) => check.megabytes("memory_mb", megabytes),
+        None => ingress::DEFAULT_HOST_BYTES,
+    };
     let listen = Listen {
         callers: check.address("listen.callers", &wire.listen.callers),
         health: check.address("listen.health", &wire.listen.health),
@@ -228,6 +254,7 @@
         node: id::Node::from(wire.node),
         data_centre: id::DataCentre::from(wire.data_centre),
         processor_share,
+        memory,
         listen,
         store: wire.store,
         seeds,
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -40,7 +40,7 @@
     quota::{Limiter, Tolerance},
     route::{Retry, Route, Target},
 };
-use dottereltally_store::buffer;
+use dottereltally_store::{buffer, ingress};
 use http::{HeaderMap, HeaderValue, StatusCode};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -537,6 +537,7 @@
                 metrics.clone(),
             ),
             answers: buffer::Pool::default(),
+            bodies: ingress::Pool::default(),
             limiter: Mutex::new(Limiter::new(Tolerance::default())),
             budget: Mutex::new(Budget::new(budget::Limits {
                 ratio: 0.2,
--- a/gateway/tests/test_settings.rs
+++ b/gateway/tests/test_settings.rs
@@ -34,6 +34,16 @@
     assert_eq!(settings.bounds.grace.as_secs(), 8);
 }
 
+/// Guards against a pool for bodies that does not follow the memory of the host.
+#[test]
+fn the_memory_of_the_host_is_optional() {
+    assert_eq!(parse(VALID).unwrap().memory, 110_000_000);
+    let stated = |value: &str| parse(&format!("memory_mb: {value}{VALID}"));
+    assert_eq!(stated("512").unwrap().memory, 512_000_000);
+    assert_eq!(stated("").unwrap().memory, 110_000_000);
+    assert_eq!(stated("-1").unwrap_err()[0].field, "memory_mb");
+}
+
 #[test]
 fn all_faults_are_reported_at_once() {
     let wrong = VALID
--- a/node/src/filter.rs
+++ b/node/src/filter.rs
@@ -11,12 +11,12 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use dottereltally_lib::{
     configuration, id,
     request::{Received, Request},
 };
-use dottereltally_store::buffer;
+use dottereltally_store::{buffer, ingress};
 use http::{HeaderValue, Response, StatusCode, header::HeaderMap, request::Parts};
 use http_body_util::BodyExt;
 use tokio::time::timeout;
@@ -30,6 +30,7 @@
     dispatcher::{Handle, Resolve},
     idempotency::{self, Keeper},
     limit::{Limiter, Permit},
+    linger::Linger,
     metrics::Metrics,
     problem::{Problem, Reason},
     rules::{self, Rules},
@@ -37,9 +38,9 @@
     upstream::Client,
 };
 
-/// Multiple of the limit up to which a body is read and discarded, so that a
-/// caller that is still sending gets the refusal instead of a connection reset.
-const DISCARD_FACTOR: usize = 4;
+/// `retry-after` of a body for which there is no memory: bodies are complete, or their time
+/// limit ends, within some seconds.
+pub const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// `retry-after` of a node without a configuration.
 const CONFIGURATION_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -63,6 +64,8 @@
     pub upstream: U,
     /// Memory for answers that are buffered.
     pub answers: buffer::Pool,
+    /// Memory for the bodies of requests.
+    pub bodies: ingress::Pool,
     /// Acquires the claims of idempotency keys.
     pub keeper: K,
     /// The counters.
@@ -75,6 +78,18 @@
 struct Refused {
     tier: Option<id::Tier>,
     problem: Problem,
+    /// Whether the body was not read to its end.
+    is_unread: bool,
+}
+
+impl Refused {
+    /// Refuses a request whose body was not read to its end.
+    fn unread(problem: Problem) -> Self {
+        Self {
+            is_unread: true,
+            ..Self::from(problem)
+        }
+    }
 }
 
 impl From<Problem> for Refused {
@@ -82,6 +97,7 @@
         Self {
             tier: None,
             problem,
+            is_unread: false,
         }
     }
 }
@@ -118,7 +134,11 @@
                 if !reason.is_after_dispatch() {
                     self.metrics.refused(refused.tier, reason);
                 }
-                refused.problem.response(Some(id))
+                let mut response = refused.problem.response(Some(id));
+                if refused.is_unread {
+                    response.extensions_mut().insert(Linger);
+                }
+                response
             }
         }
     }
@@ -133,7 +153,7 @@
         B: http_body::Body<Data = Bytes> + Unpin,
     {
         let received = self.clock.now();
-        let (parts, body) = request.into_parts();
+        let (parts, mut body) = request.into_parts();
         // An earlier attempt with the same key may have run.
         let run_unknown = |problem: Problem| {
             if parts.headers.contains_key(idempotency::KEY_HEADER) {
@@ -154,7 +174,12 @@
                 run_unknown(problem)
             }
         };
-        let body = self.read_body(body).await.map_err(run_unknown)?;
+        let limits = &self.limits;
+        let reading = read_body(&mut body, &self.bodies, limits.body, limits.body_timeout);
+        let body = reading
+            .await
+            .map_err(run_unknown)
+            .map_err(Refused::unread)?;
         let limit = rules.configuration.workspaces.get(&workspace);
         let limit = limit.and_then(|workspace| workspace.limit);
         let class = candidates
@@ -169,6 +194,7 @@
             } else {
                 run_unknown(problem)
             },
+            is_unread: false,
         })?;
         Ok(Accepted {
             request: Request::new(id, profile),
@@ -195,7 +221,10 @@
             allowance: class.allowance,
         };
         let tier = Some(class.profile.tier);
-        let refuse = |problem| Refused { tier, problem };
+        let refuse = |problem| Refused {
+            tier,
+            ..Refused::from(problem)
+        };
         let key = idempotency::key(&parts.headers).map_err(refuse)?;
         let message = dispatch::message(parts, body, self.correlation_id(id));
         if class.profile.idempotent || (key.is_none() && class.unkeyed) {
@@ -228,26 +257,6 @@
         }
     }
 
-    /// Reads a body within its limits of size and time.
-    async fn read_body<B>(&self, mut body: B) -> Result<Bytes, Problem>
-    where
-        B: http_body::Body<Data = Bytes> + Unpin,
-    {
-        let limit = self.limits.body;
-        if body.size_hint().lower() > (limit * DISCARD_FACTOR) as u64 {
-            return Err(too_large(limit));
-        }
-        let reading = collect(&mut body, limit);
-        match timeout(self.limits.body_timeout, reading).await {
-            Ok(outcome) => outcome,
-            Err(_) => Err(Problem::before_dispatch(
-                StatusCode::REQUEST_TIMEOUT,
-                Reason::SlowSender,
-                "the body did not arrive in time; send the request again",
-            )),
-        }
-    }
-
     /// Returns the rules in force, or the refusal of a node without any.
     fn rules(&self) -> Result<Arc<Rules>, Problem> {
         self.rules.borrow().clone().ok_or_else(|| {
@@ -281,18 +290,56 @@
     answer::is_event_stream(response.headers())
 }
 
-/// Reads a whole body of at most `limit` bytes.
+/// Reads a whole body of at most `limit` bytes into a pool within a time limit.
 ///
 /// # Errors
 ///
-/// Fails if the body is incomplete or larger than the limit.
-pub async fn collect<B>(body: &mut B, limit: usize) -> Result<Bytes, Problem>
+/// Fails if the body is incomplete, larger than the limit or late, or if there is no memory
+/// for it.
+pub async fn read_body<B>(
+    body: &mut B,
+    pool: &ingress::Pool,
+    limit: usize,
+    time_limit: Duration,
+) -> Result<Bytes, Problem>
 where
     B: http_body::Body<Data = Bytes> + Unpin,
 {
-    let mut content = BytesMut::new();
-    let mut size = 0;
-    while let Some(frame) = body.frame().await {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let mut content = pool.body(limit);
+    content
+        .check_length(body.size_hint().lower())
+        .map_err(refusal)?;
+    match timeout(time_limit, collect(body, &mut content)).await {
+        Ok(outcome) => outcome?,
+        Err(_) if content.is_waiting() => return Err(refusal(ingress::Refused::Capacity)),
+        Err(_) => {
+            return Err(Problem::before_dispatch(
+                StatusCode::REQUEST_TIMEOUT,
+                Reason::SlowSender,
+                "the body did not arrive in time; send the request again",
+            ));
+        }
+    }
+    content.finish().map_err(refusal)
+}
+
+/// Reads a body to its end.
+async fn collect<B>(body: &mut B, content: &mut ingress::Body) -> Result<(), Problem>
+where
+    B: http_body::Body<Data = Bytes> + Unpin,
+{
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = content.refused() => return Err(refusal(ingress::Refused::Capacity)),
+            frame = body.frame() => frame,
+        };
+        let Some(frame) = frame else {
+            return Ok(());
+        };
         let Ok(frame) = frame else {
             return Err(Problem::before_dispatch(
                 StatusCode::BAD_REQUEST,
@@ -303,26 +350,23 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        size += data.len();
-        if size > limit * DISCARD_FACTOR {
-            break;
-        }
-        if size <= limit {
-            content.extend_from_slice(&data);
-        }
+        content.append(&data).await.map_err(refusal)?;
     }
-    if size > limit {
-        return Err(too_large(limit));
-    }
-    Ok(content.freeze())
 }
 
-fn too_large(limit: usize) -> Problem {
-    Problem::before_dispatch(
-        StatusCode::PAYLOAD_TOO_LARGE,
-        Reason::TooLarge,
-        format!("the body is over {limit} bytes; send a smaller one"),
-    )
+/// Returns the refusal of a body that was not read to its end.
+fn refusal(refused: ingress::Refused) -> Problem {
+    let (status, reason) = match refused {
+        ingress::Refused::Limit(_) | ingress::Refused::Parts => {
+            (StatusCode::PAYLOAD_TOO_LARGE, Reason::TooLarge)
+        }
+        ingress::Refused::Capacity => (StatusCode::SERVICE_UNAVAILABLE, Reason::NoMemory),
+    };
+    let problem = Problem::before_dispatch(status, reason, refused.to_string());
+    match refused {
+        ingress::Refused::Capacity => problem.retry_after(MEMORY_RETRY_AFTER),
+        _ => problem,
+    }
 }
 
 /// Checks that a request's head, written as HTTP/1.1, has at most `limit` bytes.
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod hosts;
 pub mod idempotency;
 pub mod limit;
+pub mod linger;
 pub mod membership;
 pub mod metrics;
 pub mod node;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -7,7 +7,7 @@
 };
 
 use dottereltally_lib::{event::Event, id, refusal};
-use dottereltally_store::buffer;
+use dottereltally_store::{buffer, ingress};
 use eyre::WrapErr;
 use http::StatusCode;
 use prometheus_client::registry::Registry;
@@ -138,6 +138,7 @@
             resolve: controllers.book.resolver(),
             upstream: Pool::default(),
             answers: buffer::Pool::with_room_for(settings.limits.body),
+            bodies: ingress::Pool::default(),
             keeper: controllers.keeper.clone(),
             metrics,
             next_request: AtomicU64::new(first_request_number()),
--- a/node/src/problem.rs
+++ b/node/src/problem.rs
@@ -38,6 +38,9 @@
     /// The body did not arrive in time.
     #[display("slow-sender")]
     SlowSender,
+    /// The memory for the bodies of requests does not suffice.
+    #[display("no-memory")]
+    NoMemory,
     /// No configured call matches.
     #[display("no-call")]
     NoCall,
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -13,7 +13,7 @@
 };
 
 use futures_util::FutureExt;
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode, Version, header::CONNECTION};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -28,6 +28,7 @@
 
 use crate::{
     body::Body,
+    linger::{self, Linger},
     problem::{Problem, Reason},
     write_timeout::WriteTimeout,
 };
@@ -40,6 +41,11 @@
 /// Time between two pings on an HTTP/2 connection, and the time limit of the
 /// reply.
 const HTTP2_PING_INTERVAL: Duration = Duration::from_secs(20);
+/// Bytes that a caller may send on one HTTP/2 request, and on all requests of a connection,
+/// before the node has taken them: as much as a HTTP/1.1 connection may hold in its read
+/// buffer and in the part that is handed over.
+const HTTP2_STREAM_WINDOW: u32 = 128 * 1024;
+const HTTP2_CONNECTION_WINDOW: u32 = 256 * 1024;
 /// Maximum number of concurrent requests on one HTTP/2 connection.
 const MAX_HTTP2_STREAMS: u32 = 256;
 
@@ -133,12 +139,24 @@
     let builder = builder(limits);
     let request_seen = Arc::new(AtomicBool::new(false));
     let marker = Arc::clone(&request_seen);
-    let service = service_fn(move |request| {
+    let unread = linger::Mark::default();
+    let mark = unread.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
         marker.store(true, Ordering::Relaxed);
-        let handler = handler.clone();
-        async move { Ok::<_, Infallible>(answer(async { handler(request).await }).await) }
+        let (handler, unread) = (handler.clone(), unread.clone());
+        async move {
+            let is_http1 = request.version() < Version::HTTP_2;
+            let mut response = answer(async { handler(request).await }).await;
+            if response.extensions_mut().remove::<Linger>().is_some() && is_http1 {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+                unread.set();
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
-    let stream = TokioIo::new(WriteTimeout::new(stream, limits.write_timeout));
+    let stream = WriteTimeout::new(stream, limits.write_timeout);
+    let stream = TokioIo::new(linger::Stream::new(stream, mark));
     let mut serving = pin!(builder.serve_connection(stream, service));
     let mut first_request_timeout = pin!(sleep(limits.head_timeout));
     let mut first_request_checked = false;
@@ -173,6 +191,8 @@
         .timer(TokioTimer::new())
         .max_header_list_size(u32::try_from(max_head).unwrap_or(u32::MAX))
         .max_concurrent_streams(MAX_HTTP2_STREAMS)
+        .initial_stream_window_size(HTTP2_STREAM_WINDOW)
+        .initial_connection_window_size(HTTP2_CONNECTION_WINDOW)
         .keep_alive_interval(HTTP2_PING_INTERVAL)
         .keep_alive_timeout(HTTP2_PING_INTERVAL);
     builder
--- a/node/tests/chain/mod.rs
+++ b/node/tests/chain/mod.rs
@@ -34,7 +34,7 @@
     id, refusal,
     request::{Admitted, Claimed, Request},
 };
-use dottereltally_store::{buffer, layout, memory::Store};
+use dottereltally_store::{buffer, ingress, layout, memory::Store};
 use http::{Response, StatusCode, header::CONTENT_TYPE};
 use http_body::Frame;
 use http_body_util::{BodyExt, Full};
@@ -411,6 +411,7 @@
             resolve: Arc::new(|endpoint| Some(format!("{endpoint}:80"))),
             upstream: endpoints.clone(),
             answers: buffer::Pool::default(),
+            bodies: ingress::Pool::default(),
             keeper,
             metrics,
             next_request: AtomicU64::new(7),
--- a/node/tests/test_body_limits.rs
+++ b/node/tests/test_body_limits.rs
@@ -168,7 +168,6 @@
 #[case::http2(&[Shape::Http2(LARGE_PART)], CALLERS / STREAMS)]
 #[case::http2_small_frames(&[Shape::Http2(SMALL_PART)], CALLERS / STREAMS)]
 #[case::mix(&SHAPES, CALLERS)]
-#[ignore = "known red: request bodies are not bounded together (work.md, part E)"]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_crowd_with_large_bodies_fits_into_the_smallest_host(
     #[case] shapes: &[Shape],
--- a/node/tests/test_path_random.rs
+++ b/node/tests/test_path_random.rs
@@ -36,7 +36,7 @@
     size::Tokens,
 };
 use dottereltally_store::{
-    buffer,
+    buffer, ingress,
     memory::{Fault, Store},
 };
 use faulty::{Endpoints, History};
@@ -160,6 +160,7 @@
         resolve: Arc::new(|endpoint| Some(endpoint.to_string())),
         upstream: endpoints.clone(),
         answers: buffer::Pool::default(),
+        bodies: ingress::Pool::default(),
         keeper,
         metrics,
         next_request: AtomicU64::new(1),
--- a/review/stand-ins/src/gateway.rs
+++ b/review/stand-ins/src/gateway.rs
@@ -51,6 +51,8 @@
             ("{{node}}", name.to_owned()),
             ("{{zone}}", zone.to_owned()),
             ("{{limits.cpuShare}}", "0.25".to_owned()),
+            ("{{limits.memoryMb}}", "256".to_owned()),
+            ("{{limits.maxFds}}", "4096".to_owned()),
             ("{{listen.front}}", address[0].to_string()),
             ("{{listen.ready}}", address[1].to_string()),
             ("{{listen.control}}", address[2].to_string()),
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod host_list;
 pub mod http;
 pub mod inbound;
+pub mod ingress;
 pub mod kv;
 pub mod layout;
 pub mod memory;
