--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -41,7 +41,7 @@
     rollout as rollouts,
     route::{Retry, Route, Target},
 };
-use dottereltally_store::buffer;
+use dottereltally_store::{buffer, ingress};
 use http::{HeaderMap, HeaderValue, StatusCode};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -538,6 +538,7 @@
                 metrics.clone(),
             ),
             answers: buffer::Pool::default(),
+            bodies: ingress::Pool::default(),
             limiter: Mutex::new(Limiter::new(Tolerance::default())),
             budget: Mutex::new(Budget::new(budget::Limits {
                 ratio: 0.2,
