--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -253,6 +253,9 @@
             Origin::Source { is_restored } => {
                 let rollouts = &self.outputs.rollouts;
                 rollouts.replace(&snapshot.orders, &snapshot.records);
+                for (service, revision) in &snapshot.unreadable_records {
+                    rollouts.set_unreadable_record(service, *revision);
+                }
                 self.nodes.replace(now, snapshot.nodes, is_restored);
             }
             Origin::Node => {
@@ -296,6 +299,10 @@
             Change::Ordered(spec) => self.outputs.rollouts.set_order(&spec),
             Change::OrderRemoved(service) => self.outputs.rollouts.remove_order(&service),
             Change::Recorded(record) => self.outputs.rollouts.set_record(&record),
+            Change::RecordUnreadable(service, revision) => {
+                let rollouts = &self.outputs.rollouts;
+                rollouts.set_unreadable_record(&service, revision);
+            }
             Change::RecordRemoved(service) => self.outputs.rollouts.remove_record(&service),
             Change::Quarantined(marks) => self.outputs.crashes.apply_kept_marks(&marks),
             Change::NodeRemoved(name) => {
--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -203,6 +203,8 @@
     Recorded(Box<Record>),
     /// The record for a service was removed.
     RecordRemoved(id::Service),
+    /// The record of a service's roll-out, written at this revision, can't be read.
+    RecordUnreadable(id::Service, Revision),
 }
 
 /// The whole directory at one revision.
@@ -228,6 +230,9 @@
     /// The records of roll-outs.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub records: Vec<Record>,
+    /// Services whose records can't be read, with the revisions of these.
+    #[serde(skip)]
+    pub unreadable_records: Vec<(id::Service, Revision)>,
     /// Entries that were found to be unusable by this read, and not before.
     #[serde(skip)]
     pub unusable: u64,
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -817,7 +817,6 @@
                 dispatcher.forget_peer(name);
                 Vec::new()
             });
-            self.arguments.chain.rollouts.forget_node(name);
             if let Some(peer) = self.peers.get_mut(name) {
                 peer.silent = true;
             }
--- a/gateway/src/rollout.rs
+++ b/gateway/src/rollout.rs
@@ -40,6 +40,11 @@
 /// longest intervals of heartbeats, 1 s each, and the shortest time for silence, 1.2 s.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 
+/// Time after which others no longer wait for a silent node: it stops sending to old versions
+/// [`CONTACT_TIME`] after it was last in contact, and an interval of heartbeats and a call of
+/// the source, 1 s each, lie between what both know.
+const SILENCE_TIME: Duration = Duration::from_secs(5);
+
 /// Time before its deadline from which a roll-out may be completed without the nodes that
 /// are silent, with the time in which the order is read and the record written: a poll of
 /// 1.5 s, a write of 0.5 s and 1 s for an interval of heartbeats.
@@ -49,6 +54,9 @@
 /// record learn of it: ten contact times.
 const REPORT_TIME: Duration = Duration::from_secs(30);
 
+/// Most roll-outs in one heartbeat: each takes up to 3 KB, and a datagram is read up to 60 KB.
+const MAX_REPORTS: usize = 8;
+
 /// Name that no version has: requests that no version may serve are refused.
 const NO_VERSION: &str = "\u{1}none";
 
@@ -89,8 +97,9 @@
     weight: Weight,
     evidence: Evidence,
     expectation: Expectation,
-    /// Targets of earlier orders that were not completed.
-    barred: BTreeSet<id::Version>,
+    /// Versions that get no request while they are listed: targets of earlier orders that were
+    /// not completed, and versions that a completed order replaced.
+    excluded: BTreeSet<id::Version>,
     writing: writer::Progress,
 }
 
@@ -267,14 +276,14 @@
                 let listed = inner.versions.get(&spec.service).into_iter().flatten();
                 for version in listed.filter_map(|(version, _)| version.as_ref()) {
                     if *version != target {
-                        rollout.barred.insert(version.clone());
+                        rollout.excluded.insert(version.clone());
                     }
                 }
             } else {
-                rollout.barred.insert(target);
+                rollout.excluded.insert(target);
             }
         }
-        rollout.barred.remove(&spec.target);
+        rollout.excluded.remove(&spec.target);
         rollout.ordered = now;
         rollout.evidence = Evidence::default();
         rollout.writing = writer::Progress::default();
@@ -287,8 +296,9 @@
         self.notify();
     }
 
-    /// Removes the order of a service. Its last record stays in force, so that a target that
-    /// was not completed gets no more requests than before.
+    /// Removes the order of a service. A target that was not completed gets no more requests
+    /// until another order names it: nobody decides on it any more. While draining, the last
+    /// record stays in force, as the other versions may stop at any moment.
     pub fn remove_order(&self, service: &id::Service) {
         let mut inner = lock(&self.shared.inner);
         let Some(rollout) = inner.rollouts.get_mut(service) else {
@@ -297,12 +307,20 @@
         if rollout.order.take().is_none() {
             return;
         }
+        let phase = rollout.known.as_ref().map(|known| known.state.phase);
+        if phase == Some(Phase::Running) {
+            rollout.weight = Weight::ZERO;
+        }
         tracing::warn!(
             %service,
             step = rollout.step().0,
-            "order of a roll-out removed: its last step stays in force"
+            phase = phase.map(tracing::field::display),
+            weight = %rollout.weight,
+            "order of a roll-out removed"
         );
         inner.controller.remove(service);
+        drop(inner);
+        self.notify();
     }
 
     /// Applies a record that was read from the source.
@@ -323,6 +341,18 @@
         self.adopt(&record.service, &record.state, "key-value service");
     }
 
+    /// Records that the source has a record of a service that can't be read, so that the next
+    /// one replaces it.
+    pub fn set_unreadable_record(&self, service: &id::Service, revision: era::Revision) {
+        let mut inner = lock(&self.shared.inner);
+        let rollout = inner.rollouts.entry(service.clone()).or_default();
+        rollout.stored = Some(Stored {
+            revision,
+            order: era::Revision::default(),
+            step: Step::default(),
+        });
+    }
+
     /// Records that the source has no record of a service.
     pub fn remove_record(&self, service: &id::Service) {
         if let Some(rollout) = lock(&self.shared.inner).rollouts.get_mut(service) {
@@ -342,6 +372,10 @@
                 self.remove_record(service);
             }
         }
+        // The last record of an order that was replaced says which versions ended with it.
+        for record in records {
+            self.set_record(record);
+        }
         for spec in orders {
             self.set_order(spec);
         }
@@ -373,13 +407,17 @@
     fn adopt(&self, service: &id::Service, state: &State, source: &'static str) {
         let now = self.now();
         let mut inner = lock(&self.shared.inner);
+        let listed = inner.versions.get(service);
+        let listed: Option<Vec<id::Version>> =
+            listed.map(|listed| listed.keys().flatten().cloned().collect());
         let rollout = inner.rollouts.entry(service.clone()).or_default();
         let is_of_order = match &rollout.order {
             Some(spec) => spec.revision == state.order && spec.target == state.target,
+            // A record whose order is gone says nothing to a node that did not know the order.
             None => rollout
                 .known
                 .as_ref()
-                .is_none_or(|known| known.state.order == state.order),
+                .is_some_and(|known| known.state.order == state.order),
         };
         if !is_of_order {
             tracing::debug!(
@@ -399,6 +437,14 @@
         });
         rollout.weight = state.weight;
         rollout.writing = writer::Progress::default();
+        if state.phase == Phase::Completed {
+            // The endpoints of other versions may have stopped, and still be listed.
+            for version in listed.into_iter().flatten() {
+                if version != state.target {
+                    rollout.excluded.insert(version);
+                }
+            }
+        }
         let summary = &state.summary.seen;
         tracing::info!(
             %service,
@@ -478,7 +524,7 @@
         let mut inner = lock(&self.shared.inner);
         for (service, rollout) in &mut inner.rollouts {
             let listed = versions.get(service);
-            rollout.barred.retain(|version| {
+            rollout.excluded.retain(|version| {
                 listed.is_some_and(|listed| listed.contains_key(&Some(version.clone())))
             });
         }
@@ -555,7 +601,7 @@
         let mut counted = None;
         let mut limit = None;
         if let Some(rollout) = inner.rollouts.get_mut(request.service) {
-            if version.is_some_and(|version| rollout.barred.contains(version)) {
+            if version.is_some_and(|version| rollout.excluded.contains(version)) {
                 return Err(Changed);
             }
             let is_canary = version.is_some() && rollout.target() == version;
@@ -626,6 +672,9 @@
                 report.samples.clear();
             }
             reports.push((service.clone(), report));
+            if reports.len() >= MAX_REPORTS {
+                break;
+            }
         }
         reports
     }
@@ -641,6 +690,11 @@
         } = &mut *inner;
         nodes.record(now, sender);
         let mut is_behind = false;
+        for (service, rollout) in rollouts.iter_mut() {
+            if !reports.iter().any(|(reported, _)| reported == service) {
+                rollout.evidence.forget_step(sender);
+            }
+        }
         for (service, report) in reports {
             let Some(rollout) = rollouts.get_mut(service) else {
                 is_behind = true;
@@ -654,16 +708,11 @@
                 continue;
             }
             is_behind |= report.step > rollout.step();
-            rollout.evidence.apply(now, sender, report);
+            rollout.evidence.apply(sender, report);
         }
         is_behind
     }
 
-    /// Records that a node is silent, or that its reports are not used any more.
-    pub fn forget_node(&self, node: &id::Node) {
-        lock(&self.shared.inner).nodes.forget(node);
-    }
-
     /// Decides on the roll-outs; returns the records to write now.
     pub(crate) fn evaluate(&self) -> Vec<Replacement> {
         let now = self.now();
@@ -679,13 +728,19 @@
             let Some(spec) = rollout.order.clone() else {
                 continue;
             };
+            let stored = rollout.stored.map(|stored| (stored.order, stored.step));
+            if rollout.is_final() && stored == Some((spec.revision, rollout.step())) {
+                continue;
+            }
             let own = inner.own_report(&service, rollout);
             let data_centre = &self.shared.data_centre;
             let fleet = rollout
                 .evidence
                 .fleet(now, own, &inner.nodes, data_centre, None);
             let (baseline, target) = inner.count_endpoints(&service, &spec.target);
-            let state = rollout.known.as_ref().map(|known| known.state.clone());
+            let known = rollout.known.as_ref();
+            let since = known.map_or(rollout.ordered, |known| known.since);
+            let state = known.map(|known| known.state.clone());
             let weight = match &state {
                 // Without requests to the target the evidence no longer condemns it some time
                 // later; only a further step gives it requests again.
@@ -721,7 +776,7 @@
             let decision = inner.controller.decide(
                 now,
                 &spec,
-                state.as_ref(),
+                (state.as_ref(), since),
                 &fleet,
                 place.registered,
                 baseline,
@@ -730,7 +785,7 @@
             let Some(rollout) = inner.rollouts.get_mut(&service) else {
                 continue;
             };
-            due.extend(rollout.next_write(now, &service, rank, decision));
+            due.extend(rollout.next_write(now, &service, rank, (decision, &fleet.lagging)));
         }
         drop(guard);
         if is_changed {
@@ -772,19 +827,43 @@
         sum
     }
 
-    /// Returns the endpoints of other versions, and those of the target.
+    /// Returns the endpoints of other versions that may serve, and those of the target.
     fn count_endpoints(&self, service: &id::Service, target: &id::Version) -> (u32, u32) {
+        let rollout = self.rollouts.get(service);
+        let is_excluded = |version: &id::Version| {
+            rollout.is_some_and(|rollout| rollout.excluded.contains(version))
+        };
         let (mut others, mut targets) = (0, 0);
         for (version, count) in self.versions.get(service).into_iter().flatten() {
             if version.as_ref() == Some(target) {
                 targets += count;
-            } else {
+            } else if !version.as_ref().is_some_and(is_excluded) {
                 others += count;
             }
         }
         (others, targets)
     }
 
+    /// Returns whether an endpoint of this version is listed.
+    fn is_listed(&self, service: &id::Service, version: &id::Version) -> bool {
+        let listed = self.versions.get(service);
+        listed.is_some_and(|listed| listed.contains_key(&Some(version.clone())))
+    }
+
+    /// Returns the versions that may serve requests of a service without a roll-out that
+    /// runs: all but the excluded ones, whose endpoints may have stopped.
+    fn after_rollout(&self, service: &id::Service, rollout: &Rollout) -> Filter {
+        let mut excluded = rollout.excluded.iter();
+        match (excluded.next(), excluded.next(), rollout.target()) {
+            (None, ..) => Filter::Any,
+            (Some(version), None, _) => Filter::Not(version.clone()),
+            (_, Some(_), Some(target)) if self.is_listed(service, target) => {
+                Filter::Only(target.clone())
+            }
+            (_, Some(_), _) => Filter::Any,
+        }
+    }
+
     fn own_report(&self, service: &id::Service, rollout: &Rollout) -> Report {
         let target = rollout.target().cloned().unwrap_or_default();
         Report {
@@ -826,16 +905,22 @@
         };
         let filter = match &rollout.known {
             None => match self.count_endpoints(request.service, target) {
-                // The target is the only version that there is.
-                (0, _) => Filter::Any,
+                // The target is the only version that may serve.
+                (0, _) if rollout.excluded.is_empty() => Filter::Any,
+                (0, 1..) => Filter::Only(target.clone()),
                 _ => Filter::Not(target.clone()),
             },
             Some(known) => {
                 let is_condemned = rollout.is_condemned(&known.state);
+                let is_near_end = rollout.cut_off().is_some_and(|cut_off| now >= cut_off);
                 match known.state.phase {
-                    // A resumed stream stays with its version.
+                    // A resumed stream stays with its version. Near the deadline the roll-out
+                    // may be completed by a node that was told that nothing runs here.
                     Phase::Running if request.version.is_some() && !is_condemned => Filter::Any,
-                    Phase::Draining if request.version.is_some() => Filter::Any,
+                    Phase::Draining if request.version.is_some() && !is_near_end => Filter::Any,
+                    Phase::Completed => self.after_rollout(request.service, rollout),
+                    // Whoever starts the target again later does so without a roll-out.
+                    Phase::RolledBack if !self.is_listed(request.service, target) => Filter::Any,
                     _ => known.state.filter_at(rollout.weight, request.sample),
                 }
             }
@@ -906,7 +991,9 @@
     Answered,
     /// The endpoint failed at it.
     Failed,
-    /// The endpoint did not run it, or its result says nothing of the version.
+    /// The endpoint did not run it, or it was not sent after all: it is not counted.
+    NotRun,
+    /// Its result says nothing of the version.
     Neutral,
     /// It ended without a first byte: slow if that was late.
     Unanswered,
@@ -936,7 +1023,7 @@
 
     /// Records that the request is not sent after all.
     pub fn withdraw(mut self) {
-        self.record(Ending::Neutral);
+        self.record(Ending::NotRun);
     }
 
     /// Records how the request ended.
@@ -957,7 +1044,7 @@
         let is_late = self.limit.is_some_and(|limit| took > limit);
         let is_slow = match ending {
             Ending::Answered | Ending::Unanswered => is_late,
-            Ending::Failed | Ending::Neutral => false,
+            Ending::Failed | Ending::NotRun | Ending::Neutral => false,
         };
         let mut inner = lock(&shared.inner);
         let key = (self.service.clone(), self.version.clone());
@@ -980,6 +1067,10 @@
         {
             return;
         }
+        if ending == Ending::NotRun {
+            rollout.evidence.withdraw(&self.route, group);
+            return;
+        }
         let counts = Counts {
             sent: 0,
             answered: 1,
--- a/gateway/src/rollout/evidence.rs
+++ b/gateway/src/rollout/evidence.rs
@@ -5,7 +5,10 @@
 //! coordinator reports and the sum over its nodes are lower bounds of the same number, of
 //! which the higher one is used: no request is counted twice, whoever coordinates.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use dottereltally_lib::{
     exchange::Scope,
@@ -14,7 +17,7 @@
     time,
 };
 
-use super::{CONTACT_TIME, Sender};
+use super::{CONTACT_TIME, SILENCE_TIME, Sender};
 
 /// Whose requests a report is about.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -52,16 +55,21 @@
             .insert(sender.node.clone(), (Subject::from(sender), now));
     }
 
-    /// Records that a node is silent.
-    pub(super) fn forget(&mut self, node: &id::Node) {
-        self.0.remove(node);
+    /// Returns the subjects of the nodes that were heard within a time.
+    fn heard_within(
+        &self,
+        now: time::Instant,
+        time: Duration,
+    ) -> impl Iterator<Item = (&id::Node, &Subject)> {
+        let heard = self.0.iter();
+        heard
+            .filter(move |(_, (_, at))| now.since(*at) < time)
+            .map(|(node, (subject, _))| (node, subject))
     }
 
-    /// Returns the subjects of the nodes that were heard within the contact time.
+    /// Returns the subjects of the nodes that are not silent.
     fn live(&self, now: time::Instant) -> impl Iterator<Item = (&id::Node, &Subject)> {
-        let live = self.0.iter();
-        live.filter(move |(_, (_, at))| now.since(*at) < CONTACT_TIME)
-            .map(|(node, (subject, _))| (node, subject))
+        self.heard_within(now, SILENCE_TIME)
     }
 }
 
@@ -78,13 +86,27 @@
         self.own.record(route, group, counts);
     }
 
+    /// Takes back a request of this node that was counted as sent.
+    pub(super) fn withdraw(&mut self, route: &id::Route, group: Group) {
+        self.own.withdraw(route, group);
+    }
+
+    /// Forgets the step and the running requests that a sender reported before: its process or
+    /// that of its predecessor does not know the order.
+    pub(super) fn forget_step(&mut self, sender: &Sender) {
+        if let Some(known) = self.heard.get_mut(&Subject::from(sender)) {
+            known.step = Step::default();
+            known.baseline_in_flight = 0;
+        }
+    }
+
     /// Returns the counts of this node.
     pub(super) fn own(&self) -> &Samples {
         &self.own.samples
     }
 
     /// Applies a report on the order in force.
-    pub(super) fn apply(&mut self, _now: time::Instant, sender: &Sender, report: &Report) {
+    pub(super) fn apply(&mut self, sender: &Sender, report: &Report) {
         let known = self.heard.entry(Subject::from(sender)).or_default();
         let mut samples = std::mem::take(&mut known.samples);
         raise(&mut samples, &report.samples);
@@ -92,18 +114,36 @@
         known.samples = samples;
     }
 
-    /// Returns the number of nodes that were heard at this step.
+    /// Returns the number of nodes that were heard at this step within the contact time, each
+    /// of them once: the most that one kind of report shows.
     pub(super) fn count_at_step(&self, now: time::Instant, nodes: &Nodes, step: Step) -> u32 {
-        let mut count = 0;
-        for (_, subject) in nodes.live(now) {
+        let heard: BTreeSet<&Subject> = nodes
+            .heard_within(now, CONTACT_TIME)
+            .map(|(_, subject)| subject)
+            .collect();
+        let (mut fleet, mut processes) = (0, BTreeMap::<_, u32>::new());
+        let mut data_centres = BTreeMap::<_, u32>::new();
+        for subject in heard {
             let Some(report) = self.heard.get(subject) else {
                 continue;
             };
-            if report.step == step {
-                count += report.nodes;
+            if report.step != step {
+                continue;
             }
+            match subject {
+                Subject::Fleet => fleet = report.nodes,
+                Subject::DataCentre(name) => {
+                    data_centres.insert(name, report.nodes);
+                }
+                Subject::Process(name, ..) => *processes.entry(name).or_default() += 1,
+            }
+        }
+        for (name, count) in processes {
+            let known = data_centres.entry(name).or_default();
+            *known = count.max(*known);
         }
-        count
+        let sum = data_centres.into_values().fold(0, u32::saturating_add);
+        sum.max(fleet)
     }
 
     /// Returns the report on the nodes of this data centre; `own` is that of this node.
--- a/gateway/src/rollout/writer.rs
+++ b/gateway/src/rollout/writer.rs
@@ -58,7 +58,7 @@
         now: time::Instant,
         service: &id::Service,
         rank: u32,
-        decision: Decision,
+        (decision, lagging): (Decision, &[id::Node]),
     ) -> Option<Replacement> {
         let order = self.order.as_ref()?.revision;
         let stored = self.stored.filter(|stored| stored.order == order);
@@ -96,6 +96,7 @@
             elapsed_ms = crate::logging::millis(state.elapsed),
             rank,
             cause,
+            lagging = lagging_names(lagging),
             "step of a roll-out is decided"
         );
         Some(Replacement {
@@ -107,6 +108,12 @@
     }
 }
 
+/// Returns the names of nodes at which an earlier step is in force; `None` if there are none.
+fn lagging_names(nodes: &[id::Node]) -> Option<String> {
+    let names: Vec<&str> = nodes.iter().map(id::Node::as_str).collect();
+    (!names.is_empty()).then(|| names.join(","))
+}
+
 /// Decides on roll-outs and writes their records; never returns.
 pub async fn run<S: Source>(handle: Handle, source: S, metrics: Metrics) {
     let mut ticks = interval(TICK);
--- a/gateway/src/search.rs
+++ b/gateway/src/search.rs
@@ -134,7 +134,7 @@
         Outcome::Answered(_) => Ending::Answered,
         Outcome::Failed | Outcome::Broken | Outcome::Silent => Ending::Failed,
         Outcome::Cancelled => Ending::Unanswered,
-        Outcome::Rejected | Outcome::Misdirected | Outcome::Unreachable => Ending::Neutral,
+        Outcome::Rejected | Outcome::Misdirected | Outcome::Unreachable => Ending::NotRun,
     }
 }
 
--- a/lib/src/rollout/controller.rs
+++ b/lib/src/rollout/controller.rs
@@ -160,11 +160,12 @@
 }
 
 impl Track {
-    fn new(now: time::Instant, order: era::Revision) -> Self {
+    /// Begins at `now`; the order is known since the second time.
+    fn new((now, since): (time::Instant, time::Instant), order: era::Revision) -> Self {
         Self {
             order,
             step: Step::default(),
-            origin: (now, Duration::ZERO),
+            origin: (since, Duration::ZERO),
             window: now,
             window_sent: 0,
             window_nodes: 0,
@@ -181,11 +182,11 @@
 
     /// Takes over what a record says. A record is read some time after it was written, so
     /// that the earliest order that any of them implies is the closest one.
-    fn read(&mut self, now: time::Instant, state: &State) {
+    fn read(&mut self, since: time::Instant, state: &State) {
         if state.step > self.step {
             self.step = state.step;
-            if state.elapsed > self.elapsed(now) {
-                self.origin = (now, state.elapsed);
+            if state.elapsed > self.elapsed(since) {
+                self.origin = (since, state.elapsed);
             }
         }
         self.peak = self.peak.max(state.summary.peak);
@@ -483,7 +484,8 @@
 
     /// Decides on the next step of an order.
     ///
-    /// `state` is the record that was read last, `fleet` the sum of what nodes reported,
+    /// `state` is the record that was read last, with the time since which the record, or the
+    /// order if there is none, is known at this node. `fleet` is the sum of what nodes reported,
     /// and the last three are the numbers of registered nodes, of endpoints of other
     /// versions and of endpoints of the target. To be called whenever one of them changes,
     /// and at least every 200 ms. A record that could not be written is decided on again.
@@ -492,7 +494,7 @@
         &mut self,
         now: time::Instant,
         spec: &Spec,
-        state: Option<&State>,
+        (state, since): (Option<&State>, time::Instant),
         fleet: &Report,
         registered_nodes: u32,
         baseline_endpoints: u32,
@@ -516,12 +518,12 @@
         let track = self
             .tracks
             .entry(spec.service.clone())
-            .or_insert_with(|| Track::new(now, spec.revision));
+            .or_insert_with(|| Track::new((now, since), spec.revision));
         if track.order != spec.revision {
-            *track = Track::new(now, spec.revision);
+            *track = Track::new((now, since), spec.revision);
         }
         if let Some(state) = state {
-            track.read(now, state);
+            track.read(since, state);
         }
         track.observe(now, state.map(|state| state.phase), fleet);
         let recorded = state.map_or_else(Summary::default, |state| state.summary);
--- a/lib/src/rollout/report.rs
+++ b/lib/src/rollout/report.rs
@@ -151,6 +151,20 @@
         *total = total.plus(&counts);
     }
 
+    /// Takes back a request that was counted as sent and was not sent after all.
+    pub fn withdraw(&mut self, route: &id::Route, group: Group) {
+        let key = (route.clone(), group);
+        let unnamed = (id::Route::default(), group);
+        let key = if self.samples.contains_key(&key) {
+            key
+        } else {
+            unnamed
+        };
+        if let Some(counts) = self.samples.get_mut(&key) {
+            counts.sent = counts.sent.saturating_sub(1);
+        }
+    }
+
     /// Returns whether a route is counted under its own name.
     fn has_room(&self, route: &id::Route) -> bool {
         let mut named = 0;
--- a/lib/tests/rollout/fleet.rs
+++ b/lib/tests/rollout/fleet.rs
@@ -634,7 +634,7 @@
             let decision = coordinator.controller.decide(
                 now,
                 &self.spec,
-                coordinator.state.as_ref(),
+                (coordinator.state.as_ref(), now),
                 &all,
                 registered,
                 endpoints,
--- a/lib/tests/test_rollout.rs
+++ b/lib/tests/test_rollout.rs
@@ -329,7 +329,7 @@
         let decision = self.controller.decide(
             at(millis),
             &self.spec,
-            state,
+            (state, at(millis)),
             fleet,
             registered,
             baseline,
@@ -597,9 +597,15 @@
     let fleet = report(1, 0, 8);
     let mut states = Vec::new();
     for desk in [&mut first, &mut second] {
-        let decision =
-            desk.controller
-                .decide(at(500), &desk.spec, None, &fleet, 8, baseline, target);
+        let decision = desk.controller.decide(
+            at(500),
+            &desk.spec,
+            (None, at(500)),
+            &fleet,
+            8,
+            baseline,
+            target,
+        );
         states.push(written(decision).0);
     }
     assert_eq!(states[0], states[1]);
