connections: a bound on connections of callers

Cause: callers that open connections without a request, or stop within the head, could take all descriptors of a process until the head time limit (gateway: 2 minutes).

Of `max_descriptors` (2,870 if not stated, as on the smallest hosts) 200 are left to files, the store and other nodes, and half of the rest is for callers: 1,335 by default. Over the bound the connection that has been idle longest is closed, and the next one is accepted once it has ended. Connections with a request under way, a response that is not written whole or a caller whose bytes are discarded after a refusal are never closed, nor are HTTP/2 connections after their first request, as data may wait for the caller's window. If no other is idle, the new one is closed unread. A request that arrives on a connection being closed does not run.

Ruled out: a shorter head time limit, which clients inside today's limits would meet.

--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -14,6 +14,7 @@
 use dottereltally::{
     body::Body,
     clock::Clock,
+    connections::Connections,
     operations::{Pages, Source as StatusSource, Status},
     process::Process,
     server,
@@ -186,6 +187,8 @@
     let mut registry = Registry::with_prefix(METRICS_PREFIX);
     registry.register_collector(Box::new(Process));
     metrics.register(&mut registry);
+    let bound = Connections::for_descriptors(settings.descriptors);
+    bound.register(&mut registry);
     let channels = Channels::default();
     let (chain, tasks) = build_chain(&settings, adapters.dialect, &channels, &metrics);
     let chain = Arc::new(chain);
@@ -256,9 +259,10 @@
     tokio::spawn(update_gauges(Arc::clone(&chain), log));
     let serving = Arc::clone(&chain);
     let handler = move |request| Arc::clone(&serving).serve(request);
-    let serving = tokio::spawn(server::serve(
+    let serving = tokio::spawn(server::serve_bounded(
         listeners.callers,
         CONNECTION_LIMITS,
+        bound,
         chain.phase.draining(),
         handler,
     ));
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::{fmt, net::SocketAddr, str::FromStr, time::Duration};
 
+use dottereltally::connections::{DEFAULT_DESCRIPTORS, RESERVED_DESCRIPTORS};
 use dottereltally_lib::{budget, id, quota, rollout};
 use dottereltally_store::ingress;
 use serde::Deserialize;
@@ -27,6 +28,8 @@
     pub processor_share: f64,
     /// Memory of the host, bytes.
     pub memory: usize,
+    /// Descriptors that the process may open.
+    pub descriptors: usize,
     /// Addresses that it listens on.
     pub listen: Listen,
     /// Address of the key-value service.
@@ -79,6 +82,7 @@
     #[serde(default = "default_processor_share")]
     processor_share: f64,
     memory_mb: Option<f64>,
+    max_descriptors: Option<usize>,
     listen: WireListen,
     store: String,
     #[serde(default)]
@@ -258,6 +262,16 @@
         Some(megabytes) => check.megabytes("memory_mb", megabytes),
         None => ingress::DEFAULT_HOST_BYTES,
     };
+    let descriptors = wire.max_descriptors.unwrap_or(DEFAULT_DESCRIPTORS);
+    if descriptors <= RESERVED_DESCRIPTORS {
+        check.report(
+            "max_descriptors",
+            format_args!(
+                "`{descriptors}` is too small; write the descriptors of the process, more than \
+                 {RESERVED_DESCRIPTORS}"
+            ),
+        );
+    }
     let listen = Listen {
         callers: check.address("listen.callers", &wire.listen.callers),
         health: check.address("listen.health", &wire.listen.health),
@@ -293,6 +307,7 @@
         data_centre: id::DataCentre::from(wire.data_centre),
         processor_share,
         memory,
+        descriptors,
         listen,
         store: wire.store,
         seeds,
--- a/gateway/tests/test_settings.rs
+++ b/gateway/tests/test_settings.rs
@@ -71,6 +71,16 @@
     assert_eq!(stated("-1").unwrap_err()[0].field, "memory_mb");
 }
 
+/// Guards against a bound on connections that does not follow the descriptors of the host.
+#[test]
+fn the_descriptors_of_the_host_are_optional() {
+    assert_eq!(parse(VALID).unwrap().descriptors, 2870);
+    let stated = |value: &str| parse(&format!("max_descriptors: {value}{VALID}"));
+    assert_eq!(stated("8192").unwrap().descriptors, 8192);
+    assert_eq!(stated("").unwrap().descriptors, 2870);
+    assert_eq!(stated("200").unwrap_err()[0].field, "max_descriptors");
+}
+
 #[test]
 fn all_faults_are_reported_at_once() {
     let wrong = VALID
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod classify;
 pub mod clock;
 pub mod configuration;
+pub mod connections;
 pub mod controllers;
 pub mod dispatch;
 pub mod dispatcher;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     clock::Clock,
+    connections::{self, Connections},
     controllers::{Base, Controllers},
     dispatcher::Handle,
     filter::Chain,
@@ -126,6 +127,8 @@
             write_timeout: settings.limits.inactivity,
         };
         let limiter = Limiter::default();
+        let bound = Connections::for_descriptors(connections::DEFAULT_DESCRIPTORS);
+        bound.register(&mut registry);
         let metrics = Metrics::default();
         metrics.register(&mut registry);
         let chain = Arc::new(Chain {
@@ -154,7 +157,7 @@
                 }
             }
         };
-        let callers = server::serve(callers, limits, phase.draining(), handler);
+        let callers = server::serve_bounded(callers, limits, bound, phase.draining(), handler);
         let keeper = controllers.keeper.clone();
         let state = State {
             settings: settings.clone(),
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -2,7 +2,9 @@
 
 use std::{
     convert::Infallible,
-    future::Future,
+    future::{self, Future},
+    io,
+    net::SocketAddr,
     panic::AssertUnwindSafe,
     pin::pin,
     sync::{
@@ -28,6 +30,7 @@
 
 use crate::{
     body::Body,
+    connections::{self, Connections, Session},
     linger::{self, Linger},
     problem::{Problem, Reason},
     write_timeout::WriteTimeout,
@@ -67,6 +70,27 @@
 pub async fn serve<H, F>(
     listener: TcpListener,
     limits: Limits,
+    draining: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    serve_bounded(
+        listener,
+        limits,
+        Connections::unbounded(),
+        draining,
+        handler,
+    )
+    .await;
+}
+
+/// Like [`serve`], within a bound on connections.
+pub async fn serve_bounded<H, F>(
+    listener: TcpListener,
+    limits: Limits,
+    bound: Connections,
     mut draining: watch::Receiver<bool>,
     handler: H,
 ) where
@@ -79,9 +103,12 @@
             biased;
             () = drained(&mut draining) => break,
             Some(ended) = connections.join_next() => log_panic(ended),
-            accepted = listener.accept() => match accepted {
+            accepted = accept(&listener, &bound) => match accepted {
                 Ok((stream, _)) => {
-                    let serving = serve_connection(stream, limits, draining.clone(), handler.clone());
+                    let Some(session) = bound.admit() else {
+                        continue;
+                    };
+                    let serving = serve_connection(stream, session, limits, draining.clone(), handler.clone());
                     connections.spawn(serving);
                 }
                 Err(error) => {
@@ -97,6 +124,15 @@
     }
 }
 
+/// Accepts a connection once those that were closed for others have ended.
+async fn accept(
+    listener: &TcpListener,
+    bound: &Connections,
+) -> io::Result<(TcpStream, SocketAddr)> {
+    bound.settled().await;
+    listener.accept().await
+}
+
 /// Logs a connection that ended in a panic, as the body of one of its responses failed.
 fn log_panic(ended: Result<(), JoinError>) {
     if let Err(error) = ended {
@@ -128,6 +164,7 @@
 /// Serves a connection; closes it if no request arrives within the head timeout.
 async fn serve_connection<H, F>(
     stream: TcpStream,
+    session: Session,
     limits: Limits,
     mut draining: watch::Receiver<bool>,
     handler: H,
@@ -135,6 +172,9 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
+    // Dropped after the stream, so that its descriptor is free when the bound says so.
+    let session = Arc::new(session);
+    let of_requests = Arc::clone(&session);
     let _ = stream.set_nodelay(true);
     let builder = builder(limits);
     let request_seen = Arc::new(AtomicBool::new(false));
@@ -144,18 +184,32 @@
     let service = service_fn(move |request: Request<Incoming>| {
         marker.store(true, Ordering::Relaxed);
         let (handler, unread) = (handler.clone(), unread.clone());
+        let session = Arc::clone(&of_requests);
+        let exchange = session.begin();
         async move {
+            let Some(exchange) = exchange else {
+                // The connection is closed with this request unanswered and not run.
+                return future::pending().await;
+            };
             let is_http1 = request.version() < Version::HTTP_2;
+            if !is_http1 {
+                // The rest of an ended response may still wait for the caller's window.
+                session.keep();
+            }
             let mut response = answer(async { handler(request).await }).await;
             if response.extensions_mut().remove::<Linger>().is_some() && is_http1 {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
                 unread.set();
+                // Its caller may still have to read the response while the rest is discarded.
+                session.keep();
             }
+            response.body_mut().set_exchange(exchange);
             Ok::<_, Infallible>(response)
         }
     });
     let stream = WriteTimeout::new(stream, limits.write_timeout);
+    let stream = connections::Stream::new(stream, Arc::clone(&session));
     let stream = TokioIo::new(linger::Stream::new(stream, mark));
     let mut serving = pin!(builder.serve_connection(stream, service));
     let mut first_request_timeout = pin!(sleep(limits.head_timeout));
@@ -164,6 +218,7 @@
     loop {
         tokio::select! {
             _ = serving.as_mut() => return,
+            () = session.evicted() => return,
             () = &mut first_request_timeout, if !first_request_checked => {
                 first_request_checked = true;
                 if !request_seen.load(Ordering::Relaxed) {
--- a/node/tests/test_server.rs
+++ b/node/tests/test_server.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use dottereltally::{
     body::{Body, Truncated},
+    connections::Connections,
     server::{self, Limits},
 };
 use futures_util::stream::{self, StreamExt};
@@ -87,6 +88,10 @@
 
 impl Server {
     async fn start() -> Self {
+        Self::start_bounded(Connections::unbounded()).await
+    }
+
+    async fn start_bounded(bound: Connections) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("an address");
         let drain = watch::Sender::new(false);
@@ -105,7 +110,7 @@
                 respond(request.uri().path(), guard)
             }
         };
-        let serving = server::serve(listener, LIMITS, drain.subscribe(), handler);
+        let serving = server::serve_bounded(listener, LIMITS, bound, drain.subscribe(), handler);
         Self {
             address,
             serving: tokio::spawn(serving),
@@ -286,3 +291,43 @@
     let response = send(server.connect().await, version, "/whole").await;
     assert_eq!(response.expect("a response").status(), StatusCode::OK);
 }
+
+/// Descriptors of which one connection is for callers.
+const DESCRIPTORS_FOR_ONE: usize = 202;
+
+/// Guards against a bound that ends a request under way, or that does not hold while all
+/// connections are busy.
+#[rstest]
+#[tokio::test]
+async fn a_connection_over_the_bound_is_closed_if_the_others_are_busy(#[values(1, 2)] version: u8) {
+    let mut server = Server::start_bounded(Connections::for_descriptors(DESCRIPTORS_FOR_ONE)).await;
+    let busy = tokio::spawn(send(server.connect().await, version, "/gated"));
+    server.entered.recv().await.expect("a request");
+    let mut refused = server.connect().await;
+    // The connection may be reset.
+    let read = refused.read(&mut [0]).await.unwrap_or_default();
+    assert_eq!(read, 0);
+    server.gate.notify_one();
+    let response = busy.await.expect("no panic").expect("a response");
+    let body = response.into_body().collect().await.expect("a whole body");
+    assert_eq!(body.to_bytes(), "whole");
+}
+
+/// Guards against idle connections that keep new ones out.
+#[tokio::test]
+async fn an_idle_connection_is_closed_for_a_new_one() {
+    let server = Server::start_bounded(Connections::for_descriptors(DESCRIPTORS_FOR_ONE)).await;
+    let mut idle = server.connect().await;
+    idle.write_all(b"GET / HTTP/1.1\r\nhost: node\r\n\r\n")
+        .await
+        .expect("a request is sent");
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"whole") {
+        idle.read_buf(&mut answer).await.expect("an answer");
+    }
+    let response = send(server.connect().await, 1, "/").await;
+    assert_eq!(response.expect("a response").status(), StatusCode::OK);
+    // The connection may be reset.
+    let read = idle.read(&mut [0]).await.unwrap_or_default();
+    assert_eq!(read, 0);
+}
