ingress: log lines as the pool becomes full and has room again; the daemon's bytes held

A body that finds no room makes the pool full; it has room again once at most three quarters of its capacity are used, so that a pool at its limit does not alternate. The first line is written at most once in 10 s, the second one only after a first. The daemon shows `body_bytes` as the gateway does, read at each scrape.

--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -1,12 +1,19 @@
 //! Metrics of the request path.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use derive_more::Display;
 use dottereltally_lib::{id, request::Profile, size::Tokens};
+use dottereltally_store::ingress;
 use prometheus_client::{
-    encoding::EncodeLabelSet,
-    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    collector::Collector,
+    encoding::{DescriptorEncoder, EncodeLabelSet, EncodeMetric},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::{ConstGauge, Gauge},
+        histogram::Histogram,
+    },
     registry::{Registry, Unit},
 };
 
@@ -69,6 +76,23 @@
     tier: u8,
 }
 
+/// Collects the memory that the bodies of requests take.
+#[derive(Clone, Debug)]
+pub struct Bodies(pub ingress::Pool);
+
+impl Collector for Bodies {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> fmt::Result {
+        let gauge = ConstGauge::new(i64::try_from(self.0.used()).unwrap_or(i64::MAX));
+        let metric = encoder.encode_descriptor(
+            "body_bytes",
+            "Memory that the bodies of requests take, bytes",
+            None,
+            gauge.metric_type(),
+        )?;
+        gauge.encode(metric)
+    }
+}
+
 /// Metrics of the requests; clones share them.
 #[derive(Clone, Debug)]
 pub struct Metrics {
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -26,7 +26,7 @@
     dispatcher::Handle,
     filter::Chain,
     limit::Limiter,
-    metrics::Metrics,
+    metrics::{Bodies, Metrics},
     operations::Pages,
     pool::Pool,
     problem::{Problem, Reason},
@@ -129,6 +129,8 @@
         let limiter = Limiter::default();
         let bound = Connections::for_descriptors(connections::DEFAULT_DESCRIPTORS);
         bound.register(&mut registry);
+        let bodies = ingress::Pool::default();
+        registry.register_collector(Box::new(Bodies(bodies.clone())));
         let metrics = Metrics::default();
         metrics.register(&mut registry);
         let chain = Arc::new(Chain {
@@ -141,7 +143,7 @@
             resolve: controllers.book.resolver(),
             upstream: Pool::default(),
             answers: buffer::Pool::with_room_for(settings.limits.body),
-            bodies: ingress::Pool::default(),
+            bodies,
             keeper: controllers.keeper.clone(),
             metrics,
             next_request: AtomicU64::new(first_request_number()),
--- a/store/src/ingress.rs
+++ b/store/src/ingress.rs
@@ -8,6 +8,7 @@
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
 };
 
 use bytes::{Bytes, BytesMut};
@@ -38,6 +39,12 @@
 const MAX_SMALL_PARTS: usize = 16 * 1024;
 const BYTES_PER_PART: usize = 16;
 
+/// A full pool has room again when the used part of its capacity, in quarters, is at most this.
+const ROOM_QUARTERS: usize = 3;
+
+/// Least time between two log lines of full pools.
+const LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Why a body is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Refused {
@@ -76,6 +83,11 @@
     /// Number of bodies that are not small.
     large: usize,
     bodies: BTreeMap<u64, Entry>,
+    /// Whether a body found no room, and the pool has not had room since.
+    is_full: bool,
+    /// Whether that was logged.
+    is_logged: bool,
+    last_line: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -189,6 +201,7 @@
         if bytes <= own.bytes || after <= ceiling || (is_large(bytes) && other_large == 0) {
             return self.grant(id, bytes);
         }
+        self.set_full(capacity);
         if after - self.refused <= ceiling {
             return Growth::Wait;
         }
@@ -203,6 +216,41 @@
         }
     }
 
+    fn set_full(&mut self, capacity: usize) {
+        if self.is_full {
+            return;
+        }
+        self.is_full = true;
+        let now = Instant::now();
+        let is_due = |last| now.duration_since(last) >= LOG_INTERVAL;
+        if self.last_line.is_none_or(is_due) {
+            tracing::warn!(
+                used = self.used,
+                capacity,
+                "memory for bodies of requests is full; look for callers that send large bodies \
+                 without their end"
+            );
+            self.is_logged = true;
+            self.last_line = Some(now);
+        }
+    }
+
+    /// Ends the state of a full pool once enough memory is free.
+    fn check_room(&mut self, capacity: usize) {
+        if !self.is_full || self.used > capacity / 4 * ROOM_QUARTERS {
+            return;
+        }
+        self.is_full = false;
+        if self.is_logged {
+            self.is_logged = false;
+            tracing::info!(
+                used = self.used,
+                capacity,
+                "memory for bodies of requests has room again"
+            );
+        }
+    }
+
     fn grant(&mut self, id: u64, bytes: usize) -> Growth {
         self.sequence += 1;
         let Some(own) = self.bodies.get_mut(&id) else {
@@ -278,6 +326,7 @@
                 state.refused -= entry.bytes;
             }
         }
+        state.check_room(self.pool.0.capacity);
         drop(state);
         self.pool.0.freed.notify_waiters();
     }
