--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -21,11 +21,12 @@
 
 use crate::{
     clock::Clock,
+    connections::{self, Connections},
     controllers::{Base, Controllers},
     dispatcher::Handle,
     filter::Chain,
     limit::Limiter,
-    metrics::Metrics,
+    metrics::{Bodies, Metrics},
     operations::Pages,
     pool::Pool,
     problem::{Problem, Reason},
@@ -126,6 +127,10 @@
             write_timeout: settings.limits.inactivity,
         };
         let limiter = Limiter::default();
+        let bound = Connections::for_descriptors(connections::DEFAULT_DESCRIPTORS);
+        bound.register(&mut registry);
+        let bodies = ingress::Pool::default();
+        registry.register_collector(Box::new(Bodies(bodies.clone())));
         let metrics = Metrics::default();
         metrics.register(&mut registry);
         let chain = Arc::new(Chain {
@@ -138,7 +143,7 @@
             resolve: controllers.book.resolver(),
             upstream: Pool::default(),
             answers: buffer::Pool::with_room_for(settings.limits.body),
-            bodies: ingress::Pool::default(),
+            bodies,
             keeper: controllers.keeper.clone(),
             metrics,
             next_request: AtomicU64::new(first_request_number()),
@@ -154,7 +159,7 @@
                 }
             }
         };
-        let callers = server::serve(callers, limits, phase.draining(), handler);
+        let callers = server::serve_bounded(callers, limits, bound, phase.draining(), handler);
         let keeper = controllers.keeper.clone();
         let state = State {
             settings: settings.clone(),
