--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -211,6 +211,12 @@
     pub starting_endpoints: Gauge,
     /// Endpoints that work slower now than usual.
     pub slow_endpoints: Gauge,
+    /// Requests so far that were refused from the queue, as they would not be served in time.
+    pub unserved_requests: Gauge,
+    /// Requests so far that were refused with a time at which they are expected again.
+    pub announced_returns: Gauge,
+    /// Requests so far that came back at that time.
+    pub returned_requests: Gauge,
     /// Requests so far that were accepted to show how long they take, although they were not
     /// expected to end in time.
     pub trials: Gauge,
@@ -277,6 +283,9 @@
             limited_endpoints: Gauge::default(),
             starting_endpoints: Gauge::default(),
             slow_endpoints: Gauge::default(),
+            unserved_requests: Gauge::default(),
+            announced_returns: Gauge::default(),
+            returned_requests: Gauge::default(),
             trials: Gauge::default(),
             unread_parts: Counter::default(),
             refused_parts: Gauge::default(),
@@ -449,6 +458,21 @@
                 "Endpoints that work slower now than usual, by 15 % or more",
                 &self.slow_endpoints,
             ),
+            (
+                "unserved_requests",
+                "Requests refused from the queue, as they would not be served in time",
+                &self.unserved_requests,
+            ),
+            (
+                "announced_returns",
+                "Requests refused with a time at which they are expected again",
+                &self.announced_returns,
+            ),
+            (
+                "returned_requests",
+                "Refused requests that came back at the time that they were told",
+                &self.returned_requests,
+            ),
             (
                 "trials",
                 "Requests accepted to show how long they take, although not expected in time",
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -597,6 +597,10 @@
         metrics.slow_endpoints.set(gauge(slow));
         let starting = admission.read(Dispatcher::starting_endpoints);
         metrics.starting_endpoints.set(gauge(starting));
+        let overload = admission.read(Dispatcher::overload);
+        metrics.unserved_requests.set(gauge(overload.unserved));
+        metrics.announced_returns.set(gauge(overload.announced));
+        metrics.returned_requests.set(gauge(overload.returned));
         metrics.body_bytes.set(gauge(chain.bodies.used()));
         metrics
             .trials
--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -12,6 +12,7 @@
 pub mod limit;
 mod member;
 mod model;
+pub mod overload;
 mod queue;
 pub mod rejection;
 mod retry;
--- a/lib/src/dispatcher/queue.rs
+++ b/lib/src/dispatcher/queue.rs
@@ -9,10 +9,11 @@
 use crate::{
     dispatcher::{
         Request, TRANSIT_MARGIN,
-        fairness::{Total, Usage},
+        fairness::Usage,
         kind::{Kind, Measurement},
         member::Member,
         model::Model,
+        overload::Counts,
         retry::{RETURNED_PART, RETURNED_WEIGHT, Returns},
         schedule::{Job, Schedule},
         speed,
@@ -207,6 +208,8 @@
     last_plan: (f64, f64),
     /// Refused requests that were told when to come back.
     returns: Returns,
+    /// What it did under overload.
+    pub(super) counts: Counts,
     /// The queued requests that came back then, and the rate of their work.
     returned: HashSet<id::Request>,
     returned_rate: Rate,
@@ -260,6 +263,7 @@
         let work = self.duration(request).as_secs_f64();
         self.returned_rate.record(now, work);
         self.returned.insert(id);
+        self.counts.returned += 1;
     }
 
     /// Returns the time after which a refused request should come back: `bounds.0` to
@@ -291,6 +295,7 @@
     ) {
         if let Some(fingerprint) = request.fingerprint {
             self.returns.expect(now, fingerprint, at);
+            self.counts.announced += 1;
         }
     }
 
@@ -483,7 +488,11 @@
             .map(|entry| entry.request.workspace.as_ref())
             .collect();
         let total = self.usage.total(now, &waiting);
-        let late = self.select(now, drain, total, &order);
+        let mut excess = HashMap::new();
+        for workspace in waiting {
+            excess.insert(workspace, self.usage.excess(now, workspace, total));
+        }
+        let late = self.select(now, drain, &excess, &order);
         let selected = order.iter().filter(|(_, id)| !late.contains(id));
         let selected = selected.filter_map(|(_, id)| self.entries.get(id));
         let work: f64 = selected.map(|entry| entry.work).sum();
@@ -505,17 +514,19 @@
                 continue;
             };
             self.end_trial(id, &request.route);
+            self.counts.unserved += 1;
             removed.push(Unserved { id, request });
         }
         removed
     }
 
-    /// Returns the requests that are not selected to be within their targets.
+    /// Returns the requests that are not selected to be within their targets; `excess` is how
+    /// far each workspace is above its equal share.
     fn select(
         &self,
         now: time::Instant,
         drain: f64,
-        total: Total,
+        excess: &HashMap<Option<&id::Workspace>, f64>,
         order: &[(Slot, id::Request)],
     ) -> HashSet<id::Request> {
         let mut late = HashSet::new();
@@ -548,7 +559,7 @@
                 schedule.add(Job {
                     id: *id,
                     work: entry.work,
-                    excess: self.usage.excess(now, workspace, total),
+                    excess: excess.get(&workspace).copied().unwrap_or_default(),
                     weight: if is_returned { RETURNED_WEIGHT } else { 1.0 },
                     latest_start: self.latest_start(&entry.request),
                 });
--- a/lib/src/dispatcher/retry.rs
+++ b/lib/src/dispatcher/retry.rs
@@ -40,10 +40,10 @@
 }
 
 impl Returns {
-    /// Promises a time to a refused request: after the backlog, and after the returns that were
-    /// promised before. `work` is what it takes, `free` the work in a second that
-    /// is left by new requests. Returns the
-    /// time to wait, `bounds.0` to `bounds.1`, or `bounds.1` if that is less.
+    /// Chooses the time after which a refused request should come back: after the backlog, and
+    /// after the returns that were announced before. `work` is what it takes, `free` the work in
+    /// a second that is left by new requests. Returns the time to wait, `bounds.0` to
+    /// `bounds.1`, or `bounds.1` if that is less.
     pub(super) fn promise(
         &mut self,
         now: time::Instant,
