--- a/gateway/src/rollout.rs
+++ b/gateway/src/rollout.rs
@@ -100,6 +100,9 @@
     /// Versions that get no request while they are listed: targets of earlier orders that were
     /// not completed, and versions that a completed order replaced.
     excluded: BTreeSet<id::Version>,
+    /// Whether the listed versions are to be excluded once they are known: the roll-out was
+    /// completed before this node read them.
+    excludes_listed: bool,
     writing: writer::Progress,
 }
 
@@ -131,6 +134,18 @@
         state.phase == Phase::Running && self.weight == Weight::ZERO && state.weight != Weight::ZERO
     }
 
+    /// Excludes the listed versions but the target, or those that are listed next if none is
+    /// known yet.
+    fn exclude_listed(&mut self, listed: Option<&[id::Version]>) {
+        self.excludes_listed = listed.is_none_or(<[_]>::is_empty);
+        let target = self.target().cloned();
+        for version in listed.into_iter().flatten() {
+            if Some(version) != target.as_ref() {
+                self.excluded.insert(version.clone());
+            }
+        }
+    }
+
     /// Returns the time of the deadline less the margin, no later than any other node takes
     /// it to be; `None` if no order runs.
     fn cut_off(&self) -> Option<time::Instant> {
@@ -438,12 +453,7 @@
         rollout.weight = state.weight;
         rollout.writing = writer::Progress::default();
         if state.phase == Phase::Completed {
-            // The endpoints of other versions may have stopped, and still be listed.
-            for version in listed.into_iter().flatten() {
-                if version != state.target {
-                    rollout.excluded.insert(version);
-                }
-            }
+            rollout.exclude_listed(listed.as_deref());
         }
         let summary = &state.summary.seen;
         tracing::info!(
@@ -524,9 +534,16 @@
         let mut inner = lock(&self.shared.inner);
         for (service, rollout) in &mut inner.rollouts {
             let listed = versions.get(service);
-            rollout.excluded.retain(|version| {
-                listed.is_some_and(|listed| listed.contains_key(&Some(version.clone())))
-            });
+            let listed: Vec<id::Version> = listed
+                .into_iter()
+                .flat_map(BTreeMap::keys)
+                .flatten()
+                .cloned()
+                .collect();
+            if rollout.excludes_listed {
+                rollout.exclude_listed(Some(&listed));
+            }
+            rollout.excluded.retain(|version| listed.contains(version));
         }
         inner.versions = versions;
     }
@@ -850,17 +867,30 @@
         listed.is_some_and(|listed| listed.contains_key(&Some(version.clone())))
     }
 
-    /// Returns the versions that may serve requests of a service without a roll-out that
-    /// runs: all but the excluded ones, whose endpoints may have stopped.
-    fn after_rollout(&self, service: &id::Service, rollout: &Rollout) -> Filter {
+    /// Returns the versions that may serve requests after a completed roll-out: not those that
+    /// it replaced, whose endpoints may have stopped and still be listed. Versions that were
+    /// listed later came without a roll-out, and may serve.
+    fn after_completion(&self, service: &id::Service, rollout: &Rollout) -> Filter {
+        let Some(target) = rollout.target() else {
+            return Filter::Any;
+        };
+        let mut has_later = false;
+        for version in self.versions.get(service).into_iter().flatten() {
+            let is_known = version
+                .0
+                .as_ref()
+                .is_some_and(|version| version == target || rollout.excluded.contains(version));
+            has_later |= !is_known;
+        }
+        if !has_later {
+            return Filter::Only(target.clone());
+        }
         let mut excluded = rollout.excluded.iter();
-        match (excluded.next(), excluded.next(), rollout.target()) {
-            (None, ..) => Filter::Any,
-            (Some(version), None, _) => Filter::Not(version.clone()),
-            (_, Some(_), Some(target)) if self.is_listed(service, target) => {
-                Filter::Only(target.clone())
-            }
-            (_, Some(_), _) => Filter::Any,
+        match (excluded.next(), excluded.next()) {
+            _ if !self.is_listed(service, target) => Filter::Any,
+            (None, _) => Filter::Any,
+            (Some(version), None) => Filter::Not(version.clone()),
+            _ => Filter::Only(target.clone()),
         }
     }
 
@@ -918,7 +948,7 @@
                     // may be completed by a node that was told that nothing runs here.
                     Phase::Running if request.version.is_some() && !is_condemned => Filter::Any,
                     Phase::Draining if request.version.is_some() && !is_near_end => Filter::Any,
-                    Phase::Completed => self.after_rollout(request.service, rollout),
+                    Phase::Completed => self.after_completion(request.service, rollout),
                     // Whoever starts the target again later does so without a roll-out.
                     Phase::RolledBack if !self.is_listed(request.service, target) => Filter::Any,
                     _ => known.state.filter_at(rollout.weight, request.sample),
--- a/gateway/tests/test_rollouts.rs
+++ b/gateway/tests/test_rollouts.rs
@@ -302,15 +302,67 @@
     assert_eq!(fixture.rollouts.filter(&fixture.request(0.9)), only("v2"));
 }
 
-/// Guards against a removed or unreadable order that lets the target have all requests.
+/// Guards against a removed or unreadable order that leaves the target with requests: nobody
+/// would roll it back.
 #[tokio::test]
-async fn the_last_step_stays_in_force_without_its_order() {
+async fn the_target_gets_nothing_without_its_order() {
     let fixture = Fixture::new(1);
     fixture.rollouts.set_order(&spec(1, "v2"));
     fixture.set_step(1, Phase::Running, 1000);
     fixture.rollouts.replace(&[], &[]);
     assert_eq!(fixture.rollouts.filter(&fixture.request(0.5)), not("v2"));
-    assert!(fixture.start(0.05, "v2").is_ok());
+    assert_eq!(fixture.rollouts.filter(&fixture.request(0.0)), not("v2"));
+    assert!(fixture.start(0.0, "v2").is_err());
+    assert!(fixture.start(0.0, "v1").is_ok());
+}
+
+/// Guards against an order back to the former version that refuses requests until the other
+/// version is gone: a version that gets nothing is no baseline.
+#[tokio::test]
+async fn an_order_back_to_the_former_version_is_followed_at_once() {
+    let fixture = Fixture::new(1);
+    fixture.rollouts.set_order(&spec(1, "v2"));
+    fixture.set_step(1, Phase::Running, 1000);
+    fixture.rollouts.set_order(&spec(7, "v1"));
+    assert_eq!(fixture.rollouts.filter(&fixture.request(0.9)), only("v1"));
+    assert!(fixture.start(0.9, "v1").is_ok());
+}
+
+/// Guards against a record without an order that restricts a service for good: records stay in
+/// the store.
+#[tokio::test]
+async fn a_record_without_an_order_restricts_nothing() {
+    let fixture = Fixture::new(1);
+    let completed = record(1, 3, Phase::Completed, 10_000);
+    fixture.rollouts.replace(&[], &[completed]);
+    let filter = fixture.rollouts.filter(&fixture.request(0.5));
+    assert_eq!(filter, Filter::Any);
+}
+
+/// Guards against a completion and a next order that are read at once: the version that was
+/// completed serves, and those that stopped with it do not.
+#[tokio::test]
+async fn a_completion_before_the_next_order_is_not_missed() {
+    let fixture = Fixture::new(1);
+    fixture.rollouts.set_order(&spec(1, "v2"));
+    fixture.set_step(2, Phase::Draining, 10_000);
+    let completed = record(1, 3, Phase::Completed, 10_000);
+    fixture.rollouts.replace(&[spec(7, "v3")], &[completed]);
+    assert!(fixture.start(0.5, "v1").is_err());
+    assert!(fixture.start(0.5, "v2").is_ok());
+}
+
+/// Guards against a target that runs nothing and is completed: what an endpoint did not run
+/// counts neither as sent nor as answered.
+#[tokio::test]
+async fn requests_that_were_not_run_are_not_counted() {
+    let fixture = Fixture::new(1);
+    fixture.rollouts.set_order(&spec(1, "v2"));
+    fixture.set_step(1, Phase::Running, 10_000);
+    fixture.start(0.0, "v2").unwrap().end(Ending::NotRun);
+    fixture.start(0.0, "v2").unwrap().withdraw();
+    let canary = fixture.own_report().total(Group::Canary);
+    assert_eq!((canary.sent, canary.answered), (0, 0));
 }
 
 /// Guards against counts that are lost with a heartbeat or with a process, and against
