segment, dispatcher: one copy of segmented buffers and of the fastest live endpoint

store::ingress and store::buffer kept and joined segments with the same loops; the speed of the fastest live endpoint was sought twice; applies_windows is always asked for a request. No behaviour changes.

--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -767,18 +767,9 @@
         if !queue.states_load {
             return;
         }
-        let mut fastest: Option<f64> = None;
-        for name in &queue.endpoints {
-            let Some(member) = self.members.get(name) else {
-                continue;
-            };
-            if member.standing() != Standing::Live {
-                continue;
-            }
-            let speed = member.relative_speed(now, queue.mean_speed);
-            fastest = Some(fastest.map_or(speed, |fastest| fastest.max(speed)));
-        }
-        queue.fastest_now = fastest;
+        let mean = queue.mean_speed;
+        let speed = |member: &Member| member.relative_speed(now, mean);
+        queue.fastest_now = fastest(&self.members, queue, speed);
     }
 
     /// Refuses queued requests that need a version of which no endpoint is left.
@@ -931,18 +922,9 @@
             let members = queue.endpoints.iter();
             let members = members.filter_map(|name| self.members.get(name));
             queue.mean_speed = speed::Mean::of(members.map(|member| &member.speed));
-            let mut fastest: Option<f64> = None;
-            for name in &queue.endpoints {
-                let Some(member) = self.members.get(name) else {
-                    continue;
-                };
-                if member.standing() != Standing::Live {
-                    continue;
-                }
-                let speed = member.lasting_speed(queue.mean_speed);
-                fastest = Some(fastest.map_or(speed, |fastest| fastest.max(speed)));
-            }
-            queue.fastest = fastest;
+            let mean = queue.mean_speed;
+            let speed = |member: &Member| member.lasting_speed(mean);
+            queue.fastest = fastest(&self.members, queue, speed);
         }
     }
 
@@ -984,3 +966,14 @@
         }
     }
 }
+
+/// Returns the highest speed of the live endpoints of a service; `None` if there is none.
+fn fastest(
+    members: &BTreeMap<id::Endpoint, Member>,
+    queue: &Queue,
+    speed: impl Fn(&Member) -> f64,
+) -> Option<f64> {
+    let members = queue.endpoints.iter().filter_map(|name| members.get(name));
+    let live = members.filter(|member| member.standing() == Standing::Live);
+    live.map(speed).reduce(f64::max)
+}
--- a/lib/src/dispatcher/choice.rs
+++ b/lib/src/dispatcher/choice.rs
@@ -93,7 +93,7 @@
         let mut best: Option<(f64, f64, &id::Endpoint)> = None;
         let mut has_room = false;
         let mut rng = self.rng.clone();
-        let applies_windows = self.applies_windows(now, queue, Some(request));
+        let applies_windows = self.applies_windows(now, queue, request);
         for name in &queue.endpoints {
             let Some(member) = self.members.get(name) else {
                 continue;
@@ -186,7 +186,7 @@
         open: &[(&Member, bool)],
         request: &Request,
     ) -> bool {
-        let applies_windows = self.applies_windows(now, queue, Some(request));
+        let applies_windows = self.applies_windows(now, queue, request);
         let mut open = open.iter();
         open.any(|(member, is_full)| {
             !(applies_windows && *is_full)
--- a/lib/src/dispatcher/slow_start.rs
+++ b/lib/src/dispatcher/slow_start.rs
@@ -414,12 +414,12 @@
     }
 
     /// Returns whether windows limit a request: not if no other endpoint that may serve it
-    /// takes requests. Without a request, whether they limit any.
+    /// takes requests.
     pub(super) fn applies_windows(
         &self,
         now: time::Instant,
         queue: &Queue,
-        request: Option<&Request>,
+        request: &Request,
     ) -> bool {
         if !queue.states_load {
             return false;
@@ -427,10 +427,10 @@
         let members = queue.endpoints.iter();
         let mut members = members.filter_map(|name| self.members.get(name));
         members.any(|member| {
-            let is_usable = request.is_none_or(|request| {
-                member.serves(request) && !request.excluded.contains(&member.record.id)
-            });
-            is_usable && !member.slow_start.is_starting() && member.available_load(now).is_some()
+            member.serves(request)
+                && !request.excluded.contains(&member.record.id)
+                && !member.slow_start.is_starting()
+                && member.available_load(now).is_some()
         })
     }
 
--- a/store/src/buffer.rs
+++ b/store/src/buffer.rs
@@ -7,13 +7,12 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+
+use crate::segment;
 
 /// Memory of a pool unless another capacity is given, bytes.
 const DEFAULT_CAPACITY: usize = 32 << 20;
-/// Size of the segments of an answer, bytes; a single block that grows would be
-/// copied each time and leave holes in the heap.
-const SEGMENT_BYTES: usize = 64 * 1024;
 /// Multiple of the free memory up to which a buffer may grow.
 const GROWTH_FACTOR: usize = 2;
 
@@ -128,9 +127,7 @@
 /// The part of an answer that has arrived.
 #[derive(Debug)]
 pub struct Answer {
-    /// Parts of which all but the last are full.
-    segments: Vec<BytesMut>,
-    length: usize,
+    content: segment::Buffer,
     reservation: Reservation,
 }
 
@@ -151,8 +148,7 @@
     #[must_use]
     pub fn new(reservation: Reservation) -> Self {
         Self {
-            segments: Vec::new(),
-            length: 0,
+            content: segment::Buffer::default(),
             reservation,
         }
     }
@@ -176,41 +172,20 @@
     /// # Errors
     ///
     /// Fails if there is no memory for it.
-    pub fn append(&mut self, mut part: &[u8]) -> Result<(), Full> {
-        self.reservation.resize(self.length + part.len())?;
-        self.length += part.len();
-        while !part.is_empty() {
-            let last = self.segments.last_mut();
-            let Some(segment) = last.filter(|segment| segment.len() < SEGMENT_BYTES) else {
-                // Most answers are far smaller than a segment.
-                let first = if self.segments.is_empty() {
-                    0
-                } else {
-                    SEGMENT_BYTES
-                };
-                self.segments.push(BytesMut::with_capacity(first));
-                continue;
-            };
-            let (head, rest) = part.split_at(part.len().min(SEGMENT_BYTES - segment.len()));
-            segment.extend_from_slice(head);
-            part = rest;
-        }
+    pub fn append(&mut self, part: &[u8]) -> Result<(), Full> {
+        self.reservation.resize(self.content.len() + part.len())?;
+        self.content.append(part);
         Ok(())
     }
 
     /// Returns the bytes; their memory is freed with the last of their clones.
     #[must_use]
     pub fn finish(self) -> Bytes {
-        let mut segments = self.segments.into_iter();
-        let Some(mut bytes) = segments.next() else {
+        if self.content.len() == 0 {
             return Bytes::new();
-        };
-        bytes.reserve(self.length - bytes.len());
-        for segment in segments {
-            bytes.extend_from_slice(&segment);
         }
         Bytes::from_owner(Complete {
-            bytes: bytes.freeze(),
+            bytes: self.content.join(),
             _reservation: self.reservation,
         })
     }
--- a/store/src/ingress.rs
+++ b/store/src/ingress.rs
@@ -11,9 +11,11 @@
     time::{Duration, Instant},
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use tokio::sync::Notify;
 
+use crate::segment::{self, SEGMENT_BYTES};
+
 /// Memory of a host whose settings state none, bytes: the smallest host of the users.
 pub const DEFAULT_HOST_BYTES: usize = 110_000_000;
 
@@ -21,10 +23,6 @@
 /// heap may hold them twice; as much remains for connections and for everything else.
 const HOST_DIVISOR: usize = 4;
 
-/// Size of the segments of a body, bytes: a single block that grows would be copied each
-/// time and leave holes in the heap.
-const SEGMENT_BYTES: usize = 64 * 1024;
-
 /// Largest body that may use the part of the capacity that is left to small ones, bytes.
 const SMALL_BYTES: usize = SEGMENT_BYTES;
 
@@ -161,8 +159,7 @@
             },
             refusal,
             limit,
-            segments: Vec::new(),
-            length: 0,
+            content: segment::Buffer::default(),
             parts: 0,
             is_waiting: false,
         }
@@ -336,11 +333,10 @@
 #[derive(Debug)]
 pub struct Body {
     // Dropped before the lease, so that the memory is free when the pool says so.
-    segments: Vec<BytesMut>,
+    content: segment::Buffer,
     lease: Lease,
     refusal: Arc<Notify>,
     limit: usize,
-    length: usize,
     parts: usize,
     is_waiting: bool,
 }
@@ -376,33 +372,17 @@
     /// # Errors
     ///
     /// Fails if the body is refused.
-    pub async fn append(&mut self, mut part: &[u8]) -> Result<(), Refused> {
+    pub async fn append(&mut self, part: &[u8]) -> Result<(), Refused> {
         self.parts += 1;
-        if self.parts > MAX_SMALL_PARTS + self.length / BYTES_PER_PART {
+        if self.parts > MAX_SMALL_PARTS + self.content.len() / BYTES_PER_PART {
             return Err(Refused::Parts);
         }
-        let length = self.length + part.len();
+        let length = self.content.len() + part.len();
         if length > self.limit {
             return Err(Refused::Limit(self.limit));
         }
         self.reserve(length).await?;
-        self.length = length;
-        while !part.is_empty() {
-            let last = self.segments.last_mut();
-            let Some(segment) = last.filter(|segment| segment.len() < SEGMENT_BYTES) else {
-                // Most bodies are far smaller than a segment.
-                let first = if self.segments.is_empty() {
-                    0
-                } else {
-                    SEGMENT_BYTES
-                };
-                self.segments.push(BytesMut::with_capacity(first));
-                continue;
-            };
-            let (head, rest) = part.split_at(part.len().min(SEGMENT_BYTES - segment.len()));
-            segment.extend_from_slice(head);
-            part = rest;
-        }
+        self.content.append(part);
         Ok(())
     }
 
@@ -450,23 +430,11 @@
             _ => return Err(Refused::Capacity),
         }
         drop(state);
-        let mut segments = self.segments.into_iter();
-        let Some(first) = segments.next() else {
+        if self.content.len() == 0 {
             return Ok(Bytes::new());
-        };
-        let bytes = if segments.len() == 0 {
-            first
-        } else {
-            let mut bytes = BytesMut::with_capacity(self.length);
-            bytes.extend_from_slice(&first);
-            drop(first);
-            for segment in segments {
-                bytes.extend_from_slice(&segment);
-            }
-            bytes
-        };
+        }
         Ok(Bytes::from_owner(Complete {
-            bytes: bytes.freeze(),
+            bytes: self.content.join(),
             _lease: self.lease,
         }))
     }
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod layout;
 pub mod memory;
 pub mod proposal;
+mod segment;
