review: requests of the model service differ in what they ask; order of the cases

All requests of cases 7 to 9 had the same path and body, so that case 7 showed the refusal of that one request instead of that of the part. The cases are in the order of their gravity now.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,7 +6,7 @@
 cd "$folder/../.." || exit 2
 ulimit -Sn 16384 2>/dev/null || ulimit -Sn "$(ulimit -Hn)"
 # The processes of the system are in the process group of the player.
-target/review-2/release/review-stand-ins-2 poison "$folder" &
+target/review-2/release/review-stand-ins-2 quarantine "$folder" &
 player=$!
 trap 'kill -KILL -- "-$player" 2>/dev/null; exit 2' INT TERM
 (sleep 115; kill -KILL -- "-$player") >/dev/null 2>&1 &
--- a/review/stand-ins-2/src/site.rs
+++ b/review/stand-ins-2/src/site.rs
@@ -187,7 +187,8 @@
     )
 }
 
-/// Returns a request with a body of this length.
+/// Returns a request with a body of this length, which begins with the attempt, as no two
+/// callers send the same.
 pub fn request(
     target: &str,
     attempt: &str,
@@ -195,12 +196,13 @@
     further: &str,
     bytes: usize,
 ) -> Vec<u8> {
-    let (head, body) = (head(target, attempt, deadline, further), "x".repeat(bytes));
+    let head = head(target, attempt, deadline, further);
+    let body = format!("{attempt:x<bytes$}");
     format!("{head}Content-Length: {bytes}\r\n\r\n{body}").into_bytes()
 }
 
 /// Returns a request to the model service whose prompt begins with this part, which others
-/// share, and whose answer has at most `output` tokens.
+/// share, and whose answer has at most `output` tokens; what it asks is its own.
 pub fn prompt(
     target: &str,
     attempt: &str,
@@ -208,10 +210,14 @@
     output: usize,
     deadline: Duration,
 ) -> Vec<u8> {
-    let further = format!(
-        "Model: m\r\nToken-Count: 3060,{output}\r\nPrompt-Prefix: {part}:60,{own:08x}:3000\r\n"
-    );
-    request(target, attempt, deadline, &further, 2000)
+    let question = format!("{own:x<2000}");
+    let length = question.len();
+    let head = head(target, attempt, deadline, "");
+    format!(
+        "{head}Model: m\r\nToken-Count: 3060,{output}\r\nPrompt-Prefix: {part}:60,{own:08x}:3000\r\n\
+         Content-Length: {length}\r\n\r\n{question}"
+    )
+    .into_bytes()
 }
 
 /// Returns the status of an answer; `None` without a complete one.
