--- a/review/stand-ins-2/src/places.rs
+++ b/review/stand-ins-2/src/places.rs
@@ -18,7 +18,7 @@
 
 /// Callers whose bodies have no end, and the time for which they stay.
 const CROWD: usize = 2100;
-const CROWD_FOR: Duration = Duration::from_secs(7);
+const CROWD_FOR: Duration = Duration::from_secs(10);
 const STACK: usize = 64 * 1024;
 /// Time after which one of them tries again whose connection was closed unread.
 const CROWD_RETRY: Duration = Duration::from_millis(50);
@@ -31,42 +31,59 @@
 const DEADLINE: Duration = Duration::from_millis(1500);
 const WORK: Duration = Duration::from_millis(15);
 
-/// When the crowd comes, and when all ends.
-const CROWD_AT: Duration = Duration::from_secs(4);
+/// When the crowd connects, when it sends, and when all ends.
+const CROWD_AT: Duration = Duration::from_secs(3);
+const SENDS_AT: Duration = Duration::from_secs(6);
 const END: Duration = Duration::from_secs(16);
 
 /// `contactMs`.
 const CONTACT: Duration = Duration::from_secs(3);
 
-/// Sends a chunked body but for its end, and stays; tries again if its connection is closed
-/// unread.
-fn stop_short(address: SocketAddr, number: usize) {
+/// Connects, sends a chunked body but for its end at `sends_at`, and stays; tries again if its
+/// connection is closed unread.
+fn stop_short(address: SocketAddr, number: usize, sends_at: Instant) {
     let end = Instant::now() + CROWD_FOR;
     let mut tries = 0;
     while Instant::now() < end {
         tries += 1;
         let attempt = format!("c{number:04x}{tries:04x}");
         // Both ways to fail mean that the connection was not taken.
-        if !is_taken(address, &attempt, end).unwrap_or(false) {
+        if !is_taken(address, &attempt, (sends_at, end)).unwrap_or(false) {
             thread::sleep(CROWD_RETRY);
         }
     }
 }
 
-/// Opens a connection and stays there until `end`; returns false if it is closed before an
-/// answer begins.
-fn is_taken(address: SocketAddr, attempt: &str, end: Instant) -> io::Result<bool> {
+/// Returns whether bytes arrive until a time; fails if the connection ends.
+fn has_bytes(stream: &mut TcpStream, until: Instant) -> io::Result<bool> {
+    let left = until.saturating_duration_since(Instant::now());
+    stream.set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
+    match stream.read(&mut [0; 64]) {
+        Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
+        Ok(_) => Ok(true),
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(false),
+        Err(error) => Err(error),
+    }
+}
+
+/// Opens a connection, and stays there until `end` unless it is closed before an answer begins;
+/// returns whether it was not.
+fn is_taken(
+    address: SocketAddr,
+    attempt: &str,
+    (sends_at, end): (Instant, Instant),
+) -> io::Result<bool> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(2))?;
+    if Instant::now() < sends_at {
+        has_bytes(&mut stream, sends_at)?;
+    }
     let head = site::head(site::BOOK, attempt, DEADLINE, "");
     let chunks = "1\r\nx\r\n".repeat(CHUNKS);
     write!(stream, "{head}Transfer-Encoding: chunked\r\n\r\n{chunks}")?;
-    let left = end.saturating_duration_since(Instant::now());
-    stream.set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
-    let has_answer = stream.read(&mut [0; 64])? > 0;
-    if has_answer {
+    if has_bytes(&mut stream, end)? {
         thread::sleep(end.saturating_duration_since(Instant::now()));
     }
-    Ok(has_answer)
+    Ok(true)
 }
 
 /// A try of an ordinary caller: when it began and ended, and whether its connection was taken.
@@ -129,7 +146,7 @@
         let mut crowd = Vec::new();
         for number in 0..if has_trouble { CROWD } else { 0 } {
             let caller = thread::Builder::new().stack_size(STACK);
-            crowd.extend(caller.spawn(move || stop_short(address, number)));
+            crowd.extend(caller.spawn(move || stop_short(address, number, began + SENDS_AT)));
         }
         for caller in crowd {
             caller.join().ok();
