--- a/review/stand-ins-2/src/crowd.rs
+++ b/review/stand-ins-2/src/crowd.rs
@@ -14,9 +14,11 @@
 };
 
 use crate::{
-    Verdict, http,
+    Verdict, callers,
+    gateway::MEMORY_MB,
+    http,
     record::Record,
-    site::{self, MAX_BODY_BYTES, MEMORY_MB, Site},
+    site::{self, MAX_BODY_BYTES, Site},
 };
 
 /// Callers with large bodies, and the time for which they keep their connections open.
@@ -24,8 +26,6 @@
 const CROWD_FOR: Duration = Duration::from_secs(6);
 /// Bytes that one of them sends at once.
 const PIECE: usize = 256 * 1024;
-/// Stack of a caller's thread.
-const STACK: usize = 64 * 1024;
 
 /// Ordinary callers, each with a connection that it keeps.
 const CALLERS: usize = 16;
@@ -49,7 +49,7 @@
     let end = Instant::now() + CROWD_FOR;
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(2))?;
     stream.set_write_timeout(Some(CROWD_FOR))?;
-    let head = site::head(site::BOOK, &format!("c{number:08x}"), DEADLINE, "");
+    let head = site::head(site::BOOK, &format!("c{number:08x}"), DEADLINE);
     write!(stream, "{head}Content-Length: {MAX_BODY_BYTES}\r\n\r\n")?;
     let piece = vec![b'x'; PIECE];
     let mut left = MAX_BODY_BYTES - 1;
@@ -85,7 +85,7 @@
     }
 }
 
-/// Sends requests one after the other until `end`; those whose connection was closed without
+/// Sends requests one after the other until it is to `stop`; those whose connection was closed without
 /// an answer are added to `cut`.
 fn call_repeatedly(
     address: SocketAddr,
@@ -107,7 +107,7 @@
             continue;
         };
         let sent = Instant::now();
-        let request = site::request(site::BOOK, &attempt, DEADLINE, "", 600);
+        let request = site::request(site::BOOK, &attempt, DEADLINE, 600);
         match connection.call(&request) {
             Ok(head) => {
                 record.line(&format!("{attempt}: {}", head.word(1)));
@@ -138,24 +138,17 @@
     let cut: Arc<Mutex<Vec<String>>> = Arc::default();
     record.say("traffic starts");
     let began = Instant::now();
-    let mut callers = Vec::new();
+    let mut ordinary = Vec::new();
     for caller in 0..CALLERS {
         let (stop, cut, record) = (Arc::clone(&stop), Arc::clone(&cut), record.clone());
-        callers.push(thread::spawn(move || {
+        ordinary.push(thread::spawn(move || {
             call_repeatedly(address, caller, &stop, &cut, &record);
         }));
     }
-    let crowd = thread::spawn(move || {
-        thread::sleep(CROWD_AT.saturating_sub(began.elapsed()));
-        let mut crowd = Vec::new();
-        for number in 0..if has_trouble { CROWD } else { 0 } {
-            let caller = thread::Builder::new().stack_size(STACK);
-            // A caller that is refused or cut ends.
-            crowd.extend(caller.spawn(move || stop_short(address, number).ok()));
-        }
-        for caller in crowd {
-            caller.join().ok();
-        }
+    let crowd_size = if has_trouble { CROWD } else { 0 };
+    let crowd = callers::start_crowd(crowd_size, began + CROWD_AT, move |number| {
+        // A caller that is refused or cut ends.
+        stop_short(address, number).ok();
     });
     let limit_kb = u64::from(MEMORY_MB) * 1024;
     let (mut peak_kb, mut kills) = (0, 0);
@@ -169,7 +162,7 @@
             kills += 1;
             continue;
         }
-        let resident_kb = gateway.memory_kb("VmRSS");
+        let resident_kb = gateway.resident_kb();
         peak_kb = resident_kb.max(peak_kb);
         if resident_kb > limit_kb {
             gateway.kill();
@@ -182,7 +175,7 @@
         }
     }
     stop.store(true, Ordering::SeqCst);
-    for caller in callers {
+    for caller in ordinary {
         caller.join().unwrap();
     }
     crowd.join().unwrap();
--- a/review/stand-ins-2/src/estimate.rs
+++ b/review/stand-ins-2/src/estimate.rs
@@ -5,13 +5,14 @@
     io,
     net::SocketAddr,
     path::Path,
-    sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
 };
 
 use crate::{
-    Verdict, http,
+    Verdict,
+    callers::Outcomes,
+    http,
     record::Record,
     replica::Replica,
     site::{self, Site},
@@ -72,18 +73,12 @@
     every: Duration::from_millis(65),
 };
 
-struct Outcome {
-    group: usize,
-    sent: Duration,
-    status: Option<u16>,
-}
-
 /// Sends the requests of a group; returns once the last one has ended.
 fn send(
     (index, group): (usize, Group),
     addresses: &[SocketAddr],
     began: Instant,
-    outcomes: &Arc<Mutex<Vec<Outcome>>>,
+    outcomes: &Outcomes,
     record: &Record,
 ) {
     let mut requests = Vec::new();
@@ -92,7 +87,7 @@
         thread::sleep(at.saturating_sub(began.elapsed()));
         let number = requests.len();
         let address = addresses[number % addresses.len()];
-        let (outcomes, record) = (Arc::clone(outcomes), record.clone());
+        let (outcomes, record) = (outcomes.clone(), record.clone());
         requests.push(thread::spawn(move || {
             let sent = began.elapsed();
             let attempt = format!("a{index}{number:07x}");
@@ -111,11 +106,7 @@
                 "{attempt}, {}: {status:?} after {took} ms",
                 group.name
             ));
-            outcomes.lock().unwrap().push(Outcome {
-                group: index,
-                sent,
-                status,
-            });
+            outcomes.add(index, sent, status);
         }));
         at += group.every;
     }
@@ -134,11 +125,10 @@
     }
     record.say("traffic starts");
     let began = Instant::now();
-    let outcomes: Arc<Mutex<Vec<Outcome>>> = Arc::default();
+    let outcomes = Outcomes::default();
     let mut callers = Vec::new();
     for group in groups.into_iter().enumerate() {
-        let (addresses, outcomes, record) =
-            (site.addresses(), Arc::clone(&outcomes), record.clone());
+        let (addresses, outcomes, record) = (site.addresses(), outcomes.clone(), record.clone());
         callers.push(thread::spawn(move || {
             send(group, &addresses, began, &outcomes, &record);
         }));
@@ -158,16 +148,9 @@
         "at most {most} of {} places of replicas were taken",
         REPLICAS * 11
     ));
-    let outcomes = outcomes.lock().unwrap();
     let (mut first, mut added) = ((0, 0), (0, 0));
     for (index, group) in groups.iter().enumerate() {
-        let (mut sent, mut served) = (0, 0);
-        for outcome in outcomes.iter() {
-            if outcome.group == index && outcome.sent >= JUDGED_FROM {
-                sent += 1;
-                served += usize::from(outcome.status == Some(200));
-            }
-        }
+        let (sent, served) = outcomes.count(index, JUDGED_FROM, Duration::MAX);
         record.say(&format!(
             "{}, at most {} tokens: {served} of {sent} served",
             group.name, group.output
--- a/review/stand-ins-2/src/gateway.rs
+++ b/review/stand-ins-2/src/gateway.rs
@@ -11,14 +11,9 @@
 
 use crate::http;
 
-/// Settings that differ between the cases.
-#[derive(Clone, Debug)]
-pub struct Host {
-    pub name: String,
-    pub zone: String,
-    pub memory_mb: u32,
-    pub descriptors: u32,
-}
+/// Memory and descriptors of a machine, as on the sheet of `bms-aftercare`.
+pub const MEMORY_MB: u32 = 110;
+const DESCRIPTORS: u32 = 4100;
 
 /// One machine with its process.
 pub struct Gateway {
@@ -30,8 +25,8 @@
 }
 
 impl Gateway {
-    /// Writes the settings of a machine and starts its process.
-    pub fn start(host: &Host, store: SocketAddr, folder: &Path) -> io::Result<Self> {
+    /// Writes the settings of a machine in a zone and starts its process.
+    pub fn start(zone: &str, store: SocketAddr, folder: &Path) -> io::Result<Self> {
         let held: Vec<TcpListener> = (0..5)
             .map(|_| TcpListener::bind("127.0.0.1:0"))
             .collect::<io::Result<_>>()?;
@@ -40,18 +35,13 @@
             .map(TcpListener::local_addr)
             .collect::<io::Result<_>>()?;
         drop(held);
-        let Host {
-            name,
-            zone,
-            memory_mb,
-            descriptors,
-        } = host;
+        let name = format!("front-{zone}-1");
         let settings = folder.join(format!("{name}.yaml"));
         fs::write(
             &settings,
             format!(
-                "node: \"{name}\"\ndata_centre: \"{zone}\"\nprocessor_share: 0.25\nmemory_mb: {memory_mb}\n\
-                 max_descriptors: {descriptors}\nlisten:\n  callers: \"{}\"\n  health: \"{}\"\n  peers: \"{}\"\n  \
+                "node: \"{name}\"\ndata_centre: \"{zone}\"\nprocessor_share: 0.25\nmemory_mb: {MEMORY_MB}\n\
+                 max_descriptors: {DESCRIPTORS}\nlisten:\n  callers: \"{}\"\n  health: \"{}\"\n  peers: \"{}\"\n  \
                  beats: \"{}\"\n  operations: \"{}\"\nstore: \"{store}\"\nseeds: []\nbounds:\n  drain_ms: 2000\n  \
                  apply_ms: 2000\n  grace_s: 8\nretries:\n  ratio: 0.2\n  allowance: 56\n  window_s: 10\nquotas:\n  \
                  tolerated_part: 0.1\n  tolerated_tokens: 140000\n  window_s: 8\n",
@@ -122,10 +112,10 @@
         false
     }
 
-    /// Returns a figure in kB of the process's memory: `VmRSS` or `VmHWM`.
-    pub fn memory_kb(&self, field: &str) -> u64 {
+    /// Returns the resident memory of the process in kB.
+    pub fn resident_kb(&self) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
-        let line = status.lines().find(|line| line.starts_with(field));
+        let line = status.lines().find(|line| line.starts_with("VmRSS"));
         let figure = line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok());
         figure.unwrap_or_default()
     }
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -3,6 +3,7 @@
 //! Ends with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With
 //! `TROUBLE=0` in the environment the disruption is left out.
 
+mod callers;
 mod crowd;
 mod estimate;
 mod gateway;
--- a/review/stand-ins-2/src/places.rs
+++ b/review/stand-ins-2/src/places.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    Verdict, http,
+    Verdict, callers, http,
     record::Record,
     site::{self, Site},
 };
@@ -19,7 +19,6 @@
 /// Callers whose bodies have no end, and the time for which they stay.
 const CROWD: usize = 2100;
 const CROWD_FOR: Duration = Duration::from_secs(10);
-const STACK: usize = 64 * 1024;
 /// Time after which one of them tries again whose connection was closed unread.
 const CROWD_RETRY: Duration = Duration::from_millis(50);
 /// Chunks of one of their bodies, of one byte each.
@@ -77,7 +76,7 @@
     if Instant::now() < sends_at {
         has_bytes(&mut stream, sends_at)?;
     }
-    let head = site::head(site::BOOK, attempt, DEADLINE, "");
+    let head = site::head(site::BOOK, attempt, DEADLINE);
     let chunks = "1\r\nx\r\n".repeat(CHUNKS);
     write!(stream, "{head}Transfer-Encoding: chunked\r\n\r\n{chunks}")?;
     if has_bytes(&mut stream, end)? {
@@ -116,15 +115,15 @@
     let tries: Arc<Mutex<Vec<Try>>> = Arc::default();
     record.say("traffic starts");
     let began = Instant::now();
-    let mut callers = Vec::new();
+    let mut ordinary = Vec::new();
     for caller in 0..CALLERS {
         let (tries, record) = (Arc::clone(&tries), record.clone());
-        callers.push(thread::spawn(move || {
+        ordinary.push(thread::spawn(move || {
             let mut number = 0;
             while began.elapsed() < END {
                 number += 1;
                 let attempt = format!("o{caller:02x}{number:06x}");
-                let request = site::request(site::BOOK, &attempt, DEADLINE, "", 600);
+                let request = site::request(site::BOOK, &attempt, DEADLINE, 600);
                 let start = began.elapsed();
                 let answer = http::call(address, &request, DEADLINE);
                 let status = site::status(&answer);
@@ -141,16 +140,9 @@
             }
         }));
     }
-    let crowd = thread::spawn(move || {
-        thread::sleep(CROWD_AT.saturating_sub(began.elapsed()));
-        let mut crowd = Vec::new();
-        for number in 0..if has_trouble { CROWD } else { 0 } {
-            let caller = thread::Builder::new().stack_size(STACK);
-            crowd.extend(caller.spawn(move || stop_short(address, number, began + SENDS_AT)));
-        }
-        for caller in crowd {
-            caller.join().ok();
-        }
+    let crowd_size = if has_trouble { CROWD } else { 0 };
+    let crowd = callers::start_crowd(crowd_size, began + CROWD_AT, move |number| {
+        stop_short(address, number, began + SENDS_AT);
     });
     let mut unready = Vec::new();
     let mut peak_kb = 0;
@@ -164,9 +156,9 @@
                 at.as_secs_f64()
             ));
         }
-        peak_kb = site.gateways[0].memory_kb("VmRSS").max(peak_kb);
+        peak_kb = site.gateways[0].resident_kb().max(peak_kb);
     }
-    for caller in callers {
+    for caller in ordinary {
         caller.join().unwrap();
     }
     crowd.join().unwrap();
--- a/review/stand-ins-2/src/poison.rs
+++ b/review/stand-ins-2/src/poison.rs
@@ -5,13 +5,14 @@
     io,
     net::SocketAddr,
     path::Path,
-    sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
 };
 
 use crate::{
-    Verdict, http,
+    Verdict,
+    callers::Outcomes,
+    http,
     record::Record,
     replica::CRASHING,
     site::{self, Site},
@@ -20,6 +21,10 @@
 const ZONES: [&str; 3] = ["z-a", "z-b", "z-c"];
 const REPLICAS: usize = 12;
 
+/// Groups of requests: those on the first route and on the added one.
+const FIRST: usize = 0;
+const ADDED: usize = 1;
+
 /// Parts with which the prompts of the first route and of the added one begin.
 const FIRST_PART: &str = "0b7d11e4";
 const ADDED_PART: &str = "5c1e07a2";
@@ -53,41 +58,23 @@
 /// Fewest requests on added routes that the rule judges.
 const FEWEST: usize = 20;
 
-struct Outcome {
-    sent: Duration,
-    is_added: bool,
-    status: Option<u16>,
-}
-
-fn count(outcomes: &[Outcome], is_added: bool, from: Duration, to: Duration) -> (usize, usize) {
-    let (mut sent, mut served) = (0, 0);
-    for outcome in outcomes {
-        if outcome.is_added != is_added || outcome.sent < from || outcome.sent >= to {
-            continue;
-        }
-        sent += 1;
-        served += usize::from(outcome.status == Some(200));
-    }
-    (sent, served)
-}
-
 /// Sends batches on both routes; returns all outcomes once the last request has ended.
-fn send_batches(addresses: &[SocketAddr], began: Instant, record: &Record) -> Vec<Outcome> {
-    let outcomes: Arc<Mutex<Vec<Outcome>>> = Arc::default();
+fn send_batches(addresses: &[SocketAddr], began: Instant, record: &Record) -> Outcomes {
+    let outcomes = Outcomes::default();
     let mut requests = Vec::new();
     let mut at = FIRST_BATCH_AT;
     while at < END {
         thread::sleep(at.saturating_sub(began.elapsed()));
         for number in 0..2 * BATCH {
-            let is_added = number % 2 == 1;
-            let (prefix, part) = if is_added {
+            let group = number % 2;
+            let (prefix, part) = if group == ADDED {
                 (site::PLAN, ADDED_PART)
             } else {
                 (site::REPLY, FIRST_PART)
             };
             let number = requests.len();
             let address = addresses[number / 2 % addresses.len()];
-            let (outcomes, record) = (Arc::clone(&outcomes), record.clone());
+            let (outcomes, record) = (outcomes.clone(), record.clone());
             requests.push(thread::spawn(move || {
                 let sent = began.elapsed();
                 let attempt = format!("a{number:08x}");
@@ -97,11 +84,7 @@
                     "{attempt} on {prefix}, sent at {:.3} s: {status:?}",
                     sent.as_secs_f64()
                 ));
-                outcomes.lock().unwrap().push(Outcome {
-                    sent,
-                    is_added,
-                    status,
-                });
+                outcomes.add(group, sent, status);
             }));
         }
         at += BATCH_EVERY;
@@ -109,8 +92,7 @@
     for request in requests {
         request.join().unwrap();
     }
-    let mut outcomes = outcomes.lock().unwrap();
-    outcomes.drain(..).collect()
+    outcomes
 }
 
 /// Sends the requests that crash replicas, each again and again, at one machine after the other.
@@ -175,15 +157,15 @@
             "log of a machine: {refused} requests refused with the reason `quarantine`"
         ));
     }
-    let (early_sent, early) = count(&outcomes, true, Duration::ZERO, CRASHING_AT);
+    let (early_sent, early) = outcomes.count(ADDED, Duration::ZERO, CRASHING_AT);
     record.say(&format!(
         "added route, before: {early} of {early_sent} served"
     ));
     if early * 2 < early_sent || early_sent == 0 {
         return Err(io::Error::other("the added route was not served before"));
     }
-    let (first_sent, first) = count(&outcomes, false, JUDGED_FROM, END);
-    let (added_sent, added) = count(&outcomes, true, JUDGED_FROM, END);
+    let (first_sent, first) = outcomes.count(FIRST, JUDGED_FROM, END);
+    let (added_sent, added) = outcomes.count(ADDED, JUDGED_FROM, END);
     record.say(&format!(
         "first route, in steady state: {first} of {first_sent} served"
     ));
--- a/review/stand-ins-2/src/quarantine.rs
+++ b/review/stand-ins-2/src/quarantine.rs
@@ -4,13 +4,14 @@
     io,
     net::SocketAddr,
     path::Path,
-    sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
 };
 
 use crate::{
-    Verdict, http,
+    Verdict,
+    callers::Outcomes,
+    http,
     record::Record,
     site::{self, Site},
 };
@@ -42,12 +43,6 @@
 const RECOVERY: Duration = Duration::from_secs(12);
 const JUDGED_FOR: Duration = Duration::from_secs(22);
 
-/// A request that has ended.
-struct Outcome {
-    sent: Duration,
-    status: Option<u16>,
-}
-
 /// Sends one request; the first part of its prompt is the same for all.
 fn send(address: SocketAddr, number: usize, record: &Record) -> Option<u16> {
     let attempt = format!("a{number:08x}");
@@ -73,18 +68,18 @@
     began: Instant,
     end: Duration,
     record: &Record,
-) -> Vec<Outcome> {
-    let outcomes: Arc<Mutex<Vec<Outcome>>> = Arc::default();
+) -> Outcomes {
+    let outcomes = Outcomes::default();
     let mut requests = Vec::new();
     while began.elapsed() < end {
         for _ in 0..BATCH {
             let number = requests.len();
             let address = addresses[number % addresses.len()];
-            let (outcomes, record) = (Arc::clone(&outcomes), record.clone());
+            let (outcomes, record) = (outcomes.clone(), record.clone());
             requests.push(thread::spawn(move || {
                 let sent = began.elapsed();
                 let status = send(address, number, &record);
-                outcomes.lock().unwrap().push(Outcome { sent, status });
+                outcomes.add(0, sent, status);
             }));
         }
         thread::sleep(BATCH_EVERY);
@@ -92,21 +87,7 @@
     for request in requests {
         request.join().unwrap();
     }
-    let mut outcomes = outcomes.lock().unwrap();
-    outcomes.drain(..).collect()
-}
-
-/// Returns the number of requests that were sent in a span, and of those that were served.
-fn count(outcomes: &[Outcome], from: Duration, to: Duration) -> (usize, usize) {
-    let (mut sent, mut served) = (0, 0);
-    for outcome in outcomes {
-        if outcome.sent < from || outcome.sent >= to {
-            continue;
-        }
-        sent += 1;
-        served += usize::from(outcome.status == Some(200));
-    }
-    (sent, served)
+    outcomes
 }
 
 pub fn play(folder: &Path, has_trouble: bool) -> io::Result<Verdict> {
@@ -169,16 +150,16 @@
         ("sent later than recoveryS", back + RECOVERY, end),
     ];
     for (name, from, to) in spans {
-        let (sent, served) = count(&outcomes, from, to);
+        let (sent, served) = outcomes.count(0, from, to);
         record.say(&format!("{name}: {served} of {sent} served"));
     }
-    let (sent, served) = count(&outcomes, Duration::ZERO, KILL_AT);
+    let (sent, served) = outcomes.count(0, Duration::ZERO, KILL_AT);
     if served * 4 < sent {
         return Err(io::Error::other(
             "less than a quarter was served before the final fault",
         ));
     }
-    let (sent, served) = count(&outcomes, back + RECOVERY, end);
+    let (sent, served) = outcomes.count(0, back + RECOVERY, end);
     if served * 4 < sent {
         record.say("RECOVER is broken: less than a quarter is served of what was sent later than recoveryS");
         return Ok(Verdict::Broken);
--- a/review/stand-ins-2/src/record.rs
+++ b/review/stand-ins-2/src/record.rs
@@ -12,7 +12,7 @@
 #[derive(Clone)]
 pub struct Record {
     file: Arc<Mutex<File>>,
-    pub began: Instant,
+    began: Instant,
 }
 
 impl Record {
--- a/review/stand-ins-2/src/site.rs
+++ b/review/stand-ins-2/src/site.rs
@@ -12,16 +12,12 @@
 };
 
 use crate::{
-    gateway::{Gateway, Host},
+    gateway::Gateway,
     http,
     replica::{Replica, Service},
     store::Store,
 };
 
-/// Memory and descriptors of a machine, as on the sheet of `bms-aftercare`.
-pub const MEMORY_MB: u32 = 110;
-pub const DESCRIPTORS: u32 = 4100;
-
 /// `maxBodyBytes` of the configuration.
 pub const MAX_BODY_BYTES: usize = 4_194_304;
 
@@ -100,14 +96,8 @@
             site.add_replica(zones[number % zones.len()])?;
         }
         for zone in zones {
-            let host = Host {
-                name: format!("front-{zone}-1"),
-                zone: (*zone).to_owned(),
-                memory_mb: MEMORY_MB,
-                descriptors: DESCRIPTORS,
-            };
-            site.gateways
-                .push(Gateway::start(&host, site.store.address, &site.folder)?);
+            let gateway = Gateway::start(zone, site.store.address, &site.folder)?;
+            site.gateways.push(gateway);
         }
         for gateway in &site.gateways {
             if !gateway.wait_until_ready(Duration::from_secs(20)) {
@@ -179,24 +169,18 @@
 }
 
 /// Returns the head of a request, up to what says how its body is delimited.
-pub fn head(target: &str, attempt: &str, deadline: Duration, further: &str) -> String {
+pub fn head(target: &str, attempt: &str, deadline: Duration) -> String {
     let deadline = deadline.as_millis();
     format!(
         "POST {target} HTTP/1.1\r\nHost: care.example\r\nAttempt-Id: {attempt}\r\nDeadline-Remaining: {deadline}\r\n\
-         Authorization: Bearer key-studio\r\n{further}"
+         Authorization: Bearer key-studio\r\n"
     )
 }
 
 /// Returns a request with a body of this length, which begins with the attempt, as no two
 /// callers send the same.
-pub fn request(
-    target: &str,
-    attempt: &str,
-    deadline: Duration,
-    further: &str,
-    bytes: usize,
-) -> Vec<u8> {
-    let head = head(target, attempt, deadline, further);
+pub fn request(target: &str, attempt: &str, deadline: Duration, bytes: usize) -> Vec<u8> {
+    let head = head(target, attempt, deadline);
     let body = format!("{attempt:x<bytes$}");
     format!("{head}Content-Length: {bytes}\r\n\r\n{body}").into_bytes()
 }
@@ -212,7 +196,7 @@
 ) -> Vec<u8> {
     let question = format!("{own:x<2000}");
     let length = question.len();
-    let head = head(target, attempt, deadline, "");
+    let head = head(target, attempt, deadline);
     format!(
         "{head}Model: m\r\nToken-Count: 3060,{output}\r\nPrompt-Prefix: {part}:60,{own:08x}:3000\r\n\
          Content-Length: {length}\r\n\r\n{question}"
