--- a/review/stand-ins-3/src/bin/ranks.rs
+++ b/review/stand-ins-3/src/bin/ranks.rs
@@ -24,7 +24,9 @@
 const ADDED: usize = 350;
 /// `configApplyMs` of the site.
 const APPLY: Duration = Duration::from_millis(2000);
-/// Requests with the key that was taken away.
+/// `recoveryS` of the site.
+const RECOVERY: Duration = Duration::from_secs(12);
+/// Requests with the key that was taken away, and after the final fault.
 const REQUESTS: usize = 30;
 
 /// Returns a configuration in which the tenant has these keys, with further routes.
@@ -95,7 +97,7 @@
     }
     // In touch for `contactMs`, and longer.
     thread::sleep(Duration::from_secs(5));
-    let ask = |key: &str, id: &str, place: usize| {
+    let ask = |gateways: &[Gateway], key: &str, id: &str, place: usize| {
         let headers = format!("Deadline-Remaining: 1500\r\nAuthorization: Bearer {key}\r\n");
         let request = client::request("POST", "/post/load/work-20", id, &headers, b"load");
         let answer = client::ask(gateways[place].callers, &request, Duration::from_secs(3));
@@ -107,7 +109,7 @@
     };
     for place in 0..gateways.len() {
         for key in ["kept", "taken"] {
-            if ask(key, &format!("before-{place}-{key}"), place) != 200 {
+            if ask(&gateways, key, &format!("before-{place}-{key}"), place) != 200 {
                 record.end(NOT_RUN, "a request was not served before the change");
             }
         }
@@ -121,26 +123,63 @@
     let (mut run, mut refused) = (0, 0);
     for number in 0..REQUESTS {
         let id = format!("after-{number}");
-        let status = ask("taken", &id, number % gateways.len());
+        let status = ask(&gateways, "taken", &id, number % gateways.len());
         run += usize::from(status == 200 && seen.0.lock().unwrap().contains(&id));
         refused += usize::from(status == 401);
         thread::sleep(Duration::from_millis(50));
     }
-    let kept = ask("kept", "after-kept", 0);
+    let kept = ask(&gateways, "kept", "after-kept", 0);
     for gateway in &gateways {
         for line in gateway.log_lines("op/config").iter().take(2) {
             record.line(&format!("log {}", &line[..line.len().min(400)]));
         }
     }
-    drop(gateways);
     record.say(&format!(
         "sent 5 s or more after the store's answer with the key that was taken away: {run} of {REQUESTS} run, {refused} refused with 401; with the kept key: {kept}"
     ));
+    record.say("final fault: all processes are killed and start again");
+    for gateway in &mut gateways {
+        gateway.kill();
+    }
+    for gateway in &mut gateways {
+        if let Err(error) = gateway.restart() {
+            record.end(
+                NOT_RUN,
+                &format!("a gateway was not started again: {error}"),
+            );
+        }
+    }
+    thread::sleep(RECOVERY + Duration::from_secs(1));
+    let ready = gateways.iter();
+    let ready = ready.filter(|gateway| gateway.is_ready_within(Duration::from_millis(500)));
+    let ready = ready.count();
+    let mut served = 0;
+    for number in 0..REQUESTS {
+        let id = format!("recovered-{number}");
+        let place = number % gateways.len();
+        let headers = "Deadline-Remaining: 1500\r\nAuthorization: Bearer kept\r\n";
+        let request = client::request("POST", "/post/load/work-20", &id, headers, b"load");
+        let answer = client::ask(gateways[place].callers, &request, Duration::from_secs(3));
+        let status = answer.as_ref().map_or(0, |answer| answer.status());
+        record.line(&format!("{id} at machine {place} answered {status}"));
+        served += usize::from(status == 200);
+        thread::sleep(Duration::from_millis(50));
+    }
+    drop(gateways);
+    record.say(&format!(
+        "sent later than 12 s after the machines are back with the kept key: {served} of {REQUESTS} served; {ready} of 2 machines ready"
+    ));
     if run > 0 {
         record.end(BROKEN, "CONFIG: requests are run with a dropped key");
     }
+    if served * 4 < REQUESTS {
+        record.end(
+            BROKEN,
+            "RECOVER: less than a quarter is served after the final fault",
+        );
+    }
     if refused < REQUESTS || kept != 200 {
         record.end(NOT_RUN, "answers that say nothing about the configuration");
     }
-    record.end(HELD, "the version is in force");
+    record.end(HELD, "the version is in force, also after the final fault");
 }
--- a/review/stand-ins-3/src/gateway.rs
+++ b/review/stand-ins-3/src/gateway.rs
@@ -106,6 +106,17 @@
         Ok(())
     }
 
+    /// Starts the process again with the same settings, as the platform does with one that was
+    /// killed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the program can't be started.
+    pub fn restart(&mut self) -> std::io::Result<()> {
+        self.kill();
+        self.spawn()
+    }
+
     /// Waits until the machine answers the balancer's health check with 200.
     #[must_use]
     pub fn is_ready_within(&self, limit: Duration) -> bool {
