--- a/review/stand-ins-3/src/bin/popular.rs
+++ b/review/stand-ins-3/src/bin/popular.rs
@@ -200,10 +200,7 @@
         let _ended = request.join();
     }
     for gateway in &gateways {
-        for line in gateway.log_lines("suspected of crashing").iter().take(3) {
-            record.line(&format!("log {line}"));
-        }
-        for line in gateway.log_lines("is refused").iter().take(3) {
+        for line in gateway.log_lines("request not sent").iter().take(2) {
             record.line(&format!("log {line}"));
         }
     }
--- a/review/stand-ins-3/src/bin/prompt.rs
+++ b/review/stand-ins-3/src/bin/prompt.rs
@@ -235,8 +235,10 @@
         let _ended = request.join();
     }
     for gateway in &gateways {
-        for line in gateway.log_lines("quarantined").iter().take(2) {
-            record.line(&format!("log {line}"));
+        for text in ["quarantined", "request not sent"] {
+            for line in gateway.log_lines(text).iter().take(2) {
+                record.line(&format!("log {line}"));
+            }
         }
     }
     drop(gateways);
