--- a/review/stand-ins-3/src/bin/crowd.rs
+++ b/review/stand-ins-3/src/bin/crowd.rs
@@ -174,12 +174,13 @@
     // The crowd.
     let first = Instant::now();
     let mut kept: Vec<Connection> = Vec::new();
-    let body = vec![b'x'; BODY_BYTES];
     let (mut served, mut failed) = (0, 0);
     for number in 0..REQUESTS {
         if killed.load(Ordering::SeqCst) {
             break;
         }
+        let mut body = format!("{number} ").into_bytes();
+        body.resize(BODY_BYTES, b'x');
         let request = client::request(
             "POST",
             &format!("/plan/{number}"),
--- a/review/stand-ins-3/src/bin/popular.rs
+++ b/review/stand-ins-3/src/bin/popular.rs
@@ -15,6 +15,7 @@
     is_calm,
     process::Replica,
     record::Record,
+    replica::content_of,
     store::Store,
 };
 
@@ -83,7 +84,7 @@
             Ok(answer) => {
                 record.line(&format!("{id} {path} answered {}", answer.status()));
                 if answer.status() == 200 {
-                    return answer.body == b"usual";
+                    return answer.body == content_of(path).as_bytes();
                 }
                 let wait: f64 = answer.header("retry-after").parse().unwrap_or(0.1);
                 thread::sleep(Duration::from_secs_f64(wait.clamp(0.0, LONGEST_WAIT)));
--- a/review/stand-ins-3/src/bin/prompt.rs
+++ b/review/stand-ins-3/src/bin/prompt.rs
@@ -15,6 +15,7 @@
     is_calm,
     process::Replica,
     record::Record,
+    replica::{content_of, piece},
     store::Store,
 };
 
@@ -86,10 +87,10 @@
         record.line(&format!("{id} {path} answered {}", answer.status()));
         match answer.status() {
             200 if path.starts_with("/summary/") => {
-                let last = format!("data: piece {EVENTS} of {EVENTS}\n\n");
+                let last = piece(path, EVENTS, EVENTS);
                 return answer.body.ends_with(last.as_bytes());
             }
-            200 => return answer.body == b"usual",
+            200 => return answer.body == content_of(path).as_bytes(),
             429 | 503 => {
                 let wait: f64 = answer.header("retry-after").parse().unwrap_or(0.1);
                 let longest = limit.saturating_sub(start.elapsed()).as_secs_f64() / 3.0;
--- a/review/stand-ins-3/src/replica.rs
+++ b/review/stand-ins-3/src/replica.rs
@@ -1,4 +1,5 @@
-//! A sound replica: it runs each request that is meant for it, and answers with its seal.
+//! A sound replica: it runs each request that is meant for it, and answers with its seal and what
+//! was asked for.
 
 use std::{
     io::Write,
@@ -65,7 +66,7 @@
         } else {
             heard.begins(&attempt, &path, message.header("tenant"));
             if let Some((events, gap)) = stream_of(&path) {
-                let ended = write_stream(&mut writer, id, &attempt, &load, events, gap);
+                let ended = write_stream(&mut writer, (id, &path), &attempt, &load, events, gap);
                 running.fetch_sub(1, Ordering::SeqCst);
                 ended.ok()?;
                 heard.answered(&attempt);
@@ -77,9 +78,11 @@
             thread::sleep(Duration::from_millis(work.unwrap_or(1)));
             running.fetch_sub(1, Ordering::SeqCst);
             heard.answered(&attempt);
+            let body = content_of(&path);
             format!(
                 "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: {id}.1\r\n{load}\
-                 Content-Length: 5\r\n\r\nusual"
+                 Content-Length: {}\r\n\r\n{body}",
+                body.len()
             )
         };
         writer.write_all(answer.as_bytes()).ok()?;
@@ -87,6 +90,18 @@
     Some(())
 }
 
+/// Returns the body of the answer to a request, which differs between requests.
+#[must_use]
+pub fn content_of(path: &str) -> String {
+    format!("content of {path}")
+}
+
+/// Returns the data of an event of the answer to a request, with its end.
+#[must_use]
+pub fn piece(path: &str, number: u32, events: u32) -> String {
+    format!("data: piece {number} of {events} of {path}\n\n")
+}
+
 /// Returns the number of events, and the milliseconds between two, of a stream: they stand at the
 /// end of its path, as in `/x/stream-30-80`.
 fn stream_of(path: &str) -> Option<(u32, u64)> {
@@ -98,7 +113,7 @@
 /// Writes a stream of events; fails if its caller leaves.
 fn write_stream(
     writer: &mut TcpStream,
-    id: &str,
+    (id, path): (&str, &str),
     attempt: &str,
     load: &str,
     events: u32,
@@ -111,7 +126,7 @@
     writer.write_all(head.as_bytes())?;
     for number in 1..=events {
         thread::sleep(Duration::from_millis(gap));
-        let event = format!("id: {number}\ndata: piece {number} of {events}\n\n");
+        let event = format!("id: {number}\n{}", piece(path, number, events));
         writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
     }
     writer.write_all(b"0\r\n\r\n")
