crashes: log how a node knows of what it refuses, and since when

The line of a refused request named the numbers of deaths only. Suspicions now have a source, and the line names it with the ages of the first and the last death.

--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -229,10 +229,11 @@
         subject: &Subject,
         may_have_run: bool,
     ) -> Refused {
-        let (fingerprint, refused_for, count) = self.crashes.read(|detector, now| {
+        let (fingerprint, refused_for, count, evidence) = self.crashes.read(|detector, now| {
             let refused = detector.refused(now, subject).unwrap_or(subject.request);
             let refused_for = detector.refused_for(now, refused);
-            (refused, refused_for, detector.count(now, refused))
+            let count = detector.count(now, refused);
+            (refused, refused_for, count, detector.evidence(now, refused))
         });
         tracing::info!(
             id = correlation_id,
@@ -241,6 +242,9 @@
             died = count.died,
             silent = count.silent,
             refused_for_ms = refused_for.map(millis),
+            source = evidence.map(|evidence| tracing::field::display(evidence.source)),
+            known_ms = evidence.map(|evidence| millis(evidence.oldest)),
+            newest_ms = evidence.map(|evidence| millis(evidence.newest)),
             may_have_run,
             "request not sent: it may crash endpoints"
         );
--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -12,6 +12,7 @@
 
 use std::{
     hash::{Hash, Hasher},
+    mem,
     sync::Arc,
     time::Duration,
 };
@@ -92,8 +93,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Origin {
     /// From the source: nodes that it lacks are removed, unless it `is_restored` from a copy
-    /// since it was read last, which may lack them.
-    Source { is_restored: bool },
+    /// since it was read last, which may lack them. Whether it `is_first` read by this node.
+    Source { is_restored: bool, is_first: bool },
     /// From another node, which may lack nodes.
     Node,
 }
@@ -108,6 +109,8 @@
     outputs: Outputs,
     /// Number of the last change of the roll-outs that was published.
     published_rollouts: Option<u64>,
+    /// Whether this node has read the whole directory from the source.
+    has_read_source: bool,
 }
 
 impl Actor for Controller {
@@ -126,6 +129,7 @@
             nodes: Nodes::default(),
             outputs,
             published_rollouts: None,
+            has_read_source: false,
         })
     }
 
@@ -166,11 +170,18 @@
                     .metrics
                     .unusable_entries
                     .inc_by(snapshot.unusable);
+                let is_first = !mem::replace(&mut self.has_read_source, true);
                 let is_restored = self.endpoints.begin_read(now, snapshot.revision);
                 self.outputs.endpoints_known.send_replace(true);
                 let origins = &self.outputs.origins;
                 origins.record_history(History::restart);
-                self.apply_snapshot(*snapshot, Origin::Source { is_restored });
+                self.apply_snapshot(
+                    *snapshot,
+                    Origin::Source {
+                        is_restored,
+                        is_first,
+                    },
+                );
             }
             Message::PeerSnapshot(snapshot) => {
                 let rollouts = &self.outputs.rollouts;
@@ -243,14 +254,18 @@
         if let Some(plan) = snapshot.plan {
             self.adopt_plan(plan);
         }
-        self.outputs.crashes.apply_kept_marks(&snapshot.marks);
+        let crashes = &self.outputs.crashes;
+        match origin {
+            Origin::Source { is_first: true, .. } => crashes.inherit_marks(&snapshot.marks),
+            Origin::Source { .. } | Origin::Node => crashes.apply_kept_marks(&snapshot.marks),
+        }
         let now = self.outputs.clock.now();
         for (name, entry) in &snapshot.endpoints {
             self.record_listed(name, entry);
         }
         self.endpoints.replace(now, snapshot.endpoints);
         match origin {
-            Origin::Source { is_restored } => {
+            Origin::Source { is_restored, .. } => {
                 let rollouts = &self.outputs.rollouts;
                 rollouts.replace(&snapshot.orders, &snapshot.records);
                 for (service, revision) in &snapshot.unreadable_records {
--- a/gateway/src/crashes.rs
+++ b/gateway/src/crashes.rs
@@ -188,16 +188,31 @@
         self.take_over(marks, node.as_str());
     }
 
-    /// Applies marks that a node kept in the key-value service.
+    /// Applies marks that the key-value service had when this node started.
+    pub fn inherit_marks(&self, marks: &[Mark]) {
+        let cause = "kept in the key-value service before this node started";
+        self.take_over_by(marks, cause, Detector::inherit_mark);
+    }
+
+    /// Applies marks that a node kept in the key-value service while this node ran.
     pub fn apply_kept_marks(&self, marks: &[Mark]) {
         self.take_over(marks, "kept in the key-value service");
     }
 
     /// Applies marks of other nodes, with the cause for the log.
     fn take_over(&self, marks: &[Mark], cause: &str) {
+        self.take_over_by(marks, cause, Detector::apply_mark);
+    }
+
+    fn take_over_by(
+        &self,
+        marks: &[Mark],
+        cause: &str,
+        apply: impl Fn(&mut Detector, time::Instant, Mark) -> Option<Change>,
+    ) {
         let now = self.shared.clock.now();
         for mark in marks {
-            let change = self.lock().apply_mark(now, *mark);
+            let change = apply(&mut self.lock(), now, *mark);
             let Some(change) = change else {
                 continue;
             };
--- a/lib/src/crash.rs
+++ b/lib/src/crash.rs
@@ -18,7 +18,7 @@
     answered::Memory,
     id,
     quarantine::Verdict,
-    suspicion::{CONFIRMING_PART_LOSSES, Count, Kind, Mark, Register, SUSPICION_TTL},
+    suspicion::{CONFIRMING_PART_LOSSES, Count, Evidence, Kind, Mark, Register, SUSPICION_TTL},
     time,
 };
 
@@ -507,11 +507,33 @@
         self.register.count(now, fingerprint)
     }
 
+    /// Returns what this node believes of a request or part; `None` if nothing is held
+    /// against it.
+    #[must_use]
+    pub fn evidence(&self, now: time::Instant, fingerprint: id::Fingerprint) -> Option<Evidence> {
+        self.register.evidence(now, fingerprint)
+    }
+
     /// Applies a mark received from another node; returns the change, if there is
     /// one.
     pub fn apply_mark(&mut self, now: time::Instant, mark: Mark) -> Option<Change> {
+        self.take_over(now, mark, Register::apply)
+    }
+
+    /// Applies a mark that the key-value service had when this node started; returns the
+    /// change, if there is one.
+    pub fn inherit_mark(&mut self, now: time::Instant, mark: Mark) -> Option<Change> {
+        self.take_over(now, mark, Register::inherit)
+    }
+
+    fn take_over(
+        &mut self,
+        now: time::Instant,
+        mark: Mark,
+        apply: impl FnOnce(&mut Register, time::Instant, Mark) -> bool,
+    ) -> Option<Change> {
         let previous = self.verdict(now, mark.fingerprint);
-        let changed = self.register.apply(now, mark);
+        let changed = apply(&mut self.register, now, mark);
         if self.answered.was_answered_before(mark.fingerprint, now) {
             // The next heartbeats announce it.
             return self.withdraw(now, mark.fingerprint);
--- a/lib/src/suspicion.rs
+++ b/lib/src/suspicion.rs
@@ -126,6 +126,32 @@
     pub silent: usize,
 }
 
+/// How this node learnt of a suspicion.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Source {
+    /// It found out the death itself.
+    #[display("own")]
+    Own,
+    /// A node that knew it told it, or wrote it to the key-value service meanwhile.
+    #[display("reported")]
+    Reported,
+    /// The key-value service had it when this node started. No node may be left that knows
+    /// how it arose, or that it was withdrawn.
+    #[display("inherited")]
+    Inherited,
+}
+
+/// What this node believes of a request or part, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Evidence {
+    /// How this node learnt of the suspicion that is the hardest to disprove.
+    pub source: Source,
+    /// Time since this node learnt of the first suspicion.
+    pub oldest: Duration,
+    /// Time since this node learnt of the last one.
+    pub newest: Duration,
+}
+
 type Key = (id::Fingerprint, id::Incarnation);
 
 #[derive(Clone, Copy, Debug)]
@@ -137,8 +163,8 @@
     expires: time::Instant,
     /// Until when it is in every report of this node.
     news_until: time::Instant,
-    /// Whether this node found it out itself.
-    own: bool,
+    /// How this node learnt of it.
+    source: Source,
     /// Whether it was withdrawn without a report to the other nodes.
     is_withdrawn_silently: bool,
 }
@@ -215,7 +241,7 @@
         } else {
             PART_LOSSES
         };
-        let is_tried_here = deaths.iter().any(|known| known.own);
+        let is_tried_here = deaths.iter().any(|known| known.source == Source::Own);
         let until = if deaths.len() < CONFIRMING_PART_LOSSES && is_tried_here {
             deaths.last()?.since + TRIAL_DELAY
         } else {
@@ -331,7 +357,7 @@
         };
         let changed = self.apply(now, mark);
         if let Some(known) = self.suspicions.get_mut(&(fingerprint, incarnation)) {
-            known.own = true;
+            known.source = Source::Own;
             if changed {
                 known.news_until = now + NEWS_TIME;
             }
@@ -371,7 +397,7 @@
             since: now,
             expires: now + mark.valid.min(SUSPICION_TTL),
             news_until: now + news_time,
-            own: false,
+            source: Source::Reported,
             is_withdrawn_silently: false,
         };
         self.suspicions.insert(key, suspicion);
@@ -383,7 +409,39 @@
     /// Returns whether this node found out a suspicion against a request itself.
     #[must_use]
     pub fn is_own(&self, now: time::Instant, fingerprint: id::Fingerprint) -> bool {
-        self.valid(now, fingerprint).any(|known| known.own)
+        let mut known = self.valid(now, fingerprint);
+        known.any(|known| known.source == Source::Own)
+    }
+
+    /// Takes over a mark that the key-value service had when this node started; returns
+    /// whether that changes what this node knows.
+    pub fn inherit(&mut self, now: time::Instant, mark: Mark) -> bool {
+        let changed = self.apply(now, mark);
+        let key = (mark.fingerprint, mark.incarnation);
+        // Nodes that inherited it, too, may have reported it before.
+        if let Some(known) = self.suspicions.get_mut(&key)
+            && known.source == Source::Reported
+        {
+            known.source = Source::Inherited;
+        }
+        changed
+    }
+
+    /// Returns what this node believes of a request or part; `None` if nothing is held
+    /// against it.
+    #[must_use]
+    pub fn evidence(&self, now: time::Instant, fingerprint: id::Fingerprint) -> Option<Evidence> {
+        let known: Vec<&Suspicion> = self.valid(now, fingerprint).collect();
+        let oldest = known.iter().map(|known| known.since).min()?;
+        let newest = known.iter().map(|known| known.since).max()?;
+        let sources = [Source::Own, Source::Reported];
+        let is_held = |source: &Source| known.iter().any(|known| known.source == *source);
+        let source = sources.into_iter().find(is_held);
+        Some(Evidence {
+            source: source.unwrap_or(Source::Inherited),
+            oldest: now.since(oldest),
+            newest: now.since(newest),
+        })
     }
 
     /// Returns the suspicions against a request.
--- a/lib/tests/test_part.rs
+++ b/lib/tests/test_part.rs
@@ -4,6 +4,7 @@
     crash::{Detector, Finding, Subject},
     id::{self, Fingerprint},
     quarantine::Verdict,
+    suspicion::{Kind, Mark, SUSPICION_TTL, Source},
     time,
 };
 use rstest::rstest;
@@ -347,3 +348,28 @@
     let refused = detector.refused(at(36_000), &repeated);
     assert_eq!(refused, Some(repeated.request));
 }
+
+/// Where a suspicion comes from tells whether a living node can know better.
+#[test]
+fn evidence_names_its_source_and_age() {
+    let mark = |incarnation| Mark {
+        fingerprint: part("bad"),
+        incarnation: id::Incarnation(incarnation),
+        kind: Kind::Died,
+        valid: SUSPICION_TTL,
+    };
+    let mut detector = Detector::default();
+    let evidence = |detector: &Detector| detector.evidence(at(1000), part("bad"));
+    assert_eq!(evidence(&detector), None);
+    detector.inherit_mark(at(100), mark(1));
+    assert_eq!(evidence(&detector).unwrap().source, Source::Inherited);
+    detector.apply_mark(at(200), mark(1));
+    assert_eq!(evidence(&detector).unwrap().source, Source::Inherited);
+    detector.apply_mark(at(300), mark(2));
+    assert_eq!(evidence(&detector).unwrap().source, Source::Reported);
+    lose_all(&mut detector, 400, &["bad"], 1);
+    let evidence = evidence(&detector).unwrap();
+    assert_eq!(evidence.source, Source::Own);
+    assert_eq!(evidence.oldest.as_millis(), 900);
+    assert!(evidence.newest.as_millis() < 600);
+}
