quarantine: write withdrawals over what the key-value service keeps

Cause: what a node refuses is written under a lease of ten minutes; nothing wrote that a suspicion was withdrawn. Each process that starts takes the key over as it is.

Why it works: what is kept of a death only grows (silent, died, withdrawn), and is written under the revision that was read, so that the order of writes does not matter. Calls are paced for all nodes together.

--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -254,10 +254,9 @@
         if let Some(plan) = snapshot.plan {
             self.adopt_plan(plan);
         }
-        let crashes = &self.outputs.crashes;
-        match origin {
-            Origin::Source { is_first: true, .. } => crashes.inherit_marks(&snapshot.marks),
-            Origin::Source { .. } | Origin::Node => crashes.apply_kept_marks(&snapshot.marks),
+        if let Origin::Source { is_first, .. } = origin {
+            let crashes = &self.outputs.crashes;
+            crashes.replace_kept_marks(&snapshot.marks, is_first);
         }
         let now = self.outputs.clock.now();
         for (name, entry) in &snapshot.endpoints {
@@ -320,6 +319,9 @@
             }
             Change::RecordRemoved(service) => self.outputs.rollouts.remove_record(&service),
             Change::Quarantined(marks) => self.outputs.crashes.apply_kept_marks(&marks),
+            Change::QuarantineEnded(fingerprint) => {
+                self.outputs.crashes.record_kept_end(fingerprint);
+            }
             Change::NodeRemoved(name) => {
                 if self.nodes.remove(&name) {
                     tracing::info!(node = %name, "registration of a node ended");
--- a/gateway/src/crashes.rs
+++ b/gateway/src/crashes.rs
@@ -1,6 +1,9 @@
 //! Follows requests at endpoints, to find those that crash them.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
 
 use dottereltally::clock::Clock;
 use dottereltally_lib::{
@@ -13,7 +16,10 @@
 };
 use tokio::sync::{Notify, mpsc};
 
-use crate::metrics::{Evidence, Metrics};
+use crate::{
+    metrics::{Evidence, Metrics},
+    sync::lock,
+};
 
 /// An endpoint to examine.
 #[derive(Clone, Debug)]
@@ -33,12 +39,15 @@
 /// Most refused requests that wait to be kept in the key-value service.
 const MAX_REFUSED: usize = 256;
 
+/// Most refused requests of which it is known what the key-value service keeps.
+const MAX_KEPT: usize = 4096;
+
 /// What the detector leaves to other tasks.
 pub struct Tasks {
     /// The endpoints to examine; each is named once until its examination has ended.
     pub lost: mpsc::UnboundedReceiver<Target>,
     /// The requests that this node refuses from now on, to be kept in the key-value
-    /// service.
+    /// service, and those that it does not refuse any more although they are kept.
     pub refused: mpsc::Receiver<id::Fingerprint>,
 }
 
@@ -48,6 +57,8 @@
     metrics: Metrics,
     lost: mpsc::UnboundedSender<Target>,
     refused: mpsc::Sender<id::Fingerprint>,
+    /// What the key-value service keeps, as last read.
+    kept: Mutex<BTreeMap<id::Fingerprint, Vec<Mark>>>,
     /// Signalled when this node found out a death.
     news: Notify,
 }
@@ -70,6 +81,7 @@
             metrics,
             lost,
             refused,
+            kept: Mutex::default(),
             news: Notify::new(),
         });
         let tasks = Tasks {
@@ -151,7 +163,7 @@
             changes.extend(detector.clear_parts(now, &subject.parts));
         }
         drop(detector);
-        self.log(changes, "answered");
+        self.publish(changes, "answered");
     }
 
     /// Waits until this node has found out a death, of which the others don't know.
@@ -163,7 +175,7 @@
     pub fn record_heard(&self, endpoint: &id::Endpoint, data_centre: &id::DataCentre) {
         let now = self.shared.clock.now();
         let changes = self.lock().record_heard(now, endpoint, data_centre);
-        self.log(changes, "its endpoint lives");
+        self.publish(changes, "its endpoint lives");
     }
 
     /// Records when an endpoint's process started, in milliseconds since the Unix
@@ -171,14 +183,14 @@
     pub fn record_started(&self, endpoint: &id::Endpoint, started_ms: u64) {
         let now = self.shared.clock.now();
         let changes = self.lock().record_started(now, endpoint, started_ms);
-        self.log(changes, "its endpoint started again");
+        self.publish(changes, "its endpoint started again");
     }
 
     /// Records that another endpoint took over an endpoint's address.
     pub fn record_replaced(&self, endpoint: &id::Endpoint) {
         let now = self.shared.clock.now();
         let changes = self.lock().record_replaced(now, endpoint);
-        self.log(changes, "its endpoint's address has another one");
+        self.publish(changes, "its endpoint's address has another one");
     }
 
     /// Applies the marks of a heartbeat from a node of a data centre.
@@ -188,15 +200,59 @@
         self.take_over(marks, node.as_str());
     }
 
-    /// Applies marks that the key-value service had when this node started.
-    pub fn inherit_marks(&self, marks: &[Mark]) {
+    /// Applies marks that a node kept in the key-value service while this node ran.
+    pub fn apply_kept_marks(&self, marks: &[Mark]) {
+        self.record_kept(marks);
+        self.take_over(marks, "kept in the key-value service");
+    }
+
+    /// Replaces what is known of the key-value service by all marks that it keeps. The node
+    /// inherits them if it has just started.
+    pub fn replace_kept_marks(&self, marks: &[Mark], is_start: bool) {
+        lock(&self.shared.kept).clear();
+        self.record_kept(marks);
+        if !is_start {
+            return self.take_over(marks, "kept in the key-value service");
+        }
         let cause = "kept in the key-value service before this node started";
         self.take_over_by(marks, cause, Detector::inherit_mark);
     }
 
-    /// Applies marks that a node kept in the key-value service while this node ran.
-    pub fn apply_kept_marks(&self, marks: &[Mark]) {
-        self.take_over(marks, "kept in the key-value service");
+    fn record_kept(&self, marks: &[Mark]) {
+        let mut kept = lock(&self.shared.kept);
+        for of_request in marks.chunk_by(|left, right| left.fingerprint == right.fingerprint) {
+            kept.insert(of_request[0].fingerprint, of_request.to_vec());
+        }
+        while kept.len() > MAX_KEPT {
+            kept.pop_first();
+        }
+    }
+
+    /// Records that nothing is kept of a request any more.
+    pub fn record_kept_end(&self, fingerprint: id::Fingerprint) {
+        lock(&self.shared.kept).remove(&fingerprint);
+    }
+
+    /// Returns what this node knows to be later than what is kept, by request.
+    #[must_use]
+    pub fn outdated(&self) -> Vec<(id::Fingerprint, Vec<Mark>)> {
+        let now = self.shared.clock.now();
+        let kept = lock(&self.shared.kept);
+        let detector = self.lock();
+        let mut outdated = Vec::new();
+        for (fingerprint, marks) in kept.iter() {
+            if !marks.iter().any(|mark| detector.is_outdated(now, mark)) {
+                continue;
+            }
+            let is_kept = |known: &Mark| {
+                let mut marks = marks.iter();
+                marks.any(|mark| mark.incarnation == known.incarnation)
+            };
+            let mut records = detector.records(now, *fingerprint);
+            records.retain(is_kept);
+            outdated.push((*fingerprint, records));
+        }
+        outdated
     }
 
     /// Applies marks of other nodes, with the cause for the log.
@@ -243,7 +299,7 @@
                 self.shared.metrics.crash_evidence(Evidence::Death);
             }
         }
-        self.log(changes, target.endpoint.as_str());
+        self.publish(changes, target.endpoint.as_str());
         again
     }
 
@@ -263,6 +319,25 @@
         }
     }
 
+    /// Logs what this node found out about requests, with the cause, and has withdrawals
+    /// kept. Nodes that are told of a withdrawal leave that to this one at first.
+    fn publish(&self, changes: impl IntoIterator<Item = Change>, cause: &str) {
+        for change in changes {
+            let is_kept = || lock(&self.shared.kept).contains_key(&change.fingerprint);
+            if change.verdict == Verdict::Clear && is_kept() {
+                self.keep(change.fingerprint);
+            }
+            self.log([change], cause);
+        }
+    }
+
+    /// Has what is known of a request kept in the key-value service.
+    fn keep(&self, fingerprint: id::Fingerprint) {
+        if self.shared.refused.try_send(fingerprint).is_err() {
+            tracing::warn!(%fingerprint, "quarantine not kept: too many requests wait for it");
+        }
+    }
+
     /// Logs what changed about requests, with the cause: an event, the endpoint
     /// that died, or the node that reported it.
     fn log(&self, changes: impl IntoIterator<Item = Change>, cause: &str) {
@@ -278,12 +353,8 @@
             if change.own && change.verdict != Verdict::Clear {
                 self.shared.news.notify_one();
             }
-            if change.decisive
-                && change.own
-                && change.verdict == Verdict::Confirmed
-                && self.shared.refused.try_send(change.fingerprint).is_err()
-            {
-                tracing::warn!(fingerprint = %change.fingerprint, "quarantine not kept: too many requests wait for it");
+            if change.decisive && change.own && change.verdict == Verdict::Confirmed {
+                self.keep(change.fingerprint);
             }
             if change.verdict == Verdict::Clear {
                 self.shared.metrics.crash_evidence(Evidence::Withdrawn);
--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -195,6 +195,8 @@
     NodeRemoved(id::Node),
     /// A node kept the suspicions against a request that it refuses.
     Quarantined(Vec<Mark>),
+    /// The suspicions against a request are no longer kept.
+    QuarantineEnded(id::Fingerprint),
     /// An operator ordered a roll-out.
     Ordered(Spec),
     /// The order for a service was removed.
@@ -282,12 +284,15 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Changes, Error>> + Send;
 
-    /// Keeps the suspicions against a request until the last of them expires, so
-    /// that a node learns of them even if all others have ended.
+    /// Adds what is known of a request to what is kept of it, until the first of that
+    /// expires, so that a node learns of it even if all others have ended. Of each death
+    /// the latest kind is kept, whichever node writes last. What was withdrawn is written
+    /// only over what is kept.
     ///
     /// # Errors
     ///
-    /// Fails if the service can't be reached or does not answer in time.
+    /// Fails if the service can't be reached or does not answer in time, or if other nodes
+    /// change what is kept all the while.
     fn quarantine(
         &self,
         fingerprint: id::Fingerprint,
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -197,6 +197,7 @@
         adapters.source.clone(),
         chain.crashes.clone(),
         tasks.refused,
+        channels.nodes.subscribe(),
         metrics.clone(),
     ));
     let own_node = directory::Node {
--- a/gateway/tests/test_kept_quarantine.rs
+++ b/gateway/tests/test_kept_quarantine.rs
@@ -21,6 +21,7 @@
     era,
 };
 use dottereltally_lib::{
+    crash::Subject,
     era::{Era, Revision},
     id,
     quarantine::Verdict,
@@ -149,6 +150,7 @@
         source.clone(),
         first.chain.crashes.clone(),
         first.refused,
+        watch::Sender::new(Vec::new()).subscribe(),
         first.chain.metrics.clone(),
     );
     tokio::spawn(keeping);
@@ -240,6 +242,7 @@
         source.clone(),
         gateway.chain.crashes.clone(),
         refused,
+        watch::Sender::new(Vec::new()).subscribe(),
         gateway.chain.metrics.clone(),
     ));
     refuse.send(fatal()).await.unwrap();
@@ -251,3 +254,105 @@
     sleep(Duration::from_secs(5)).await;
     assert_eq!(source.kept().len(), 1, "written once");
 }
+
+fn mark(incarnation: u64, kind: Kind) -> Mark {
+    Mark {
+        fingerprint: fatal(),
+        incarnation: id::Incarnation(incarnation),
+        kind,
+        valid: Duration::from_mins(1),
+    }
+}
+
+/// How the withdrawal of a kept suspicion is nearly lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Lapse {
+    /// It is written at once.
+    None,
+    /// The source can't be written for a while.
+    SourceAway,
+    /// The node that withdrew it ended before it wrote that; this one was told.
+    FinderEnded,
+    /// A node that has not heard of it writes last.
+    LateWrite,
+    /// The source comes back from a copy that was taken before.
+    OlderCopy,
+}
+
+/// Guards against RECOVER: a suspicion that was withdrawn was still in the key-value
+/// service, for nodes that start.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_withdrawal_reaches_what_is_kept(
+    #[values(
+        Lapse::None,
+        Lapse::SourceAway,
+        Lapse::FinderEnded,
+        Lapse::LateWrite,
+        Lapse::OlderCopy
+    )]
+    lapse: Lapse,
+) {
+    let source = Kept::default();
+    let gateway = Gateway::start(Some(plan()), &[]).await;
+    let crashes = &gateway.chain.crashes;
+    tell_of_deaths(&gateway);
+    tokio::spawn(controller::quarantine::keep(
+        source.clone(),
+        crashes.clone(),
+        gateway.refused,
+        watch::Sender::new(Vec::new()).subscribe(),
+        gateway.chain.metrics.clone(),
+    ));
+    let written = [0, 1, 2].map(|incarnation| mark(incarnation, Kind::Died));
+    crashes.apply_kept_marks(&written);
+    if lapse == Lapse::SourceAway {
+        source.state.lock().unwrap().failures = 3;
+    }
+    if lapse == Lapse::FinderEnded {
+        let (node, data_centre) = (id::Node::from("n"), id::DataCentre::from("dc"));
+        let told = [0, 1, 2].map(|incarnation| mark(incarnation, Kind::Withdrawn));
+        crashes.apply_marks(&node, &data_centre, &told);
+    } else {
+        crashes.record_answered(&Subject::from(fatal()), true);
+    }
+    sleep(Duration::from_secs(20)).await;
+    if matches!(lapse, Lapse::LateWrite | Lapse::OlderCopy) {
+        source.state.lock().unwrap().kept.clear();
+        if lapse == Lapse::LateWrite {
+            crashes.apply_kept_marks(&written);
+        } else {
+            crashes.replace_kept_marks(&written, false);
+        }
+        sleep(Duration::from_secs(20)).await;
+    }
+    let kept = source.kept();
+    let (fingerprint, marks) = kept.last().expect("the withdrawal is written");
+    assert_eq!(*fingerprint, fatal());
+    assert_eq!(marks.len(), 3);
+    assert!(marks.iter().all(|mark| mark.kind == Kind::Withdrawn));
+}
+
+/// Nothing is written of requests of which nothing is kept, nor again of those whose
+/// withdrawal is kept: calls of the source are limited for all nodes together.
+#[tokio::test(start_paused = true)]
+async fn a_withdrawal_is_written_only_where_it_is_missing() {
+    let source = Kept::default();
+    let gateway = Gateway::start(Some(plan()), &[]).await;
+    let crashes = &gateway.chain.crashes;
+    tell_of_deaths(&gateway);
+    tokio::spawn(controller::quarantine::keep(
+        source.clone(),
+        crashes.clone(),
+        gateway.refused,
+        watch::Sender::new(Vec::new()).subscribe(),
+        gateway.chain.metrics.clone(),
+    ));
+    crashes.record_answered(&Subject::from(fatal()), true);
+    sleep(Duration::from_mins(1)).await;
+    assert_eq!(source.kept().len(), 0, "nothing was kept");
+    let withdrawn = [0, 1, 2].map(|incarnation| mark(incarnation, Kind::Withdrawn));
+    crashes.apply_kept_marks(&withdrawn);
+    sleep(Duration::from_mins(1)).await;
+    assert_eq!(source.kept().len(), 0, "it is kept");
+}
--- a/lib/src/crash.rs
+++ b/lib/src/crash.rs
@@ -514,6 +514,18 @@
         self.register.evidence(now, fingerprint)
     }
 
+    /// Returns everything that is known of a request, also what was withdrawn.
+    #[must_use]
+    pub fn records(&self, now: time::Instant, fingerprint: id::Fingerprint) -> Vec<Mark> {
+        self.register.records(now, fingerprint)
+    }
+
+    /// Returns whether this node knows something later of the death that a mark names.
+    #[must_use]
+    pub fn is_outdated(&self, now: time::Instant, mark: &Mark) -> bool {
+        self.register.is_outdated(now, mark)
+    }
+
     /// Applies a mark received from another node; returns the change, if there is
     /// one.
     pub fn apply_mark(&mut self, now: time::Instant, mark: Mark) -> Option<Change> {
--- a/lib/src/suspicion.rs
+++ b/lib/src/suspicion.rs
@@ -427,6 +427,21 @@
         changed
     }
 
+    /// Returns whether this node knows something later of the death that a mark names.
+    #[must_use]
+    pub fn is_outdated(&self, now: time::Instant, mark: &Mark) -> bool {
+        let known = self.suspicions.get(&(mark.fingerprint, mark.incarnation));
+        known.is_some_and(|known| known.expires > now && known.kind > mark.kind)
+    }
+
+    /// Returns everything that is known of a request, also what was withdrawn.
+    #[must_use]
+    pub fn records(&self, now: time::Instant, fingerprint: id::Fingerprint) -> Vec<Mark> {
+        let known = self.suspicions.range(keys(fingerprint));
+        let current = known.filter(|(_, known)| known.expires > now);
+        current.map(|(key, known)| known.mark(now, *key)).collect()
+    }
+
     /// Returns what this node believes of a request or part; `None` if nothing is held
     /// against it.
     #[must_use]
