suspicion: refuse for what is inherited from the start

Cause: a part is refused half a second after the death that decides became known, so that others can withdraw it. A node that starts counted that from its own start.

Evidence: all endpoints ended within half a second of a start; the directory is read before a node is ready. The test in lib fails before, too.

Why it works: what is kept was refused before it was written, so that the time for withdrawals has passed. Deaths that are found out or told later wait as before.

--- a/lib/src/suspicion.rs
+++ b/lib/src/suspicion.rs
@@ -233,7 +233,10 @@
     fn part_refused_for(&self, now: time::Instant, part: id::Fingerprint) -> Option<Duration> {
         let mut deaths = self.unexplained(now, part);
         deaths.sort_unstable_by_key(|known| known.since);
-        if now.since(deaths.get(PART_LOSSES - 1)?.since) < WITHDRAWAL_TIME {
+        let decisive = deaths.get(PART_LOSSES - 1)?;
+        // What was written was refused before, and others had time to withdraw it.
+        let is_news = decisive.source != Source::Inherited;
+        if is_news && now.since(decisive.since) < WITHDRAWAL_TIME {
             return None;
         }
         let needed = if deaths.len() >= CONFIRMING_PART_LOSSES {
--- a/lib/tests/test_part.rs
+++ b/lib/tests/test_part.rs
@@ -373,3 +373,33 @@
     assert_eq!(evidence.oldest.as_millis(), 900);
     assert!(evidence.newest.as_millis() < 600);
 }
+
+/// Deaths of the part `bad` that a node reads when it starts.
+fn kept_deaths(count: u64) -> Vec<Mark> {
+    let mut marks = Vec::new();
+    for incarnation in 0..count {
+        marks.push(Mark {
+            fingerprint: part("bad"),
+            incarnation: id::Incarnation(incarnation),
+            kind: Kind::Died,
+            valid: SUSPICION_TTL,
+        });
+    }
+    marks
+}
+
+/// Starts a node that reads what the key-value service keeps.
+fn heir(millis: u64, marks: &[Mark]) -> Detector {
+    let mut detector = Detector::default();
+    for mark in marks {
+        detector.inherit_mark(at(millis), *mark);
+    }
+    detector
+}
+
+/// Guards against BUDGET: what nodes inherit is in force from their start.
+#[rstest]
+fn an_inherited_suspicion_is_in_force_at_once(#[values(3, 5)] count: u64) {
+    let detector = heir(0, &kept_deaths(count));
+    assert_eq!(refused(&detector, 0, &["bad"]), Some(part("bad")));
+}
