quarantine: nodes agree on trials of what they inherited

Callers saw: where the key-value service keeps a suspicion that was withdrawn, every request with the part is refused by all nodes that started since, until the lease of ten minutes ends.

Cause: a part at three or four deaths is tried only by nodes that found out a death themselves, and what is refused for certain is never tried. After a start of all nodes none has found out anything.

Evidence: refusals have source=inherited at all nodes.

Why it works: five seconds after its start, when every living node that knows better has said so, a node may claim a trial, which is a key that is created once. The request that waits for the claim is sent, and its answer withdraws the suspicions at all nodes and in the store. There are two trials in ten minutes for the whole fleet, whatever is killed; without the store there is none.

Refused callers are told to come back for the trial and not after ten minutes.

--- a/gateway/src/acceptance.rs
+++ b/gateway/src/acceptance.rs
@@ -75,7 +75,8 @@
             refused.with_retry_after(DEFAULT_RETRY_AFTER)
         })?;
         let subject = self.subject(&parts, &head, &body);
-        self.check_quarantine(&head.correlation_id, &subject)?;
+        self.check_quarantine(&head.correlation_id, &subject)
+            .await?;
         let time_limit = head
             .remaining
             .map_or(route.timeout, |remaining| remaining.min(route.timeout));
@@ -179,12 +180,16 @@
     }
 
     /// Refuses requests that are known to crash endpoints, or whose prompts have a part
-    /// that is.
-    fn check_quarantine(&self, correlation_id: &str, subject: &Subject) -> Result<(), Refused> {
+    /// that is, unless this one is a trial.
+    async fn check_quarantine(
+        &self,
+        correlation_id: &str,
+        subject: &Subject,
+    ) -> Result<(), Refused> {
         let refused = self
             .crashes
             .read(|detector, now| detector.refused(now, subject));
-        if refused.is_none() {
+        if refused.is_none() || self.crashes.obtain_trials(subject).await {
             return Ok(());
         }
         Err(self.refuse_quarantined(correlation_id, subject, false))
--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -229,11 +229,14 @@
         subject: &Subject,
         may_have_run: bool,
     ) -> Refused {
-        let (fingerprint, refused_for, count, evidence) = self.crashes.read(|detector, now| {
+        let (fingerprint, refused_for, retry_after) = self.crashes.read(|detector, now| {
             let refused = detector.refused(now, subject).unwrap_or(subject.request);
             let refused_for = detector.refused_for(now, refused);
-            let count = detector.count(now, refused);
-            (refused, refused_for, count, detector.evidence(now, refused))
+            (refused, refused_for, detector.retry_after(now, refused))
+        });
+        let (count, evidence) = self.crashes.read(|detector, now| {
+            let count = detector.count(now, fingerprint);
+            (count, detector.evidence(now, fingerprint))
         });
         tracing::info!(
             id = correlation_id,
@@ -245,6 +248,8 @@
             source = evidence.map(|evidence| tracing::field::display(evidence.source)),
             known_ms = evidence.map(|evidence| millis(evidence.oldest)),
             newest_ms = evidence.map(|evidence| millis(evidence.newest)),
+            trials = evidence.map(|evidence| evidence.trials),
+            next_trial_ms = evidence.and_then(|evidence| evidence.next_trial.map(millis)),
             may_have_run,
             "request not sent: it may crash endpoints"
         );
@@ -257,7 +262,7 @@
         }
         Refused::from_core(refusal::Refusal {
             reason: refusal::Reason::Quarantine,
-            retry_after: refused_for.unwrap_or(SUSPECT_RETRY_AFTER),
+            retry_after: retry_after.unwrap_or(SUSPECT_RETRY_AFTER),
         })
     }
 
--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -257,6 +257,9 @@
         if let Origin::Source { is_first, .. } = origin {
             let crashes = &self.outputs.crashes;
             crashes.replace_kept_marks(&snapshot.marks, is_first);
+            for trial in snapshot.trials {
+                crashes.record_trial(trial, is_first);
+            }
         }
         let now = self.outputs.clock.now();
         for (name, entry) in &snapshot.endpoints {
@@ -322,6 +325,7 @@
             Change::QuarantineEnded(fingerprint) => {
                 self.outputs.crashes.record_kept_end(fingerprint);
             }
+            Change::Tried(trial) => self.outputs.crashes.record_trial(trial, false),
             Change::NodeRemoved(name) => {
                 if self.nodes.remove(&name) {
                     tracing::info!(node = %name, "registration of a node ended");
--- a/gateway/src/controller/quarantine.rs
+++ b/gateway/src/controller/quarantine.rs
@@ -1,5 +1,5 @@
 //! Keeps what is known of refused requests in the source, so that it outlives the nodes
-//! that found it out.
+//! that found it out, and claims the trials of these requests.
 
 use std::{
     collections::{BTreeSet, VecDeque},
@@ -19,7 +19,7 @@
 
 use crate::{
     crashes,
-    directory::{Node, Source},
+    directory::{Claim, Node, Source},
     era::wait_for_turn,
     metrics::Metrics,
 };
@@ -114,6 +114,48 @@
     }
 }
 
+/// Claims each trial that is received for the node that makes this `claim`; ends with the
+/// channel.
+pub async fn claim_trials<S: Source>(
+    source: S,
+    crashes: crashes::Handle,
+    mut claims: mpsc::Receiver<crashes::Claim>,
+    claim: Claim,
+    metrics: Metrics,
+) {
+    while let Some(crashes::Claim { trial, reply }) = claims.recv().await {
+        metrics.store_calls.inc();
+        let result = source.claim_trial(trial, &claim).await;
+        let is_granted = matches!(result, Ok(true));
+        match &result {
+            Ok(is_granted) => {
+                crashes.record_claim(trial, *is_granted);
+                tracing::info!(
+                    fingerprint = %trial.fingerprint,
+                    number = trial.number,
+                    is_granted,
+                    "trial of a refused request claimed"
+                );
+            }
+            Err(error) => {
+                metrics.store_failures.inc();
+                tracing::info!(
+                    fingerprint = %trial.fingerprint,
+                    number = trial.number,
+                    %error,
+                    "trial of a refused request not claimed"
+                );
+            }
+        }
+        // The request may have ended in the meantime.
+        let _ended = reply.send(is_granted);
+        if result.is_err() {
+            sleep(RETRY_DELAY).await;
+        }
+        crashes.end_claim(trial);
+    }
+}
+
 /// Result of a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
--- a/gateway/src/crashes.rs
+++ b/gateway/src/crashes.rs
@@ -1,20 +1,24 @@
 //! Follows requests at endpoints, to find those that crash them.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use dottereltally::clock::Clock;
 use dottereltally_lib::{
-    crash::{self, Change, Detector, Subject},
+    crash::{self, Change, Detector, Subject, Trial},
     dispatcher::Choice,
     id,
     quarantine::Verdict,
-    suspicion::Mark,
+    suspicion::{Mark, Source},
     time,
 };
-use tokio::sync::{Notify, mpsc};
+use tokio::{
+    sync::{Notify, mpsc, oneshot},
+    time::timeout,
+};
 
 use crate::{
     metrics::{Evidence, Metrics},
@@ -39,9 +43,24 @@
 /// Most refused requests that wait to be kept in the key-value service.
 const MAX_REFUSED: usize = 256;
 
+/// Most trials that wait to be claimed.
+const MAX_CLAIMS: usize = 16;
+
+/// Time that a request waits for the claim of its trial.
+const CLAIM_LIMIT: Duration = Duration::from_millis(300);
+
 /// Most refused requests of which it is known what the key-value service keeps.
 const MAX_KEPT: usize = 4096;
 
+/// A trial to claim.
+#[derive(Debug)]
+pub struct Claim {
+    /// The trial.
+    pub trial: Trial,
+    /// Receives whether this node may use it.
+    pub reply: oneshot::Sender<bool>,
+}
+
 /// What the detector leaves to other tasks.
 pub struct Tasks {
     /// The endpoints to examine; each is named once until its examination has ended.
@@ -49,6 +68,8 @@
     /// The requests that this node refuses from now on, to be kept in the key-value
     /// service, and those that it does not refuse any more although they are kept.
     pub refused: mpsc::Receiver<id::Fingerprint>,
+    /// The trials that this node claims for requests that wait for them.
+    pub claims: mpsc::Receiver<Claim>,
 }
 
 struct Shared {
@@ -57,6 +78,9 @@
     metrics: Metrics,
     lost: mpsc::UnboundedSender<Target>,
     refused: mpsc::Sender<id::Fingerprint>,
+    claims: mpsc::Sender<Claim>,
+    /// Trials that this node is claiming.
+    claiming: Mutex<BTreeSet<Trial>>,
     /// What the key-value service keeps, as last read.
     kept: Mutex<BTreeMap<id::Fingerprint, Vec<Mark>>>,
     /// Signalled when this node found out a death.
@@ -75,18 +99,22 @@
     pub fn new(clock: Clock, metrics: Metrics) -> (Self, Tasks) {
         let (lost, lost_receiver) = mpsc::unbounded_channel();
         let (refused, refused_receiver) = mpsc::channel(MAX_REFUSED);
+        let (claims, claims_receiver) = mpsc::channel(MAX_CLAIMS);
         let shared = Arc::new(Shared {
             detector: Mutex::default(),
             clock,
             metrics,
             lost,
             refused,
+            claims,
+            claiming: Mutex::default(),
             kept: Mutex::default(),
             news: Notify::new(),
         });
         let tasks = Tasks {
             lost: lost_receiver,
             refused: refused_receiver,
+            claims: claims_receiver,
         };
         (Self { shared }, tasks)
     }
@@ -255,6 +283,54 @@
         outdated
     }
 
+    /// Records that some node claimed a trial, as read from the key-value service, perhaps
+    /// when this node started.
+    pub fn record_trial(&self, trial: Trial, is_start: bool) {
+        let now = self.shared.clock.now();
+        let source = if is_start {
+            Source::Inherited
+        } else {
+            Source::Reported
+        };
+        self.lock().record_trial(now, trial, source);
+    }
+
+    /// Claims the trials that a refused request needs; returns whether it may be sent. A
+    /// claim that takes too long goes on, for a later request.
+    pub async fn obtain_trials(&self, subject: &Subject) -> bool {
+        let claimable = self.read(|detector, now| detector.claimable(now, subject));
+        for trial in claimable.unwrap_or_default() {
+            if !lock(&self.shared.claiming).insert(trial) {
+                return false;
+            }
+            let (reply, replied) = oneshot::channel();
+            if self.shared.claims.try_send(Claim { trial, reply }).is_err() {
+                lock(&self.shared.claiming).remove(&trial);
+                tracing::warn!(fingerprint = %trial.fingerprint, "trial of a refused request not claimed: too many wait");
+                return false;
+            }
+            if !matches!(timeout(CLAIM_LIMIT, replied).await, Ok(Ok(true))) {
+                return false;
+            }
+        }
+        self.read(|detector, now| detector.refused(now, subject).is_none())
+    }
+
+    /// Records whether a claim gave a trial to this node, or to another one.
+    pub fn record_claim(&self, trial: Trial, is_granted: bool) {
+        let now = self.shared.clock.now();
+        if is_granted {
+            self.lock().grant(now, trial);
+        } else {
+            self.lock().record_trial(now, trial, Source::Reported);
+        }
+    }
+
+    /// Records that a claim has ended, also if its result is not known.
+    pub fn end_claim(&self, trial: Trial) {
+        lock(&self.shared.claiming).remove(&trial);
+    }
+
     /// Applies marks of other nodes, with the cause for the log.
     fn take_over(&self, marks: &[Mark], cause: &str) {
         self.take_over_by(marks, cause, Detector::apply_mark);
--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -4,6 +4,7 @@
 use std::{collections::BTreeMap, future::Future, time::Duration};
 
 use dottereltally_lib::{
+    crash::Trial,
     endpoint,
     era::{Era, Revision},
     id,
@@ -180,6 +181,15 @@
     }
 }
 
+/// Names the process that claims a trial.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// Its node.
+    pub node: id::Node,
+    /// Random number of the process, so that it recognises its own claims.
+    pub process: u64,
+}
+
 /// A change of the directory.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
@@ -197,6 +207,8 @@
     Quarantined(Vec<Mark>),
     /// The suspicions against a request are no longer kept.
     QuarantineEnded(id::Fingerprint),
+    /// A node claimed the trial of a refused request.
+    Tried(Trial),
     /// An operator ordered a roll-out.
     Ordered(Spec),
     /// The order for a service was removed.
@@ -226,6 +238,9 @@
     /// are not sent here.
     #[serde(skip)]
     pub marks: Vec<Mark>,
+    /// The trials that nodes claimed; only a node that reads the source can claim one.
+    #[serde(skip)]
+    pub trials: Vec<Trial>,
     /// The orders of roll-outs.
     #[serde(default, with = "orders", skip_serializing_if = "Vec::is_empty")]
     pub orders: Vec<Spec>,
@@ -299,6 +314,18 @@
         marks: &[Mark],
     ) -> impl Future<Output = Result<(), Error>> + Send;
 
+    /// Claims a trial for the node that makes this `claim`; returns whether it is that of
+    /// this node, also if an earlier call that failed had claimed it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service can't be reached or does not answer in time.
+    fn claim_trial(
+        &self,
+        trial: Trial,
+        claim: &Claim,
+    ) -> impl Future<Output = Result<bool, Error>> + Send;
+
     /// Replaces the record of a roll-out, and the status that operators read, if neither
     /// the record nor the order changed since they were read. Returns the record that the
     /// source has then, which is another one if another node was faster or the order
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -164,6 +164,34 @@
     }
 }
 
+/// Starts the tasks of the detector of crashing requests.
+fn start_detector<D: Dialect, S: Source>(
+    settings: &Settings,
+    source: &S,
+    chain: &Arc<Chain<D>>,
+    channels: &Channels,
+    tasks: crashes::Tasks,
+) {
+    tokio::spawn(examiner::run(Arc::clone(chain), tasks.lost));
+    tokio::spawn(controller::quarantine::keep(
+        source.clone(),
+        chain.crashes.clone(),
+        tasks.refused,
+        channels.nodes.subscribe(),
+        chain.metrics.clone(),
+    ));
+    tokio::spawn(controller::quarantine::claim_trials(
+        source.clone(),
+        chain.crashes.clone(),
+        tasks.claims,
+        directory::Claim {
+            node: settings.node.clone(),
+            process: rand::random(),
+        },
+        chain.metrics.clone(),
+    ));
+}
+
 /// Runs a gateway until shutdown; must run in a local task set.
 ///
 /// # Errors
@@ -192,14 +220,7 @@
     let channels = Channels::default();
     let (chain, tasks) = build_chain(&settings, adapters.dialect, &channels, &metrics);
     let chain = Arc::new(chain);
-    tokio::spawn(examiner::run(Arc::clone(&chain), tasks.lost));
-    tokio::spawn(controller::quarantine::keep(
-        adapters.source.clone(),
-        chain.crashes.clone(),
-        tasks.refused,
-        channels.nodes.subscribe(),
-        metrics.clone(),
-    ));
+    start_detector(&settings, &adapters.source, &chain, &channels, tasks);
     let own_node = directory::Node {
         name: settings.node.clone(),
         address: settings.listen.heartbeats.to_string(),
--- a/gateway/tests/common/directory.rs
+++ b/gateway/tests/common/directory.rs
@@ -11,12 +11,13 @@
     admission,
     controller::{self, Controller, Outputs, PollInterval},
     crashes,
-    directory::{self, Change, Changes, Entry, Lease, Node, Replacement, Snapshot, Source},
+    directory::{self, Change, Changes, Claim, Entry, Lease, Node, Replacement, Snapshot, Source},
     era::{self, Announcement},
     metrics::Metrics,
     origins, rollout, view,
 };
 use dottereltally_lib::{
+    crash::Trial,
     dispatcher::{Dispatcher, Settings},
     endpoint::{Record, Standing},
     era::Revision,
@@ -341,6 +342,10 @@
         Ok(())
     }
 
+    async fn claim_trial(&self, _: Trial, _: &Claim) -> Result<bool, Error> {
+        Ok(false)
+    }
+
     async fn register(&self, _: &Node, _: Duration) -> Result<Lease, Error> {
         Ok(Lease {
             id: kv::Lease(1),
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -479,6 +479,8 @@
     pub plan: watch::Sender<Option<Arc<Plan>>>,
     /// The requests that the node refuses from now on.
     pub refused: mpsc::Receiver<id::Fingerprint>,
+    /// The trials that the node claims.
+    pub claims: mpsc::Receiver<crashes::Claim>,
 }
 
 impl Gateway {
@@ -580,6 +582,7 @@
             chain,
             plan,
             refused: tasks.refused,
+            claims: tasks.claims,
         }
     }
 
--- a/gateway/tests/test_kept_quarantine.rs
+++ b/gateway/tests/test_kept_quarantine.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::{
+    collections::BTreeMap,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -17,11 +18,11 @@
     chain::Chain,
     controller::{self, Controller, Message, Outputs},
     dialect::Head,
-    directory::{Change, Changes, Lease, Node, Record, Replacement, Snapshot, Source},
+    directory::{Change, Changes, Claim, Lease, Node, Record, Replacement, Snapshot, Source},
     era,
 };
 use dottereltally_lib::{
-    crash::Subject,
+    crash::{Subject, Trial},
     era::{Era, Revision},
     id,
     quarantine::Verdict,
@@ -46,6 +47,10 @@
 struct State {
     failures: usize,
     kept: Vec<(id::Fingerprint, Vec<Mark>)>,
+    /// The process that claimed each trial.
+    claims: BTreeMap<Trial, u64>,
+    /// Claims that are made although their answers are lost.
+    lost_claims: usize,
 }
 
 impl Kept {
@@ -85,6 +90,20 @@
         Ok(())
     }
 
+    async fn claim_trial(&self, trial: Trial, claim: &Claim) -> Result<bool, Error> {
+        let mut state = self.state.lock().unwrap();
+        if state.failures > 0 {
+            state.failures -= 1;
+            return Err(Error::Lost("the service is away".to_owned()));
+        }
+        let claimed = *state.claims.entry(trial).or_insert(claim.process);
+        if state.lost_claims > 0 {
+            state.lost_claims -= 1;
+            return Err(Error::Lost("the answer was lost".to_owned()));
+        }
+        Ok(claimed == claim.process)
+    }
+
     async fn register(&self, _: &Node, _: Duration) -> Result<Lease, Error> {
         Ok(Lease {
             id: kv::Lease(1),
@@ -356,3 +375,63 @@
     sleep(Duration::from_mins(1)).await;
     assert_eq!(source.kept().len(), 0, "it is kept");
 }
+
+/// A gateway that inherits three deaths, and claims trials of `source`.
+async fn start_heir(source: &Kept, process: u64) -> Gateway {
+    let mut gateway = Gateway::start(Some(plan()), &[]).await;
+    let (_, claims) = mpsc::channel(1);
+    tokio::spawn(controller::quarantine::claim_trials(
+        source.clone(),
+        gateway.chain.crashes.clone(),
+        std::mem::replace(&mut gateway.claims, claims),
+        Claim {
+            node: id::Node::from("n"),
+            process,
+        },
+        gateway.chain.metrics.clone(),
+    ));
+    let marks = [0, 1, 2].map(|incarnation| mark(incarnation, Kind::Died));
+    gateway.chain.crashes.replace_kept_marks(&marks, true);
+    gateway
+}
+
+/// Guards against RECOVER: nothing can disprove what nodes inherit, so that they agree on
+/// one request that is sent all the same.
+#[rstest]
+#[case::source_answers(0, 0)]
+#[case::source_is_away_at_first(3, 0)]
+#[case::answer_to_the_claim_is_lost(0, 1)]
+#[tokio::test(start_paused = true)]
+async fn nodes_that_inherit_a_suspicion_agree_on_a_trial(
+    #[case] failures: usize,
+    #[case] lost_claims: usize,
+) {
+    let source = Kept::default();
+    source.state.lock().unwrap().failures = failures;
+    source.state.lock().unwrap().lost_claims = lost_claims;
+    let mut heirs = Vec::new();
+    for process in 0..4 {
+        heirs.push(start_heir(&source, process).await);
+    }
+    let subject = Subject::from(fatal());
+    for heir in &heirs {
+        let crashes = &heir.chain.crashes;
+        assert!(
+            !crashes.obtain_trials(&subject).await,
+            "others may know better"
+        );
+    }
+    sleep(Duration::from_secs(6)).await;
+    let mut granted = 0;
+    for _ in 0..10 {
+        for heir in &heirs {
+            let crashes = &heir.chain.crashes;
+            let is_refused = crashes.read(|detector, now| detector.refused(now, &subject));
+            if is_refused.is_some() {
+                granted += usize::from(crashes.obtain_trials(&subject).await);
+            }
+        }
+        sleep(Duration::from_millis(700)).await;
+    }
+    assert_eq!(granted, 1);
+}
--- a/gateway/tests/test_registration.rs
+++ b/gateway/tests/test_registration.rs
@@ -7,11 +7,12 @@
 
 use dottereltally_gateway::{
     controller::Registration,
-    directory::{Changes, Lease, Node, Record, Replacement, Snapshot, Source},
+    directory::{Changes, Claim, Lease, Node, Record, Replacement, Snapshot, Source},
     era::{self, Announcement},
     metrics::Metrics,
 };
 use dottereltally_lib::{
+    crash::Trial,
     era::{Era, Revision},
     id,
     suspicion::Mark,
@@ -75,6 +76,10 @@
         unreachable!("a registration keeps no suspicions")
     }
 
+    async fn claim_trial(&self, _: Trial, _: &Claim) -> Result<bool, Error> {
+        unreachable!("a registration claims no trial")
+    }
+
     async fn register(&self, _: &Node, _: Duration) -> Result<Lease, Error> {
         let era = self.answer();
         let mut state = self.state.lock().unwrap();
--- a/lib/src/crash.rs
+++ b/lib/src/crash.rs
@@ -18,7 +18,10 @@
     answered::Memory,
     id,
     quarantine::Verdict,
-    suspicion::{CONFIRMING_PART_LOSSES, Count, Evidence, Kind, Mark, Register, SUSPICION_TTL},
+    suspicion::{
+        CONFIRMING_PART_LOSSES, Count, Evidence, Kind, Mark, Register, SUSPICION_TTL, Source,
+        TRIAL_TTL,
+    },
     time,
 };
 
@@ -120,6 +123,15 @@
     examined: bool,
 }
 
+/// A trial that the nodes must agree on before a refused request is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Trial {
+    /// The request, or the part that stands for those at the same deaths.
+    pub fingerprint: id::Fingerprint,
+    /// Number of the trial; each number is given to one node.
+    pub number: u32,
+}
+
 /// A change of what is known about a request or a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Change {
@@ -162,6 +174,8 @@
     dead: BTreeMap<id::Incarnation, time::Instant>,
     /// While the directory can't be read, restarts go unnoticed.
     directory: Directory,
+    /// Until when this node may use each trial that it claimed.
+    trials: BTreeMap<id::Fingerprint, time::Instant>,
 }
 
 /// Whether the directory can be read.
@@ -191,29 +205,110 @@
         self.register.refused_for(now, fingerprint)
     }
 
+    /// Returns after how long the caller of a refused request should come back; `None` if
+    /// it is not refused.
+    #[must_use]
+    pub fn retry_after(
+        &self,
+        now: time::Instant,
+        fingerprint: id::Fingerprint,
+    ) -> Option<Duration> {
+        self.register.retry_after(now, fingerprint)
+    }
+
     /// Returns what is known to crash endpoints: the request, or a part of its prompt;
-    /// `None` if it may be sent.
+    /// `None` if it may be sent, also as a trial that this node claimed.
     ///
     /// Where several parts were at the same deaths, a request with only some of them may
     /// be sent: it is answered, or leaves fewer parts in question.
     #[must_use]
     pub fn refused(&self, now: time::Instant, subject: &Subject) -> Option<id::Fingerprint> {
+        let mut all = subject.all();
+        all.find(|fingerprint| {
+            let refused = self.refused_as(now, subject, *fingerprint);
+            refused.is_some_and(|tried| !self.may_try(now, tried))
+        })
+    }
+
+    /// Returns what must be tried before a request may be sent for which this request or
+    /// part is refused: itself, or the part that stands for those at the same deaths.
+    /// `None` if it is not refused.
+    fn refused_as(
+        &self,
+        now: time::Instant,
+        subject: &Subject,
+        fingerprint: id::Fingerprint,
+    ) -> Option<id::Fingerprint> {
+        if self.verdict(now, fingerprint) != Verdict::Confirmed {
+            return None;
+        }
+        if !fingerprint.is_part() {
+            return Some(fingerprint);
+        }
+        let mut first = fingerprint;
+        for co_suspect in self.register.co_suspects(now, fingerprint) {
+            if !subject.parts.contains(&co_suspect) {
+                return None;
+            }
+            first = first.min(co_suspect);
+        }
+        Some(first)
+    }
+
+    /// Returns whether this node may use a trial that it claimed.
+    fn may_try(&self, now: time::Instant, fingerprint: id::Fingerprint) -> bool {
+        self.trials
+            .get(&fingerprint)
+            .is_some_and(|until| *until > now)
+    }
+
+    /// Returns the trials that must be claimed so that a refused request may be sent;
+    /// `None` if it is refused for something that can't be tried now.
+    #[must_use]
+    pub fn claimable(&self, now: time::Instant, subject: &Subject) -> Option<BTreeSet<Trial>> {
+        let mut trials = BTreeSet::new();
         for fingerprint in subject.all() {
-            if self.verdict(now, fingerprint) != Verdict::Confirmed {
+            let Some(fingerprint) = self.refused_as(now, subject, fingerprint) else {
+                continue;
+            };
+            if self.may_try(now, fingerprint) {
                 continue;
             }
-            if !fingerprint.is_part() {
-                return Some(fingerprint);
-            }
-            let co_suspects = self.register.co_suspects(now, fingerprint);
-            if co_suspects
-                .iter()
-                .all(|co_suspect| subject.parts.contains(co_suspect))
-            {
-                return Some(fingerprint);
+            let number = self.register.next_trial(now, fingerprint)?;
+            trials.insert(Trial {
+                fingerprint,
+                number,
+            });
+        }
+        Some(trials)
+    }
+
+    /// Ends the trials that a request uses which is sent now.
+    fn use_trials(&mut self, now: time::Instant, subject: &Subject) {
+        if self.trials.is_empty() {
+            return;
+        }
+        for fingerprint in subject.all() {
+            if let Some(tried) = self.refused_as(now, subject, fingerprint) {
+                self.trials.remove(&tried);
             }
         }
-        None
+    }
+
+    /// Records that this node claimed a trial; the next request that is refused for it is
+    /// sent.
+    pub fn grant(&mut self, now: time::Instant, trial: Trial) {
+        self.trials.insert(trial.fingerprint, now + TRIAL_TTL);
+        self.record_trial(now, trial, Source::Reported);
+    }
+
+    /// Records that some node claimed a trial.
+    pub fn record_trial(&mut self, now: time::Instant, trial: Trial, source: Source) {
+        let Trial {
+            fingerprint,
+            number,
+        } = trial;
+        self.register.record_trial(now, fingerprint, number, source);
     }
 
     /// Records that a request is about to be sent to an endpoint.
@@ -235,12 +330,7 @@
             return Err(Verdict::Confirmed);
         }
         let verdict = self.verdict(now, fingerprint);
-        let refused = match verdict {
-            Verdict::Clear => false,
-            Verdict::Suspect => self.is_unsettled(fingerprint),
-            Verdict::Confirmed => true,
-        };
-        if refused {
+        if verdict != Verdict::Clear && self.is_unsettled(fingerprint) {
             return Err(verdict);
         }
         for part in subject.parts.iter() {
@@ -251,6 +341,7 @@
         for fingerprint in subject.all() {
             *self.running.entry(fingerprint).or_default() += 1;
         }
+        self.use_trials(now, &subject);
         Ok(Attempt {
             subject,
             endpoint: endpoint.clone(),
@@ -592,6 +683,7 @@
         self.losses.retain(|loss| now.since(loss.at) < LOSS_TTL);
         self.heard.retain(|_, at| now.since(*at) < LOSS_TTL);
         self.dead.retain(|_, died| now.since(*died) < SUSPICION_TTL);
+        self.trials.retain(|_, until| *until > now);
         mem::take(&mut self.dropped_losses) + self.register.take_dropped()
     }
 
--- a/lib/src/suspicion.rs
+++ b/lib/src/suspicion.rs
@@ -57,6 +57,23 @@
 /// others.
 const MAX_REPEATED: usize = 4;
 
+/// Time from the start of a node until it may try what it refuses for suspicions that it
+/// inherited only. Within that time, each node that knows of a withdrawal reports it.
+const INHERITED_TRIAL_DELAY: Duration = NEWS_TIME;
+
+/// Time from the last death until any node may try what is not refused for certain. The
+/// nodes that found out a death try it after [`TRIAL_DELAY`]; none of them may be left.
+const FLEET_TRIAL_DELAY: Duration = Duration::from_mins(1);
+
+/// Time for which a node may use a trial that it claimed.
+pub const TRIAL_TTL: Duration = Duration::from_secs(10);
+
+/// Time after which a refused caller comes back that may be the trial, or while it runs.
+const TRIAL_RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// Most trials that the nodes agree on, of one request or part, in [`SUSPICION_TTL`].
+pub const MAX_TRIALS: u32 = 2;
+
 /// Shortest validity of a suspicion that is taken over from another node. What
 /// expires here is thus not restored by a node on which it expires a little later.
 const MIN_VALIDITY: Duration = Duration::from_secs(1);
@@ -150,10 +167,24 @@
     pub oldest: Duration,
     /// Time since this node learnt of the last one.
     pub newest: Duration,
+    /// Number of trials that the nodes agreed on.
+    pub trials: u32,
+    /// Time until a trial may be claimed; `None` if there will be none.
+    pub next_trial: Option<Duration>,
 }
 
 type Key = (id::Fingerprint, id::Incarnation);
 
+/// The trials that the nodes agreed on, of one request or part.
+#[derive(Clone, Copy, Debug)]
+struct Trials {
+    made: u32,
+    /// When this node learnt of the last one.
+    since: time::Instant,
+    /// How this node learnt of the last one.
+    source: Source,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Suspicion {
     kind: Kind,
@@ -183,6 +214,7 @@
     dropped: u64,
     /// Whether this node passes on what others report.
     is_relaying: bool,
+    trials: BTreeMap<id::Fingerprint, Trials>,
 }
 
 impl Register {
@@ -244,7 +276,9 @@
         } else {
             PART_LOSSES
         };
-        let is_tried_here = deaths.iter().any(|known| known.source == Source::Own);
+        // Nodes that inherited deaths agree on trials.
+        let has_source = |source| deaths.iter().any(|known| known.source == source);
+        let is_tried_here = has_source(Source::Own) && !has_source(Source::Inherited);
         let until = if deaths.len() < CONFIRMING_PART_LOSSES && is_tried_here {
             deaths.last()?.since + TRIAL_DELAY
         } else {
@@ -445,6 +479,95 @@
         current.map(|(key, known)| known.mark(now, *key)).collect()
     }
 
+    /// Records that a node claimed the trial of this number, as read from the key-value
+    /// service.
+    pub fn record_trial(
+        &mut self,
+        now: time::Instant,
+        fingerprint: id::Fingerprint,
+        number: u32,
+        source: Source,
+    ) {
+        let known = self.trials.get(&fingerprint);
+        if known.is_some_and(|known| known.made >= number) {
+            return;
+        }
+        let trials = Trials {
+            made: number,
+            since: now,
+            source,
+        };
+        self.trials.insert(fingerprint, trials);
+        if self.trials.len() > MAX_SUSPICIONS {
+            self.trials.pop_first();
+        }
+    }
+
+    /// Returns the number of the trial that this node may claim now; `None` if there is
+    /// none.
+    ///
+    /// A trial is one request that is sent although it is refused. Its answer disproves
+    /// the suspicions, which nothing else may do: the nodes that knew of a withdrawal, or
+    /// would have tried it by themselves, may have ended.
+    #[must_use]
+    pub fn next_trial(&self, now: time::Instant, fingerprint: id::Fingerprint) -> Option<u32> {
+        self.refused_for(now, fingerprint)?;
+        let due = self.trial_due(now, fingerprint)?;
+        (due <= now).then(|| self.trials_made(fingerprint) + 1)
+    }
+
+    /// Returns when the next trial may be claimed; `None` if there will be none.
+    fn trial_due(&self, now: time::Instant, fingerprint: id::Fingerprint) -> Option<time::Instant> {
+        if self.trials_made(fingerprint) >= MAX_TRIALS {
+            return None;
+        }
+        let count = self.count(now, fingerprint);
+        let confirming = if fingerprint.is_part() {
+            CONFIRMING_PART_LOSSES
+        } else {
+            CONFIRMING_LOSSES
+        };
+        let is_certain = count.died + count.silent >= confirming;
+        let delay = |source| match source {
+            Source::Inherited => INHERITED_TRIAL_DELAY,
+            Source::Own | Source::Reported => FLEET_TRIAL_DELAY,
+        };
+        let last = self.trials.get(&fingerprint);
+        let mut due = last.map(|last| last.since + delay(last.source));
+        for known in self.valid(now, fingerprint) {
+            // A node that is left saw it, and would know of a withdrawal.
+            if is_certain && known.source != Source::Inherited {
+                return None;
+            }
+            due = due.max(Some(known.since + delay(known.source)));
+        }
+        due
+    }
+
+    /// Returns after how long a refused caller should come back: when the refusal ends, or
+    /// when a trial may have ended it. `None` if it is not refused.
+    #[must_use]
+    pub fn retry_after(
+        &self,
+        now: time::Instant,
+        fingerprint: id::Fingerprint,
+    ) -> Option<Duration> {
+        let refused_for = self.refused_for(now, fingerprint)?;
+        let last = self.trials.get(&fingerprint);
+        if last.is_some_and(|last| now.since(last.since) < TRIAL_TTL) {
+            return Some(refused_for.min(TRIAL_RETRY_DELAY));
+        }
+        let Some(due) = self.trial_due(now, fingerprint) else {
+            return Some(refused_for);
+        };
+        Some(refused_for.min(due.since(now).max(TRIAL_RETRY_DELAY)))
+    }
+
+    fn trials_made(&self, fingerprint: id::Fingerprint) -> u32 {
+        let trials = self.trials.get(&fingerprint);
+        trials.map_or(0, |trials| trials.made)
+    }
+
     /// Returns what this node believes of a request or part; `None` if nothing is held
     /// against it.
     #[must_use]
@@ -455,10 +578,13 @@
         let sources = [Source::Own, Source::Reported];
         let is_held = |source: &Source| known.iter().any(|known| known.source == *source);
         let source = sources.into_iter().find(is_held);
+        let due = self.trial_due(now, fingerprint);
         Some(Evidence {
             source: source.unwrap_or(Source::Inherited),
             oldest: now.since(oldest),
             newest: now.since(newest),
+            trials: self.trials_made(fingerprint),
+            next_trial: due.map(|due| due.since(now)),
         })
     }
 
@@ -563,6 +689,8 @@
             }
             is_kept
         });
+        self.trials
+            .retain(|_, trials| now.since(trials.since) < SUSPICION_TTL);
     }
 
     /// Drops the oldest suspicions beyond [`MAX_SUSPICIONS`].
--- a/lib/tests/test_part.rs
+++ b/lib/tests/test_part.rs
@@ -1,7 +1,9 @@
 //! Parts of prompts that crash endpoints.
 
+use std::collections::BTreeSet;
+
 use dottereltally_lib::{
-    crash::{Detector, Finding, Subject},
+    crash::{Detector, Finding, Subject, Trial},
     id::{self, Fingerprint},
     quarantine::Verdict,
     suspicion::{Kind, Mark, SUSPICION_TTL, Source},
@@ -12,6 +14,9 @@
 /// Time from a death until a part is refused for it.
 const WITHDRAWAL_MS: u64 = 500;
 
+/// Endpoints that may end of a part that is known to crash them.
+const MOST_ENDED: usize = 3;
+
 fn at(millis: u64) -> time::Instant {
     time::Instant::from_micros(millis * 1000)
 }
@@ -389,17 +394,164 @@
 }
 
 /// Starts a node that reads what the key-value service keeps.
-fn heir(millis: u64, marks: &[Mark]) -> Detector {
+fn heir(millis: u64, marks: &[Mark], claims: &BTreeSet<Trial>) -> Detector {
     let mut detector = Detector::default();
     for mark in marks {
         detector.inherit_mark(at(millis), *mark);
     }
+    for trial in claims {
+        detector.record_trial(at(millis), *trial, Source::Inherited);
+    }
     detector
 }
 
+/// Claims the trials that a request with the part needs, as the key-value service grants
+/// each of them once; returns whether it may be sent.
+fn try_at(detector: &mut Detector, millis: u64, claims: &mut BTreeSet<Trial>) -> bool {
+    let subject = subject(millis, &["bad"]);
+    let claimable = detector.claimable(at(millis), &subject);
+    for trial in claimable.unwrap_or_default() {
+        if claims.insert(trial) {
+            detector.grant(at(millis), trial);
+        } else {
+            detector.record_trial(at(millis), trial, Source::Reported);
+        }
+    }
+    detector.refused(at(millis), &subject).is_none()
+}
+
 /// Guards against BUDGET: what nodes inherit is in force from their start.
 #[rstest]
 fn an_inherited_suspicion_is_in_force_at_once(#[values(3, 5)] count: u64) {
-    let detector = heir(0, &kept_deaths(count));
+    let detector = heir(0, &kept_deaths(count), &BTreeSet::new());
     assert_eq!(refused(&detector, 0, &["bad"]), Some(part("bad")));
 }
+
+/// Guards against RECOVER: nothing but an answer can disprove what all nodes inherited.
+#[rstest]
+fn the_answer_to_a_trial_ends_an_inherited_refusal(#[values(3, 5)] count: u64) {
+    let marks = kept_deaths(count);
+    let mut claims = BTreeSet::new();
+    let mut one = heir(0, &marks, &claims);
+    let mut other = heir(0, &marks, &claims);
+    for millis in [100, 4900] {
+        assert!(
+            !try_at(&mut one, millis, &mut claims),
+            "others may know better"
+        );
+    }
+    assert!(try_at(&mut one, 5100, &mut claims));
+    assert!(
+        !try_at(&mut other, 5100, &mut claims),
+        "one trial for all nodes"
+    );
+    let attempt = one.start(at(5100), subject(1, &["bad"]), &endpoint(1));
+    let attempt = attempt.unwrap();
+    assert_eq!(
+        refused(&one, 5200, &["bad"]),
+        Some(part("bad")),
+        "one request"
+    );
+    one.finish(&attempt);
+    one.clear_parts(at(5300), &[part("bad")]);
+    share(&mut one, &mut other, 5400);
+    for detector in [&one, &other] {
+        assert_eq!(refused(detector, 6000, &["bad"]), None);
+    }
+}
+
+/// Guards against BUDGET: trials must not let a crashing part through, in however many
+/// nodes, and however often all of them are killed.
+#[rstest]
+fn trials_end_few_endpoints(#[values(8, 350)] nodes: usize, #[values(3, 5)] count: u64) {
+    let marks = kept_deaths(count);
+    let mut claims = BTreeSet::new();
+    let mut ended = 0;
+    for start in [0, 50_000, 100_000, 150_000, 300_000] {
+        let mut fleet = vec![heir(start, &marks, &claims); nodes];
+        for millis in (start..start + 50_000).step_by(500) {
+            for (number, detector) in fleet.iter_mut().enumerate() {
+                if !try_at(detector, millis, &mut claims) {
+                    continue;
+                }
+                let name = endpoint(millis * 1000 + u64::try_from(number).unwrap());
+                let attempt = detector.start(at(millis), subject(millis, &["bad"]), &name);
+                detector.lose(at(millis + 1), attempt.unwrap());
+                detector.conclude(at(millis + 2), &name, at(millis + 1), Finding::Dead);
+                ended += 1;
+            }
+        }
+    }
+    assert!(ended >= 1, "a trial was made");
+    assert!(ended <= MOST_ENDED, "{ended} endpoints ended");
+}
+
+/// Guards against RECOVER: the nodes that found out the deaths, and would try the part, may
+/// be gone, while others that were told are left.
+#[test]
+fn a_node_that_was_told_tries_a_part_that_no_other_has_tried() {
+    let mut told = Detector::default();
+    for mark in kept_deaths(3) {
+        told.apply_mark(at(0), mark);
+    }
+    let mut claims = BTreeSet::new();
+    assert!(
+        !try_at(&mut told, 50_000, &mut claims),
+        "left to those that found it out"
+    );
+    assert!(try_at(&mut told, 61_000, &mut claims));
+}
+
+/// A node that knows of the deaths for certain from living nodes would hear of a withdrawal.
+#[test]
+fn a_node_that_was_told_for_certain_makes_no_trial() {
+    let mut told = Detector::default();
+    for mark in kept_deaths(5) {
+        told.apply_mark(at(0), mark);
+    }
+    let mut claims = BTreeSet::new();
+    for millis in (0..500_000).step_by(10_000) {
+        assert!(!try_at(&mut told, millis + 1000, &mut claims));
+    }
+}
+
+/// Parts that were at the same deaths are disproved by one trial.
+#[test]
+fn parts_at_the_same_deaths_need_one_trial() {
+    let mut marks = kept_deaths(3);
+    for mark in kept_deaths(3) {
+        let fingerprint = part("a150");
+        marks.push(Mark {
+            fingerprint,
+            ..mark
+        });
+    }
+    let mut detector = heir(0, &marks, &BTreeSet::new());
+    let both = subject(1, &["bad", "a150"]);
+    let claimable = detector.claimable(at(6000), &both).unwrap();
+    assert_eq!(claimable.len(), 1);
+    for trial in claimable {
+        detector.grant(at(6000), trial);
+    }
+    assert_eq!(detector.refused(at(6000), &both), None);
+    assert!(detector.start(at(6000), both.clone(), &endpoint(1)).is_ok());
+    assert!(detector.refused(at(6001), &both).is_some(), "one request");
+}
+
+/// Callers come back when a trial may have ended the refusal, and not after ten minutes.
+#[test]
+fn refused_callers_come_back_for_the_trial() {
+    let mut claims = BTreeSet::new();
+    let mut detector = heir(0, &kept_deaths(5), &claims);
+    let retry_ms = |detector: &Detector, millis| {
+        let retry_after = detector.retry_after(at(millis), part("bad"));
+        retry_after.unwrap().as_millis()
+    };
+    assert_eq!(retry_ms(&detector, 2000), 3000);
+    assert_eq!(retry_ms(&detector, 4900), 1000);
+    assert!(try_at(&mut detector, 5100, &mut claims));
+    assert_eq!(retry_ms(&detector, 5200), 1000, "the trial may run");
+    assert_eq!(retry_ms(&detector, 16_000), 49_100, "the next one");
+    assert!(try_at(&mut detector, 66_000, &mut claims));
+    assert!(retry_ms(&detector, 80_000) > 500_000, "no trial is left");
+}
