pool: take only final statuses for answers

Callers saw: an endpoint's answer with the status 101, or 600 to 999, reached them as an answer, with the endpoint's seal. Checked after the users' observation of a status 000, which reached nobody here.

Cause: the connections to endpoints took every number of three digits for the status of a final answer. HTTP has none of these; a 101 even ends the protocol on a connection on which nothing was upgraded.

Why it works: daemon and gateway send through the same connections, which count such an answer as broken and are closed; what may be repeated goes to another endpoint.

--- a/gateway/tests/test_heads.rs
+++ b/gateway/tests/test_heads.rs
@@ -77,3 +77,16 @@
     }
     assert!(taken.is_empty(), "taken for whole: {taken:?}");
 }
+
+/// Guards against MIXED: an answer whose status is none of a final answer reaches no caller.
+#[rstest]
+#[tokio::test]
+async fn an_answer_without_a_valid_status_reaches_no_caller(
+    #[values("000", "101", "600", "999")] status: &str,
+    #[values("/once/x", "/stream-once/x")] path: &str,
+) {
+    let answer = format!(
+        "HTTP/1.1 {status} X\r\nx-id: {{id}}\r\nx-seal: s\r\ncontent-length: 5\r\n\r\nwhole"
+    );
+    assert_eq!(ask("GET", path, answer).await, 502);
+}
--- a/gateway/tests/test_tunnel.rs
+++ b/gateway/tests/test_tunnel.rs
@@ -12,7 +12,10 @@
 };
 
 use common::{Gateway, record};
+use dottereltally::pool::Pool;
 use dottereltally_gateway::tunnel::{self, Server, Tunnel};
+use http_body_util::{BodyExt, Full};
+use rstest::rstest;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -97,6 +100,36 @@
     assert_eq!(error.kind(), io::ErrorKind::ConnectionReset);
 }
 
+/// Guards against MIXED: the endpoint answers while the request is being sent to it, and
+/// resets the connection. The node that passes the bytes on may see that first as it writes,
+/// after which a read ends without an error.
+#[rstest]
+#[tokio::test]
+async fn an_answer_that_is_reset_during_an_upload_is_not_complete(
+    #[values(0, 1, 5, 50)] reset_ms: u64,
+) {
+    for _ in 0..25 {
+        let fixture = Fixture::start().await;
+        let (tunnel, mut endpoint) = fixture.open().await;
+        tokio::spawn(async move {
+            let mut start = [0; 1024];
+            let _read = endpoint.read(&mut start).await;
+            let answer = b"HTTP/1.1 200 OK\r\n\r\npart of the answer";
+            endpoint.write_all(answer).await.unwrap();
+            sleep(Duration::from_millis(reset_ms)).await;
+            endpoint.set_zero_linger().unwrap();
+        });
+        let ready = Pool::default().adopt("endpoint", tunnel).await.unwrap();
+        let request = http::Request::post("/x").header("host", "endpoint");
+        let request = request.body(Full::from(vec![7; 4_000_000])).unwrap();
+        let Ok(response) = ready.send(request).await else {
+            continue;
+        };
+        let read = response.into_body().collect().await;
+        assert!(read.is_err(), "taken for complete: {read:?}");
+    }
+}
+
 /// Guards against the same where the node that passes the bytes on ends.
 #[tokio::test]
 async fn the_end_of_the_other_node_is_an_error() {
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::HashMap,
     io,
+    ops::RangeInclusive,
     pin::Pin,
     sync::{Arc, Mutex, PoisonError},
     task::{Context, Poll},
@@ -34,6 +35,8 @@
 const KEEP_ALIVE_FRACTION: f64 = 0.6;
 /// Header in which an endpoint states how long it keeps idle connections open.
 const KEEP_ALIVE_HEADER: &str = "keep-alive";
+/// Statuses of final answers. Interim ones are handled before, and no connection is upgraded.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Maximum number of idle connections per endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 64;
 
@@ -302,6 +305,7 @@
                 });
             }
         };
+        check_status(response.status()).map_err(Failure::Broken)?;
         let longest_idle = self.pool.limits.idle;
         let idle = keep_alive_timeout(response.headers()).map_or(longest_idle, |timeout| {
             longest_idle.min(timeout.mul_f64(KEEP_ALIVE_FRACTION))
@@ -319,6 +323,23 @@
     }
 }
 
+/// Checks that an answer has the status of a final answer.
+///
+/// # Errors
+///
+/// Fails if it has another one, so that its end is not known either.
+fn check_status(status: StatusCode) -> Result<(), Broken> {
+    if FINAL_STATUSES.contains(&status.as_u16()) {
+        return Ok(());
+    }
+    Err(Broken {
+        cause: format!(
+            "the answer has the status {}, which is not final",
+            status.as_str()
+        ),
+    })
+}
+
 impl Client for Pool {
     type Body = Body;
 
