--- a/gateway/src/controller/quarantine.rs
+++ b/gateway/src/controller/quarantine.rs
@@ -80,7 +80,11 @@
             () = eras.wait_for_change(era) => {
                 wait_for_turn(RESTORATION_SPREAD).await;
                 era = eras.current();
-                waiting = kept.iter().copied().collect();
+                for fingerprint in &kept {
+                    if !waiting.contains(fingerprint) {
+                        waiting.push_back(*fingerprint);
+                    }
+                }
             }
             () = sleep_until(next_comparison) => {
                 next_comparison = Instant::now() + keeper.comparison_interval();
