quarantine: know what was written before it is read again

A withdrawal is written at once only where it is known that something is kept, which a node learnt by reading its own write, up to a poll interval later. Until then the withdrawal waited for the next comparison, 2.5 to 7.5 s. Found by reading; the node now records what it wrote. Also drops a function that nothing uses any more.

--- a/gateway/src/controller/quarantine.rs
+++ b/gateway/src/controller/quarantine.rs
@@ -206,6 +206,8 @@
         self.metrics.store_calls.inc();
         match self.source.quarantine(fingerprint, marks).await {
             Ok(()) => {
+                // A withdrawal may follow before the write is read again.
+                self.crashes.record_kept(marks);
                 tracing::info!(
                     %fingerprint,
                     deaths = marks.len() - withdrawn,
--- a/gateway/src/crashes.rs
+++ b/gateway/src/crashes.rs
@@ -246,7 +246,8 @@
         self.take_over_by(marks, cause, Detector::inherit_mark);
     }
 
-    fn record_kept(&self, marks: &[Mark]) {
+    /// Records what the key-value service keeps of the requests of these marks.
+    pub fn record_kept(&self, marks: &[Mark]) {
         let mut kept = lock(&self.shared.kept);
         for of_request in marks.chunk_by(|left, right| left.fingerprint == right.fingerprint) {
             kept.insert(of_request[0].fingerprint, of_request.to_vec());
--- a/gateway/tests/test_kept_quarantine.rs
+++ b/gateway/tests/test_kept_quarantine.rs
@@ -352,6 +352,31 @@
     assert!(marks.iter().all(|mark| mark.kind == Kind::Withdrawn));
 }
 
+/// Guards against RECOVER: all nodes may be killed before the node that wrote a suspicion has
+/// read that again.
+#[tokio::test(start_paused = true)]
+async fn a_withdrawal_right_after_the_write_is_kept() {
+    let source = Kept::default();
+    let gateway = Gateway::start(Some(plan()), &[]).await;
+    tell_of_deaths(&gateway);
+    let (refuse, refused) = mpsc::channel(4);
+    tokio::spawn(controller::quarantine::keep(
+        source.clone(),
+        gateway.chain.crashes.clone(),
+        refused,
+        watch::Sender::new(Vec::new()).subscribe(),
+        gateway.chain.metrics.clone(),
+    ));
+    refuse.send(fatal()).await.unwrap();
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(source.kept().len(), 1);
+    let crashes = &gateway.chain.crashes;
+    crashes.record_answered(&Subject::from(fatal()), true);
+    let withdrawn = |mark: &Mark| crashes.read(|detector, now| detector.is_outdated(now, mark));
+    assert!(source.kept()[0].1.iter().all(withdrawn));
+    assert_eq!(crashes.outdated().len(), 1, "known before it is read");
+}
+
 /// Nothing is written of requests of which nothing is kept, nor again of those whose
 /// withdrawal is kept: calls of the source are limited for all nodes together.
 #[tokio::test(start_paused = true)]
--- a/lib/src/crash.rs
+++ b/lib/src/crash.rs
@@ -586,12 +586,6 @@
         self.register.share(now)
     }
 
-    /// Returns the suspicions against a request.
-    #[must_use]
-    pub fn marks(&self, now: time::Instant, fingerprint: id::Fingerprint) -> Vec<Mark> {
-        self.register.marks(now, fingerprint)
-    }
-
     /// Returns the numbers of deaths at which a request or part was.
     #[must_use]
     pub fn count(&self, now: time::Instant, fingerprint: id::Fingerprint) -> Count {
--- a/lib/src/suspicion.rs
+++ b/lib/src/suspicion.rs
@@ -72,7 +72,7 @@
 const TRIAL_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Most trials that the nodes agree on, of one request or part, in [`SUSPICION_TTL`].
-pub const MAX_TRIALS: u32 = 2;
+const MAX_TRIALS: u32 = 2;
 
 /// Shortest validity of a suspicion that is taken over from another node. What
 /// expires here is thus not restored by a node on which it expires a little later.
@@ -214,6 +214,7 @@
     dropped: u64,
     /// Whether this node passes on what others report.
     is_relaying: bool,
+    /// The trials of each request and part.
     trials: BTreeMap<id::Fingerprint, Trials>,
 }
 
@@ -588,14 +589,6 @@
         })
     }
 
-    /// Returns the suspicions against a request.
-    #[must_use]
-    pub fn marks(&self, now: time::Instant, fingerprint: id::Fingerprint) -> Vec<Mark> {
-        let known = self.suspicions.range(keys(fingerprint));
-        let holding = known.filter(|(_, known)| known.holds(now));
-        holding.map(|(key, known)| known.mark(now, *key)).collect()
-    }
-
     /// Withdraws the suspicions against a request or part; returns whether there were any.
     ///
     /// The other nodes are not informed of a part at one death, which does no harm there.
