testutils: reserve ports while no process is being started

Cause: a child has copies of all sockets of the test process until it runs its program. A port that was bound and closed while another thread starts a process is still in use for that moment.

Change: ports are bound and closed under a lock that keeps processes from being started, and the other way round.

--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -3,8 +3,11 @@
 use std::{
     env,
     fs::{self, File},
+    io,
+    net::{IpAddr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{ExitStatus, Stdio},
+    sync::{PoisonError, RwLock},
 };
 
 use eyre::{Result, WrapErr, bail, eyre};
@@ -21,6 +24,34 @@
 
 use crate::wait::TIMEOUT;
 
+/// Held for reading while a process is started, and for writing while ports are bound that a
+/// process is to take over: until it runs its program, a child has copies of all sockets of
+/// this process, and a port that was closed here is still in use.
+static STARTING: RwLock<()> = RwLock::new(());
+
+/// Starts a process; no ports are reserved meanwhile.
+pub fn start_child<T>(start: impl FnOnce() -> T) -> T {
+    let _starting = STARTING.read().unwrap_or_else(PoisonError::into_inner);
+    start()
+}
+
+/// Returns free TCP ports of an address, which a process that is started next can bind.
+///
+/// # Errors
+///
+/// Fails if they can't be bound.
+pub fn reserve_ports<const COUNT: usize>(ip: IpAddr) -> io::Result<[SocketAddr; COUNT]> {
+    let _binding = STARTING.write().unwrap_or_else(PoisonError::into_inner);
+    let mut listeners = Vec::new();
+    let mut addresses = [SocketAddr::new(ip, 0); COUNT];
+    for address in &mut addresses {
+        let listener = TcpListener::bind(*address)?;
+        *address = listener.local_addr()?;
+        listeners.push(listener);
+    }
+    Ok(addresses)
+}
+
 /// Finds a program or an example of the repository near the current executable,
 /// in the same build directory.
 ///
@@ -60,14 +91,15 @@
     /// Fails if the program is not built or exits before it prints the line.
     pub async fn start(name: &str, arguments: &[&str], log: &Path) -> Result<Self> {
         let file = File::options().create(true).append(true).open(log)?;
-        let mut child = Command::new(find_executable(name)?)
+        let mut command = Command::new(find_executable(name)?);
+        command
             .args(arguments)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(file)
-            .kill_on_drop(true)
-            .spawn()
-            .wrap_err_with(|| format!("can't start {name}"))?;
+            .kill_on_drop(true);
+        let mut child =
+            start_child(|| command.spawn()).wrap_err_with(|| format!("can't start {name}"))?;
         let id = child
             .id()
             .ok_or_else(|| eyre!("{name} has already exited"))?;
@@ -170,8 +202,11 @@
     command
         .args(arguments)
         .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
         .kill_on_drop(true);
-    let output = timeout(TIMEOUT, command.output())
+    let child = start_child(|| command.spawn())?;
+    let output = timeout(TIMEOUT, child.wait_with_output())
         .await
         .wrap_err_with(|| format!("{name} did not exit within {TIMEOUT:?}"))??;
     let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
