--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -229,15 +229,17 @@
         subject: &Subject,
         may_have_run: bool,
     ) -> Refused {
-        let (fingerprint, refused_for, retry_after) = self.crashes.read(|detector, now| {
-            let refused = detector.refused(now, subject).unwrap_or(subject.request);
-            let refused_for = detector.refused_for(now, refused);
-            (refused, refused_for, detector.retry_after(now, refused))
-        });
-        let (count, evidence) = self.crashes.read(|detector, now| {
-            let count = detector.count(now, fingerprint);
-            (count, detector.evidence(now, fingerprint))
-        });
+        let (fingerprint, refused_for, retry_after, count, evidence) =
+            self.crashes.read(|detector, now| {
+                let refused = detector.refused(now, subject).unwrap_or(subject.request);
+                (
+                    refused,
+                    detector.refused_for(now, refused),
+                    detector.retry_after(now, refused),
+                    detector.count(now, refused),
+                    detector.evidence(now, refused),
+                )
+            });
         tracing::info!(
             id = correlation_id,
             %fingerprint,
--- a/gateway/src/controller/quarantine.rs
+++ b/gateway/src/controller/quarantine.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     crashes,
-    directory::{Claim, Node, Source},
+    directory::{Claimant, Node, Source},
     era::wait_for_turn,
     metrics::Metrics,
 };
@@ -118,18 +118,17 @@
     }
 }
 
-/// Claims each trial that is received for the node that makes this `claim`; ends with the
-/// channel.
+/// Claims each trial that is received for this process; ends with the channel.
 pub async fn claim_trials<S: Source>(
     source: S,
     crashes: crashes::Handle,
     mut claims: mpsc::Receiver<crashes::Claim>,
-    claim: Claim,
+    claimant: Claimant,
     metrics: Metrics,
 ) {
     while let Some(crashes::Claim { trial, reply }) = claims.recv().await {
         metrics.store_calls.inc();
-        let result = source.claim_trial(trial, &claim).await;
+        let result = source.claim_trial(trial, &claimant).await;
         let is_granted = matches!(result, Ok(true));
         match &result {
             Ok(is_granted) => {
--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -181,9 +181,9 @@
     }
 }
 
-/// Names the process that claims a trial.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Claim {
+/// The process that claims a trial.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Claimant {
     /// Its node.
     pub node: id::Node,
     /// Random number of the process, so that it recognises its own claims.
@@ -299,10 +299,10 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Changes, Error>> + Send;
 
-    /// Adds what is known of a request to what is kept of it, until the first of that
-    /// expires, so that a node learns of it even if all others have ended. Of each death
-    /// the latest kind is kept, whichever node writes last. What was withdrawn is written
-    /// only over what is kept.
+    /// Adds what is known of a request to what is kept of it, so that a node learns of it
+    /// even if all others have ended. Of each death the latest kind is kept, whichever node
+    /// writes last. What was withdrawn is written only over what is kept, and does not
+    /// prolong it.
     ///
     /// # Errors
     ///
@@ -314,8 +314,8 @@
         marks: &[Mark],
     ) -> impl Future<Output = Result<(), Error>> + Send;
 
-    /// Claims a trial for the node that makes this `claim`; returns whether it is that of
-    /// this node, also if an earlier call that failed had claimed it.
+    /// Claims a trial for a process; returns whether it is that of this process, also if an
+    /// earlier call that failed had claimed it.
     ///
     /// # Errors
     ///
@@ -323,7 +323,7 @@
     fn claim_trial(
         &self,
         trial: Trial,
-        claim: &Claim,
+        claimant: &Claimant,
     ) -> impl Future<Output = Result<bool, Error>> + Send;
 
     /// Replaces the record of a roll-out, and the status that operators read, if neither
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -184,7 +184,7 @@
         source.clone(),
         chain.crashes.clone(),
         tasks.claims,
-        directory::Claim {
+        directory::Claimant {
             node: settings.node.clone(),
             process: rand::random(),
         },
--- a/lib/src/suspicion.rs
+++ b/lib/src/suspicion.rs
@@ -143,8 +143,8 @@
     pub silent: usize,
 }
 
-/// How this node learnt of a suspicion.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+/// How this node learnt of a suspicion, the closest to the death first.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Source {
     /// It found out the death itself.
     #[display("own")]
@@ -161,7 +161,7 @@
 /// What this node believes of a request or part, for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Evidence {
-    /// How this node learnt of the suspicion that is the hardest to disprove.
+    /// How this node learnt of the suspicions, the closest to a death.
     pub source: Source,
     /// Time since this node learnt of the first suspicion.
     pub oldest: Duration,
@@ -576,12 +576,10 @@
         let known: Vec<&Suspicion> = self.valid(now, fingerprint).collect();
         let oldest = known.iter().map(|known| known.since).min()?;
         let newest = known.iter().map(|known| known.since).max()?;
-        let sources = [Source::Own, Source::Reported];
-        let is_held = |source: &Source| known.iter().any(|known| known.source == *source);
-        let source = sources.into_iter().find(is_held);
+        let source = known.iter().map(|known| known.source).min()?;
         let due = self.trial_due(now, fingerprint);
         Some(Evidence {
-            source: source.unwrap_or(Source::Inherited),
+            source,
             oldest: now.since(oldest),
             newest: now.since(newest),
             trials: self.trials_made(fingerprint),
