suspicion: no trial of a whole request at three deaths

Cause: a request that is refused after two deaths was tried after a start, and its third death was not written, as it changed no verdict; the next start tried it again.

Why it works: what is found out of a request that is refused already is written as well, and a request at three deaths is tried by no node: its refusal concerns it alone. Parts, whose refusal concerns all requests with them, are tried as before.

--- a/gateway/src/crashes.rs
+++ b/gateway/src/crashes.rs
@@ -397,11 +397,17 @@
     }
 
     /// Logs what this node found out about requests, with the cause, and has withdrawals
-    /// kept. Nodes that are told of a withdrawal leave that to this one at first.
+    /// kept, and deaths of what was refused before. Nodes that are told of them leave that to
+    /// this one at first.
     fn publish(&self, changes: impl IntoIterator<Item = Change>, cause: &str) {
         for change in changes {
             let is_kept = || lock(&self.shared.kept).contains_key(&change.fingerprint);
-            if change.verdict == Verdict::Clear && is_kept() {
+            let is_outdated = match change.verdict {
+                Verdict::Clear => is_kept(),
+                Verdict::Suspect => false,
+                Verdict::Confirmed => change.own && !change.decisive,
+            };
+            if is_outdated {
                 self.keep(change.fingerprint);
             }
             self.log([change], cause);
--- a/lib/src/suspicion.rs
+++ b/lib/src/suspicion.rs
@@ -523,12 +523,12 @@
             return None;
         }
         let count = self.count(now, fingerprint);
-        let confirming = if fingerprint.is_part() {
-            CONFIRMING_PART_LOSSES
-        } else {
-            CONFIRMING_LOSSES
-        };
-        let is_certain = count.died + count.silent >= confirming;
+        let losses = count.died + count.silent;
+        // A whole request is refused alone, and ends an endpoint more with each trial.
+        if !fingerprint.is_part() && losses >= CONFIRMING_LOSSES {
+            return None;
+        }
+        let is_certain = losses >= CONFIRMING_PART_LOSSES;
         let delay = |source| match source {
             Source::Inherited => INHERITED_TRIAL_DELAY,
             Source::Own | Source::Reported => FLEET_TRIAL_DELAY,
--- a/lib/tests/test_part.rs
+++ b/lib/tests/test_part.rs
@@ -515,6 +515,29 @@
     }
 }
 
+/// Guards against BUDGET: a whole request at three deaths ends no further endpoint, however
+/// often nodes start.
+#[rstest]
+#[case::tried(2, true)]
+#[case::certain(3, false)]
+fn a_whole_request_is_tried_only_before_its_third_death(
+    #[case] count: u64,
+    #[case] is_tried: bool,
+) {
+    let request = Fingerprint::of_request(7);
+    let mut marks = kept_deaths(count);
+    for mark in &mut marks {
+        mark.fingerprint = request;
+    }
+    let detector = heir(0, &marks, &BTreeSet::new());
+    let subject = Subject::from(request);
+    for millis in [6000, 20_000] {
+        assert!(detector.refused(at(millis), &subject).is_some());
+        let claimable = detector.claimable(at(millis), &subject);
+        assert_eq!(claimable.is_some(), is_tried);
+    }
+}
+
 /// Parts that were at the same deaths are disproved by one trial.
 #[test]
 fn parts_at_the_same_deaths_need_one_trial() {
