--- a/review/stand-ins-3/src/bin/updated_in_place.rs
+++ b/review/stand-ins-3/src/bin/updated_in_place.rs
@@ -1,4 +1,4 @@
-//! Case 15: replicas are updated in place, one after the other, while the store turns one of
+//! Case 16: replicas are updated in place, one after the other, while the store turns one of
 //! three gateways away. Each replica drains, exits and starts again under its id with the
 //! next version. The gateway that the store turns away learns of the departures from the
 //! other gateways.
@@ -972,7 +972,7 @@
         started: Instant::now(),
         file: Mutex::new(fs::File::create(folder.join("record.txt"))?),
     });
-    let scratch = env::temp_dir().join(format!("case-15-{}", std::process::id()));
+    let scratch = env::temp_dir().join(format!("case-16-{}", std::process::id()));
     fs::create_dir_all(&scratch)?;
     let store = Arc::new(Store::default());
     let expiring = Arc::clone(&store);
