--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Case 15: a machine that the store has turned away does not catch up with the configuration.
+# Exits with 1 if rule CONFIG was broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0 runs the same without the disruption.
+set -u
+folder=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$folder/../.." || exit 2
+gateway=target/release/dottereltally-gateway
+standins=target/review-3/release/behind
+for program in "$gateway" "$standins"; do
+  if [ ! -x "$program" ]; then
+    echo "$program is missing; run the build of deploy/system.toml and review/build-3.sh" >&2
+    exit 2
+  fi
+done
+# The process that runs the case starts the gateways and ends them.
+exec "$standins" "$gateway" "$folder"
