--- a/review/stand-ins-3/src/bin/behind.rs
+++ b/review/stand-ins-3/src/bin/behind.rs
@@ -768,12 +768,18 @@
         let request = read_request(&mut reader)?;
         let attempt = request.header("attempt-id").unwrap_or_default();
         let expected = request.header("expected-replica").unwrap_or(id);
-        let own = format!("Replica-Id: {id}\r\nReplica-Load: 1,0,6\r\nContent-Length: 2\r\n\r\nok");
+        // What it answers is the request's own, as that of a ledger would be.
+        let own = format!(
+            "Replica-Id: {id}\r\nReplica-Load: 1,0,6\r\nContent-Length: {}\r\n\r\n{attempt}",
+            attempt.len()
+        );
         let answer = if request.first.starts_with("GET /health ") {
             format!("HTTP/1.1 200 OK\r\n{own}")
         } else if expected == id {
             thread::sleep(Duration::from_millis(15));
-            format!("HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: 3e1b.07\r\n{own}")
+            format!(
+                "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: 3e1b.{attempt}\r\n{own}"
+            )
         } else {
             format!(
                 "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\n{own}"
