--- a/review/stand-ins-3/src/bin/updated_in_place.rs
+++ b/review/stand-ins-3/src/bin/updated_in_place.rs
@@ -741,12 +741,15 @@
             self.id, life.version
         ));
         let head = format!(
-            "HTTP/1.1 200 OK\r\n{id}Response-Seal: 3e1b.07\r\n{own}Weight-Versions: 1\r\n\
+            "HTTP/1.1 200 OK\r\n{id}Response-Seal: 3e1b.{attempt}\r\n{own}Weight-Versions: 1\r\n\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
         stream.write_all(head.as_bytes()).ok()?;
         for number in after + 1..=EVENTS {
-            let event = format!("id: {number}\ndata: {} {}\n\n", life.version, self.id);
+            let event = format!(
+                "id: {number}\ndata: {} {} for {attempt}\n\n",
+                life.version, self.id
+            );
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             stream.write_all(chunk.as_bytes()).ok()?;
             thread::sleep(EVENT_INTERVAL);
@@ -832,8 +835,12 @@
         text.push_str(&String::from_utf8_lossy(&chunk[..length]));
         while let Some((event, rest)) = text.split_once("\n\n") {
             let number = event.lines().find_map(|line| line.strip_prefix("id: "));
-            let maker = event.lines().find_map(|line| line.strip_prefix("data: "));
-            seen.events.push((number?.parse().ok()?, maker?.to_owned()));
+            let data = event.lines().find_map(|line| line.strip_prefix("data: "));
+            let (maker, request) = data?.split_once(" for ")?;
+            if request != seen.attempt {
+                return None;
+            }
+            seen.events.push((number?.parse().ok()?, maker.to_owned()));
             text = rest.to_owned();
         }
     }
