gateway: log each failed read of the store with what arrived of its answer

Its log had one line when the store became unavailable and none for the calls that failed after it answered again, so a store that answers nothing and an answer that takes too long looked the same.

Each failed read of changes or of the directory is one line now: the call, how long it took, how much arrived and was declared, and the age of the last successful read. The counts are kept by transfer::Intake, which calls pass down to the HTTP client.

--- a/gateway/src/controller/follow.rs
+++ b/gateway/src/controller/follow.rs
@@ -8,7 +8,7 @@
     era::{Era, Revision},
     time,
 };
-use dottereltally_store::kv::Error;
+use dottereltally_store::{kv::Error, transfer::Intake};
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use ractor::ActorRef;
 use rand::Rng;
@@ -188,7 +188,10 @@
             self.metrics.store_calls.inc();
             let sent = self.clock.now();
             let sent_uptime = self.view.uptime();
-            let read = || self.source.snapshot();
+            let read = |intake: Intake| async move {
+                let call = self.source.snapshot(&intake);
+                self.record_failure("directory", &intake, call).await
+            };
             let (result, returned) = self.supervise(sent, OVERDUE, &recovery, read).await;
             match result {
                 Ok(snapshot) => {
@@ -235,7 +238,10 @@
             } else {
                 MAX_WAIT
             };
-            let read = || self.source.changes(revision, wait);
+            let read = |intake: Intake| async move {
+                let call = self.source.changes(revision, wait, &intake);
+                self.record_failure("changes", &intake, call).await
+            };
             let (result, returned) = self.supervise(sent, wait + OVERDUE, &recovery, read).await;
             match result {
                 Ok(changes) if !is_continued(changes.revision, revision) => {
@@ -312,12 +318,12 @@
         sent: time::Instant,
         expected: Duration,
         recovery: &Recovery,
-        call: impl Fn() -> F,
+        call: impl Fn(Intake) -> F,
     ) -> (Result<T, Error>, Option<Return>)
     where
         F: Future<Output = Result<T, Error>>,
     {
-        let mut first = pin!(call());
+        let mut first = pin!(call(Intake::default()));
         if let Ok(result) = timeout(expected, first.as_mut()).await {
             return (result, None);
         }
@@ -326,7 +332,7 @@
             returned = self.wait_for_probe(recovery) => returned,
         };
         self.metrics.store_calls.inc();
-        let mut second = pin!(call());
+        let mut second = pin!(call(Intake::default()));
         let result = select! {
             result = first.as_mut() => match result {
                 Ok(read) => return (Ok(read), None),
@@ -345,6 +351,30 @@
         (result, Some(returned))
     }
 
+    /// Returns the result of a call; logs its failure.
+    async fn record_failure<T>(
+        &self,
+        name: &'static str,
+        intake: &Intake,
+        call: impl Future<Output = Result<T, Error>>,
+    ) -> Result<T, Error> {
+        let started = Instant::now();
+        let result = call.await;
+        if let Err(error) = &result {
+            let last_read = self.view.announcement().map(|view| view.age);
+            tracing::info!(
+                call = name,
+                took_ms = crate::logging::millis(started.elapsed()),
+                received = intake.received().0,
+                declared = intake.declared().map(|bytes| bytes.0),
+                last_read_ms = last_read.map(crate::logging::millis),
+                %error,
+                "read of the key-value service failed"
+            );
+        }
+        result
+    }
+
     /// Reports a call that was `sent` at a time and failed. Waits until the source
     /// answers, unless it did already, and then with jitter and exponential backoff.
     /// Returns until when endpoints write expired descriptions again.
--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -12,7 +12,10 @@
     rollout::{Spec, State, Step},
     suspicion::Mark,
 };
-use dottereltally_store::kv::{self, Error};
+use dottereltally_store::{
+    kv::{self, Error},
+    transfer::Intake,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::{era, rollout::wire};
@@ -271,12 +274,12 @@
     /// Returns the era of the service, which each answer announces, whatever it answers.
     fn eras(&self) -> &era::Handle;
 
-    /// Reads the whole directory, within one era.
+    /// Reads the whole directory, within one era. The intake records what arrives.
     ///
     /// # Errors
     ///
     /// Fails if the service can't be reached or does not answer in time.
-    fn snapshot(&self) -> impl Future<Output = Result<Snapshot, Error>> + Send;
+    fn snapshot(&self, intake: &Intake) -> impl Future<Output = Result<Snapshot, Error>> + Send;
 
     /// Checks whether the service answers, at the lowest price.
     ///
@@ -286,7 +289,7 @@
     fn probe(&self) -> impl Future<Output = Result<(), Error>> + Send;
 
     /// Waits up to `wait` for changes after a revision. In another era than that of the
-    /// revision, what it returns lacks some of them.
+    /// revision, what it returns lacks some of them. The intake records what arrives.
     ///
     /// # Errors
     ///
@@ -297,6 +300,7 @@
         &self,
         after: Revision,
         wait: Duration,
+        intake: &Intake,
     ) -> impl Future<Output = Result<Changes, Error>> + Send;
 
     /// Adds what is known of a request to what is kept of it, so that a node learns of it
--- a/gateway/tests/common/directory.rs
+++ b/gateway/tests/common/directory.rs
@@ -26,7 +26,10 @@
     id, rollout as rollouts,
     suspicion::Mark,
 };
-use dottereltally_store::kv::{self, Error};
+use dottereltally_store::{
+    kv::{self, Error},
+    transfer::Intake,
+};
 use ractor::{Actor, ActorRef};
 use tokio::{
     sync::watch,
@@ -268,7 +271,7 @@
         &self.eras
     }
 
-    async fn snapshot(&self) -> Result<Snapshot, Error> {
+    async fn snapshot(&self, _: &Intake) -> Result<Snapshot, Error> {
         let sent = Instant::now();
         self.pass_call(READ_LIMIT).await?;
         let revision = self.announce(sent)?;
@@ -291,7 +294,7 @@
         self.pass(READ_LIMIT).await.map(|_outages| ())
     }
 
-    async fn changes(&self, after: Revision, wait: Duration) -> Result<Changes, Error> {
+    async fn changes(&self, after: Revision, wait: Duration, _: &Intake) -> Result<Changes, Error> {
         let start = Instant::now();
         let outages = self.pass_call(wait + CALL_LIMIT).await?;
         let cuts = self.read(|state| state.cuts);
--- a/gateway/tests/test_kept_quarantine.rs
+++ b/gateway/tests/test_kept_quarantine.rs
@@ -28,7 +28,10 @@
     quarantine::Verdict,
     suspicion::{Kind, Mark},
 };
-use dottereltally_store::kv::{self, Error};
+use dottereltally_store::{
+    kv::{self, Error},
+    transfer::Intake,
+};
 use ractor::{Actor, ActorRef};
 use rstest::rstest;
 use tokio::{
@@ -64,7 +67,7 @@
         &self.eras
     }
 
-    async fn snapshot(&self) -> Result<Snapshot, Error> {
+    async fn snapshot(&self, _: &Intake) -> Result<Snapshot, Error> {
         Ok(Snapshot::default())
     }
 
@@ -72,7 +75,7 @@
         Ok(())
     }
 
-    async fn changes(&self, _: Revision, _: Duration) -> Result<Changes, Error> {
+    async fn changes(&self, _: Revision, _: Duration, _: &Intake) -> Result<Changes, Error> {
         Ok(Changes::default())
     }
 
--- a/gateway/tests/test_registration.rs
+++ b/gateway/tests/test_registration.rs
@@ -17,7 +17,10 @@
     id,
     suspicion::Mark,
 };
-use dottereltally_store::kv::{self, Error};
+use dottereltally_store::{
+    kv::{self, Error},
+    transfer::Intake,
+};
 use rstest::rstest;
 use tokio::{
     task::JoinHandle,
@@ -56,7 +59,7 @@
         &self.eras
     }
 
-    async fn snapshot(&self) -> Result<Snapshot, Error> {
+    async fn snapshot(&self, _: &Intake) -> Result<Snapshot, Error> {
         Ok(Snapshot::default())
     }
 
@@ -64,7 +67,7 @@
         Ok(())
     }
 
-    async fn changes(&self, _: Revision, _: Duration) -> Result<Changes, Error> {
+    async fn changes(&self, _: Revision, _: Duration, _: &Intake) -> Result<Changes, Error> {
         Ok(Changes::default())
     }
 
--- a/lib/src/size.rs
+++ b/lib/src/size.rs
@@ -35,6 +35,44 @@
     }
 }
 
+/// A number of bytes.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    Default,
+    From,
+    FromStr,
+    Add,
+    AddAssign,
+    Sum,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0} bytes")]
+#[serde(transparent)]
+pub struct Bytes(pub u64);
+
+impl Bytes {
+    /// Subtracts, saturating at zero.
+    #[must_use]
+    pub const fn saturating_sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+}
+
+impl From<usize> for Bytes {
+    fn from(bytes: usize) -> Self {
+        Self(u64::try_from(bytes).unwrap_or(u64::MAX))
+    }
+}
+
 /// A rate in tokens per second.
 #[derive(
     Clone,
--- a/store/src/http.rs
+++ b/store/src/http.rs
@@ -11,6 +11,7 @@
 };
 
 use bytes::Bytes;
+use dottereltally_lib::size;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::{
@@ -22,6 +23,7 @@
 use crate::{
     buffer,
     inbound::{self, Progress},
+    transfer::Intake,
 };
 
 /// Maximum number of idle connections that are kept.
@@ -133,6 +135,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
         memory: &buffer::Pool,
+        intake: &Intake,
     ) -> Result<Answer, Error> {
         let full = |error: buffer::Full| Error::Lost(error.to_string());
         let response = self.send(request).await?;
@@ -141,12 +144,16 @@
         answer
             .check_length(body.size_hint().lower())
             .map_err(full)?;
+        if let Some(length) = body.size_hint().exact() {
+            intake.declare(size::Bytes(length));
+        }
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|error| Error::Lost(inbound::cause(&error)))?;
             let Ok(part) = frame.into_data() else {
                 continue;
             };
             self.progress.record(part.len());
+            intake.record(size::Bytes::from(part.len()));
             answer.append(&part).map_err(full)?;
         }
         Ok(Answer {
@@ -255,6 +262,21 @@
         &self,
         request: &Request<Full<Bytes>>,
         deadlines: Deadlines,
+    ) -> Result<Answer, Error> {
+        self.call_with(request, deadlines, &Intake::default()).await
+    }
+
+    /// Does the same as [`Self::call`], and records in the intake what arrives of the
+    /// answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Error::Unsent`] only if the request was not sent.
+    pub async fn call_with(
+        &self,
+        request: &Request<Full<Bytes>>,
+        deadlines: Deadlines,
+        intake: &Intake,
     ) -> Result<Answer, Error> {
         let mut guard = IdleGuard::new(self);
         loop {
@@ -264,7 +286,7 @@
                 Some(connection) => connection,
                 None => self.open(deadlines.connect).await?,
             };
-            let exchange = connection.exchange(request.clone(), &self.memory);
+            let exchange = connection.exchange(request.clone(), &self.memory, intake);
             let result = time::timeout_at(deadlines.answer, exchange)
                 .await
                 .unwrap_or_else(|_| Err(Error::Lost("timed out".to_owned())));
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod memory;
 pub mod proposal;
 mod segment;
+pub mod transfer;
