gateway: read the directory instead of changes that are larger

Cause: the store returns every version of each key since a revision, so the answer grew with the time away, and each call after a failure asked for the same and more. With five versions of 0.43 MB it was 2.16 MB, which a node on 10 Mbit/s did not receive in its time limit. Ruled out by the log of the failed reads: a store that does not answer (it did within milliseconds), versions that arrive and are not put in force (none arrived).

A call for changes takes as much as the directory had when it was read, or 512 KiB. If the answer is larger, by its declared length or by what has arrived, it is dropped and the node reads the directory, which has the newest version of each key only. The time to catch up then depends on neither the time away nor the history that the store keeps. Until when endpoints renew expired descriptions stays known across that read.

--- a/gateway/src/controller/follow.rs
+++ b/gateway/src/controller/follow.rs
@@ -6,7 +6,7 @@
 use dottereltally::clock::Clock;
 use dottereltally_lib::{
     era::{Era, Revision},
-    time,
+    size, time,
 };
 use dottereltally_store::{
     kv::Error,
@@ -21,7 +21,12 @@
 };
 
 use super::{Message, endpoints::RENEWAL_TIME};
-use crate::{directory::Source, era::wait_for_turn, metrics::Metrics, view};
+use crate::{
+    directory::{Snapshot, Source},
+    era::wait_for_turn,
+    metrics::Metrics,
+    view,
+};
 
 /// Longest time from a change until a call returns it, beyond the poll interval:
 /// a source that drops its change history keeps calls waiting for about a second.
@@ -59,6 +64,10 @@
 /// are given up that much later than they must be written again.
 const READ_TIME: Duration = Duration::from_millis(300);
 
+/// Size of changes that are read even if the directory is smaller: a link of 10 Mbit/s
+/// carries them in 0.4 s.
+const SMALL_HISTORY: size::Bytes = size::Bytes(512 << 10);
+
 /// Shortest time between the starts of two calls for changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PollInterval(pub Duration);
@@ -92,18 +101,22 @@
         view,
     };
     let mut known: Option<Era> = None;
+    let mut renewal_end = None;
     loop {
-        let (revision, mut renewal_end) = follower.read_snapshot().await;
+        let mut start = follower.read_snapshot(renewal_end).await;
+        let revision = start.revision;
         let era = revision.era;
         follower.metrics.set_store_era(era);
         if known.is_some_and(|known| known != era) {
             follower.metrics.store_restorations.inc();
             tracing::info!(%revision, "directory read in another era");
             // Endpoints write again what the copy lacks.
-            renewal_end.get_or_insert(Instant::now() + RENEWAL_TIME);
+            let now = Instant::now();
+            let renewal_end = start.renewal_end.filter(|end| *end > now);
+            start.renewal_end = renewal_end.or(Some(now + RENEWAL_TIME));
         }
         known = Some(era);
-        follower.follow_changes(revision, renewal_end).await;
+        renewal_end = follower.follow_changes(start).await;
         // Nodes whose coordinator reads for them spread the reads of another era.
         if follower.source.eras().current() != era && follower.view.has_reader() {
             wait_for_turn(poll_interval.0).await;
@@ -120,6 +133,16 @@
     view: view::Handle,
 }
 
+/// The directory after which changes are followed.
+#[derive(Clone, Copy)]
+struct Start {
+    revision: Revision,
+    /// What was received to read it.
+    size: size::Bytes,
+    /// Until when endpoints write expired descriptions again.
+    renewal_end: Option<Instant>,
+}
+
 /// When a source that was unavailable was known to answer again.
 #[derive(Clone, Copy)]
 struct Return {
@@ -182,11 +205,10 @@
 }
 
 impl<S: Source> Follower<S> {
-    /// Reads the whole directory, retrying until it succeeds. Returns its revision,
-    /// and until when expired descriptions are written again.
-    async fn read_snapshot(&self) -> (Revision, Option<Instant>) {
+    /// Reads the whole directory, retrying until it succeeds. Until `renewal_end`, endpoints
+    /// write expired descriptions again.
+    async fn read_snapshot(&self, mut renewal_end: Option<Instant>) -> Start {
         let mut recovery = Recovery::default();
-        let mut renewal_end = None;
         loop {
             self.metrics.store_calls.inc();
             let sent = self.clock.now();
@@ -195,14 +217,19 @@
                 let call = self.source.snapshot(&intake);
                 self.record_failure("directory", &intake, call).await
             };
-            let (result, returned) = self.supervise(sent, OVERDUE, &recovery, read).await;
+            let call = self.supervise(sent, OVERDUE, Intake::default, &recovery, read);
+            let (result, returned) = call.await;
             match result {
                 Ok(snapshot) => {
-                    let revision = snapshot.revision;
+                    let Snapshot { revision, size, .. } = snapshot;
                     self.send(Message::Snapshot(Box::new(snapshot)));
                     self.send(Message::Read(sent_uptime));
                     let renewed = returned.map(|returned| returned.renewal_end);
-                    return (revision, renewed.or(renewal_end));
+                    return Start {
+                        revision,
+                        size,
+                        renewal_end: renewed.or(renewal_end),
+                    };
                 }
                 Err(error) => {
                     let recovered = self.recover(&error, sent, returned, &mut recovery);
@@ -212,9 +239,17 @@
         }
     }
 
-    /// Reads changes until the source no longer keeps those after the last revision, or is
-    /// in another era, in which they are not known.
-    async fn follow_changes(&self, mut revision: Revision, mut renewal_end: Option<Instant>) {
+    /// Reads changes until the source no longer keeps those after the last revision, they are
+    /// larger than the directory, which has only the newest of each key, or the source is in
+    /// another era, in which they are not known. Returns until when endpoints write expired
+    /// descriptions again, as far as it is known.
+    async fn follow_changes(&self, start: Start) -> Option<Instant> {
+        let Start {
+            mut revision,
+            size,
+            mut renewal_end,
+        } = start;
+        let most = size.max(SMALL_HISTORY);
         let mut recovery = Recovery::default();
         loop {
             let era = self.source.eras().current();
@@ -224,7 +259,7 @@
                     %era,
                     "another era of the key-value service; reading the whole directory"
                 );
-                return;
+                return None;
             }
             let mut next_call = Instant::now() + self.poll_interval();
             // What was written until then is read before endpoints are given up.
@@ -245,7 +280,14 @@
                 let call = self.source.changes(revision, wait, &intake);
                 self.record_failure("changes", &intake, call).await
             };
-            let (result, returned) = self.supervise(sent, wait + OVERDUE, &recovery, read).await;
+            let call = self.supervise(
+                sent,
+                wait + OVERDUE,
+                || Intake::up_to(most),
+                &recovery,
+                read,
+            );
+            let (result, returned) = call.await;
             match result {
                 Ok(changes) if !is_continued(changes.revision, revision) => {
                     tracing::info!(
@@ -253,7 +295,7 @@
                         returned = %changes.revision,
                         "changes are of another era; reading the whole directory"
                     );
-                    return;
+                    return None;
                 }
                 Ok(changes) => {
                     revision = changes.revision;
@@ -272,9 +314,9 @@
                     tracing::info!(
                         %revision,
                         cause,
-                        "changes are no longer available; reading the whole directory"
+                        "changes are not available; reading the whole directory"
                     );
-                    return;
+                    return renewal_end;
                 }
                 Err(error) => {
                     let recovered = self.recover(&error, sent, returned, &mut recovery);
@@ -321,24 +363,25 @@
         &self,
         sent: time::Instant,
         expected: Duration,
+        intake: impl Fn() -> Intake,
         recovery: &Recovery,
         call: impl Fn(Intake) -> F,
     ) -> (Result<T, Error>, Option<Return>)
     where
         F: Future<Output = Result<T, Error>>,
     {
-        let intake = Intake::default();
-        let mut first = pin!(call(intake.clone()));
+        let first_intake = intake();
+        let mut first = pin!(call(first_intake.clone()));
         select! {
             result = first.as_mut() => return (result, None),
-            () = wait_until_overdue(expected, &intake) => {}
+            () = wait_until_overdue(expected, &first_intake) => {}
         }
         let returned = select! {
             result = first.as_mut() => return (result, None),
             returned = self.wait_for_probe(recovery) => returned,
         };
         self.metrics.store_calls.inc();
-        let mut second = pin!(call(Intake::default()));
+        let mut second = pin!(call(intake()));
         let result = select! {
             result = first.as_mut() => match result {
                 Ok(read) => return (Ok(read), None),
@@ -357,7 +400,8 @@
         (result, Some(returned))
     }
 
-    /// Returns the result of a call; logs its failure.
+    /// Returns the result of a call; logs its failure, unless the source answered that the
+    /// call is of no use.
     async fn record_failure<T>(
         &self,
         name: &'static str,
@@ -366,7 +410,9 @@
     ) -> Result<T, Error> {
         let started = Instant::now();
         let result = call.await;
-        if let Err(error) = &result {
+        if let Err(error) = &result
+            && !matches!(error, Error::Refused(_))
+        {
             let last_read = self.view.announcement().map(|view| view.age);
             tracing::info!(
                 call = name,
--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -10,6 +10,7 @@
     id,
     plan::Plan,
     rollout::{Spec, State, Step},
+    size,
     suspicion::Mark,
 };
 use dottereltally_store::{
@@ -231,6 +232,9 @@
     /// node, so it is not sent.
     #[serde(skip)]
     pub revision: Revision,
+    /// What was received to read it; meaningless to another node, so it is not sent.
+    #[serde(skip)]
+    pub size: size::Bytes,
     /// The plan, if there is one.
     pub plan: Option<Plan>,
     /// The endpoints with a usable description.
@@ -293,9 +297,9 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`Error::Refused`] if the changes are no longer kept, so that
-    /// the whole directory has to be read again, and with another error if the
-    /// service can't be reached or does not answer in time.
+    /// Fails with [`Error::Refused`] if the changes are no longer kept, or are larger than the
+    /// intake takes, so that the whole directory has to be read again, and with another error
+    /// if the service can't be reached or does not answer in time.
     fn changes(
         &self,
         after: Revision,
--- a/gateway/tests/common/directory.rs
+++ b/gateway/tests/common/directory.rs
@@ -193,6 +193,9 @@
         intake: &Intake,
     ) -> Result<(), Error> {
         intake.declare(length);
+        if intake.exceeded_by(length).is_some() {
+            return Err(Error::Refused("larger than the directory".to_owned()));
+        }
         let stop = {
             let mut link = self.link.lock().unwrap();
             link.active += 1;
@@ -416,6 +419,7 @@
         }
         Ok(Snapshot {
             revision,
+            size,
             endpoints,
             ..Snapshot::default()
         })
--- a/store/src/etcd.rs
+++ b/store/src/etcd.rs
@@ -24,7 +24,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    etcd::error::{classify, from_body, map_unknown_lease, unreachable, unreadable},
+    etcd::error::{classify, failed, from_body, map_unknown_lease, unreachable, unreadable},
     http::{Answer, Client, Deadlines, Error as HttpError},
     kv::{self, Entry, Error, Lease, Outcome, Revision, Transaction},
     transfer::Pace,
@@ -111,14 +111,10 @@
                 Err(failure) => failure,
             };
             self.prefer_next(index);
-            match failure {
-                HttpError::Unsent(cause) => last_error = unreachable(client.address(), &cause),
-                HttpError::Lost(cause) => {
-                    last_error = Error::Lost(format!("{}: {cause}", client.address()));
-                    if effect == Effect::Write {
-                        break;
-                    }
-                }
+            let is_unsent = matches!(failure, HttpError::Unsent(_));
+            last_error = failed(client.address(), failure);
+            if effect == Effect::Write && !is_unsent {
+                break;
             }
         }
         Err(last_error)
@@ -251,10 +247,7 @@
                 Err(failure) => failure,
             };
             self.prefer_next(index);
-            last_error = match failure {
-                HttpError::Unsent(cause) => unreachable(client.address(), &cause),
-                HttpError::Lost(cause) => Error::Lost(format!("{}: {cause}", client.address())),
-            };
+            last_error = failed(client.address(), failure);
         }
         Err(last_error)
     }
--- a/store/src/etcd/error.rs
+++ b/store/src/etcd/error.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     etcd::wire,
+    http as client,
     kv::{Error, Lease},
 };
 
@@ -25,6 +26,17 @@
     }
 }
 
+/// Converts the failure of a call to an address.
+pub(super) fn failed(address: &str, failure: client::Error) -> Error {
+    match failure {
+        client::Error::Unsent(cause) => unreachable(address, &cause),
+        client::Error::Lost(cause) => Error::Lost(format!("{address}: {cause}")),
+        oversized @ client::Error::Oversized { .. } => {
+            Error::Lost(format!("{address}: {oversized}"))
+        }
+    }
+}
+
 #[expect(clippy::needless_pass_by_value, reason = "passed to map_err")]
 pub(super) fn unreadable(error: wire::Error) -> Error {
     Error::Unreadable(error.to_string())
--- a/store/src/http.rs
+++ b/store/src/http.rs
@@ -44,6 +44,14 @@
     /// The request was or may have been sent, but was not answered.
     #[error("no answer: {0}")]
     Lost(String),
+    /// The answer is larger than its [`Intake`] takes.
+    #[error("the answer has {size} or more, and {most} are taken")]
+    Oversized {
+        /// Its size as far as it is known.
+        size: size::Bytes,
+        /// What is taken.
+        most: size::Bytes,
+    },
 }
 
 /// Deadlines of a call.
@@ -154,7 +162,9 @@
             .check_length(body.size_hint().lower())
             .map_err(full)?;
         if let Some(length) = body.size_hint().exact() {
-            intake.declare(size::Bytes(length));
+            let length = size::Bytes(length);
+            intake.declare(length);
+            check_size(length, intake)?;
         }
         loop {
             let Ok(frame) = time::timeout_at(timer.next_check(), body.frame()).await else {
@@ -173,6 +183,7 @@
             };
             self.progress.record(part.len());
             intake.record(size::Bytes::from(part.len()));
+            check_size(intake.received().saturating_sub(before), intake)?;
             answer.append(&part).map_err(full)?;
         }
         Ok(Answer {
@@ -183,6 +194,14 @@
     }
 }
 
+/// Checks what is known of the size of an answer.
+fn check_size(size: size::Bytes, intake: &Intake) -> Result<(), Error> {
+    match intake.exceeded_by(size) {
+        Some(most) => Err(Error::Oversized { size, most }),
+        None => Ok(()),
+    }
+}
+
 /// An answer whose body is read as it arrives; dropping it closes its
 /// connection.
 pub struct Stream {
@@ -285,12 +304,13 @@
         self.call_with(request, deadlines, &Intake::default()).await
     }
 
-    /// Does the same as [`Self::call`], and records in the intake what arrives of the
-    /// answer.
+    /// Does the same as [`Self::call`], takes as much of the answer as the intake says, and
+    /// records there what arrives.
     ///
     /// # Errors
     ///
-    /// Fails with [`Error::Unsent`] only if the request was not sent.
+    /// Fails with [`Error::Unsent`] only if the request was not sent, and with
+    /// [`Error::Oversized`] if the answer is larger than is taken.
     pub async fn call_with(
         &self,
         request: &Request<Full<Bytes>>,
@@ -314,6 +334,11 @@
                     return Ok(answer);
                 }
                 Err(Error::Unsent(_)) if reused => {}
+                Err(error @ Error::Oversized { .. }) => {
+                    // The other connections are sound.
+                    guard.disarm();
+                    return Err(error);
+                }
                 Err(error) => return Err(error),
             }
         }
--- a/store/src/transfer.rs
+++ b/store/src/transfer.rs
@@ -19,9 +19,12 @@
 /// answer that is taken (16 MiB) in half of it.
 const LONGEST_OVERTIME: Duration = Duration::from_secs(30);
 
-/// What has arrived of the answer to a call; clones share it.
+/// How much is taken of the answer to a call, and how much has arrived; clones share it.
 #[derive(Clone, Debug, Default)]
-pub struct Intake(Arc<Mutex<State>>);
+pub struct Intake {
+    most: Option<size::Bytes>,
+    state: Arc<Mutex<State>>,
+}
 
 #[derive(Debug, Default)]
 struct State {
@@ -30,6 +33,22 @@
 }
 
 impl Intake {
+    /// Builds the intake of an answer that is not read any further once it is known to have
+    /// more than `most` of content.
+    #[must_use]
+    pub fn up_to(most: size::Bytes) -> Self {
+        Self {
+            most: Some(most),
+            ..Self::default()
+        }
+    }
+
+    /// Returns how much is taken if an answer of this size is more.
+    #[must_use]
+    pub fn exceeded_by(&self, bytes: size::Bytes) -> Option<size::Bytes> {
+        self.most.filter(|most| bytes > *most)
+    }
+
     /// Records the length that the head of an answer declares.
     pub fn declare(&self, bytes: size::Bytes) {
         self.lock().declared = Some(bytes);
@@ -53,7 +72,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/store/tests/test_transfer.rs
+++ b/store/tests/test_transfer.rs
@@ -161,6 +161,41 @@
     Ok(())
 }
 
+/// Guards against answers that grow without bound while they are taken: one that is larger
+/// than its intake is not read any further, whether its length is declared or not.
+#[rstest]
+#[case::declared("content-length: 400000\r\n\r\n", 0)]
+#[case::not_declared("\r\n", 100_000)]
+#[tokio::test]
+async fn an_answer_that_is_larger_than_its_intake_is_not_read(
+    #[case] head: &str,
+    #[case] least: u64,
+) -> Result<()> {
+    const MOST: size::Bytes = size::Bytes(100_000);
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let client = Client::new(listener.local_addr()?.to_string());
+    let head = format!("HTTP/1.1 200 OK\r\n{head}");
+    let serving = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await?;
+        let mut request = [0; 4096];
+        let _read = stream.read(&mut request).await?;
+        stream.write_all(head.as_bytes()).await?;
+        // Ends when the client closes the connection.
+        while stream.write_all(&[b'x'; 1000]).await.is_ok() {}
+        std::io::Result::Ok(())
+    });
+    let intake = Intake::up_to(MOST);
+    let result = call(&client, Pace::default(), &intake).await?;
+    assert!(
+        matches!(result, Err(Error::Oversized { most, .. }) if most == MOST),
+        "{result:?}"
+    );
+    assert!(intake.received() >= size::Bytes(least));
+    assert!(intake.received() <= size::Bytes(MOST.0 + (64 << 10)));
+    timeout(PATIENCE, serving).await???;
+    Ok(())
+}
+
 /// Guards against calls that wait for a host that stopped sending, and against causes that
 /// don't tell how much it sent.
 #[rstest]
