listing: keep an ended process ended when the next one is listed

Cause: reports of other nodes name the process that they are about, but what was known was kept by endpoint. At a node that the store had turned away, "another node read that it is listed", about the next process of the endpoint, replaced "it left", and the description of the process that had ended was used again, with its version. Its log has both lines, 3.4 s apart.

A process has now also left if a later revision shows a later process of its endpoint. A node that reads that a description was overwritten by that of another process reports the end of the first one; others were not told of that.

--- a/gateway/src/controller/endpoints.rs
+++ b/gateway/src/controller/endpoints.rs
@@ -269,6 +269,7 @@
             return;
         }
         let was_used = self.is_used(&name);
+        self.record_replaced(now, &name, &entry, shown_at);
         let known = self.tracked.get(&name);
         if known.is_none_or(|known| known.entry.record != entry.record || known.missing) {
             tracing::info!(
@@ -298,6 +299,25 @@
         self.tracked.insert(name, tracked);
     }
 
+    /// Records for the other nodes that the process of an endpoint ended if its description
+    /// was replaced by that of another process, and not removed before.
+    fn record_replaced(
+        &mut self,
+        now: time::Instant,
+        name: &id::Endpoint,
+        entry: &Entry,
+        shown_at: Revision,
+    ) {
+        let Some(known) = self.tracked.get(name) else {
+            return;
+        };
+        if known.entry.started_ms == entry.started_ms {
+            return;
+        }
+        let replaced = known.entry.clone();
+        self.record_own_listing(now, name, &replaced, (shown_at, false));
+    }
+
     /// Notes what a description shows about processes that it replaces.
     fn observe(&mut self, name: &id::Endpoint, entry: &Entry) {
         let leaving = |known: &Tracked| known.entry.record.standing == Standing::Leaving;
--- a/gateway/src/listing.rs
+++ b/gateway/src/listing.rs
@@ -41,6 +41,12 @@
         started.is_none_or(|(started, other)| started == other)
     }
 
+    /// Returns whether this process certainly started after another one.
+    fn is_successor_of(self, other: Self) -> bool {
+        let started = self.started_ms.zip(other.started_ms);
+        started.is_some_and(|(started, other)| started > other)
+    }
+
     /// Returns whether the description is not later than another one.
     fn is_not_after(self, other: Self) -> bool {
         if self.is_same(other) {
@@ -140,7 +146,7 @@
     }
 
     /// Returns whether a process of an endpoint left after its description was read at a
-    /// revision.
+    /// revision: it was removed, or the endpoint was listed later with another process.
     #[must_use]
     pub fn has_left(&self, endpoint: &id::Endpoint, process: Process, revision: Revision) -> bool {
         let Some(listing) = self.by_endpoint.get(endpoint) else {
@@ -149,9 +155,11 @@
         if listing.is_departed(process, revision) {
             return true;
         }
-        !listing.is_listed
-            && listing.revision.is_after(&revision)
-            && listing.process.is_same(process)
+        if !listing.revision.is_after(&revision) {
+            return false;
+        }
+        let is_removed = !listing.is_listed && listing.process.is_same(process);
+        is_removed || listing.process.is_successor_of(process)
     }
 
     /// Returns what to report to the other nodes.
--- a/gateway/tests/test_follow.rs
+++ b/gateway/tests/test_follow.rs
@@ -270,3 +270,49 @@
     nodes.exchange(CONTACT_TIME).await;
     assert!(reader.uses("leaves") && cut.uses("leaves"));
 }
+
+/// How the process of an endpoint is followed by the next one under the same id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Replacement {
+    /// It says that it leaves, and its description is removed.
+    Planned,
+    /// Its description is removed.
+    Removed,
+    /// Its description is overwritten by the next process.
+    Overwritten,
+}
+
+/// Guards against ORDER at a node that can't read the source: a process that ended, whose version
+/// it knows, is not used again when the next one is listed under the same id.
+#[rstest]
+#[case::planned(Replacement::Planned)]
+#[case::removed(Replacement::Removed)]
+#[case::overwritten(Replacement::Overwritten)]
+#[tokio::test(start_paused = true)]
+async fn a_node_that_is_cut_does_not_use_an_ended_process(#[case] replacement: Replacement) {
+    let nodes = Nodes::start().await;
+    let [reader, cut] = &nodes.followers;
+    nodes.directories[1].set_away(Some(Away::Silent));
+    nodes.exchange(Duration::from_secs(5)).await;
+    if replacement == Replacement::Planned {
+        for directory in &nodes.directories {
+            directory.write("leaves", Standing::Leaving, 1);
+        }
+        nodes.exchange(DRAIN_TIME).await;
+    }
+    if replacement != Replacement::Overwritten {
+        nodes.remove("leaves");
+        nodes.exchange(DRAIN_TIME).await;
+        assert!(!cut.uses("leaves"), "it left");
+    }
+    nodes.write("leaves", 2);
+    nodes.exchange(DRAIN_TIME).await;
+    for _ in 0..20 {
+        nodes.exchange(Duration::from_millis(200)).await;
+        assert!(reader.uses("leaves") && reader.uses("lives"));
+        assert!(!cut.uses("leaves") && cut.uses("lives"));
+    }
+    nodes.directories[1].set_away(None);
+    nodes.exchange(CONTACT_TIME).await;
+    assert!(cut.uses("leaves") && cut.uses("lives"), "the next process");
+}
--- a/gateway/tests/test_listing.rs
+++ b/gateway/tests/test_listing.rs
@@ -49,6 +49,33 @@
     assert_eq!(left, expected);
 }
 
+/// Guards against ORDER: what is reported of the next process of an endpoint does not bring the
+/// one before back.
+#[rstest]
+#[case::earlier_process(Some(6), 9, true)]
+#[case::earlier_process_read_later(Some(6), 13, false)]
+#[case::reported_process(Some(7), 9, false)]
+#[case::unknown_process(None, 9, false)]
+#[case::later_process(Some(8), 9, false)]
+fn an_ended_process_stays_ended_when_the_next_one_is_listed(
+    #[case] started_ms: Option<u64>,
+    #[case] shown_at: i64,
+    #[case] expected: bool,
+) {
+    let mut listings = Listings::default();
+    let departure = Report {
+        process: process(Some(6)),
+        ..report(10, false)
+    };
+    assert!(listings.record(at(100), &departure));
+    assert!(listings.record(at(101), &report(12, true)));
+    let left = listings.has_left(&endpoint(), process(started_ms), Revision::from(shown_at));
+    assert_eq!(left, expected);
+    // The next process left, too.
+    assert!(listings.record(at(102), &report(14, false)));
+    assert!(listings.has_left(&endpoint(), process(Some(6)), Revision::from(9)));
+}
+
 /// Reports that arrive late or twice change nothing; a later one brings the endpoint back.
 #[test]
 fn the_revision_decides_between_reports() {
