--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -306,6 +306,14 @@
         self.admission.read(read)
     }
 
+    /// Returns when the process of an endpoint started by this node's directory, in
+    /// milliseconds since the Unix epoch; `None` if it is unknown.
+    #[must_use]
+    pub fn listed_start(&self, endpoint: &id::Endpoint) -> Option<u64> {
+        let read = |dispatcher: &Dispatcher| dispatcher.started_ms(endpoint);
+        self.admission.read(read)
+    }
+
     /// Sends a request to endpoints until one answers, no retry is left or this node ends.
     async fn send(self: Arc<Self>, job: Job) -> Result<Response<Body>, Refused> {
         let mut progress = Progress::default();
--- a/gateway/src/controller/endpoints.rs
+++ b/gateway/src/controller/endpoints.rs
@@ -170,10 +170,16 @@
             return false;
         }
         self.changed = true;
+        let known = self.tracked.get(&report.endpoint);
+        let known = known.map(|known| (known.entry.started_ms, known.shown_at));
+        let (started_ms, shown_at) = known.unwrap_or_default();
         if is_used {
             tracing::info!(
                 endpoint = %report.endpoint,
                 revision = %report.revision,
+                born = started_ms,
+                %shown_at,
+                reported_born = report.process.started_ms,
                 "endpoint used again: another node read that it is listed"
             );
             return false;
@@ -182,6 +188,10 @@
             endpoint = %report.endpoint,
             revision = %report.revision,
             age_ms = crate::logging::millis(report.age),
+            born = started_ms,
+            %shown_at,
+            reported_born = report.process.started_ms,
+            is_listed = report.is_listed,
             "endpoint given up: another node read that it left"
         );
         self.observations
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -154,6 +154,8 @@
             id = job.correlation_id,
             endpoint = %choice.endpoint,
             version = job.version.as_ref().map(id::Version::as_str),
+            born = chain.listed_start(&choice.endpoint),
+            view_age_ms = chain.view.age().map(millis),
             first_ms = millis(waited),
             "stream began"
         );
@@ -351,6 +353,8 @@
                 from = %from,
                 to = %self.choice.endpoint,
                 version = self.job.version.as_ref().map(id::Version::as_str),
+                born = self.chain.listed_start(&self.choice.endpoint),
+                view_age_ms = self.chain.view.age().map(millis),
                 after = self.last_event_id,
                 cause,
                 "stream is resumed at another endpoint"
--- a/gateway/src/view.rs
+++ b/gateway/src/view.rs
@@ -96,6 +96,17 @@
         state.read = Some((number, sent));
     }
 
+    /// Returns the time since the last read, by this node or its coordinator, that showed what
+    /// this node has; `None` if there was none.
+    #[must_use]
+    pub fn age(&self) -> Option<Duration> {
+        let state = *lock(&self.shared.state);
+        let uptime = self.shared.clock.uptime();
+        let own = state.read.map(|(_, sent)| uptime.saturating_sub(sent));
+        let confirmed = state.confirmed.map(|read_at| read_at.elapsed());
+        own.into_iter().chain(confirmed).min()
+    }
+
     /// Returns what to announce; `None` if nothing was read yet.
     #[must_use]
     pub fn announcement(&self) -> Option<View> {
--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -695,6 +695,13 @@
         self.members.get(endpoint)?.record.version.as_ref()
     }
 
+    /// Returns when the process of an endpoint started, in milliseconds since the Unix epoch;
+    /// `None` if it is unknown.
+    #[must_use]
+    pub fn started_ms(&self, endpoint: &id::Endpoint) -> Option<u64> {
+        self.members.get(endpoint)?.started_ms
+    }
+
     /// Returns the time in which nearly all answers to requests with these tokens, of the
     /// prompt and of the expected answer, are complete; zero for an unknown service.
     #[must_use]
