listing: order the processes of an endpoint by revision, and keep them ended

Cause: that an endpoint is listed was recorded only if it was known to have left, and the order of two processes was taken from their start times. Whether a process has ended was derived anew from the last report, which is about another process.

A report that another process is listed at a later revision now ends the one before; start times decide only where the revision may be of a restored copy, and for removals, whose revision is that of the read that showed them. The node's own entry keeps that its process has ended until a description of it is read that is later, or it is reported as listed.

--- a/gateway/src/controller/endpoints.rs
+++ b/gateway/src/controller/endpoints.rs
@@ -36,6 +36,21 @@
     missing: bool,
     /// Revision of the directory at which the description was valid.
     shown_at: Revision,
+    /// Whether its process ended since, as this node or another one read. It stays ended,
+    /// whatever is read of other processes of the endpoint.
+    has_ended: bool,
+}
+
+impl Tracked {
+    /// Applies what is known of the processes of the endpoint.
+    fn apply(&mut self, name: &id::Endpoint, listings: &listing::Listings) {
+        let process = listing::Process::from(&self.entry);
+        if listings.has_left(name, process, self.shown_at) {
+            self.has_ended = true;
+        } else if listings.is_listed(name, process, self.shown_at) {
+            self.has_ended = false;
+        }
+    }
 }
 
 /// The endpoints that this node uses: those of the source, and those whose
@@ -165,13 +180,16 @@
             return false;
         }
         self.listings_changed = true;
+        let mut known = None;
+        if let Some(tracked) = self.tracked.get_mut(&report.endpoint) {
+            tracked.apply(&report.endpoint, &self.listings);
+            known = Some((tracked.entry.started_ms, tracked.shown_at));
+        }
         let is_used = self.is_used(&report.endpoint);
         if was_used == is_used {
             return false;
         }
         self.changed = true;
-        let known = self.tracked.get(&report.endpoint);
-        let known = known.map(|known| (known.entry.started_ms, known.shown_at));
         let (started_ms, shown_at) = known.unwrap_or_default();
         if is_used {
             tracing::info!(
@@ -207,21 +225,16 @@
     /// Returns whether an endpoint is known and has not left.
     fn is_used(&self, name: &id::Endpoint) -> bool {
         let known = self.tracked.get(name);
-        known.is_some_and(|known| !self.has_left(name, known))
-    }
-
-    fn has_left(&self, name: &id::Endpoint, known: &Tracked) -> bool {
-        let process = listing::Process::from(&known.entry);
-        self.listings.has_left(name, process, known.shown_at)
+        known.is_some_and(|known| !known.has_ended)
     }
 
     /// Returns the endpoints that are known and have not left.
     fn used(&self) -> impl Iterator<Item = (&id::Endpoint, &Tracked)> {
-        let known = self.tracked.iter();
-        known.filter(|(name, known)| !self.has_left(name, known))
+        self.tracked.iter().filter(|(_, known)| !known.has_ended)
     }
 
-    /// Records what this node read about an endpoint, for the other nodes.
+    /// Records what this node read about an endpoint, for the other nodes. That it is listed
+    /// is of interest to them only if it was not, or was with another process.
     fn record_own_listing(
         &mut self,
         now: time::Instant,
@@ -229,6 +242,9 @@
         entry: &Entry,
         (revision, is_listed): (Revision, bool),
     ) {
+        if is_listed && !self.listings.is_known(name) {
+            return;
+        }
         let report = listing::Report {
             endpoint: name.clone(),
             process: listing::Process::from(entry),
@@ -297,15 +313,15 @@
         self.observe(&name, &entry);
         let is_listed = entry.record.standing == Standing::Live;
         self.record_own_listing(now, &name, &entry, (shown_at, is_listed));
-        let missing = false;
-        let tracked = Tracked {
+        let mut tracked = Tracked {
             entry,
-            missing,
+            missing: false,
             shown_at,
+            has_ended: false,
         };
         // One that left is known, but not used, while a restored copy lists it.
-        let is_used = !self.has_left(&name, &tracked);
-        self.changed |= is_used != was_used;
+        tracked.apply(&name, &self.listings);
+        self.changed |= tracked.has_ended == was_used;
         self.tracked.insert(name, tracked);
     }
 
--- a/gateway/src/listing.rs
+++ b/gateway/src/listing.rs
@@ -41,12 +41,20 @@
         started.is_none_or(|(started, other)| started == other)
     }
 
-    /// Returns whether this process certainly started after another one.
+    /// Returns whether this process certainly started after another one, by clocks that may
+    /// have been set back in between.
     fn is_successor_of(self, other: Self) -> bool {
         let started = self.started_ms.zip(other.started_ms);
         started.is_some_and(|(started, other)| started > other)
     }
 
+    /// Returns whether another process that is listed at a later revision has taken the place
+    /// of this one. Start times decide only where that revision may be of a restored copy:
+    /// clocks can be set back, revisions can't.
+    fn is_followed_by(self, other: Self, shown_at: Revision, listed_at: Revision) -> bool {
+        !listed_at.may_be_of_copy(&shown_at) || other.is_successor_of(self)
+    }
+
     /// Returns whether the description is not later than another one.
     fn is_not_after(self, other: Self) -> bool {
         if self.is_same(other) {
@@ -109,6 +117,42 @@
             && shown_at.may_be_of_copy(&self.revision)
             && process.is_not_after(self.process)
     }
+
+    /// Returns whether a report shows something that was read later, and not the same again.
+    fn is_superseded_by(&self, report: &Report) -> bool {
+        if !report.revision.is_after(&self.revision) {
+            return false;
+        }
+        if !report.is_listed {
+            return true;
+        }
+        if !self.is_listed {
+            return !self.is_departed(report.process, report.revision);
+        }
+        !self.process.is_same(report.process)
+            && self
+                .process
+                .is_followed_by(report.process, self.revision, report.revision)
+    }
+
+    /// Returns whether a process that was described at a revision has ended since.
+    fn shows_end_of(&self, process: Process, shown_at: Revision) -> bool {
+        if self.is_departed(process, shown_at) {
+            return true;
+        }
+        if !self.revision.is_after(&shown_at) {
+            return false;
+        }
+        if self.process.is_same(process) {
+            return !self.is_listed;
+        }
+        if self.is_listed {
+            return process.is_followed_by(self.process, shown_at, self.revision);
+        }
+        // The revision of a removal is that of the read that showed it. The description of
+        // another process may have been written between the two.
+        self.process.is_successor_of(process)
+    }
 }
 
 /// Endpoints that left, and those that are listed again.
@@ -119,18 +163,11 @@
 
 impl Listings {
     /// Records what was read at a time, by this node or another one; returns whether it is
-    /// new. That an endpoint is listed matters only if it was not.
+    /// new.
     pub fn record(&mut self, now: time::Instant, report: &Report) -> bool {
-        let known = self.by_endpoint.get(&report.endpoint);
-        let is_new = match known {
-            Some(known) if !report.revision.is_after(&known.revision) => false,
-            Some(known)
-                if report.is_listed && known.is_departed(report.process, report.revision) =>
-            {
-                false
-            }
-            Some(known) => known.is_listed != report.is_listed || !report.is_listed,
-            None => !report.is_listed && self.by_endpoint.len() < MAX_LISTINGS,
+        let is_new = match self.by_endpoint.get(&report.endpoint) {
+            Some(known) => known.is_superseded_by(report),
+            None => self.by_endpoint.len() < MAX_LISTINGS,
         };
         if !is_new {
             return false;
@@ -145,21 +182,30 @@
         true
     }
 
-    /// Returns whether a process of an endpoint left after its description was read at a
+    /// Returns whether something was recorded of an endpoint.
+    #[must_use]
+    pub fn is_known(&self, endpoint: &id::Endpoint) -> bool {
+        self.by_endpoint.contains_key(endpoint)
+    }
+
+    /// Returns whether a process of an endpoint ended after its description was read at a
     /// revision: it was removed, or the endpoint was listed later with another process.
     #[must_use]
     pub fn has_left(&self, endpoint: &id::Endpoint, process: Process, revision: Revision) -> bool {
-        let Some(listing) = self.by_endpoint.get(endpoint) else {
-            return false;
-        };
-        if listing.is_departed(process, revision) {
-            return true;
-        }
-        if !listing.revision.is_after(&revision) {
-            return false;
-        }
-        let is_removed = !listing.is_listed && listing.process.is_same(process);
-        is_removed || listing.process.is_successor_of(process)
+        let listing = self.by_endpoint.get(endpoint);
+        listing.is_some_and(|listing| listing.shows_end_of(process, revision))
+    }
+
+    /// Returns whether a process of an endpoint was listed after its description was read at
+    /// a revision.
+    #[must_use]
+    pub fn is_listed(&self, endpoint: &id::Endpoint, process: Process, revision: Revision) -> bool {
+        let listing = self.by_endpoint.get(endpoint);
+        listing.is_some_and(|listing| {
+            listing.is_listed
+                && listing.process.is_same(process)
+                && listing.revision.is_after(&revision)
+        })
     }
 
     /// Returns what to report to the other nodes.
--- a/gateway/tests/test_follow.rs
+++ b/gateway/tests/test_follow.rs
@@ -29,7 +29,10 @@
 const STEPS: u32 = 40;
 
 async fn with_two_endpoints() -> (Directory, Follower) {
-    let directory = Directory::default();
+    with_two_endpoints_in(Directory::default()).await
+}
+
+async fn with_two_endpoints_in(directory: Directory) -> (Directory, Follower) {
     directory.write("leaves", Standing::Live, 1);
     directory.write("lives", Standing::Live, 1);
     let follower = Follower::start(&directory).await;
@@ -194,8 +197,17 @@
 
 impl Nodes {
     async fn start() -> Self {
-        let (first, first_follower) = with_two_endpoints().await;
-        let (second, second_follower) = with_two_endpoints().await;
+        Self::start_in([Directory::default(), Directory::default()]).await
+    }
+
+    /// Starts nodes whose source tells the revision of each description.
+    async fn start_with_revisions() -> Self {
+        Self::start_in([Directory::with_eras(), Directory::with_eras()]).await
+    }
+
+    async fn start_in([first, second]: [Directory; 2]) -> Self {
+        let (first, first_follower) = with_two_endpoints_in(first).await;
+        let (second, second_follower) = with_two_endpoints_in(second).await;
         Self {
             directories: [first, second],
             followers: [first_follower, second_follower],
@@ -316,3 +328,135 @@
     nodes.exchange(CONTACT_TIME).await;
     assert!(cut.uses("leaves") && cut.uses("lives"), "the next process");
 }
+
+/// The clock by which the next process of an endpoint tells when it started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StartClock {
+    /// It goes forward.
+    Forward,
+    /// It was set back since the process before started.
+    SetBack,
+}
+
+/// Replaces the process of an endpoint while nothing passes between the nodes.
+async fn replace_unheard(nodes: &Nodes, replacement: Replacement, started_ms: u64) {
+    if replacement == Replacement::Planned {
+        for directory in &nodes.directories {
+            directory.write("leaves", Standing::Leaving, 1);
+        }
+        sleep(DRAIN_TIME).await;
+    }
+    if replacement != Replacement::Overwritten {
+        nodes.remove("leaves");
+        sleep(Duration::from_millis(1400)).await;
+    }
+    nodes.write("leaves", started_ms);
+    sleep(DRAIN_TIME).await;
+}
+
+/// Guards against ORDER at a node that can't read the source and hears only of the next process
+/// of an endpoint: nothing passed between the nodes while the one before left.
+#[rstest]
+#[case::planned(Replacement::Planned)]
+#[case::removed(Replacement::Removed)]
+#[case::overwritten(Replacement::Overwritten)]
+#[tokio::test(start_paused = true)]
+async fn a_process_has_ended_if_only_the_next_one_is_heard_of(#[case] replacement: Replacement) {
+    let nodes = Nodes::start_with_revisions().await;
+    let [reader, cut] = &nodes.followers;
+    nodes.directories[1].set_away(Some(Away::Silent));
+    sleep(Duration::from_secs(5)).await;
+    replace_unheard(&nodes, replacement, 2).await;
+    nodes.exchange(Duration::from_secs(1)).await;
+    assert!(reader.uses("leaves") && reader.uses("lives"));
+    assert!(!cut.uses("leaves") && cut.uses("lives"));
+    nodes.directories[1].set_away(None);
+    nodes.exchange(CONTACT_TIME).await;
+    assert!(cut.uses("leaves") && cut.uses("lives"), "the next process");
+}
+
+/// Guards against ORDER at a node that can't read the source and knows of an earlier replacement:
+/// it hears only that the process after the one that it uses is listed.
+#[rstest]
+#[case::planned(Replacement::Planned)]
+#[case::removed(Replacement::Removed)]
+#[case::overwritten(Replacement::Overwritten)]
+#[tokio::test(start_paused = true)]
+async fn a_process_has_ended_if_the_one_before_was_replaced_too(#[case] replacement: Replacement) {
+    let nodes = Nodes::start_with_revisions().await;
+    let [reader, cut] = &nodes.followers;
+    nodes.remove("leaves");
+    nodes.exchange(DRAIN_TIME).await;
+    nodes.write("leaves", 2);
+    nodes.exchange(DRAIN_TIME).await;
+    assert!(reader.uses("leaves") && cut.uses("leaves"));
+    nodes.directories[1].set_away(Some(Away::Silent));
+    sleep(Duration::from_secs(5)).await;
+    replace_unheard(&nodes, replacement, 3).await;
+    nodes.exchange(Duration::from_secs(1)).await;
+    assert!(reader.uses("leaves") && reader.uses("lives"));
+    assert!(!cut.uses("leaves") && cut.uses("lives"));
+}
+
+/// Guards against ORDER at a node that can't read the source: a process that ended is not used
+/// again when the next ones are listed and leave, whatever start times they name.
+#[rstest]
+#[case::removed(Replacement::Removed, StartClock::Forward)]
+#[case::removed_and_set_back(Replacement::Removed, StartClock::SetBack)]
+#[case::overwritten(Replacement::Overwritten, StartClock::Forward)]
+#[case::overwritten_and_set_back(Replacement::Overwritten, StartClock::SetBack)]
+#[tokio::test(start_paused = true)]
+async fn a_process_stays_ended_through_later_replacements(
+    #[case] replacement: Replacement,
+    #[case] clock: StartClock,
+    #[values(true, false)] is_heard: bool,
+) {
+    let nodes = Nodes::start_with_revisions().await;
+    let [reader, cut] = &nodes.followers;
+    nodes.write("leaves", 100);
+    nodes.exchange(DRAIN_TIME).await;
+    nodes.directories[1].set_away(Some(Away::Silent));
+    nodes.exchange(Duration::from_secs(5)).await;
+    for number in 1..=3 {
+        let started_ms = match clock {
+            StartClock::Forward => 100 + number,
+            StartClock::SetBack => 100 - number,
+        };
+        if is_heard {
+            if replacement == Replacement::Removed {
+                nodes.remove("leaves");
+                nodes.exchange(DRAIN_TIME).await;
+            }
+            nodes.write("leaves", started_ms);
+        } else {
+            replace_unheard(&nodes, replacement, started_ms).await;
+        }
+        nodes.exchange(DRAIN_TIME).await;
+        assert!(reader.uses("leaves") && reader.uses("lives"));
+        assert!(!cut.uses("leaves") && cut.uses("lives"), "{number}");
+    }
+    nodes.directories[1].set_away(None);
+    nodes.exchange(CONTACT_TIME).await;
+    assert!(cut.uses("leaves") && cut.uses("lives"), "the last process");
+}
+
+/// Guards against ORDER at a node that can't read the source for longer than reports are
+/// remembered: a process that ended is not used again.
+#[tokio::test(start_paused = true)]
+async fn a_process_stays_ended_in_a_long_outage() {
+    let nodes = Nodes::start_with_revisions().await;
+    let [_, cut] = &nodes.followers;
+    nodes.directories[1].set_away(Some(Away::Refused));
+    nodes.exchange(Duration::from_secs(5)).await;
+    nodes.remove("leaves");
+    nodes.exchange(DRAIN_TIME).await;
+    assert!(!cut.uses("leaves"), "it left");
+    for _ in 0..4 {
+        sleep(Duration::from_mins(5)).await;
+        assert!(!cut.uses("leaves") && cut.uses("lives"));
+    }
+    // Another change, after which the node publishes its endpoints anew.
+    nodes.remove("lives");
+    nodes.exchange(DRAIN_TIME).await;
+    assert!(!cut.uses("leaves") && !cut.uses("lives"));
+}
