gateway: resume streams only at processes that are certain

Reports between nodes mend what they reach. They reach a node not at all if it is cut for longer than 30 s, if more than 256 endpoints change, if datagrams are lost, or if all nodes that read were restarted. Then a resumption went on wherever the directory had once listed the version, however long ago.

Cause: what was read counted without a limit in time, for the endpoint at which a stream goes on and for the one at which it began, of which the other nodes are told.

A process that is to be replaced says so and serves for the drain time, so what was read is certain for as long. Nodes that go on reading are witnesses if none of their reports can have been missed. Otherwise the endpoint is asked: engines report the start of their process. The question is asked on a connection that is opened after the one that will be used, so that its answer holds for that one. Without certainty the stream is cut, which its caller sees, and a caller that resumes is sent to another node at once. Heartbeats that may have waited while this process was suspended confirm nothing; their age counts from their arrival.

A service without engine reports has only the reports of the other nodes.

--- a/gateway/src/acceptance.rs
+++ b/gateway/src/acceptance.rs
@@ -150,13 +150,7 @@
                     took_ms = took,
                     "stream not resumed for its caller: the version that began it is unknown"
                 );
-                let refused = Refused::unsent(
-                    StatusCode::SERVICE_UNAVAILABLE,
-                    Reason::UnknownVersion,
-                    "this node does not know the software version that began the stream; \
-                     send the request to another node",
-                );
-                Err(refused.with_retry_after(OTHER_NODE_RETRY_AFTER))
+                Err(Refused::unknown_version())
             }
         }
     }
--- a/gateway/src/chain.rs
+++ b/gateway/src/chain.rs
@@ -90,6 +90,8 @@
     pub metrics: Metrics,
     /// Phase of the shutdown.
     pub phase: Phase,
+    /// Time for which an endpoint serves after it said that it leaves.
+    pub drain_time: Duration,
 }
 
 impl<D: Dialect> Chain<D> {
@@ -373,7 +375,7 @@
     /// the result of its last attempt says more.
     fn refuse(&self, job: &Job, progress: &Progress, obstacle: &Obstacle) -> Option<Refused> {
         match obstacle {
-            Obstacle::Once | Obstacle::UnknownVersion => None,
+            Obstacle::Once => None,
             Obstacle::Budget => {
                 tracing::info!(
                     id = job.correlation_id,
@@ -397,7 +399,8 @@
                 "the endpoint failed and no other is free in time; send the request again",
             )),
             Obstacle::Unreachable { .. } => Some(refuse_unreachable(progress.may_have_run)),
-            Obstacle::Shutdown if progress.may_have_run => None,
+            Obstacle::UnknownVersion | Obstacle::Shutdown if progress.may_have_run => None,
+            Obstacle::UnknownVersion => Some(Refused::unknown_version()),
             Obstacle::Shutdown => Some(Refused::shutting_down(OTHER_NODE_RETRY_AFTER)),
             Obstacle::Quarantine => Some(self.refuse_quarantined(
                 &job.correlation_id,
--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -236,6 +236,7 @@
             }
             Message::SourceReturned(at) => self.endpoints.record_return(at),
             Message::Tick => {
+                self.outputs.view.record_alive();
                 self.apply_listings();
                 if let Some(confirmed) = self.outputs.view.confirmed() {
                     let rollouts = &self.outputs.rollouts;
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -96,6 +96,10 @@
     /// Reads the status and headers of an endpoint's answer.
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> Answer;
 
+    /// Reads from an engine's report when its process started, in milliseconds since the Unix
+    /// epoch; `None` if it does not tell.
+    fn read_start(&self, report: &[u8]) -> Option<u64>;
+
     /// Adds the id of the caller's attempt to the headers of a refusal.
     fn mark_refusal(&self, headers: &mut HeaderMap, correlation_id: &str);
 
--- a/gateway/src/examiner.rs
+++ b/gateway/src/examiner.rs
@@ -2,28 +2,14 @@
 
 use std::{io, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use dottereltally_lib::{
     crash::Finding,
     endpoint::{Record, Standing},
     id,
 };
-use dottereltally_store::inbound;
-use http::{Request, header::HOST};
-use http_body_util::Empty;
-use tokio::{
-    sync::mpsc,
-    task::JoinSet,
-    time::{sleep, timeout},
-};
-
-use crate::{chain::Chain, crashes::Target, dialect::Dialect, logging::millis};
-
-/// Time to open a connection to an endpoint.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+use tokio::{sync::mpsc, task::JoinSet, time::sleep};
 
-/// Time for an endpoint's answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
+use crate::{chain::Chain, crashes::Target, dialect::Dialect, logging::millis, probe};
 
 /// Time between two questions to an endpoint that did not respond.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -101,7 +87,12 @@
                 return (Finding::Unreachable, PAUSED.to_owned());
             }
         }
-        match ask(chain, &target.endpoint, &target.address, &target.service).await {
+        let asked = probe::Target {
+            endpoint: &target.endpoint,
+            address: &target.address,
+            service: &target.service,
+        };
+        match probe::health(chain, asked).await {
             Ok(named) if named.as_ref().is_none_or(|named| *named == target.endpoint) => {
                 return (Finding::Alive, String::new());
             }
@@ -152,57 +143,14 @@
         other.id != target.endpoint && !dead && !is_paused(chain, &other.id)
     };
     for other in others.into_iter().filter(is_candidate).take(MAX_WITNESSES) {
-        let asking = ask(chain, &other.id, &other.address, &other.service);
-        if asking.await.is_ok() {
+        let asked = probe::Target {
+            endpoint: &other.id,
+            address: &other.address,
+            service: &other.service,
+        };
+        if probe::health(chain, asked).await.is_ok() {
             return true;
         }
     }
     false
 }
-
-/// Sends a health check on a new connection; returns the endpoint that the answer
-/// names, if it names one.
-async fn ask<D: Dialect>(
-    chain: &Chain<D>,
-    endpoint: &id::Endpoint,
-    address: &str,
-    service: &id::Service,
-) -> io::Result<Option<id::Endpoint>> {
-    let path = chain.plan.borrow().as_ref().and_then(|plan| {
-        let service = plan.services.get(service)?;
-        Some(service.health_path.clone())
-    });
-    let stream = timeout(CONNECT_TIMEOUT, chain.paths.open(address)).await??;
-    let mut request = Request::get(path.as_deref().unwrap_or("/"))
-        .header(HOST, address)
-        .body(Empty::<Bytes>::new())
-        .map_err(io::Error::other)?;
-    chain.admission.apply(|dispatcher, _| {
-        dispatcher.record_direct_request(endpoint);
-        Vec::new()
-    });
-    let answering = async {
-        let (mut sender, connection, progress) = inbound::handshake(stream).await?;
-        progress.watch(&mut request, |_, _| {});
-        tokio::select! {
-            response = sender.send_request(request) => response,
-            // A connection that ends also ends the request, with the cause.
-            Err(error) = connection => Err(error),
-        }
-    };
-    let response = timeout(ANSWER_TIMEOUT, answering)
-        .await?
-        .map_err(io::Error::other)?;
-    let answer = chain
-        .dialect
-        .read_answer(response.status(), response.headers());
-    if answer
-        .endpoint
-        .as_ref()
-        .is_none_or(|named| named == endpoint)
-    {
-        chain.record_limit(endpoint, answer.limit);
-        chain.record_notice(endpoint, &answer.notice);
-    }
-    Ok(answer.endpoint)
-}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -26,6 +26,8 @@
 pub mod origins;
 pub mod paths;
 pub mod peers;
+pub mod probe;
+pub mod process;
 pub mod refusal;
 pub mod relay;
 pub mod rollout;
--- a/gateway/src/listing.rs
+++ b/gateway/src/listing.rs
@@ -23,7 +23,7 @@
 const MAX_LISTINGS: usize = 10_000;
 
 /// Most listings in a report to another node, the latest ones.
-const MAX_REPORTS: usize = 256;
+pub const MAX_REPORTS: usize = 256;
 
 /// A process of an endpoint, as its last description shows it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -113,6 +113,22 @@
     Dropped,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ConfirmationLabels {
+    result: Confirmation,
+}
+
+/// What an endpoint answered that was asked which process it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Confirmation {
+    /// It is the listed one.
+    Same,
+    /// It is another one.
+    Other,
+    /// It did not tell.
+    Unknown,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RolloutLabels {
     service: String,
@@ -180,6 +196,7 @@
     crash_evidence: Family<EvidenceLabels, Counter>,
     examinations: Family<ExaminationLabels, Counter>,
     stream_origins: Family<OriginLabels, Counter>,
+    confirmations: Family<ConfirmationLabels, Counter>,
     rollouts: Rollouts,
     origin_datagrams: Counter,
     origin_bytes: Counter,
@@ -262,6 +279,7 @@
             crash_evidence: Family::default(),
             examinations: Family::default(),
             stream_origins: Family::default(),
+            confirmations: Family::default(),
             rollouts: Rollouts::default(),
             origin_datagrams: Counter::default(),
             origin_bytes: Counter::default(),
@@ -333,6 +351,11 @@
             "Streams that broke and went on nowhere",
             self.not_resumed.clone(),
         );
+        registry.register(
+            "confirmations",
+            "Endpoints that were asked which process they are, as the directory was not read",
+            self.confirmations.clone(),
+        );
         registry.register(
             "crash_evidence",
             "Evidence about requests that may crash endpoints",
@@ -607,6 +630,12 @@
         self.not_resumed.get_or_create(&labels).inc();
     }
 
+    /// Records what an endpoint answered that was asked which process it is.
+    pub fn confirmation(&self, result: Confirmation) {
+        let labels = ConfirmationLabels { result };
+        self.confirmations.get_or_create(&labels).inc();
+    }
+
     /// Records evidence about a request that may crash endpoints.
     pub fn crash_evidence(&self, evidence: Evidence) {
         let labels = EvidenceLabels { evidence };
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -352,6 +352,7 @@
         ),
         metrics: metrics.clone(),
         phase: Phase::default(),
+        drain_time: settings.bounds.drain,
     };
     (chain, tasks)
 }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     chain::Chain, coordinator, crashes, dialect::Dialect, directory::Node, heartbeat::Heartbeat,
-    logging::millis, origins, paths::Carrier, rollout, sync::lock,
+    listing, logging::millis, origins, paths::Carrier, rollout, sync::lock,
 };
 
 /// Interval at which due heartbeats and silent nodes are looked for.
@@ -590,6 +590,11 @@
             .admission
             .record_peer_speeds(&heartbeat.node, &heartbeat.speeds);
         chain.view.record_listings(&heartbeat.listings);
+        if let Some(view) = &heartbeat.view {
+            let is_complete = heartbeat.listings.len() < listing::MAX_REPORTS;
+            let (node, process) = (&heartbeat.node, heartbeat.incarnation);
+            chain.view.record_witness(node, process, view, is_complete);
+        }
         self.apply_rollouts(heartbeat);
         if Some(&heartbeat.node) == self.own_coordinator.as_ref()
             && let Some(view) = &heartbeat.view
--- a/gateway/src/refusal.rs
+++ b/gateway/src/refusal.rs
@@ -9,7 +9,7 @@
 use dottereltally_lib::refusal;
 use http::{Response, StatusCode, header::RETRY_AFTER};
 
-use crate::dialect::Dialect;
+use crate::{chain::OTHER_NODE_RETRY_AFTER, dialect::Dialect};
 
 /// A refusal of a request, or the failure of one that an endpoint may have run.
 #[derive(Clone, Debug)]
@@ -84,6 +84,19 @@
         .closing()
     }
 
+    /// Refuses to resume a stream at a node that does not know for certain which software
+    /// version began it, or which endpoints run that one.
+    #[must_use]
+    pub fn unknown_version() -> Self {
+        let refused = Self::unsent(
+            StatusCode::SERVICE_UNAVAILABLE,
+            Reason::UnknownVersion,
+            "this node does not know the software version that began the stream; \
+             send the request to another node",
+        );
+        refused.with_retry_after(OTHER_NODE_RETRY_AFTER)
+    }
+
     /// Sets the delay after which the caller may try again.
     #[must_use]
     pub fn with_retry_after(mut self, delay: Duration) -> Self {
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -1,7 +1,14 @@
 //! Relays a stream to the caller event by event, and resumes it at another
 //! endpoint where the route allows that.
 
-use std::{pin::pin, sync::Arc, time::Duration};
+use std::{
+    pin::pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use dottereltally::{
@@ -44,6 +51,8 @@
     /// The endpoint that began the stream, until the stream is resumed elsewhere;
     /// `None` if another answer to the caller began it.
     origin: Option<id::Endpoint>,
+    /// Whether it is certain that the listed process of that endpoint began the stream.
+    is_origin_certain: Arc<AtomicBool>,
     progress: Progress,
     choice: Choice,
     /// `None` while the stream has no endpoint: it is being resumed, or ended.
@@ -130,6 +139,22 @@
     }
 }
 
+/// Remembers where a stream began once the endpoint has told that it is the listed process.
+async fn confirm_origin<D: Dialect>(
+    chain: Arc<Chain<D>>,
+    job: Arc<Job>,
+    choice: Choice,
+    is_certain: Arc<AtomicBool>,
+) {
+    let is_confirmed = chain.confirm_process(&choice.endpoint).await.is_ok();
+    // The directory may have been read since, and list another process now.
+    if !is_confirmed || chain.listed_version(&choice.endpoint) != job.version {
+        return;
+    }
+    is_certain.store(true, Ordering::Relaxed);
+    chain.remember_origin(&job, &choice);
+}
+
 impl<D: Dialect> Relay<D> {
     /// Starts to relay a stream whose first events have arrived.
     #[must_use]
@@ -149,7 +174,6 @@
         if origin.is_some() && chain.listed_version(&choice.endpoint) == choice.version {
             job.version.clone_from(&choice.version);
         }
-        chain.remember_origin(&job, &choice);
         tracing::info!(
             id = job.correlation_id,
             endpoint = %choice.endpoint,
@@ -161,10 +185,24 @@
         );
         let parts = Some(stream.parts.clone());
         let (upstream, first) = Upstream::new(stream, place);
+        let job = Arc::new(job);
+        let is_origin_certain = Arc::new(AtomicBool::new(chain.is_directory_current()));
+        if is_origin_certain.load(Ordering::Relaxed) {
+            chain.remember_origin(&job, &choice);
+        } else if origin.is_some() && job.route.retry == Retry::Resume && job.version.is_some() {
+            let confirming = confirm_origin(
+                Arc::clone(&chain),
+                Arc::clone(&job),
+                choice.clone(),
+                Arc::clone(&is_origin_certain),
+            );
+            tokio::spawn(confirming);
+        }
         Self {
             chain,
-            job: Arc::new(job),
+            job,
             origin,
+            is_origin_certain,
             progress,
             choice,
             upstream: Some(upstream),
@@ -258,14 +296,17 @@
             && self.certain_version().is_some()
     }
 
-    /// Returns the version that began the stream; `None` if it is unknown, or if the
-    /// endpoint that began it is listed with another one now, which it may have run
-    /// before.
+    /// Returns the version that began the stream; `None` if it is unknown, if it is not
+    /// certain which process of its endpoint began it, or if that endpoint is listed with
+    /// another one now, which it may have run before.
     fn certain_version(&self) -> Option<&id::Version> {
         let version = self.job.version.as_ref()?;
         let Some(origin) = &self.origin else {
             return Some(version);
         };
+        if !self.is_origin_certain.load(Ordering::Relaxed) {
+            return None;
+        }
         let listed = self.chain.listed_version(origin);
         listed
             .is_none_or(|listed| listed == *version)
--- a/gateway/src/search.rs
+++ b/gateway/src/search.rs
@@ -308,6 +308,10 @@
             chain.metrics.budget_exhausted.inc();
             return Err(Obstacle::Budget);
         }
+        // Another node may have read the directory.
+        if job.version.is_some() && !chain.can_confirm_processes(&job.service) {
+            return Err(Obstacle::UnknownVersion);
+        }
         let mut excluded = progress.tried.clone();
         loop {
             let (choice, permit) = self.admit(&excluded).await.map_err(Obstacle::Refused)?;
@@ -385,6 +389,11 @@
                 return Err(self.record_unreachable(choice, error.to_string(), progress));
             }
         };
+        // A connection that was opened before leads to the process that answers now.
+        if job.version.is_some() && chain.confirm_process(&choice.endpoint).await.is_err() {
+            permit.end(Outcome::Cancelled);
+            return Ok(Connected::Changed(choice.endpoint));
+        }
         // Nothing is awaited from here to the send, so that neither a retry nor a
         // flight is recorded for a search that is withdrawn.
         let trial = chain.rollouts.start(
--- a/gateway/src/view.rs
+++ b/gateway/src/view.rs
@@ -4,15 +4,20 @@
 //! directory in its heartbeats. A node with the same digest has what the coordinator read,
 //! and need not ask the source itself. A node with another digest, or without recent
 //! announcements, reads the source.
+//!
+//! A node that can't read the source relies on witnesses: other nodes that go on reading it and
+//! report which endpoints changed, in heartbeats that follow each other closely enough for none
+//! of these reports to be missed.
 
 use std::{
+    collections::BTreeMap,
     mem,
     sync::{Arc, Mutex},
     time::Duration,
 };
 
 use dottereltally::clock::Clock;
-use dottereltally_lib::{era::Era, exchange::View};
+use dottereltally_lib::{era::Era, exchange::View, id};
 use tokio::{sync::Notify, time::Instant};
 
 use crate::{listing, sync::lock};
@@ -23,6 +28,59 @@
 /// Most reports of other nodes that are kept until they are applied.
 const MAX_REPORTED: usize = 10_000;
 
+/// Time in which what another node reported is applied.
+const APPLY_TIME: Duration = Duration::from_millis(500);
+
+/// Time without a sign of life of this process after which it was suspended.
+const SUSPENSION: Duration = Duration::from_secs(1);
+
+/// Time after a suspension in which datagrams may still be read that arrived during it.
+const BACKLOG_TIME: Duration = Duration::from_millis(500);
+
+/// Another node that reads the source and reports what changed.
+#[derive(Clone, Copy, Debug)]
+struct Witness {
+    /// Its process.
+    process: u64,
+    /// Era of the source in its last read.
+    era: Era,
+    /// Time of a read after which no report of it was missed.
+    covered_since: Instant,
+    /// When it was heard last.
+    heard: Instant,
+    /// Number of its last read, and when that was sent.
+    read: (u64, Instant),
+}
+
+/// Whether datagrams are read when they arrive. The age that they state counts from then.
+#[derive(Clone, Copy, Debug, Default)]
+struct Liveness {
+    /// When this process last showed that it runs; `None` if it never did.
+    seen: Option<Instant>,
+    /// Until when datagrams may have waited.
+    backlog_until: Option<Instant>,
+}
+
+impl Liveness {
+    /// Records that the process runs.
+    fn record(&mut self, now: Instant) {
+        if self.was_suspended(now) {
+            self.backlog_until = Some(now + BACKLOG_TIME);
+        }
+        self.seen = Some(now);
+    }
+
+    fn was_suspended(&self, now: Instant) -> bool {
+        self.seen.is_some_and(|seen| now - seen >= SUSPENSION)
+    }
+
+    /// Returns whether a datagram that is read now may have waited while the process was
+    /// suspended.
+    fn has_backlog(&self, now: Instant) -> bool {
+        self.was_suspended(now) || self.backlog_until.is_some_and(|until| now < until)
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct State {
     digest: u64,
@@ -52,6 +110,8 @@
 struct Shared {
     state: Mutex<State>,
     listings: Mutex<Listings>,
+    witnesses: Mutex<BTreeMap<id::Node, Witness>>,
+    liveness: Mutex<Liveness>,
     clock: Clock,
     /// Signalled when the coordinator announced a further read.
     read_announced: Notify,
@@ -74,6 +134,8 @@
                     own: (Vec::new(), Instant::now()),
                     reported: Vec::new(),
                 }),
+                witnesses: Mutex::default(),
+                liveness: Mutex::default(),
                 clock,
                 read_announced: Notify::new(),
             }),
@@ -96,15 +158,67 @@
         state.read = Some((number, sent));
     }
 
-    /// Returns the time since the last read, by this node or its coordinator, that showed what
-    /// this node has; `None` if there was none.
+    /// Returns the time since the last read that showed what this node has; `None` if there was
+    /// none. It was made by this node, by its coordinator, or by a witness whose reports were
+    /// applied here.
     #[must_use]
     pub fn age(&self) -> Option<Duration> {
         let state = *lock(&self.shared.state);
         let uptime = self.shared.clock.uptime();
         let own = state.read.map(|(_, sent)| uptime.saturating_sub(sent));
         let confirmed = state.confirmed.map(|read_at| read_at.elapsed());
-        own.into_iter().chain(confirmed).min()
+        let age = own.into_iter().chain(confirmed).min()?;
+        let witnessed = self.witnessed(state.era, age);
+        Some(witnessed.map_or(age, |witnessed| witnessed.min(age)))
+    }
+
+    /// Returns the time since the last read of a witness that has reported all changes to what
+    /// was read `age` ago; `None` if there is none.
+    fn witnessed(&self, era: Era, age: Duration) -> Option<Duration> {
+        let now = Instant::now();
+        let read_at = now.checked_sub(age)?;
+        let witnesses = lock(&self.shared.witnesses);
+        let mut newest = None;
+        for witness in witnesses.values() {
+            if witness.era == era && witness.covered_since <= read_at {
+                newest = newest.max(Some(witness.read.1));
+            }
+        }
+        Some(now - newest? + APPLY_TIME)
+    }
+
+    /// Records that this process runs.
+    pub fn record_alive(&self) {
+        lock(&self.shared.liveness).record(Instant::now());
+    }
+
+    /// Records what a process of another node read, and that its reports on the endpoints that
+    /// are listed were received with it, all of them or only the latest ones.
+    pub fn record_witness(&self, node: &id::Node, process: u64, view: &View, is_complete: bool) {
+        let now = Instant::now();
+        let mut witnesses = lock(&self.shared.witnesses);
+        witnesses.retain(|_, witness| now - witness.heard < listing::REPORT_TIME);
+        let has_backlog = lock(&self.shared.liveness).has_backlog(now);
+        let read_at = now.checked_sub(view.age).filter(|_| !has_backlog);
+        let Some(read_at) = read_at.filter(|_| is_complete) else {
+            witnesses.remove(node);
+            return;
+        };
+        let known = witnesses
+            .get(node)
+            .filter(|known| known.process == process && known.era == view.era);
+        // Only the first report of a read counts, as a later one may come from a machine that
+        // was suspended.
+        let known_read = known.map(|known| known.read);
+        let read = known_read.filter(|(number, _)| *number >= view.number);
+        let witness = Witness {
+            process,
+            era: view.era,
+            covered_since: known.map_or(read_at, |known| known.covered_since),
+            heard: now,
+            read: read.unwrap_or((view.number, read_at)),
+        };
+        witnesses.insert(node.clone(), witness);
     }
 
     /// Returns what to announce; `None` if nothing was read yet.
@@ -124,6 +238,9 @@
     /// a read counts, as a later one may come from a machine that was suspended.
     pub fn apply(&self, process: u64, view: &View) {
         let now = Instant::now();
+        if lock(&self.shared.liveness).has_backlog(now) {
+            return;
+        }
         let mut state = lock(&self.shared.state);
         if let Some((received, _)) = &mut state.last_announcement {
             *received = now;
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -34,6 +34,7 @@
     budget::{self, Budget},
     dispatcher::{Dispatcher, Settings},
     endpoint::{Record, Standing},
+    era::Era,
     id,
     notice::Notice,
     plan::{Plan, Quota, Service, Unit, Workspace, Workspaces},
@@ -124,6 +125,10 @@
         }
     }
 
+    fn read_start(&self, report: &[u8]) -> Option<u64> {
+        std::str::from_utf8(report).ok()?.parse().ok()
+    }
+
     fn mark_refusal(&self, headers: &mut HeaderMap, correlation_id: &str) {
         if let Ok(value) = HeaderValue::from_str(correlation_id) {
             headers.insert("x-id", value);
@@ -177,7 +182,13 @@
 
 impl Endpoint {
     pub async fn start(script: Vec<Vec<Step>>) -> Self {
-        Self::follow(Arc::new(Mutex::new(script)), false).await
+        Self::follow(Arc::new(Mutex::new(script)), None).await
+    }
+
+    /// Starts an engine that reports when its process started.
+    pub async fn start_engine(script: Vec<Vec<Step>>, started_ms: u64) -> Self {
+        let report = Some(started_ms.to_string());
+        Self::follow(Arc::new(Mutex::new(script)), report).await
     }
 
     /// Starts endpoints that follow one script together. They answer checks of their
@@ -186,12 +197,13 @@
         let script = Arc::new(Mutex::new(script));
         let mut group = Vec::new();
         for _ in 0..count {
-            group.push(Self::follow(Arc::clone(&script), true).await);
+            group.push(Self::follow(Arc::clone(&script), Some(String::new())).await);
         }
         group
     }
 
-    async fn follow(script: Arc<Mutex<Vec<Vec<Step>>>>, checked: bool) -> Self {
+    /// Starts an endpoint; one with a `report` answers checks of its health with that.
+    async fn follow(script: Arc<Mutex<Vec<Vec<Step>>>>, report: Option<String>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let requests = Arc::<Mutex<Vec<String>>>::default();
@@ -207,7 +219,8 @@
                 let requests = Arc::clone(&requests);
                 let closed = Arc::clone(&closed);
                 let script = Arc::clone(&script);
-                tokio::spawn(run_script(stream, requests, closed, script, checked));
+                let report = report.clone();
+                tokio::spawn(run_script(stream, requests, closed, script, report));
             }
         });
         endpoint
@@ -250,14 +263,17 @@
     requests: Arc<Mutex<Vec<String>>>,
     closed: Arc<AtomicUsize>,
     script: Arc<Mutex<Vec<Vec<Step>>>>,
-    checked: bool,
+    report: Option<String>,
 ) {
     loop {
         let Some(request) = read_message(&mut stream).await else {
             return;
         };
-        if checked && request.starts_with("GET /health ") {
-            let healthy = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        if let Some(report) = &report
+            && request.starts_with("GET /health ")
+        {
+            let length = report.len();
+            let healthy = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{report}");
             if stream.write_all(healthy.as_bytes()).await.is_err() {
                 return;
             }
@@ -509,6 +525,24 @@
         plan: Option<Plan>,
         records: Vec<Record>,
         dialer: Arc<dyn Dial>,
+    ) -> Self {
+        Self::start_current(name, plan, records, dialer, Duration::from_hours(1)).await
+    }
+
+    /// Starts a gateway that has not read its directory for longer than endpoints serve after
+    /// they said that they leave.
+    pub async fn start_out_of_touch(plan: Plan, records: Vec<Record>) -> Self {
+        let dialer = Arc::new(Tcp(UPSTREAM_LIMITS));
+        Self::start_current("n", Some(plan), records, dialer, Duration::ZERO).await
+    }
+
+    /// Starts a gateway whose directory is current for a time.
+    async fn start_current(
+        name: &str,
+        plan: Option<Plan>,
+        records: Vec<Record>,
+        dialer: Arc<dyn Dial>,
+        drain_time: Duration,
     ) -> Self {
         let clock = Clock::start();
         let mut dispatcher = Dispatcher::new(Settings {
@@ -558,7 +592,12 @@
             ),
             metrics,
             phase: Phase::default(),
+            drain_time,
         });
+        // The endpoints count as read just now.
+        chain
+            .view
+            .record_read(chain.view.uptime(), Era::default(), 0);
         tokio::spawn(examiner::run(Arc::clone(&chain), tasks.lost));
         tokio::spawn(chain.paths.clone().watch(chain.admission.clone()));
         tokio::spawn(tick_dispatcher(chain.admission.clone()));
--- a/lib/src/dispatcher.rs
+++ b/lib/src/dispatcher.rs
@@ -688,6 +688,12 @@
         member.listed.then_some(member.standing())
     }
 
+    /// Returns the record of an endpoint; `None` if it is unknown.
+    #[must_use]
+    pub fn record(&self, name: &id::Endpoint) -> Option<&endpoint::Record> {
+        Some(&self.members.get(name)?.record)
+    }
+
     /// Returns the software version of an endpoint; `None` if it or its version is
     /// unknown.
     #[must_use]
