directory: give removals the revision at which they were made

What callers would see: an endpoint that lives gets no requests until it writes its next description, at the node that read and at those that it reports to.

Cause: a removal counted as of the read that showed it. If the description was written again within the same read, by the same process or the next one, that was the older of the two, and was dropped. Where the clock was set back between two processes the next one counted as ended, too.

Removals and descriptions that can't be read now carry their own revision, as the store tells it; an unreadable one is a change of its own kind, like that of a roll-out's record.

Seen to fail before: the three cases of a_description_that_is_written_again_in_one_read_is_used, on.

--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -300,15 +300,13 @@
         match change {
             Change::Plan(plan) => self.adopt_plan(*plan),
             Change::Endpoint(name, entry) => {
-                match &entry {
-                    Some(entry) => self.record_listed(&name, entry),
-                    None => self.record_removed(&name),
-                }
+                self.record_listed(&name, &entry);
                 self.endpoints.update(now, name, entry);
             }
-            Change::EndpointRemoved(name) => {
+            Change::EndpointRemoved(name, revision)
+            | Change::EndpointUnreadable(name, revision) => {
                 self.record_removed(&name);
-                self.endpoints.remove(now, &name);
+                self.endpoints.remove(now, &name, revision);
             }
             Change::Node(node) => {
                 self.nodes.insert(node);
--- a/gateway/src/controller/endpoints.rs
+++ b/gateway/src/controller/endpoints.rs
@@ -175,28 +175,25 @@
     /// Applies what another node read about an endpoint; returns whether the endpoint is
     /// given up for it.
     pub fn record_listing(&mut self, now: time::Instant, report: &listing::Report) -> bool {
-        let was_used = self.is_used(&report.endpoint);
         if !self.listings.record(now, report) {
             return false;
         }
         self.listings_changed = true;
-        let mut known = None;
-        if let Some(tracked) = self.tracked.get_mut(&report.endpoint) {
-            tracked.apply(&report.endpoint, &self.listings);
-            known = Some((tracked.entry.started_ms, tracked.shown_at));
-        }
-        let is_used = self.is_used(&report.endpoint);
-        if was_used == is_used {
+        let Some(known) = self.tracked.get_mut(&report.endpoint) else {
+            return false;
+        };
+        let had_ended = known.has_ended;
+        known.apply(&report.endpoint, &self.listings);
+        if known.has_ended == had_ended {
             return false;
         }
         self.changed = true;
-        let (started_ms, shown_at) = known.unwrap_or_default();
-        if is_used {
+        if !known.has_ended {
             tracing::info!(
                 endpoint = %report.endpoint,
                 revision = %report.revision,
-                born = started_ms,
-                %shown_at,
+                born = known.entry.started_ms,
+                shown_at = %known.shown_at,
                 reported_born = report.process.started_ms,
                 "endpoint used again: another node read that it is listed"
             );
@@ -206,8 +203,8 @@
             endpoint = %report.endpoint,
             revision = %report.revision,
             age_ms = crate::logging::millis(report.age),
-            born = started_ms,
-            %shown_at,
+            born = known.entry.started_ms,
+            shown_at = %known.shown_at,
             reported_born = report.process.started_ms,
             is_listed = report.is_listed,
             "endpoint given up: another node read that it left"
@@ -261,19 +258,16 @@
         let known: Vec<id::Endpoint> = self.tracked.keys().cloned().collect();
         for name in known {
             if !entries.contains_key(&name) {
-                self.remove(now, &name);
+                self.remove(now, &name, self.revision);
             }
         }
         for (name, entry) in entries {
-            self.update(now, name, Some(entry));
+            self.update(now, name, entry);
         }
     }
 
-    /// Applies one description; `None` is an unusable one.
-    pub fn update(&mut self, now: time::Instant, name: id::Endpoint, entry: Option<Entry>) {
-        let Some(entry) = entry else {
-            return self.remove(now, &name);
-        };
+    /// Applies one description.
+    pub fn update(&mut self, now: time::Instant, name: id::Endpoint, entry: Entry) {
         let shown_at = entry.revision.unwrap_or(self.revision);
         let known = self.tracked.get_mut(&name);
         if let Some(known) = known
@@ -364,8 +358,8 @@
         }
     }
 
-    /// Applies the removal of a description.
-    pub fn remove(&mut self, now: time::Instant, name: &id::Endpoint) {
+    /// Applies the removal of a description at a revision.
+    pub fn remove(&mut self, now: time::Instant, name: &id::Endpoint, revision: Revision) {
         let uncertain = self.removals_uncertain(now) && self.is_used(name);
         let Some(known) = self.tracked.get_mut(name) else {
             return;
@@ -383,7 +377,7 @@
         let Some(known) = self.tracked.remove(name) else {
             return;
         };
-        self.record_own_listing(now, name, &known.entry, (self.revision, false));
+        self.record_own_listing(now, name, &known.entry, (revision, false));
         self.observations.push(Observation::Removed(name.clone()));
         self.changed = true;
         tracing::info!(endpoint = %name, "endpoint removed");
--- a/gateway/src/directory.rs
+++ b/gateway/src/directory.rs
@@ -199,10 +199,12 @@
 pub enum Change {
     /// The platform accepted a plan.
     Plan(Box<Plan>),
-    /// An endpoint wrote its description; `None` if it is unusable.
-    Endpoint(id::Endpoint, Option<Entry>),
-    /// An endpoint's description was removed.
-    EndpointRemoved(id::Endpoint),
+    /// An endpoint wrote its description.
+    Endpoint(id::Endpoint, Entry),
+    /// An endpoint's description was removed at this revision.
+    EndpointRemoved(id::Endpoint, Revision),
+    /// An endpoint's description, written at this revision, can't be read.
+    EndpointUnreadable(id::Endpoint, Revision),
     /// A node registered itself.
     Node(Node),
     /// A node's registration ended.
--- a/gateway/src/listing.rs
+++ b/gateway/src/listing.rs
@@ -149,8 +149,8 @@
         if self.is_listed {
             return process.is_followed_by(self.process, shown_at, self.revision);
         }
-        // The revision of a removal is that of the read that showed it. The description of
-        // another process may have been written between the two.
+        // Nodes of an earlier release report a removal at the revision of the read that showed
+        // it. The description of another process may have been written between the two.
         self.process.is_successor_of(process)
     }
 }
--- a/gateway/tests/common/directory.rs
+++ b/gateway/tests/common/directory.rs
@@ -88,7 +88,7 @@
     /// Returns the size of what a change contains.
     fn size_of_change(&self, change: &Change) -> size::Bytes {
         match change {
-            Change::Endpoint(name, Some(_)) => self.size(name),
+            Change::Endpoint(name, _) => self.size(name),
             _ => USUAL_SIZE,
         }
     }
@@ -293,7 +293,7 @@
             content.revision += 1;
             let revision = Revision::from(content.revision);
             entry.revision = (state.era > 0).then_some(revision);
-            let change = Change::Endpoint(name.clone(), Some(entry.clone()));
+            let change = Change::Endpoint(name.clone(), entry.clone());
             content.history.push((content.revision, change));
             content.entries.insert(name, entry);
         });
@@ -306,7 +306,8 @@
             let content = &mut state.content;
             if content.entries.remove(&name).is_some() {
                 content.revision += 1;
-                let change = Change::EndpointRemoved(name);
+                let revision = Revision::from(content.revision);
+                let change = Change::EndpointRemoved(name, revision);
                 content.history.push((content.revision, change));
             }
         });
@@ -471,8 +472,12 @@
                 let mut changes = Vec::new();
                 for change in newer {
                     changes.push(match change {
-                        Change::Endpoint(name, Some(entry)) => {
-                            Change::Endpoint(name, Some(read_in(revision, entry)))
+                        Change::Endpoint(name, entry) => {
+                            Change::Endpoint(name, read_in(revision, entry))
+                        }
+                        Change::EndpointRemoved(name, removed) => {
+                            let era = revision.era;
+                            Change::EndpointRemoved(name, Revision { era, ..removed })
                         }
                         other => other,
                     });
--- a/gateway/tests/test_endpoints.rs
+++ b/gateway/tests/test_endpoints.rs
@@ -49,7 +49,7 @@
 #[test]
 fn a_removal_takes_effect_at_once_while_the_source_is_available() {
     let mut endpoints = with_live_endpoint();
-    endpoints.remove(at(1000), &endpoint());
+    endpoints.remove(at(1000), &endpoint(), Revision::default());
     assert!(endpoints.take_changed(at(1000)).unwrap().is_empty());
 }
 
@@ -72,12 +72,8 @@
     let mut endpoints = with_live_endpoint();
     endpoints.begin_outage(at(1000));
     endpoints.end_outage(at(6000));
-    endpoints.remove(at(6000), &endpoint());
-    endpoints.update(
-        at(7000),
-        endpoint(),
-        Some(entry(Standing::Live, Some(100), 9)),
-    );
+    endpoints.remove(at(6000), &endpoint(), Revision::default());
+    endpoints.update(at(7000), endpoint(), entry(Standing::Live, Some(100), 9));
     let records = endpoints.take_changed(at(9000)).unwrap();
     assert_eq!(records.len(), 1);
 }
@@ -85,14 +81,10 @@
 #[test]
 fn a_leaving_endpoint_is_not_kept_after_an_outage() {
     let mut endpoints = with_live_endpoint();
-    endpoints.update(
-        at(500),
-        endpoint(),
-        Some(entry(Standing::Leaving, Some(100), 6)),
-    );
+    endpoints.update(at(500), endpoint(), entry(Standing::Leaving, Some(100), 6));
     endpoints.begin_outage(at(1000));
     endpoints.end_outage(at(6000));
-    endpoints.remove(at(6000), &endpoint());
+    endpoints.remove(at(6000), &endpoint(), Revision::default());
     assert!(endpoints.take_changed(at(6000)).unwrap().is_empty());
 }
 
@@ -105,15 +97,11 @@
     #[case] sequence: u64,
 ) {
     let mut endpoints = with_live_endpoint();
-    endpoints.update(
-        at(500),
-        endpoint(),
-        Some(entry(Standing::Leaving, Some(100), 6)),
-    );
+    endpoints.update(at(500), endpoint(), entry(Standing::Leaving, Some(100), 6));
     endpoints.update(
         at(600),
         endpoint(),
-        Some(entry(Standing::Live, started_ms, sequence)),
+        entry(Standing::Live, started_ms, sequence),
     );
     let records = endpoints.take_changed(at(600)).unwrap();
     assert_eq!(records[0].standing, Standing::Leaving);
@@ -122,16 +110,8 @@
 #[test]
 fn a_new_process_replaces_the_description_of_the_earlier_one() {
     let mut endpoints = with_live_endpoint();
-    endpoints.update(
-        at(500),
-        endpoint(),
-        Some(entry(Standing::Leaving, Some(100), 6)),
-    );
-    endpoints.update(
-        at(900),
-        endpoint(),
-        Some(entry(Standing::Live, Some(200), 1)),
-    );
+    endpoints.update(at(500), endpoint(), entry(Standing::Leaving, Some(100), 6));
+    endpoints.update(at(900), endpoint(), entry(Standing::Live, Some(200), 1));
     let records = endpoints.take_changed(at(900)).unwrap();
     assert_eq!(records[0].standing, Standing::Live);
 }
@@ -139,7 +119,7 @@
 #[test]
 fn an_unusable_description_removes_the_endpoint() {
     let mut endpoints = with_live_endpoint();
-    endpoints.update(at(500), endpoint(), None);
+    endpoints.remove(at(500), &endpoint(), Revision::default());
     assert!(endpoints.take_changed(at(500)).unwrap().is_empty());
 }
 
@@ -162,10 +142,10 @@
     #[case] died: bool,
 ) {
     let mut endpoints = with_live_endpoint();
-    endpoints.update(at(500), endpoint(), Some(entry(standing, Some(100), 6)));
+    endpoints.update(at(500), endpoint(), entry(standing, Some(100), 6));
     let _before = endpoints.take_observations();
     let successor = entry(Standing::Live, Some(200), 1);
-    endpoints.update(at(1000), endpoint(), Some(successor.clone()));
+    endpoints.update(at(1000), endpoint(), successor.clone());
     let forgotten = Observation::Removed(endpoint());
     let started = Observation::Started(endpoint(), 200);
     let observed = endpoints.take_observations();
@@ -173,9 +153,9 @@
     assert_eq!(observed.last(), Some(&started));
 
     let mut endpoints = with_live_endpoint();
-    endpoints.update(at(500), endpoint(), Some(entry(standing, Some(100), 6)));
+    endpoints.update(at(500), endpoint(), entry(standing, Some(100), 6));
     let _before = endpoints.take_observations();
-    endpoints.update(at(1000), id::Endpoint::from("other"), Some(successor));
+    endpoints.update(at(1000), id::Endpoint::from("other"), successor);
     let replaced = Observation::Replaced(endpoint());
     assert_eq!(endpoints.take_observations().contains(&replaced), died);
 }
@@ -187,11 +167,11 @@
     let mut endpoints = with_live_endpoint();
     let mut again = entry(Standing::Live, Some(200), 1);
     again.record.version = Some(id::Version::from("v2"));
-    endpoints.update(at(1000), endpoint(), Some(again));
+    endpoints.update(at(1000), endpoint(), again);
     let records = endpoints.take_changed(at(1000)).unwrap();
     assert_eq!(records[0].version, Some(id::Version::from("v2")));
     let late = entry(Standing::Live, Some(100), 9);
-    endpoints.update(at(1100), endpoint(), Some(late));
+    endpoints.update(at(1100), endpoint(), late);
     assert_eq!(endpoints.take_changed(at(1100)), None);
 }
 
@@ -204,25 +184,35 @@
         revision: Some(Revision::from(revision)),
         ..entry(standing, Some(started_ms), 1)
     };
-    endpoints.update(
-        at(100),
-        endpoint(),
-        Some(at_revision(10, Standing::Live, 200)),
-    );
-    endpoints.update(
-        at(200),
-        endpoint(),
-        Some(at_revision(11, Standing::Live, 150)),
-    );
+    endpoints.update(at(100), endpoint(), at_revision(10, Standing::Live, 200));
+    endpoints.update(at(200), endpoint(), at_revision(11, Standing::Live, 150));
     let leaving = at_revision(12, Standing::Leaving, 150);
-    endpoints.update(at(300), endpoint(), Some(leaving));
+    endpoints.update(at(300), endpoint(), leaving);
     let records = endpoints.take_changed(at(300)).unwrap();
     assert_eq!(records[0].standing, Standing::Leaving);
 
-    endpoints.update(
-        at(400),
-        endpoint(),
-        Some(at_revision(10, Standing::Live, 200)),
-    );
+    endpoints.update(at(400), endpoint(), at_revision(10, Standing::Live, 200));
     assert_eq!(endpoints.take_changed(at(400)), None, "it is older");
 }
+
+/// Guards against an endpoint that lives and is given up: its description was removed and written
+/// again, or by the next process, between two reads.
+#[rstest]
+#[case::same_process(100)]
+#[case::next_process(200)]
+#[case::next_process_of_a_clock_that_was_set_back(50)]
+fn a_description_that_is_written_again_in_one_read_is_used(#[case] started_ms: u64) {
+    let mut endpoints = with_live_endpoint();
+    endpoints.begin_read(at(500), Revision::from(10));
+    endpoints.remove(at(500), &endpoint(), Revision::from(8));
+    let again = Entry {
+        revision: Some(Revision::from(9)),
+        ..entry(Standing::Live, Some(started_ms), 1)
+    };
+    endpoints.update(at(500), endpoint(), again);
+    assert_eq!(endpoints.take_changed(at(500)).unwrap().len(), 1);
+    let reports = endpoints.take_listings(at(500)).unwrap();
+    assert_eq!(reports.len(), 1);
+    assert!(reports[0].is_listed, "{reports:?}");
+    assert_eq!(reports[0].process.started_ms, Some(started_ms));
+}
