listing: report the next process instead of the end of the one before

Cause: if a description was overwritten by that of another process, nodes reported that the one before had left, at the revision of the new one. A node that reads late sees only a later description of the new process; its report then ended that process at nodes that had read an earlier one, if its clock had been set back: an endpoint that lives got no requests from them.

What was read is reported as it is: the next process is listed at that revision, which ends any other one that was described before. The report of an end that was only concluded is gone, and with it a special case.

--- a/gateway/src/controller/endpoints.rs
+++ b/gateway/src/controller/endpoints.rs
@@ -230,8 +230,7 @@
         self.tracked.iter().filter(|(_, known)| !known.has_ended)
     }
 
-    /// Records what this node read about an endpoint, for the other nodes. That it is listed
-    /// is of interest to them only if it was not, or was with another process.
+    /// Records what this node read about an endpoint, for the other nodes.
     fn record_own_listing(
         &mut self,
         now: time::Instant,
@@ -239,9 +238,6 @@
         entry: &Entry,
         (revision, is_listed): (Revision, bool),
     ) {
-        if is_listed && !self.listings.is_known(name) {
-            return;
-        }
         let report = listing::Report {
             endpoint: name.clone(),
             process: listing::Process::from(entry),
@@ -252,6 +248,13 @@
         self.listings_changed |= self.listings.record(now, &report);
     }
 
+    /// Returns whether it is of interest to other nodes that an endpoint is listed: it was not,
+    /// or was with another process.
+    fn is_news(&self, name: &id::Endpoint, entry: &Entry) -> bool {
+        let is_other = |known: &Tracked| known.entry.started_ms != entry.started_ms;
+        self.listings.is_known(name) || self.tracked.get(name).is_some_and(is_other)
+    }
+
     /// Applies a complete set of descriptions.
     pub fn replace(&mut self, now: time::Instant, entries: BTreeMap<id::Endpoint, Entry>) {
         self.initialized = true;
@@ -289,7 +292,6 @@
             return;
         }
         let was_used = self.is_used(&name);
-        self.record_replaced(now, &name, &entry, shown_at);
         let known = self.tracked.get(&name);
         if known.is_none_or(|known| known.entry.record != entry.record || known.missing) {
             tracing::info!(
@@ -306,7 +308,9 @@
         }
         self.observe(&name, &entry);
         let is_listed = entry.record.standing == Standing::Live;
-        self.record_own_listing(now, &name, &entry, (shown_at, is_listed));
+        if !is_listed || self.is_news(&name, &entry) {
+            self.record_own_listing(now, &name, &entry, (shown_at, is_listed));
+        }
         let mut tracked = Tracked {
             entry,
             missing: false,
@@ -319,25 +323,6 @@
         self.tracked.insert(name, tracked);
     }
 
-    /// Records for the other nodes that the process of an endpoint ended if its description
-    /// was replaced by that of another process, and not removed before.
-    fn record_replaced(
-        &mut self,
-        now: time::Instant,
-        name: &id::Endpoint,
-        entry: &Entry,
-        shown_at: Revision,
-    ) {
-        let Some(known) = self.tracked.get(name) else {
-            return;
-        };
-        if known.entry.started_ms == entry.started_ms {
-            return;
-        }
-        let replaced = known.entry.clone();
-        self.record_own_listing(now, name, &replaced, (shown_at, false));
-    }
-
     /// Notes what a description shows about processes that it replaces.
     fn observe(&mut self, name: &id::Endpoint, entry: &Entry) {
         let leaving = |known: &Tracked| known.entry.record.standing == Standing::Leaving;
--- a/gateway/tests/test_follow.rs
+++ b/gateway/tests/test_follow.rs
@@ -460,3 +460,34 @@
     nodes.exchange(DRAIN_TIME).await;
     assert!(!cut.uses("leaves") && !cut.uses("lives"));
 }
+
+/// Guards against an endpoint that lives and is given up by a node that has read its description:
+/// another node reads only a later one of the same process, after that of the one before.
+#[rstest]
+#[case::forward(StartClock::Forward)]
+#[case::set_back(StartClock::SetBack)]
+#[tokio::test(start_paused = true)]
+async fn a_process_that_others_learn_of_late_is_not_given_up(#[case] clock: StartClock) {
+    let nodes = Nodes::start_with_revisions().await;
+    let [late, cut] = &nodes.followers;
+    nodes.write("leaves", 100);
+    nodes.exchange(DRAIN_TIME).await;
+    let next = match clock {
+        StartClock::Forward => 101,
+        StartClock::SetBack => 99,
+    };
+    nodes.directories[0].set_away(Some(Away::Silent));
+    sleep(Duration::from_secs(3)).await;
+    nodes.write("leaves", next);
+    sleep(DRAIN_TIME).await;
+    nodes.directories[1].set_away(Some(Away::Silent));
+    sleep(Duration::from_secs(3)).await;
+    nodes.write("leaves", next);
+    nodes.directories[0].cut();
+    nodes.directories[0].set_away(None);
+    for _ in 0..30 {
+        nodes.exchange(Duration::from_millis(100)).await;
+        assert!(cut.uses("leaves") && cut.uses("lives"));
+    }
+    assert!(late.uses("leaves") && late.uses("lives"));
+}
