gateway: witnesses in a module of their own; one read of an answer's head

No change of behaviour: view.rs held three things; a probe read the head of its answer twice and took a struct that its callers had to fill; the age of the view was computed twice for each stream that begins.

--- a/gateway/src/examiner.rs
+++ b/gateway/src/examiner.rs
@@ -87,12 +87,8 @@
                 return (Finding::Unreachable, PAUSED.to_owned());
             }
         }
-        let asked = probe::Target {
-            endpoint: &target.endpoint,
-            address: &target.address,
-            service: &target.service,
-        };
-        match probe::health(chain, asked).await {
+        let asking = probe::health(chain, &target.endpoint, &target.address, &target.service);
+        match asking.await {
             Ok(named) if named.as_ref().is_none_or(|named| *named == target.endpoint) => {
                 return (Finding::Alive, String::new());
             }
@@ -143,12 +139,8 @@
         other.id != target.endpoint && !dead && !is_paused(chain, &other.id)
     };
     for other in others.into_iter().filter(is_candidate).take(MAX_WITNESSES) {
-        let asked = probe::Target {
-            endpoint: &other.id,
-            address: &other.address,
-            service: &other.service,
-        };
-        if probe::health(chain, asked).await.is_ok() {
+        let asking = probe::health(chain, &other.id, &other.address, &other.service);
+        if asking.await.is_ok() {
             return true;
         }
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -37,3 +37,4 @@
 mod sync;
 pub mod tunnel;
 pub mod view;
+mod witness;
--- a/gateway/src/probe.rs
+++ b/gateway/src/probe.rs
@@ -5,12 +5,15 @@
 use bytes::Bytes;
 use dottereltally_lib::id;
 use dottereltally_store::inbound;
-use http::{Request, Response, header::HOST, response::Parts};
+use http::{Request, Response, header::HOST};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
-use crate::{chain::Chain, dialect::Dialect};
+use crate::{
+    chain::Chain,
+    dialect::{Answer, Dialect},
+};
 
 /// Time to open a connection to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -21,61 +24,55 @@
 /// Largest report of an engine that is read, in bytes.
 const MAX_REPORT_BYTES: usize = 1 << 20;
 
-/// An endpoint, as it is listed.
-#[derive(Clone, Copy, Debug)]
-pub struct Target<'a> {
-    /// Its name.
-    pub endpoint: &'a id::Endpoint,
-    /// Its address, `ip:port`.
-    pub address: &'a str,
-    /// Its service.
-    pub service: &'a id::Service,
-}
-
-/// Returns the endpoint that answers a health check, if it names itself.
+/// Sends a health check on a new connection; returns the endpoint that the answer names, if it
+/// names one.
 ///
 /// # Errors
 ///
 /// Fails if nothing answers in time.
 pub async fn health<D: Dialect>(
     chain: &Chain<D>,
-    target: Target<'_>,
+    endpoint: &id::Endpoint,
+    address: &str,
+    service: &id::Service,
 ) -> io::Result<Option<id::Endpoint>> {
-    let (parts, ()) = ask(chain, target, async |_| Ok(())).await?;
-    let answer = chain.dialect.read_answer(parts.status, &parts.headers);
+    let read = async |_: Response<Incoming>| Ok(());
+    let (answer, ()) = ask(chain, endpoint, address, service, read).await?;
     Ok(answer.endpoint)
 }
 
-/// Returns when the process of an engine started, in milliseconds since the Unix epoch, if its
-/// report tells.
+/// Asks an engine on a new connection; returns when its process started, in milliseconds since
+/// the Unix epoch, if its report tells.
 ///
 /// # Errors
 ///
 /// Fails if nothing answers in time, or the report can't be read to its end.
-pub async fn process<D: Dialect>(chain: &Chain<D>, target: Target<'_>) -> io::Result<Option<u64>> {
-    let read = async |body: Incoming| {
-        let report = Limited::new(body, MAX_REPORT_BYTES).collect().await;
-        Ok(report.map_err(io::Error::other)?.to_bytes())
+pub async fn process<D: Dialect>(
+    chain: &Chain<D>,
+    endpoint: &id::Endpoint,
+    address: &str,
+    service: &id::Service,
+) -> io::Result<Option<u64>> {
+    let read = async |response: Response<Incoming>| {
+        if !response.status().is_success() {
+            return Ok(None);
+        }
+        let report = Limited::new(response.into_body(), MAX_REPORT_BYTES);
+        let report = report.collect().await.map_err(io::Error::other)?;
+        Ok(chain.dialect.read_start(&report.to_bytes()))
     };
-    let (parts, report) = ask(chain, target, read).await?;
-    if !parts.status.is_success() {
-        return Ok(None);
-    }
-    Ok(chain.dialect.read_start(&report))
+    let (_, start) = ask(chain, endpoint, address, service, read).await?;
+    Ok(start)
 }
 
-/// Sends a health check on a new connection; returns the head of the answer and what was read
-/// of its body.
+/// Sends a health check; returns what the head of the answer says, and what is read of the rest.
 async fn ask<D: Dialect, T>(
     chain: &Chain<D>,
-    target: Target<'_>,
-    read: impl AsyncFnOnce(Incoming) -> io::Result<T>,
-) -> io::Result<(Parts, T)> {
-    let Target {
-        endpoint,
-        address,
-        service,
-    } = target;
+    endpoint: &id::Endpoint,
+    address: &str,
+    service: &id::Service,
+    read: impl AsyncFnOnce(Response<Incoming>) -> io::Result<T>,
+) -> io::Result<(Answer, T)> {
     let path = chain.plan.borrow().as_ref().and_then(|plan| {
         let service = plan.services.get(service)?;
         Some(service.health_path.clone())
@@ -94,12 +91,11 @@
         let (mut sender, connection, progress) = handshake.map_err(io::Error::other)?;
         progress.watch(&mut request, |_, _| {});
         let reading = async {
-            let response: Response<Incoming> = sender
-                .send_request(request)
-                .await
-                .map_err(io::Error::other)?;
-            let (parts, body) = response.into_parts();
-            Ok((parts, read(body).await?))
+            let response = sender.send_request(request).await;
+            let response = response.map_err(io::Error::other)?;
+            let (status, headers) = (response.status(), response.headers());
+            let answer = chain.dialect.read_answer(status, headers);
+            Ok((answer, read(response).await?))
         };
         tokio::select! {
             answer = reading => answer,
@@ -107,8 +103,7 @@
             Err(error) = connection => Err(io::Error::other(error)),
         }
     };
-    let (parts, read) = timeout(ANSWER_TIMEOUT, answering).await??;
-    let answer = chain.dialect.read_answer(parts.status, &parts.headers);
+    let (answer, read) = timeout(ANSWER_TIMEOUT, answering).await??;
     if answer
         .endpoint
         .as_ref()
@@ -117,5 +112,5 @@
         chain.record_limit(endpoint, answer.limit);
         chain.record_notice(endpoint, &answer.notice);
     }
-    Ok((parts, read))
+    Ok((answer, read))
 }
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -3,10 +3,10 @@
 //! A process that is to be replaced says so in the directory, and serves for the drain time
 //! after that. What was read is certain for as long: no other process, with another software
 //! version, has taken its place yet. A node that has not read the directory since, and has no
-//! witness (see [`crate::view`]), asks the endpoint itself. Engines tell in their reports when
+//! witness (see [`crate::witness`]), asks the endpoint itself. Engines tell in their reports when
 //! their process started; of other endpoints such a node knows nothing for certain.
 
-use std::io;
+use std::{io, time::Duration};
 
 use derive_more::Display;
 use dottereltally_lib::{endpoint::Record, id};
@@ -47,7 +47,13 @@
     /// Returns whether what this node knows of the directory is certain to hold.
     #[must_use]
     pub fn is_directory_current(&self) -> bool {
-        self.view.age().is_some_and(|age| age <= self.drain_time)
+        self.is_current(self.view.age())
+    }
+
+    /// Returns whether what was read that long ago, if at all, is certain to hold.
+    #[must_use]
+    pub fn is_current(&self, age: Option<Duration>) -> bool {
+        age.is_some_and(|age| age <= self.drain_time)
     }
 
     /// Returns whether it can be found out which process answers at endpoints of a service.
@@ -102,12 +108,7 @@
         if !self.has_reports(&record.service) {
             return Err(Doubt::NoReport);
         }
-        let target = probe::Target {
-            endpoint,
-            address: &record.address,
-            service: &record.service,
-        };
-        match probe::process(self, target).await {
+        match probe::process(self, endpoint, &record.address, &record.service).await {
             Ok(Some(start)) if start == listed_start => Ok(()),
             Ok(Some(start)) => Err(Doubt::Other(start)),
             Ok(None) => Err(Doubt::Unnamed),
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -174,20 +174,22 @@
         if origin.is_some() && chain.listed_version(&choice.endpoint) == choice.version {
             job.version.clone_from(&choice.version);
         }
+        let view_age = chain.view.age();
         tracing::info!(
             id = job.correlation_id,
             endpoint = %choice.endpoint,
             version = job.version.as_ref().map(id::Version::as_str),
             born = chain.listed_start(&choice.endpoint),
-            view_age_ms = chain.view.age().map(millis),
+            view_age_ms = view_age.map(millis),
             first_ms = millis(waited),
             "stream began"
         );
         let parts = Some(stream.parts.clone());
         let (upstream, first) = Upstream::new(stream, place);
         let job = Arc::new(job);
-        let is_origin_certain = Arc::new(AtomicBool::new(chain.is_directory_current()));
-        if is_origin_certain.load(Ordering::Relaxed) {
+        let is_current = chain.is_current(view_age);
+        let is_origin_certain = Arc::new(AtomicBool::new(is_current));
+        if is_current {
             chain.remember_origin(&job, &choice);
         } else if origin.is_some() && job.route.retry == Retry::Resume && job.version.is_some() {
             let confirming = confirm_origin(
--- a/gateway/src/view.rs
+++ b/gateway/src/view.rs
@@ -5,12 +5,9 @@
 //! and need not ask the source itself. A node with another digest, or without recent
 //! announcements, reads the source.
 //!
-//! A node that can't read the source relies on witnesses: other nodes that go on reading it and
-//! report which endpoints changed, in heartbeats that follow each other closely enough for none
-//! of these reports to be missed.
+//! A node that can't read the source relies on [witnesses](crate::witness).
 
 use std::{
-    collections::BTreeMap,
     mem,
     sync::{Arc, Mutex},
     time::Duration,
@@ -20,7 +17,11 @@
 use dottereltally_lib::{era::Era, exchange::View, id};
 use tokio::{sync::Notify, time::Instant};
 
-use crate::{listing, sync::lock};
+use crate::{
+    listing,
+    sync::lock,
+    witness::{Liveness, Witnesses},
+};
 
 /// Time without an announcement after which a node no longer relies on its coordinator.
 const READER_TTL: Duration = Duration::from_secs(3);
@@ -28,59 +29,6 @@
 /// Most reports of other nodes that are kept until they are applied.
 const MAX_REPORTED: usize = 10_000;
 
-/// Time in which what another node reported is applied.
-const APPLY_TIME: Duration = Duration::from_millis(500);
-
-/// Time without a sign of life of this process after which it was suspended.
-const SUSPENSION: Duration = Duration::from_secs(1);
-
-/// Time after a suspension in which datagrams may still be read that arrived during it.
-const BACKLOG_TIME: Duration = Duration::from_millis(500);
-
-/// Another node that reads the source and reports what changed.
-#[derive(Clone, Copy, Debug)]
-struct Witness {
-    /// Its process.
-    process: u64,
-    /// Era of the source in its last read.
-    era: Era,
-    /// Time of a read after which no report of it was missed.
-    covered_since: Instant,
-    /// When it was heard last.
-    heard: Instant,
-    /// Number of its last read, and when that was sent.
-    read: (u64, Instant),
-}
-
-/// Whether datagrams are read when they arrive. The age that they state counts from then.
-#[derive(Clone, Copy, Debug, Default)]
-struct Liveness {
-    /// When this process last showed that it runs; `None` if it never did.
-    seen: Option<Instant>,
-    /// Until when datagrams may have waited.
-    backlog_until: Option<Instant>,
-}
-
-impl Liveness {
-    /// Records that the process runs.
-    fn record(&mut self, now: Instant) {
-        if self.was_suspended(now) {
-            self.backlog_until = Some(now + BACKLOG_TIME);
-        }
-        self.seen = Some(now);
-    }
-
-    fn was_suspended(&self, now: Instant) -> bool {
-        self.seen.is_some_and(|seen| now - seen >= SUSPENSION)
-    }
-
-    /// Returns whether a datagram that is read now may have waited while the process was
-    /// suspended.
-    fn has_backlog(&self, now: Instant) -> bool {
-        self.was_suspended(now) || self.backlog_until.is_some_and(|until| now < until)
-    }
-}
-
 #[derive(Clone, Copy, Debug, Default)]
 struct State {
     digest: u64,
@@ -110,7 +58,7 @@
 struct Shared {
     state: Mutex<State>,
     listings: Mutex<Listings>,
-    witnesses: Mutex<BTreeMap<id::Node, Witness>>,
+    witnesses: Mutex<Witnesses>,
     liveness: Mutex<Liveness>,
     clock: Clock,
     /// Signalled when the coordinator announced a further read.
@@ -168,23 +116,12 @@
         let own = state.read.map(|(_, sent)| uptime.saturating_sub(sent));
         let confirmed = state.confirmed.map(|read_at| read_at.elapsed());
         let age = own.into_iter().chain(confirmed).min()?;
-        let witnessed = self.witnessed(state.era, age);
-        Some(witnessed.map_or(age, |witnessed| witnessed.min(age)))
-    }
-
-    /// Returns the time since the last read of a witness that has reported all changes to what
-    /// was read `age` ago; `None` if there is none.
-    fn witnessed(&self, era: Era, age: Duration) -> Option<Duration> {
         let now = Instant::now();
-        let read_at = now.checked_sub(age)?;
-        let witnesses = lock(&self.shared.witnesses);
-        let mut newest = None;
-        for witness in witnesses.values() {
-            if witness.era == era && witness.covered_since <= read_at {
-                newest = newest.max(Some(witness.read.1));
-            }
-        }
-        Some(now - newest? + APPLY_TIME)
+        let witnessed = now.checked_sub(age).and_then(|read_at| {
+            let witnesses = lock(&self.shared.witnesses);
+            witnesses.age(now, state.era, read_at)
+        });
+        Some(witnessed.map_or(age, |witnessed| witnessed.min(age)))
     }
 
     /// Records that this process runs.
@@ -196,29 +133,13 @@
     /// are listed were received with it, all of them or only the latest ones.
     pub fn record_witness(&self, node: &id::Node, process: u64, view: &View, is_complete: bool) {
         let now = Instant::now();
+        let is_certain = is_complete && !lock(&self.shared.liveness).has_backlog(now);
         let mut witnesses = lock(&self.shared.witnesses);
-        witnesses.retain(|_, witness| now - witness.heard < listing::REPORT_TIME);
-        let has_backlog = lock(&self.shared.liveness).has_backlog(now);
-        let read_at = now.checked_sub(view.age).filter(|_| !has_backlog);
-        let Some(read_at) = read_at.filter(|_| is_complete) else {
+        if is_certain {
+            witnesses.record(now, node, process, view);
+        } else {
             witnesses.remove(node);
-            return;
-        };
-        let known = witnesses
-            .get(node)
-            .filter(|known| known.process == process && known.era == view.era);
-        // Only the first report of a read counts, as a later one may come from a machine that
-        // was suspended.
-        let known_read = known.map(|known| known.read);
-        let read = known_read.filter(|(number, _)| *number >= view.number);
-        let witness = Witness {
-            process,
-            era: view.era,
-            covered_since: known.map_or(read_at, |known| known.covered_since),
-            heard: now,
-            read: read.unwrap_or((view.number, read_at)),
-        };
-        witnesses.insert(node.clone(), witness);
+        }
     }
 
     /// Returns what to announce; `None` if nothing was read yet.
