--- a/gateway/tests/test_follow.rs
+++ b/gateway/tests/test_follow.rs
@@ -226,6 +226,14 @@
         }
     }
 
+    /// Checks that the next process of an endpoint is used by the node that reads its
+    /// description, and that the one before is not used by the other node.
+    fn assert_only_the_next_is_used(&self) {
+        let [reader, cut] = &self.followers;
+        assert!(reader.uses("leaves") && reader.uses("lives"));
+        assert!(!cut.uses("leaves") && cut.uses("lives"));
+    }
+
     /// Lets time pass while the nodes exchange heartbeats.
     async fn exchange(&self, span: Duration) {
         let start = Instant::now();
@@ -303,7 +311,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_node_that_is_cut_does_not_use_an_ended_process(#[case] replacement: Replacement) {
     let nodes = Nodes::start().await;
-    let [reader, cut] = &nodes.followers;
+    let cut = &nodes.followers[1];
     nodes.directories[1].set_away(Some(Away::Silent));
     nodes.exchange(Duration::from_secs(5)).await;
     if replacement == Replacement::Planned {
@@ -321,8 +329,7 @@
     nodes.exchange(DRAIN_TIME).await;
     for _ in 0..20 {
         nodes.exchange(Duration::from_millis(200)).await;
-        assert!(reader.uses("leaves") && reader.uses("lives"));
-        assert!(!cut.uses("leaves") && cut.uses("lives"));
+        nodes.assert_only_the_next_is_used();
     }
     nodes.directories[1].set_away(None);
     nodes.exchange(CONTACT_TIME).await;
@@ -363,13 +370,12 @@
 #[tokio::test(start_paused = true)]
 async fn a_process_has_ended_if_only_the_next_one_is_heard_of(#[case] replacement: Replacement) {
     let nodes = Nodes::start_with_revisions().await;
-    let [reader, cut] = &nodes.followers;
+    let cut = &nodes.followers[1];
     nodes.directories[1].set_away(Some(Away::Silent));
     sleep(Duration::from_secs(5)).await;
     replace_unheard(&nodes, replacement, 2).await;
     nodes.exchange(Duration::from_secs(1)).await;
-    assert!(reader.uses("leaves") && reader.uses("lives"));
-    assert!(!cut.uses("leaves") && cut.uses("lives"));
+    nodes.assert_only_the_next_is_used();
     nodes.directories[1].set_away(None);
     nodes.exchange(CONTACT_TIME).await;
     assert!(cut.uses("leaves") && cut.uses("lives"), "the next process");
@@ -394,8 +400,7 @@
     sleep(Duration::from_secs(5)).await;
     replace_unheard(&nodes, replacement, 3).await;
     nodes.exchange(Duration::from_secs(1)).await;
-    assert!(reader.uses("leaves") && reader.uses("lives"));
-    assert!(!cut.uses("leaves") && cut.uses("lives"));
+    nodes.assert_only_the_next_is_used();
 }
 
 /// Guards against ORDER at a node that can't read the source: a process that ended is not used
@@ -412,7 +417,7 @@
     #[values(true, false)] is_heard: bool,
 ) {
     let nodes = Nodes::start_with_revisions().await;
-    let [reader, cut] = &nodes.followers;
+    let cut = &nodes.followers[1];
     nodes.write("leaves", 100);
     nodes.exchange(DRAIN_TIME).await;
     nodes.directories[1].set_away(Some(Away::Silent));
@@ -432,8 +437,7 @@
             replace_unheard(&nodes, replacement, started_ms).await;
         }
         nodes.exchange(DRAIN_TIME).await;
-        assert!(reader.uses("leaves") && reader.uses("lives"));
-        assert!(!cut.uses("leaves") && cut.uses("lives"), "{number}");
+        nodes.assert_only_the_next_is_used();
     }
     nodes.directories[1].set_away(None);
     nodes.exchange(CONTACT_TIME).await;
