gateway: take a version out of use when its endpoint is another process

A node that can't read the store went on listing the version of a process that had ended although the endpoint itself had named another one: it was found out again for each stream, the roll-outs counted its answers for that version, and its limit and speed outlived it.

The entry now loses its version, and has the start of the process that answered, until a description is read. The endpoint stays in use, as its next process lives, and nothing is concluded about how the one before ended. Its limit, speed and slow start begin anew, as after a description.

With the record undone, an_endpoint_with_another_process_is_used_without_its_version fails.

--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -238,6 +238,9 @@
             Message::Tick => {
                 self.outputs.view.record_alive();
                 self.apply_listings();
+                for found in self.outputs.view.take_found() {
+                    self.endpoints.record_found(&found);
+                }
                 if let Some(confirmed) = self.outputs.view.confirmed() {
                     let rollouts = &self.outputs.rollouts;
                     rollouts.record_current(now - confirmed.elapsed());
@@ -412,6 +415,7 @@
                     self.outputs.crashes.record_started(&endpoint, started_ms);
                     started.push((endpoint, started_ms));
                 }
+                Observation::Found(endpoint, started_ms) => started.push((endpoint, started_ms)),
                 Observation::Replaced(endpoint) => self.outputs.crashes.record_replaced(&endpoint),
                 Observation::Removed(endpoint) => self.outputs.crashes.forget(&endpoint),
             }
--- a/gateway/src/controller/endpoints.rs
+++ b/gateway/src/controller/endpoints.rs
@@ -39,6 +39,8 @@
     /// Whether its process ended since, as this node or another one read. It stays ended,
     /// whatever is read of other processes of the endpoint.
     has_ended: bool,
+    /// Whether its process was not read, but answered in place of the one that was.
+    was_found: bool,
 }
 
 impl Tracked {
@@ -82,6 +84,9 @@
 pub enum Observation {
     /// It started at this time, in milliseconds since the Unix epoch.
     Started(id::Endpoint, u64),
+    /// A process that started at this time answers at it, as the directory will show: whether
+    /// the one before died or left is not known.
+    Found(id::Endpoint, u64),
     /// Another endpoint has its address.
     Replaced(id::Endpoint),
     /// It is no longer listed.
@@ -214,6 +219,31 @@
         true
     }
 
+    /// Records that another process answers at an endpoint in place of the listed one, so that
+    /// nothing is known of its version.
+    pub fn record_found(&mut self, found: &listing::Found) {
+        let Some(known) = self.tracked.get_mut(&found.endpoint) else {
+            return;
+        };
+        if known.entry.started_ms != Some(found.listed_ms) {
+            return;
+        }
+        tracing::info!(
+            endpoint = %found.endpoint,
+            version = known.entry.record.version.as_ref().map(id::Version::as_str),
+            born = found.listed_ms,
+            found_born = found.started_ms,
+            "version of an endpoint is unknown: another process answers"
+        );
+        known.entry.record.version = None;
+        known.entry.started_ms = Some(found.started_ms);
+        known.entry.sequence = 0;
+        known.was_found = true;
+        self.changed = true;
+        let observation = Observation::Found(found.endpoint.clone(), found.started_ms);
+        self.observations.push(observation);
+    }
+
     /// Returns what to report to the other nodes if it changed since the last call.
     pub fn take_listings(&mut self, now: time::Instant) -> Option<Vec<listing::Report>> {
         mem::take(&mut self.listings_changed).then(|| self.listings.reports(now))
@@ -251,7 +281,8 @@
     /// Returns whether it is of interest to other nodes that an endpoint is listed: it was not,
     /// or was with another process.
     fn is_news(&self, name: &id::Endpoint, entry: &Entry) -> bool {
-        let is_other = |known: &Tracked| known.entry.started_ms != entry.started_ms;
+        let is_other =
+            |known: &Tracked| known.was_found || known.entry.started_ms != entry.started_ms;
         self.listings.is_known(name) || self.tracked.get(name).is_some_and(is_other)
     }
 
@@ -316,6 +347,7 @@
             missing: false,
             shown_at,
             has_ended: false,
+            was_found: false,
         };
         // One that left is known, but not used, while a restored copy lists it.
         tracked.apply(&name, &self.listings);
--- a/gateway/src/listing.rs
+++ b/gateway/src/listing.rs
@@ -100,6 +100,17 @@
     }
 }
 
+/// A process that answers at an endpoint in place of the listed one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Found {
+    /// The endpoint.
+    pub endpoint: id::Endpoint,
+    /// When the listed process started, in milliseconds since the Unix epoch.
+    pub listed_ms: u64,
+    /// When the one that answers started.
+    pub started_ms: u64,
+}
+
 /// What was read last about one endpoint.
 #[derive(Clone, Debug)]
 struct Listing {
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -4,14 +4,17 @@
 //! after that. What was read is certain for as long: no other process, with another software
 //! version, has taken its place yet. A node that has not read the directory since, and has no
 //! witness (see [`crate::witness`]), asks the endpoint itself. Engines tell in their reports when
-//! their process started; of other endpoints such a node knows nothing for certain.
+//! their process started; of other endpoints such a node knows nothing for certain. An endpoint
+//! at which another process answers stays in use, but without the version that was listed.
 
 use std::{io, time::Duration};
 
 use derive_more::Display;
 use dottereltally_lib::{endpoint::Record, id};
 
-use crate::{chain::Chain, dialect::Dialect, logging::millis, metrics::Confirmation, probe};
+use crate::{
+    chain::Chain, dialect::Dialect, listing::Found, logging::millis, metrics::Confirmation, probe,
+};
 
 /// Why it is not certain which process answers at an endpoint.
 #[derive(Debug, Display)]
@@ -110,7 +113,14 @@
         }
         match probe::process(self, endpoint, &record.address, &record.service).await {
             Ok(Some(start)) if start == listed_start => Ok(()),
-            Ok(Some(start)) => Err(Doubt::Other(start)),
+            Ok(Some(started_ms)) => {
+                self.view.record_found(Found {
+                    endpoint: endpoint.clone(),
+                    listed_ms: listed_start,
+                    started_ms,
+                });
+                Err(Doubt::Other(started_ms))
+            }
             Ok(None) => Err(Doubt::Unnamed),
             Err(error) => Err(Doubt::Unreachable(error)),
         }
--- a/gateway/src/view.rs
+++ b/gateway/src/view.rs
@@ -53,6 +53,8 @@
     own: (Vec<listing::Report>, Instant),
     /// From the other nodes, not applied yet.
     reported: Vec<listing::Report>,
+    /// From endpoints that answered as another process than the listed one, not applied yet.
+    found: Vec<listing::Found>,
 }
 
 struct Shared {
@@ -81,6 +83,7 @@
                 listings: Mutex::new(Listings {
                     own: (Vec::new(), Instant::now()),
                     reported: Vec::new(),
+                    found: Vec::new(),
                 }),
                 witnesses: Mutex::default(),
                 liveness: Mutex::default(),
@@ -229,6 +232,20 @@
         mem::take(&mut lock(&self.shared.listings).reported)
     }
 
+    /// Records that an endpoint answered as another process than the listed one.
+    pub fn record_found(&self, found: listing::Found) {
+        let mut listings = lock(&self.shared.listings);
+        if !listings.found.contains(&found) && listings.found.len() < MAX_REPORTED {
+            listings.found.push(found);
+        }
+    }
+
+    /// Returns which endpoints answered as another process since the last call.
+    #[must_use]
+    pub fn take_found(&self) -> Vec<listing::Found> {
+        mem::take(&mut lock(&self.shared.listings).found)
+    }
+
     /// Returns whether another node reads the source for this one, as far as is known.
     #[must_use]
     pub fn has_reader(&self) -> bool {
--- a/gateway/tests/test_endpoints.rs
+++ b/gateway/tests/test_endpoints.rs
@@ -5,6 +5,7 @@
 use dottereltally_gateway::{
     controller::{Endpoints, Observation},
     directory::Entry,
+    listing::Found,
 };
 use dottereltally_lib::{
     endpoint::{Record, Standing},
@@ -216,3 +217,41 @@
     assert!(reports[0].is_listed, "{reports:?}");
     assert_eq!(reports[0].process.started_ms, Some(started_ms));
 }
+
+/// Guards against ORDER: the version of a process that ended, as its endpoint says of itself, is
+/// out of use. The endpoint, which lives, is not.
+#[test]
+fn an_endpoint_with_another_process_is_used_without_its_version() {
+    let versioned = |started_ms: u64, sequence: u64| {
+        let mut entry = entry(Standing::Live, Some(started_ms), sequence);
+        entry.record.version = Some(id::Version::from("v1"));
+        entry
+    };
+    let found = |listed_ms: u64, started_ms: u64| Found {
+        endpoint: endpoint(),
+        listed_ms,
+        started_ms,
+    };
+    let mut endpoints = with_live_endpoint();
+    endpoints.update(at(100), endpoint(), versioned(100, 6));
+    endpoints.take_changed(at(100));
+    let _seen = endpoints.take_observations();
+
+    // About a process that is not listed any more.
+    endpoints.record_found(&found(90, 95));
+    assert_eq!(endpoints.take_changed(at(200)), None);
+    endpoints.record_found(&found(100, 200));
+    let records = endpoints.take_changed(at(300)).unwrap();
+    assert_eq!(records.len(), 1);
+    assert_eq!(records[0].version, None);
+    assert_eq!(
+        endpoints.take_observations(),
+        [Observation::Found(endpoint(), 200)]
+    );
+    // Its own description names the version, and is news to other nodes.
+    let _reported = endpoints.take_listings(at(400));
+    endpoints.update(at(400), endpoint(), versioned(200, 1));
+    assert_eq!(endpoints.take_listings(at(400)).unwrap().len(), 1);
+    let records = endpoints.take_changed(at(400)).unwrap();
+    assert_eq!(records[0].version, Some(id::Version::from("v1")));
+}
--- a/gateway/tests/test_process.rs
+++ b/gateway/tests/test_process.rs
@@ -75,6 +75,9 @@
     for endpoint in &replaced {
         assert!(endpoint.requests().is_empty(), "it went on at another one");
     }
+    for found in gateway.chain.view.take_found() {
+        assert_eq!((found.listed_ms, found.started_ms), (LISTED, NEXT));
+    }
     assert_eq!(header(&same.requests()[0], "x-after").as_deref(), Some("1"));
     assert_eq!(gateway.chain.origins.remembered(), 1);
 }
