gateway: tell calls of the source that are lost from outages

What callers saw: requests reached an endpoint more than 2 s after its removal was acknowledged (DRAIN). One call of the store had been lost while the store served all others; the endpoint had never said that it leaves.

Cause: a call that was not answered counted as an outage, from when it was sent (1 s of waiting, 0.3 s of patience) to the answer to the probe that followed, and 0.3 s more: 1.6 s, above the 1.5 s after which descriptions may have expired. Removals were then held back for 2.3 s. A call made in its place was not supervised itself: if it was lost, too, the node waited for its time limit.

Change: an outage is the time between two answers of the source, whoever of this node and its coordinator received them, without what is added for reading. A call waits for 0.25 s instead of 1 s and is overdue 0.2 s later (more while answers take longer), so that a single loss leaves 1.13 s without an answer; renewals can only have failed twice in 1.3 s, the new bound. An outage of 1.3 s or more is never shorter than that by this measure; before, up to 0.68 s of it were not counted. Calls made in place of lost ones are supervised alike.

--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -46,12 +46,12 @@
     Snapshot(Box<Snapshot>),
     /// The source reported changes.
     Changes(Changes),
-    /// The source was read by a call that was sent at this uptime of the machine; the
-    /// message with what it returned was sent before.
-    Read(Duration),
+    /// The source was read: it answered a call that was sent at this time or later, and at this
+    /// uptime of the machine. The message with what it returned was sent before.
+    Read(time::Instant, Duration),
     /// A call of the source failed, which was sent at this time, with the cause.
     SourceFailed(time::Instant, String),
-    /// The source returned at this time, but was not read yet.
+    /// The source returned, but was not read yet: it answered a call that was sent at this time.
     SourceReturned(time::Instant),
     /// The directory of another node was fetched, as this node has not read its
     /// own from the source yet.
@@ -223,12 +223,16 @@
             Message::SourceFailed(since, cause) => {
                 let origins = &self.outputs.origins;
                 origins.record_history(|history, _| history.record_outage());
+                if let Some(confirmed) = self.outputs.view.confirmed() {
+                    self.endpoints.record_answer(now - confirmed.elapsed());
+                }
                 if self.endpoints.begin_outage(since) {
                     self.outputs.crashes.set_directory_available(false);
                     tracing::warn!(cause, "key-value service unavailable");
                 }
             }
-            Message::Read(sent) => {
+            Message::Read(answered, sent) => {
+                self.endpoints.record_answer(answered);
                 let era = self.endpoints.revision().era;
                 let age = self.outputs.view.uptime().saturating_sub(sent);
                 self.outputs.rollouts.record_current(now - age);
--- a/gateway/src/controller/endpoints.rs
+++ b/gateway/src/controller/endpoints.rs
@@ -24,9 +24,14 @@
 /// descriptions again.
 pub(super) const RENEWAL_TIME: Duration = Duration::from_secs(2);
 
-/// Shortest outage of the source after which descriptions may have expired: they
-/// outlast several renewals that fail. A call that was cut is shorter.
-const SHORTEST_OUTAGE: Duration = Duration::from_millis(1500);
+/// Time by which the source may have returned later than the call was sent which it answered
+/// first.
+pub(super) const RENEWAL_SLACK: Duration = Duration::from_millis(100);
+
+/// Shortest time without an answer of the source after which descriptions may have expired: two
+/// renewals in a row fail in it. A node with the shortest poll interval notices a call that was
+/// lost, and has another one answered, in less.
+const SHORTEST_OUTAGE: Duration = Duration::from_millis(1300);
 
 /// One endpoint of the view.
 #[derive(Clone, Debug)]
@@ -61,6 +66,8 @@
 pub struct Endpoints {
     tracked: BTreeMap<id::Endpoint, Tracked>,
     initialized: bool,
+    /// When the last call was sent that the source answered, of this node or its coordinator.
+    answered: Option<time::Instant>,
     /// Start of the current outage of the source; `None` while it is available.
     outage_start: Option<time::Instant>,
     /// When the current outage ended, as far as is known before the source is read.
@@ -106,21 +113,29 @@
         self.outage_start.is_none()
     }
 
+    /// Records that the source answered a call that was sent at a time.
+    pub fn record_answer(&mut self, sent: time::Instant) {
+        self.answered = self.answered.max(Some(sent));
+    }
+
     /// Records that a call of the source failed, which was sent at `since`; returns
-    /// true if an outage starts. A call that was sent after the source returned begins
-    /// another outage, so that the time for renewals does not begin anew unless that one
-    /// is long enough.
+    /// true if an outage starts. It may have begun as soon as the last call was sent that was
+    /// answered. A call that was sent after the source returned begins another outage, so that
+    /// the time for renewals does not begin anew unless that one is long enough.
     pub fn begin_outage(&mut self, since: time::Instant) -> bool {
         let first = self.outage_start.is_none();
         if let Some(returned) = self.returned.take() {
             self.record_end(returned);
         }
-        self.outage_start.get_or_insert(since);
+        let start = self.answered.unwrap_or(since);
+        self.outage_start.get_or_insert(start);
         first
     }
 
-    /// Records when the source returned, although it was not read yet.
+    /// Records that the source returned, although it was not read yet: it answered a call that
+    /// was sent at a time.
     pub fn record_return(&mut self, at: time::Instant) {
+        self.record_answer(at);
         if self.outage_start.is_some() {
             self.returned.get_or_insert(at);
         }
@@ -153,7 +168,8 @@
         if self.outage_start.is_some() {
             return None;
         }
-        let left = (self.outage_end? + RENEWAL_TIME).since(now);
+        let renewal_end = self.outage_end? + RENEWAL_TIME + RENEWAL_SLACK;
+        let left = renewal_end.since(now);
         (!left.is_zero()).then_some(left)
     }
 
--- a/gateway/src/controller/follow.rs
+++ b/gateway/src/controller/follow.rs
@@ -20,7 +20,10 @@
     time::{Instant, sleep, sleep_until},
 };
 
-use super::{Message, endpoints::RENEWAL_TIME};
+use super::{
+    Message,
+    endpoints::{RENEWAL_SLACK, RENEWAL_TIME},
+};
 use crate::{
     directory::{Snapshot, Source},
     era::wait_for_turn,
@@ -44,26 +47,29 @@
 /// Shortest poll interval.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Longest time that a call waits for a change.
-const MAX_WAIT: Duration = Duration::from_secs(1);
+/// Longest time that a call waits for a change; a lost call is noticed that much later.
+const MAX_WAIT: Duration = Duration::from_millis(250);
 
 /// Initial and longest mean pause before a call is repeated, once the source answers.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(800));
 
-/// Time beyond the wait after which a call counts as overdue unless its answer arrives.
-const OVERDUE: Duration = Duration::from_millis(300);
+/// Shortest and longest time beyond the wait after which a call counts as overdue unless its
+/// answer arrives.
+const SLACK: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(1));
+
+/// The slack is this multiple of the time that the last answer took beyond the wait.
+const SLACK_FACTOR: f64 = 1.5;
+
+/// Slack of a read of the whole directory.
+const SNAPSHOT_SLACK: Duration = Duration::from_millis(300);
 
 /// Time between two probes of a source that does not answer. Probes overlap, as
 /// one that was lost may take long to fail.
-const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time between two probes of a node whose coordinator probes as well.
 const RARE_PROBE_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Time that it takes at most to read a description after it was written; endpoints
-/// are given up that much later than they must be written again.
-const READ_TIME: Duration = Duration::from_millis(300);
-
 /// Size of changes that are read even if the directory is smaller: a link of 10 Mbit/s
 /// carries them in 0.4 s.
 const SMALL_HISTORY: size::Bytes = size::Bytes(512 << 10);
@@ -183,6 +189,12 @@
 }
 
 impl Recovery {
+    /// Records that a call was not answered. If it was made because the coordinator read the
+    /// source, only the path of this node may be cut.
+    fn record_failure(&mut self) {
+        self.trusts_reader &= !self.relies_on_reader;
+    }
+
     /// Returns until when endpoints write expired descriptions again: as it was known before,
     /// however many calls failed since, unless that is past.
     fn renewal_end(&mut self, returned: &Return) -> Instant {
@@ -213,18 +225,20 @@
             self.metrics.store_calls.inc();
             let sent = self.clock.now();
             let sent_uptime = self.view.uptime();
-            let read = |intake: Intake| async move {
+            let read = |intake: Intake, _wait| async move {
                 let call = self.source.snapshot(&intake);
                 self.record_failure("directory", &intake, call).await
             };
-            let call = self.supervise(sent, OVERDUE, Intake::default, &recovery, read);
-            let (result, returned) = call.await;
+            let patience = (Duration::ZERO, SNAPSHOT_SLACK);
+            let call = self.supervise(sent, patience, Intake::default, recovery, read);
+            let (result, returns) = call.await;
             match result {
                 Ok(snapshot) => {
                     let Snapshot { revision, size, .. } = snapshot;
                     self.send(Message::Snapshot(Box::new(snapshot)));
-                    self.send(Message::Read(sent_uptime));
-                    let renewed = returned.map(|returned| returned.renewal_end);
+                    let answered = returns.last().map_or(sent, |returned| returned.answered);
+                    self.send(Message::Read(answered, sent_uptime));
+                    let renewed = returns.last().map(|returned| returned.renewal_end);
                     return Start {
                         revision,
                         size,
@@ -232,8 +246,8 @@
                     };
                 }
                 Err(error) => {
-                    let recovered = self.recover(&error, sent, returned, &mut recovery);
-                    renewal_end = Some(recovered.await);
+                    let since = returns.last().map_or(sent, |returned| returned.answered);
+                    renewal_end = Some(self.recover(&error, since, &mut recovery).await);
                 }
             }
         }
@@ -251,6 +265,7 @@
         } = start;
         let most = size.max(SMALL_HISTORY);
         let mut recovery = Recovery::default();
+        let mut slack = SLACK.0;
         loop {
             let era = self.source.eras().current();
             if era != revision.era {
@@ -276,18 +291,17 @@
             } else {
                 MAX_WAIT
             };
-            let read = |intake: Intake| async move {
+            let read = |intake: Intake, wait| async move {
                 let call = self.source.changes(revision, wait, &intake);
                 self.record_failure("changes", &intake, call).await
             };
-            let call = self.supervise(
-                sent,
-                wait + OVERDUE,
-                || Intake::up_to(most),
-                &recovery,
-                read,
-            );
-            let (result, returned) = call.await;
+            let intake = || Intake::up_to(most);
+            let call = self.supervise(sent, (wait, slack), intake, recovery, read);
+            let (result, returns) = call.await;
+            if returns.is_empty() && result.is_ok() {
+                let beyond = started.elapsed().saturating_sub(wait);
+                slack = beyond.mul_f64(SLACK_FACTOR).clamp(SLACK.0, SLACK.1);
+            }
             match result {
                 Ok(changes) if !is_continued(changes.revision, revision) => {
                     tracing::info!(
@@ -300,14 +314,15 @@
                 Ok(changes) => {
                     revision = changes.revision;
                     recovery = Recovery::default();
-                    renewal_end = returned
-                        .map(|returned| returned.renewal_end)
-                        .or(renewal_end);
+                    let renewed = returns.last().map(|returned| returned.renewal_end);
+                    renewal_end = renewed.or(renewal_end);
                     // The source answers without changes only after the whole wait.
                     let has_waited = changes.changes.is_empty() && started.elapsed() >= wait;
                     let waited = if has_waited { wait } else { Duration::ZERO };
                     self.send(Message::Changes(changes));
-                    self.send(Message::Read(sent_uptime + waited));
+                    let answered = returns.last().map(|returned| returned.answered);
+                    let answered = answered.unwrap_or(sent + waited);
+                    self.send(Message::Read(answered, sent_uptime + waited));
                     self.wait_for_next_call(next_call).await;
                 }
                 Err(Error::Refused(cause)) => {
@@ -319,8 +334,8 @@
                     return renewal_end;
                 }
                 Err(error) => {
-                    let recovered = self.recover(&error, sent, returned, &mut recovery);
-                    renewal_end = Some(recovered.await);
+                    let since = returns.last().map_or(sent, |returned| returned.answered);
+                    renewal_end = Some(self.recover(&error, since, &mut recovery).await);
                 }
             }
         }
@@ -355,49 +370,70 @@
         }
     }
 
-    /// Returns the result of a call that is `sent` now. While it is overdue, the source is
-    /// probed; once it answers a probe, the call is made a second time beside the first
-    /// one, which may be lost. The answer to a probe is returned as well. A call whose answer
-    /// arrives is not overdue: a second one would only share the link with it.
+    /// Returns the result of a call that is `sent` now and waits up to `wait`. While it is
+    /// overdue, by `slack`, the source is probed. Each time that it answers a probe, the call is
+    /// made once more beside the earlier ones, which may be lost. The answers to probes are
+    /// returned as well, unless the first call is answered. A call whose answer arrives is not
+    /// overdue: another one would only share the link with it.
     async fn supervise<T, F>(
         &self,
         sent: time::Instant,
-        expected: Duration,
+        (wait, slack): (Duration, Duration),
         intake: impl Fn() -> Intake,
-        recovery: &Recovery,
-        call: impl Fn(Intake) -> F,
-    ) -> (Result<T, Error>, Option<Return>)
+        mut recovery: Recovery,
+        call: impl Fn(Intake, Duration) -> F,
+    ) -> (Result<T, Error>, Vec<Return>)
     where
         F: Future<Output = Result<T, Error>>,
     {
-        let first_intake = intake();
-        let mut first = pin!(call(first_intake.clone()));
-        select! {
-            result = first.as_mut() => return (result, None),
-            () = wait_until_overdue(expected, &first_intake) => {}
-        }
-        let returned = select! {
-            result = first.as_mut() => return (result, None),
-            returned = self.wait_for_probe(recovery) => returned,
+        let number = async |number: usize, call: F| (number, call.await);
+        let overdue = async |expected, intakes: Vec<Intake>, recovery: Recovery| {
+            wait_until_overdue(expected, &intakes).await;
+            self.wait_for_answer(&recovery).await
         };
-        self.metrics.store_calls.inc();
-        let mut second = pin!(call(intake()));
-        let result = select! {
-            result = first.as_mut() => match result {
-                Ok(read) => return (Ok(read), None),
-                Err(_) => second.await,
-            },
-            result = second.as_mut() => match result {
-                Ok(read) => Ok(read),
-                Err(_) => return (first.await, Some(returned)),
-            },
-        };
-        if result.is_ok() {
-            let cause = "a call was not answered in time; the next one was";
+        let mut returns: Vec<Return> = Vec::new();
+        let mut intakes = vec![intake()];
+        let mut calls = FuturesUnordered::new();
+        calls.push(number(0, call(intakes[0].clone(), wait)));
+        let mut answer = pin!(overdue(wait + slack, intakes.clone(), recovery));
+        loop {
+            let returned = select! {
+                Some((number, result)) = calls.next() => match result {
+                    Ok(_) | Err(Error::Refused(_)) if number == 0 => return (result, Vec::new()),
+                    Ok(_) | Err(Error::Refused(_)) => {
+                        let cause = "a call was not answered in time; a later one was";
+                        self.report_lost(sent, cause, &returns);
+                        return (result, returns);
+                    }
+                    Err(_) if calls.is_empty() => {
+                        let cause = "calls were not answered, but for probes";
+                        self.report_lost(sent, cause, &returns);
+                        return (result, returns);
+                    }
+                    Err(_) => continue,
+                },
+                returned = answer.as_mut() => returned,
+            };
+            returns.push(returned);
+            self.metrics.store_calls.inc();
+            let intake = intake();
+            intakes.push(intake.clone());
+            calls.push(number(returns.len(), call(intake, Duration::ZERO)));
+            recovery.relies_on_reader = returned.is_of_reader;
+            recovery.record_failure();
+            answer.set(overdue(slack, intakes.clone(), recovery));
+        }
+    }
+
+    /// Reports that a call which was `sent` at a time was lost, and each one that was made after
+    /// an answer to a probe, except for the last.
+    fn report_lost(&self, sent: time::Instant, cause: &str, returns: &[Return]) {
+        let mut sent = sent;
+        for returned in returns {
             self.send(Message::SourceFailed(sent, cause.to_owned()));
-            self.send(Message::SourceReturned(returned.answered + READ_TIME));
+            self.send(Message::SourceReturned(returned.answered));
+            sent = returned.answered;
         }
-        (result, Some(returned))
     }
 
     /// Returns the result of a call; logs its failure, unless the source answered that the
@@ -427,27 +463,22 @@
         result
     }
 
-    /// Reports a call that was `sent` at a time and failed. Waits until the source
-    /// answers, unless it did already, and then with jitter and exponential backoff.
-    /// Returns until when endpoints write expired descriptions again.
+    /// Reports a call that was `sent` at a time and failed. Waits until the source answers, and
+    /// then with jitter and exponential backoff. Returns until when endpoints write expired
+    /// descriptions again.
     async fn recover(
         &self,
         error: &Error,
         sent: time::Instant,
-        returned: Option<Return>,
         recovery: &mut Recovery,
     ) -> Instant {
         self.metrics.store_failures.inc();
         self.send(Message::SourceFailed(sent, error.to_string()));
-        // Only the path of this node may be cut.
-        recovery.trusts_reader &= !recovery.relies_on_reader;
+        recovery.record_failure();
         recovery.is_pending = true;
-        let returned = match returned {
-            Some(returned) => returned,
-            None => self.wait_for_answer(recovery).await,
-        };
+        let returned = self.wait_for_answer(recovery).await;
         recovery.relies_on_reader = returned.is_of_reader;
-        self.send(Message::SourceReturned(returned.answered + READ_TIME));
+        self.send(Message::SourceReturned(returned.answered));
         let jitter = rand::rng().random_range(0.3..1.7);
         let renewal_end = recovery.renewal_end(&returned);
         let pause = recovery.next_pause(renewal_end, jitter);
@@ -468,7 +499,7 @@
             returned = self.wait_for_probe(recovery) => returned,
             read_at = self.view.wait_for_read(started), if recovery.trusts_reader => Return {
                 answered: self.clock.now() - read_at.elapsed(),
-                renewal_end: read_at + RENEWAL_TIME,
+                renewal_end: read_at + RENEWAL_TIME + RENEWAL_SLACK,
                 is_of_reader: true,
             },
         }
@@ -505,7 +536,7 @@
     async fn probe(&self) -> Option<Return> {
         let returned = Return {
             answered: self.clock.now(),
-            renewal_end: Instant::now() + RENEWAL_TIME,
+            renewal_end: Instant::now() + RENEWAL_TIME + RENEWAL_SLACK,
             is_of_reader: false,
         };
         self.metrics.store_probes.inc();
@@ -521,16 +552,17 @@
 }
 
 /// Waits until the answer to a call that is sent now is overdue: it was expected within a
-/// time, and does not arrive.
-async fn wait_until_overdue(expected: Duration, intake: &Intake) {
+/// time, and nothing arrives of it or of the answers to earlier calls.
+async fn wait_until_overdue(expected: Duration, intakes: &[Intake]) {
     let pace = Pace {
-        window: OVERDUE,
+        window: SNAPSHOT_SLACK,
         ..Pace::default()
     };
     let mut timer = Timer::new(Instant::now() + expected, pace);
     loop {
         sleep_until(timer.next_check()).await;
-        if timer.check(intake.received()).is_err() {
+        let received = intakes.iter().map(Intake::received).sum();
+        if timer.check(received).is_err() {
             return;
         }
     }
--- a/gateway/tests/common/directory.rs
+++ b/gateway/tests/common/directory.rs
@@ -31,6 +31,7 @@
     transfer::{Intake, Pace, Timer},
 };
 use ractor::{Actor, ActorRef};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::{
     sync::watch,
     task::JoinHandle,
@@ -94,6 +95,25 @@
     }
 }
 
+/// What happens to calls on a link, as a seed decides.
+struct Weather {
+    rng: SmallRng,
+    /// Share of the calls that are never answered.
+    loss: f64,
+    /// Longest time by which an answer is late.
+    delay: Duration,
+}
+
+impl Weather {
+    /// Draws what happens to the next call: by how much its answer is late; `None` if it is
+    /// lost.
+    fn draw(&mut self) -> Option<Duration> {
+        let part = self.rng.random_range(0.0..1.0);
+        let is_lost = self.rng.random_bool(self.loss);
+        (!is_lost).then(|| self.delay.mul_f64(part))
+    }
+}
+
 /// Link of a node to the source.
 #[derive(Default)]
 struct Link {
@@ -107,6 +127,13 @@
     /// Bytes that arrived.
     received: size::Bytes,
     calls: u64,
+    /// Calls that are never answered although the source serves all others; probes are.
+    losing: u32,
+    weather: Option<Weather>,
+    /// When the last calls were sent that were never answered.
+    lost: Vec<Instant>,
+    /// When the last call was sent that read the source.
+    read: Option<Instant>,
 }
 
 #[derive(Default)]
@@ -326,6 +353,48 @@
         self.read(|state| state.failing = calls);
     }
 
+    /// Makes the next calls on the node's link be lost that are no probes.
+    pub fn lose_calls(&self, calls: u32) {
+        self.link.lock().unwrap().losing = calls;
+    }
+
+    /// Makes calls on the node's link be lost at random, and answers be late.
+    pub fn set_weather(&self, seed: u64, loss: f64, delay: Duration) {
+        let rng = SmallRng::seed_from_u64(seed);
+        self.link.lock().unwrap().weather = Some(Weather { rng, loss, delay });
+    }
+
+    /// Returns when the last calls on the node's link were sent that were never answered.
+    pub fn lost(&self) -> Vec<Instant> {
+        self.link.lock().unwrap().lost.clone()
+    }
+
+    /// Returns when the last call on the node's link was sent that read the source.
+    pub fn last_read(&self) -> Option<Instant> {
+        self.link.lock().unwrap().read
+    }
+
+    /// Waits as long as the answer to a call is late on the node's link; fails if the call is
+    /// lost.
+    async fn deliver(&self, sent: Instant, limit: Duration) -> Result<(), Error> {
+        let late = {
+            let mut link = self.link.lock().unwrap();
+            let weather = link.weather.as_mut();
+            let late = weather.map_or(Some(Duration::ZERO), Weather::draw);
+            if late.is_none() {
+                link.lost.push(sent);
+            }
+            late
+        };
+        let end = sent + limit;
+        let Some(late) = late.filter(|late| Instant::now() + *late < end) else {
+            sleep_until(end).await;
+            return Err(Error::Lost("timed out".to_owned()));
+        };
+        sleep(late).await;
+        Ok(())
+    }
+
     /// Cuts the calls that wait for changes, and drops the history.
     pub fn cut(&self) {
         self.read(|state| {
@@ -346,7 +415,18 @@
 
     /// Fails if calls that are no probes are to fail; otherwise as [`Self::pass`].
     async fn pass_call(&self, limit: Duration) -> Result<u64, Error> {
-        self.link.lock().unwrap().calls += 1;
+        let is_lost = {
+            let mut link = self.link.lock().unwrap();
+            link.calls += 1;
+            let is_lost = link.losing > 0;
+            link.losing = link.losing.saturating_sub(1);
+            is_lost
+        };
+        if is_lost {
+            self.link.lock().unwrap().lost.push(Instant::now());
+            sleep(limit).await;
+            return Err(Error::Lost("timed out".to_owned()));
+        }
         let outages = self.pass(limit).await?;
         let fails = self.read(|state| {
             let fails = state.failing > 0;
@@ -413,7 +493,9 @@
             let sizes = content.entries.keys().map(|name| content.size(name));
             (content.entries.clone(), sizes.sum())
         });
+        self.deliver(sent, READ_LIMIT).await?;
         self.transfer(size, sent + READ_LIMIT, intake).await?;
+        self.link.lock().unwrap().read = Some(sent);
         let mut endpoints = BTreeMap::new();
         for (name, entry) in entries {
             endpoints.insert(name, read_in(revision, entry));
@@ -427,7 +509,9 @@
     }
 
     async fn probe(&self) -> Result<(), Error> {
-        self.pass(READ_LIMIT).await.map(|_outages| ())
+        let sent = Instant::now();
+        self.pass(READ_LIMIT).await?;
+        self.deliver(sent, READ_LIMIT).await
     }
 
     async fn changes(
@@ -467,8 +551,10 @@
             });
             if start.elapsed() >= wait || !newer.is_empty() {
                 let revision = self.announce(start)?;
+                self.deliver(start, wait + CALL_LIMIT).await?;
                 self.transfer(length, start + wait + CALL_LIMIT, intake)
                     .await?;
+                self.link.lock().unwrap().read = Some(start);
                 let mut changes = Vec::new();
                 for change in newer {
                     changes.push(match change {
--- a/gateway/tests/test_follow.rs
+++ b/gateway/tests/test_follow.rs
@@ -102,6 +102,68 @@
     }
 }
 
+/// Guards against DRAIN where a call is never answered while the source serves all others: it is
+/// no outage, so an endpoint whose description is removed meanwhile is used no longer than the
+/// bound allows.
+#[rstest]
+#[case::one_call(1)]
+#[case::and_those_made_in_its_place(3)]
+#[tokio::test(start_paused = true)]
+async fn lost_calls_do_not_delay_leaving(#[case] calls: u32) {
+    let mut longest = Duration::ZERO;
+    for step in 0..STEPS {
+        let (directory, follower) = with_two_endpoints().await;
+        directory.lose_calls(calls);
+        sleep(STEP * step / 2).await;
+        directory.remove("leaves");
+        let removed = Instant::now();
+        while follower.uses("leaves") {
+            sleep(Duration::from_millis(10)).await;
+        }
+        longest = longest.max(removed.elapsed());
+        assert!(follower.uses("lives"), "step {step}");
+    }
+    assert!(longest <= DRAIN_TIME, "used for {longest:?}");
+}
+
+/// Guards against DRAIN after a cut that is shorter than a call waits: an endpoint that left is
+/// used no longer than until the node counts as in touch again, whenever the cut began.
+#[tokio::test(start_paused = true)]
+async fn a_short_cut_does_not_delay_leaving() {
+    let mut longest = Duration::ZERO;
+    for phase in 0..20 {
+        for length in [50, 200, 500, 900, 1300] {
+            let (directory, follower) = with_two_endpoints().await;
+            sleep(Duration::from_millis(phase * 50)).await;
+            directory.set_away(Some(Away::Silent));
+            sleep(Duration::from_millis(length)).await;
+            directory.remove("leaves");
+            directory.set_away(None);
+            let returned = Instant::now();
+            while follower.uses("leaves") {
+                sleep(Duration::from_millis(10)).await;
+            }
+            longest = longest.max(returned.elapsed());
+            assert!(follower.uses("lives"), "phase {phase}, {length} ms");
+        }
+    }
+    assert!(longest <= CONTACT_TIME, "used for {longest:?}");
+}
+
+/// Guards against CONFIG and DRAIN where calls in a row are never answered while the source serves
+/// all others: a change is known in the time that the bounds allow for it.
+#[tokio::test(start_paused = true)]
+async fn lost_calls_do_not_delay_changes() {
+    for step in 0..STEPS {
+        let (directory, follower) = with_two_endpoints().await;
+        directory.lose_calls(2);
+        sleep(STEP * step / 2).await;
+        directory.write("joins", Standing::Live, 1);
+        sleep(DRAIN_TIME).await;
+        assert!(follower.uses("joins"), "step {step}");
+    }
+}
+
 /// Guards against DRAIN where calls go on to fail after the source returned: the time for
 /// renewals does not begin anew with each of them.
 #[rstest]
