controller: give endpoints up after an outage only when a later read lacks them

What callers saw: an endpoint that lives, and wrote its description again in time after an outage of the source, got no requests until the next read.

Cause: endpoints whose descriptions were missing were given up when the time for renewals was over, whether or not the source had been read since. The read that was due then may have been lost, or not have been made at all where a coordinator announced that nothing had changed.

Change: an endpoint is given up once a read that was sent after the time for renewals shows that its description is still missing. That read is made when the time ends, without a wait and whatever the coordinator announces. There may be several such times, one for each return of the source.

--- a/gateway/src/controller.rs
+++ b/gateway/src/controller.rs
@@ -232,7 +232,7 @@
                 }
             }
             Message::Read(answered, sent) => {
-                self.endpoints.record_answer(answered);
+                self.endpoints.record_read(answered);
                 let era = self.endpoints.revision().era;
                 let age = self.outputs.view.uptime().saturating_sub(sent);
                 self.outputs.rollouts.record_current(now - age);
--- a/gateway/src/controller/endpoints.rs
+++ b/gateway/src/controller/endpoints.rs
@@ -68,6 +68,8 @@
     initialized: bool,
     /// When the last call was sent that the source answered, of this node or its coordinator.
     answered: Option<time::Instant>,
+    /// When the last call was sent in which this node read the source.
+    read: Option<time::Instant>,
     /// Start of the current outage of the source; `None` while it is available.
     outage_start: Option<time::Instant>,
     /// When the current outage ended, as far as is known before the source is read.
@@ -118,6 +120,12 @@
         self.answered = self.answered.max(Some(sent));
     }
 
+    /// Records that this node read the source by a call that was sent at a time.
+    pub fn record_read(&mut self, sent: time::Instant) {
+        self.record_answer(sent);
+        self.read = self.read.max(Some(sent));
+    }
+
     /// Records that a call of the source failed, which was sent at `since`; returns
     /// true if an outage starts. It may have begun as soon as the last call was sent that was
     /// answered. A call that was sent after the source returned begins another outage, so that
@@ -168,11 +176,16 @@
         if self.outage_start.is_some() {
             return None;
         }
-        let renewal_end = self.outage_end? + RENEWAL_TIME + RENEWAL_SLACK;
-        let left = renewal_end.since(now);
+        let left = self.renewal_end()?.since(now);
         (!left.is_zero()).then_some(left)
     }
 
+    /// Returns until when endpoints write descriptions again that expired in the last outage;
+    /// `None` if there was none.
+    fn renewal_end(&self) -> Option<time::Instant> {
+        Some(self.outage_end? + RENEWAL_TIME + RENEWAL_SLACK)
+    }
+
     /// Returns the revision of the source that was read last.
     #[must_use]
     pub fn revision(&self) -> Revision {
@@ -488,9 +501,12 @@
     }
 
     /// Returns whether descriptions may be missing only because of an outage
-    /// of the source.
+    /// of the source: they may be written again, or have been since the source was read.
     fn removals_uncertain(&self, now: time::Instant) -> bool {
-        self.outage_start.is_some() || self.renewal_time_left(now).is_some()
+        let unread = self.read.zip(self.renewal_end());
+        self.outage_start.is_some()
+            || self.renewal_time_left(now).is_some()
+            || unread.is_some_and(|(read, end)| read < end)
     }
 }
 
--- a/gateway/src/controller/follow.rs
+++ b/gateway/src/controller/follow.rs
@@ -1,7 +1,7 @@
 //! Follows the source by long polling and sends what it reads to the
 //! controller.
 
-use std::{cmp::Ordering, future::Future, pin::pin, time::Duration};
+use std::{cmp::Ordering, collections::BTreeSet, future::Future, pin::pin, time::Duration};
 
 use dottereltally::clock::Clock;
 use dottereltally_lib::{
@@ -70,6 +70,10 @@
 /// Time between two probes of a node whose coordinator probes as well.
 const RARE_PROBE_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Time by which a read is later than the end of the time for renewals, so that it counts as sent
+/// after it by either clock.
+const CLOCK_ERROR: Duration = Duration::from_millis(5);
+
 /// Size of changes that are read even if the directory is smaller: a link of 10 Mbit/s
 /// carries them in 0.4 s.
 const SMALL_HISTORY: size::Bytes = size::Bytes(512 << 10);
@@ -107,9 +111,9 @@
         view,
     };
     let mut known: Option<Era> = None;
-    let mut renewal_end = None;
+    let mut renewals = Renewals::default();
     loop {
-        let mut start = follower.read_snapshot(renewal_end).await;
+        let start = follower.read_snapshot(&mut renewals).await;
         let revision = start.revision;
         let era = revision.era;
         follower.metrics.set_store_era(era);
@@ -117,12 +121,10 @@
             follower.metrics.store_restorations.inc();
             tracing::info!(%revision, "directory read in another era");
             // Endpoints write again what the copy lacks.
-            let now = Instant::now();
-            let renewal_end = start.renewal_end.filter(|end| *end > now);
-            start.renewal_end = renewal_end.or(Some(now + RENEWAL_TIME));
+            renewals.begin(Instant::now());
         }
         known = Some(era);
-        renewal_end = follower.follow_changes(start).await;
+        follower.follow_changes(start, &mut renewals).await;
         // Nodes whose coordinator reads for them spread the reads of another era.
         if follower.source.eras().current() != era && follower.view.has_reader() {
             wait_for_turn(poll_interval.0).await;
@@ -145,17 +147,40 @@
     revision: Revision,
     /// What was received to read it.
     size: size::Bytes,
-    /// Until when endpoints write expired descriptions again.
-    renewal_end: Option<Instant>,
+}
+
+/// Ends of the times in which endpoints write expired descriptions again. The source is read at
+/// each of them: only then is it certain which descriptions are missing.
+#[derive(Clone, Debug, Default)]
+struct Renewals(BTreeSet<Instant>);
+
+impl Renewals {
+    /// Records that the source returned at a time.
+    fn begin(&mut self, returned: Instant) {
+        self.0
+            .insert(returned + RENEWAL_TIME + RENEWAL_SLACK + CLOCK_ERROR);
+    }
+
+    /// Returns the first end that has not been read at.
+    fn next_end(&self) -> Option<Instant> {
+        self.0.first().copied()
+    }
+
+    /// Records that the source is read now; returns whether one of the times has ended.
+    fn end(&mut self, now: Instant) -> bool {
+        let known = self.0.len();
+        self.0.retain(|end| *end > now);
+        self.0.len() < known
+    }
 }
 
 /// When a source that was unavailable was known to answer again.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 struct Return {
     /// By the clock of the node.
     answered: time::Instant,
-    /// Until when endpoints write expired descriptions again.
-    renewal_end: Instant,
+    /// The same by the runtime's clock.
+    at: Instant,
     /// Whether it answered the coordinator, and not this node.
     is_of_reader: bool,
 }
@@ -171,9 +196,6 @@
     relies_on_reader: bool,
     /// Whether the coordinator's reads show that the source answers this node, too.
     trusts_reader: bool,
-    /// Until when endpoints write expired descriptions again, since the source first
-    /// answered.
-    renewal_end: Option<Instant>,
 }
 
 impl Default for Recovery {
@@ -183,7 +205,6 @@
             is_pending: false,
             relies_on_reader: false,
             trusts_reader: true,
-            renewal_end: None,
         }
     }
 }
@@ -195,33 +216,23 @@
         self.trusts_reader &= !self.relies_on_reader;
     }
 
-    /// Returns until when endpoints write expired descriptions again: as it was known before,
-    /// however many calls failed since, unless that is past.
-    fn renewal_end(&mut self, returned: &Return) -> Instant {
-        let known = self.renewal_end.filter(|end| *end > Instant::now());
-        *self
-            .renewal_end
-            .insert(known.unwrap_or(returned.renewal_end))
-    }
-
-    /// Returns the pause before the next call, `jitter` times its mean. It ends with the time
-    /// for renewals: what was written until then is read before endpoints are given up.
-    fn next_pause(&mut self, renewal_end: Instant, jitter: f64) -> Duration {
+    /// Returns the pause before the next call, `jitter` times its mean. It ends with a time for
+    /// renewals: what was written until then is read before endpoints are given up.
+    fn next_pause(&mut self, renewals: &Renewals, jitter: f64) -> Duration {
         let pause = self.pause.mul_f64(jitter);
         self.pause = (self.pause * 2).min(BACKOFF.1);
-        match renewal_end.saturating_duration_since(Instant::now()) {
-            Duration::ZERO => pause,
-            left => pause.min(left),
-        }
+        let left = renewals.next_end().map(|end| end - Instant::now());
+        left.filter(|left| !left.is_zero())
+            .map_or(pause, |left| pause.min(left))
     }
 }
 
 impl<S: Source> Follower<S> {
-    /// Reads the whole directory, retrying until it succeeds. Until `renewal_end`, endpoints
-    /// write expired descriptions again.
-    async fn read_snapshot(&self, mut renewal_end: Option<Instant>) -> Start {
+    /// Reads the whole directory, retrying until it succeeds.
+    async fn read_snapshot(&self, renewals: &mut Renewals) -> Start {
         let mut recovery = Recovery::default();
         loop {
+            renewals.end(Instant::now());
             self.metrics.store_calls.inc();
             let sent = self.clock.now();
             let sent_uptime = self.view.uptime();
@@ -232,22 +243,20 @@
             let patience = (Duration::ZERO, SNAPSHOT_SLACK);
             let call = self.supervise(sent, patience, Intake::default, recovery, read);
             let (result, returns) = call.await;
+            for returned in &returns {
+                renewals.begin(returned.at);
+            }
             match result {
                 Ok(snapshot) => {
                     let Snapshot { revision, size, .. } = snapshot;
                     self.send(Message::Snapshot(Box::new(snapshot)));
                     let answered = returns.last().map_or(sent, |returned| returned.answered);
                     self.send(Message::Read(answered, sent_uptime));
-                    let renewed = returns.last().map(|returned| returned.renewal_end);
-                    return Start {
-                        revision,
-                        size,
-                        renewal_end: renewed.or(renewal_end),
-                    };
+                    return Start { revision, size };
                 }
                 Err(error) => {
                     let since = returns.last().map_or(sent, |returned| returned.answered);
-                    renewal_end = Some(self.recover(&error, since, &mut recovery).await);
+                    self.recover(&error, since, &mut recovery, renewals).await;
                 }
             }
         }
@@ -255,14 +264,9 @@
 
     /// Reads changes until the source no longer keeps those after the last revision, they are
     /// larger than the directory, which has only the newest of each key, or the source is in
-    /// another era, in which they are not known. Returns until when endpoints write expired
-    /// descriptions again, as far as it is known.
-    async fn follow_changes(&self, start: Start) -> Option<Instant> {
-        let Start {
-            mut revision,
-            size,
-            mut renewal_end,
-        } = start;
+    /// another era, in which they are not known.
+    async fn follow_changes(&self, start: Start, renewals: &mut Renewals) {
+        let Start { mut revision, size } = start;
         let most = size.max(SMALL_HISTORY);
         let mut recovery = Recovery::default();
         let mut slack = SLACK.0;
@@ -274,19 +278,16 @@
                     %era,
                     "another era of the key-value service; reading the whole directory"
                 );
-                return None;
-            }
-            let mut next_call = Instant::now() + self.poll_interval();
-            // What was written until then is read before endpoints are given up.
-            if let Some(end) = renewal_end.take_if(|end| *end < next_call) {
-                next_call = end;
+                return;
             }
+            let next_call = Instant::now() + self.poll_interval();
+            let ends_renewals = renewals.end(Instant::now());
             self.metrics.store_calls.inc();
             let sent = self.clock.now();
             let sent_uptime = self.view.uptime();
             let started = Instant::now();
             // What changed during an outage is needed without a wait for more.
-            let wait = if recovery.is_pending {
+            let wait = if recovery.is_pending || ends_renewals {
                 Duration::ZERO
             } else {
                 MAX_WAIT
@@ -298,6 +299,9 @@
             let intake = || Intake::up_to(most);
             let call = self.supervise(sent, (wait, slack), intake, recovery, read);
             let (result, returns) = call.await;
+            for returned in &returns {
+                renewals.begin(returned.at);
+            }
             if returns.is_empty() && result.is_ok() {
                 let beyond = started.elapsed().saturating_sub(wait);
                 slack = beyond.mul_f64(SLACK_FACTOR).clamp(SLACK.0, SLACK.1);
@@ -309,13 +313,11 @@
                         returned = %changes.revision,
                         "changes are of another era; reading the whole directory"
                     );
-                    return None;
+                    return;
                 }
                 Ok(changes) => {
                     revision = changes.revision;
                     recovery = Recovery::default();
-                    let renewed = returns.last().map(|returned| returned.renewal_end);
-                    renewal_end = renewed.or(renewal_end);
                     // The source answers without changes only after the whole wait.
                     let has_waited = changes.changes.is_empty() && started.elapsed() >= wait;
                     let waited = if has_waited { wait } else { Duration::ZERO };
@@ -323,7 +325,8 @@
                     let answered = returns.last().map(|returned| returned.answered);
                     let answered = answered.unwrap_or(sent + waited);
                     self.send(Message::Read(answered, sent_uptime + waited));
-                    self.wait_for_next_call(next_call).await;
+                    self.wait_for_next_call(next_call, renewals.next_end())
+                        .await;
                 }
                 Err(Error::Refused(cause)) => {
                     tracing::info!(
@@ -331,11 +334,11 @@
                         cause,
                         "changes are not available; reading the whole directory"
                     );
-                    return renewal_end;
+                    return;
                 }
                 Err(error) => {
                     let since = returns.last().map_or(sent, |returned| returned.answered);
-                    renewal_end = Some(self.recover(&error, since, &mut recovery).await);
+                    self.recover(&error, since, &mut recovery, renewals).await;
                 }
             }
         }
@@ -354,11 +357,12 @@
     }
 
     /// Waits until the next call is due: at a time, or later as long as the coordinator
-    /// reads that nothing changed.
-    async fn wait_for_next_call(&self, mut due: Instant) {
+    /// reads that nothing changed, but no later than `latest`.
+    async fn wait_for_next_call(&self, mut due: Instant, latest: Option<Instant>) {
         loop {
-            sleep_until(due).await;
-            if self.view.announcing().is_some() {
+            let is_latest = latest.is_some_and(|latest| latest <= due);
+            sleep_until(latest.map_or(due, |latest| latest.min(due))).await;
+            if is_latest || self.view.announcing().is_some() {
                 return;
             }
             let confirmed = self.view.confirmed();
@@ -464,14 +468,14 @@
     }
 
     /// Reports a call that was `sent` at a time and failed. Waits until the source answers, and
-    /// then with jitter and exponential backoff. Returns until when endpoints write expired
-    /// descriptions again.
+    /// then with jitter and exponential backoff.
     async fn recover(
         &self,
         error: &Error,
         sent: time::Instant,
         recovery: &mut Recovery,
-    ) -> Instant {
+        renewals: &mut Renewals,
+    ) {
         self.metrics.store_failures.inc();
         self.send(Message::SourceFailed(sent, error.to_string()));
         recovery.record_failure();
@@ -479,15 +483,14 @@
         let returned = self.wait_for_answer(recovery).await;
         recovery.relies_on_reader = returned.is_of_reader;
         self.send(Message::SourceReturned(returned.answered));
+        renewals.begin(returned.at);
         let jitter = rand::rng().random_range(0.3..1.7);
-        let renewal_end = recovery.renewal_end(&returned);
-        let pause = recovery.next_pause(renewal_end, jitter);
+        let pause = recovery.next_pause(renewals, jitter);
         tracing::debug!(
             pause_ms = crate::logging::millis(pause),
             "key-value service is read again after a pause"
         );
         sleep(pause).await;
-        renewal_end
     }
 
     /// Waits until the source answers a probe, or the coordinator reads it. A node whose
@@ -499,7 +502,7 @@
             returned = self.wait_for_probe(recovery) => returned,
             read_at = self.view.wait_for_read(started), if recovery.trusts_reader => Return {
                 answered: self.clock.now() - read_at.elapsed(),
-                renewal_end: read_at + RENEWAL_TIME + RENEWAL_SLACK,
+                at: read_at,
                 is_of_reader: true,
             },
         }
@@ -536,7 +539,7 @@
     async fn probe(&self) -> Option<Return> {
         let returned = Return {
             answered: self.clock.now(),
-            renewal_end: Instant::now() + RENEWAL_TIME + RENEWAL_SLACK,
+            at: Instant::now(),
             is_of_reader: false,
         };
         self.metrics.store_probes.inc();
--- a/gateway/tests/test_follow.rs
+++ b/gateway/tests/test_follow.rs
@@ -251,6 +251,38 @@
     }
 }
 
+/// Guards against an endpoint that lives and is given up after an outage: the call is lost that
+/// would have shown its description, which it wrote again in time.
+#[tokio::test(start_paused = true)]
+async fn a_read_that_is_lost_after_an_outage_does_not_end_endpoints() {
+    for step in 0..STEPS {
+        let (directory, follower) = with_two_endpoints().await;
+        directory.set_away(Some(Away::Silent));
+        sleep(Duration::from_secs(4)).await;
+        directory.remove("leaves");
+        directory.remove("lives");
+        directory.set_away(None);
+        let returned = Instant::now();
+        let lost_at = returned + Duration::from_secs(1) + STEP / 2 * step;
+        let written_at = returned + LAST_RENEWAL;
+        sleep_until(lost_at.min(written_at)).await;
+        if lost_at < written_at {
+            directory.lose_calls(1);
+        }
+        sleep_until(written_at).await;
+        directory.write("lives", Standing::Live, 1);
+        if lost_at >= written_at {
+            sleep_until(lost_at).await;
+            directory.lose_calls(1);
+        }
+        while returned.elapsed() < CONTACT_TIME {
+            assert!(follower.uses("lives"), "given up in step {step}");
+            sleep(Duration::from_millis(10)).await;
+        }
+        assert!(!follower.uses("leaves"), "still used in step {step}");
+    }
+}
+
 /// A node and its view of the directory; each node has its own path to it.
 struct Nodes {
     directories: [Directory; 2],
