follow: probe more often beside a coordinator

What callers saw: after an outage of the store, requests reached an endpoint that had left during it, more than 3 s after the store was back (DRAIN).

Cause: a node whose coordinator reads the store leaves it to the coordinator to find out that it is back, and asks only every 2 s itself. A coordinator that ends during the outage, or whose own calls are lost, says nothing, so that the node knew of the return up to 2 s late, and then held removals back for 2.1 s.

Evidence: a_coordinator_that_ends_in_an_outage_does_not_delay_leaving failed before: still used 3 s after outages from 5.42 s on.

Change: such a node probes every 0.35 s. A probe is a stale read, at a tenth of a call's price, and counts towards no limit.

--- a/gateway/src/controller/follow.rs
+++ b/gateway/src/controller/follow.rs
@@ -68,7 +68,7 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time between two probes of a node whose coordinator probes as well.
-const RARE_PROBE_INTERVAL: Duration = Duration::from_secs(2);
+const RARE_PROBE_INTERVAL: Duration = Duration::from_millis(350);
 
 /// Time by which a read is later than the end of the time for renewals, so that it counts as sent
 /// after it by either clock.
--- a/gateway/tests/test_follow.rs
+++ b/gateway/tests/test_follow.rs
@@ -251,6 +251,43 @@
     }
 }
 
+/// Guards against DRAIN at a node whose coordinator ends during an outage: the node finds out
+/// itself when the source returns.
+#[tokio::test(start_paused = true)]
+async fn a_coordinator_that_ends_in_an_outage_does_not_delay_leaving() {
+    const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(400);
+    for step in 0..STEPS {
+        let length = Duration::from_secs(5) + STEP * step;
+        let (directory, follower) = with_two_endpoints().await;
+        let announce = |number| {
+            let view = View {
+                digest: 0,
+                number,
+                age: Duration::ZERO,
+                era: Era::default(),
+            };
+            follower.view.apply(1, &view);
+        };
+        announce(1);
+        directory.set_away(Some(Away::Silent));
+        let start = Instant::now();
+        while start.elapsed() + ANNOUNCEMENT_INTERVAL < length {
+            // It goes on to announce its last read.
+            announce(1);
+            sleep(ANNOUNCEMENT_INTERVAL).await;
+        }
+        directory.remove("leaves");
+        sleep_until(start + length).await;
+        directory.set_away(None);
+        sleep(CONTACT_TIME).await;
+        assert!(
+            !follower.uses("leaves"),
+            "still used {CONTACT_TIME:?} after an outage of {length:?}"
+        );
+        assert!(follower.uses("lives"), "given up after {length:?}");
+    }
+}
+
 /// Guards against an endpoint that lives and is given up after an outage: the call is lost that
 /// would have shown its description, which it wrote again in time.
 #[tokio::test(start_paused = true)]
