process: keep a found process out of use that says that it leaves

What callers saw: a node that can't read its directory asks an endpoint which process answers there. Another one than the listed one does, and says in the same answer that it leaves. Requests went to it all the same (DRAIN: a node that passed on an answer with that notice is bound by it, in touch or not).

Cause: the notice was recorded for the listed process. The entry then got the start of the process that was found, for which no notice was known.

Evidence: a_process_that_is_found_to_leave_is_not_used failed before: leaving right after the answer, live once the start was known.

Change: where the report names another process than the listed one, the notice holds for that process, too.

--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -298,6 +298,16 @@
         is_readable
     }
 
+    /// Records that it was not the listed process of an endpoint that said that it leaves, but
+    /// one that started at `found_ms`, in milliseconds since the Unix epoch.
+    pub fn record_found_leaving(&self, endpoint: &id::Endpoint, found_ms: u64) {
+        tracing::info!(%endpoint, found_born = found_ms, "the process that was found leaves");
+        self.apply(|dispatcher, _| {
+            dispatcher.record_found_leaving(endpoint, found_ms);
+            Vec::new()
+        });
+    }
+
     /// Records what another node knows about endpoints from their answers.
     pub fn record_peer_notices(&self, node: &id::Node, reports: &[notice::Report]) {
         if reports.is_empty() {
--- a/gateway/src/probe.rs
+++ b/gateway/src/probe.rs
@@ -41,8 +41,16 @@
     Ok(answer.endpoint)
 }
 
-/// Asks an engine on a new connection; returns when its process started, in milliseconds since
-/// the Unix epoch, if its report tells.
+/// What an engine says of its process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Process {
+    /// When it started, in milliseconds since the Unix epoch; `None` if its report does not tell.
+    pub started_ms: Option<u64>,
+    /// Whether it leaves.
+    pub is_leaving: bool,
+}
+
+/// Asks an engine on a new connection about its process.
 ///
 /// # Errors
 ///
@@ -52,7 +60,7 @@
     endpoint: &id::Endpoint,
     address: &str,
     service: &id::Service,
-) -> io::Result<Option<u64>> {
+) -> io::Result<Process> {
     let read = async |response: Response<Incoming>| {
         if !response.status().is_success() {
             return Ok(None);
@@ -61,8 +69,11 @@
         let report = report.collect().await.map_err(io::Error::other)?;
         Ok(chain.dialect.read_start(&report.to_bytes()))
     };
-    let (_, start) = ask(chain, endpoint, address, service, read).await?;
-    Ok(start)
+    let (answer, started_ms) = ask(chain, endpoint, address, service, read).await?;
+    Ok(Process {
+        started_ms,
+        is_leaving: answer.notice.is_leaving,
+    })
 }
 
 /// Sends a health check; returns what the head of the answer says, and what is read of the rest.
--- a/gateway/src/process.rs
+++ b/gateway/src/process.rs
@@ -111,9 +111,14 @@
         if !self.has_reports(&record.service) {
             return Err(Doubt::NoReport);
         }
-        match probe::process(self, endpoint, &record.address, &record.service).await {
-            Ok(Some(start)) if start == listed_start => Ok(()),
-            Ok(Some(started_ms)) => {
+        let asking = probe::process(self, endpoint, &record.address, &record.service);
+        let process = asking.await.map_err(Doubt::Unreachable)?;
+        match process.started_ms {
+            Some(start) if start == listed_start => Ok(()),
+            Some(started_ms) => {
+                if process.is_leaving {
+                    self.admission.record_found_leaving(endpoint, started_ms);
+                }
                 self.view.record_found(Found {
                     endpoint: endpoint.clone(),
                     listed_ms: listed_start,
@@ -121,8 +126,7 @@
                 });
                 Err(Doubt::Other(started_ms))
             }
-            Ok(None) => Err(Doubt::Unnamed),
-            Err(error) => Err(Doubt::Unreachable(error)),
+            None => Err(Doubt::Unnamed),
         }
     }
 }
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -120,7 +120,10 @@
             not_run: headers.contains_key("x-not-run"),
             load: None,
             limit: text(headers, "x-limit").map(|limit| limit.parse()),
-            notice: Notice::default(),
+            notice: Notice {
+                is_leaving: headers.contains_key("x-leaving"),
+                ..Notice::default()
+            },
             endpoint: text(headers, "x-endpoint").map(id::Endpoint::from),
         }
     }
@@ -187,8 +190,20 @@
 
     /// Starts an engine that reports when its process started.
     pub async fn start_engine(script: Vec<Vec<Step>>, started_ms: u64) -> Self {
-        let report = Some(started_ms.to_string());
-        Self::follow(Arc::new(Mutex::new(script)), report).await
+        let report = Report {
+            content: started_ms.to_string(),
+            is_leaving: false,
+        };
+        Self::follow(Arc::new(Mutex::new(script)), Some(report)).await
+    }
+
+    /// Starts an engine whose process started at a time and says in its reports that it leaves.
+    pub async fn start_leaving_engine(started_ms: u64) -> Self {
+        let report = Report {
+            content: started_ms.to_string(),
+            is_leaving: true,
+        };
+        Self::follow(Arc::default(), Some(report)).await
     }
 
     /// Starts endpoints that follow one script together. They answer checks of their
@@ -197,13 +212,14 @@
         let script = Arc::new(Mutex::new(script));
         let mut group = Vec::new();
         for _ in 0..count {
-            group.push(Self::follow(Arc::clone(&script), Some(String::new())).await);
+            let report = Some(Report::default());
+            group.push(Self::follow(Arc::clone(&script), report).await);
         }
         group
     }
 
     /// Starts an endpoint; one with a `report` answers checks of its health with that.
-    async fn follow(script: Arc<Mutex<Vec<Vec<Step>>>>, report: Option<String>) -> Self {
+    async fn follow(script: Arc<Mutex<Vec<Vec<Step>>>>, report: Option<Report>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let requests = Arc::<Mutex<Vec<String>>>::default();
@@ -258,12 +274,33 @@
     }
 }
 
+/// What an endpoint answers to checks of its health.
+#[derive(Clone, Default)]
+struct Report {
+    content: String,
+    /// Whether it says that it leaves.
+    is_leaving: bool,
+}
+
+impl Report {
+    fn answer(&self) -> String {
+        let leaving = if self.is_leaving {
+            "x-leaving: 1\r\n"
+        } else {
+            ""
+        };
+        let Self { content, .. } = self;
+        let length = content.len();
+        format!("HTTP/1.1 200 OK\r\n{leaving}content-length: {length}\r\n\r\n{content}")
+    }
+}
+
 async fn run_script(
     mut stream: TcpStream,
     requests: Arc<Mutex<Vec<String>>>,
     closed: Arc<AtomicUsize>,
     script: Arc<Mutex<Vec<Vec<Step>>>>,
-    report: Option<String>,
+    report: Option<Report>,
 ) {
     loop {
         let Some(request) = read_message(&mut stream).await else {
@@ -272,8 +309,7 @@
         if let Some(report) = &report
             && request.starts_with("GET /health ")
         {
-            let length = report.len();
-            let healthy = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{report}");
+            let healthy = report.answer();
             if stream.write_all(healthy.as_bytes()).await.is_err() {
                 return;
             }
--- a/gateway/tests/test_process.rs
+++ b/gateway/tests/test_process.rs
@@ -9,7 +9,7 @@
     Endpoint, Gateway, Step, event, events, header, is_complete, plan, record, status, stream_end,
     stream_head,
 };
-use dottereltally_lib::{id, origin::Origin, plan::Plan};
+use dottereltally_lib::{endpoint::Standing, id, origin::Origin, plan::Plan};
 use rstest::rstest;
 
 /// Start of the processes that are listed.
@@ -131,6 +131,31 @@
     assert!(replaced.requests().is_empty());
 }
 
+/// Guards against DRAIN: a process that is found in place of the listed one and says that it leaves
+/// gets no requests, also once its start is known.
+#[tokio::test]
+async fn a_process_that_is_found_to_leave_is_not_used() {
+    let first = Endpoint::start_engine(vec![broken()], LISTED).await;
+    let leaving = Endpoint::start_leaving_engine(NEXT).await;
+    let gateway = out_of_touch(true, &[&first, &leaving]).await;
+    let answer = gateway.get("/stream/x", "").await;
+    assert!(!is_complete(&answer), "{answer}");
+    let standing = |name: &id::Endpoint| {
+        let admission = &gateway.chain.admission;
+        admission.read(|dispatcher| dispatcher.standing(name))
+    };
+    let found = gateway.chain.view.take_found();
+    let [found] = found.as_slice() else {
+        panic!("one was asked and found to be another: {found:?}");
+    };
+    assert_eq!(standing(&found.endpoint), Some(Standing::Leaving));
+    gateway.chain.admission.apply(|dispatcher, now| {
+        dispatcher.record_started(now, &found.endpoint, found.started_ms);
+        Vec::new()
+    });
+    assert_eq!(standing(&found.endpoint), Some(Standing::Leaving));
+}
+
 /// A stream that does not break is not affected: requests go to endpoints as before.
 #[rstest]
 #[case::engine(true)]
--- a/lib/src/dispatcher/statement.rs
+++ b/lib/src/dispatcher/statement.rs
@@ -147,6 +147,13 @@
         (change, mem::take(&mut self.effects))
     }
 
+    /// Records that a notice of leaving was not of the listed process of an endpoint, but of one
+    /// that started at `found_ms`, in milliseconds since the Unix epoch.
+    pub fn record_found_leaving(&mut self, name: &id::Endpoint, found_ms: u64) {
+        self.departures.record_found(name, found_ms);
+        self.update_departures();
+    }
+
     /// Records what another node knows about endpoints from answers; returns those that
     /// this node now knows to leave.
     pub fn record_peer_notices(
--- a/lib/src/notice.rs
+++ b/lib/src/notice.rs
@@ -52,8 +52,10 @@
     at: time::Instant,
     /// The endpoint's address, `ip:port`; `None` if another node reported it.
     address: Option<String>,
-    /// When its process started; `None` if unknown.
+    /// When its process started, as it was listed; `None` if unknown.
     started_ms: Option<u64>,
+    /// When the process started that said so, if another one than the listed was found.
+    found_ms: Option<u64>,
 }
 
 /// The endpoints that said that they leave. A list of endpoints that is older, or that
@@ -83,11 +85,20 @@
             at,
             address: address.map(str::to_owned),
             started_ms,
+            found_ms: None,
         };
         self.by_endpoint.insert(endpoint.clone(), departure);
         true
     }
 
+    /// Records that it was not the listed process of an endpoint that said that it leaves, but
+    /// one that started at `found_ms`.
+    pub fn record_found(&mut self, endpoint: &id::Endpoint, found_ms: u64) {
+        if let Some(departure) = self.by_endpoint.get_mut(endpoint) {
+            departure.found_ms = Some(found_ms);
+        }
+    }
+
     /// Returns whether the process of an endpoint said that it leaves.
     #[must_use]
     pub fn has_left(
@@ -104,7 +115,8 @@
         };
         let moved = departure.address.as_deref().zip(address);
         moved.is_none_or(|(known, other)| known == other)
-            && is_same(departure.started_ms, started_ms)
+            && (is_same(departure.started_ms, started_ms)
+                || departure.found_ms.is_some() && departure.found_ms == started_ms)
     }
 
     /// Returns the endpoints that said so, and when their processes started.
