--- a/gateway/src/controller/endpoints.rs
+++ b/gateway/src/controller/endpoints.rs
@@ -24,13 +24,11 @@
 /// descriptions again.
 pub(super) const RENEWAL_TIME: Duration = Duration::from_secs(2);
 
-/// Time by which the source may have returned later than the call was sent which it answered
-/// first.
+/// Longest time between the sending of the first call that the source answers and its return.
 pub(super) const RENEWAL_SLACK: Duration = Duration::from_millis(100);
 
-/// Shortest time without an answer of the source after which descriptions may have expired: two
-/// renewals in a row fail in it. A node with the shortest poll interval notices a call that was
-/// lost, and has another one answered, in less.
+/// Shortest time without an answer of the source after which descriptions may have expired, as
+/// two renewals in a row can fail in it. A call that was lost is made again in less.
 const SHORTEST_OUTAGE: Duration = Duration::from_millis(1300);
 
 /// One endpoint of the view.
--- a/gateway/src/controller/follow.rs
+++ b/gateway/src/controller/follow.rs
@@ -166,8 +166,8 @@
         self.0.first().copied()
     }
 
-    /// Records that the source is read now; returns whether one of the times has ended.
-    fn end(&mut self, now: Instant) -> bool {
+    /// Forgets the ends that are past, as the source is read now; returns whether there were any.
+    fn take_ended(&mut self, now: Instant) -> bool {
         let known = self.0.len();
         self.0.retain(|end| *end > now);
         self.0.len() < known
@@ -212,7 +212,7 @@
 impl Recovery {
     /// Records that a call was not answered. If it was made because the coordinator read the
     /// source, only the path of this node may be cut.
-    fn record_failure(&mut self) {
+    fn record_unanswered(&mut self) {
         self.trusts_reader &= !self.relies_on_reader;
     }
 
@@ -221,9 +221,11 @@
     fn next_pause(&mut self, renewals: &Renewals, jitter: f64) -> Duration {
         let pause = self.pause.mul_f64(jitter);
         self.pause = (self.pause * 2).min(BACKOFF.1);
-        let left = renewals.next_end().map(|end| end - Instant::now());
-        left.filter(|left| !left.is_zero())
-            .map_or(pause, |left| pause.min(left))
+        let now = Instant::now();
+        match renewals.next_end() {
+            Some(end) if end > now => pause.min(end - now),
+            _ => pause,
+        }
     }
 }
 
@@ -232,7 +234,7 @@
     async fn read_snapshot(&self, renewals: &mut Renewals) -> Start {
         let mut recovery = Recovery::default();
         loop {
-            renewals.end(Instant::now());
+            renewals.take_ended(Instant::now());
             self.metrics.store_calls.inc();
             let sent = self.clock.now();
             let sent_uptime = self.view.uptime();
@@ -281,7 +283,7 @@
                 return;
             }
             let next_call = Instant::now() + self.poll_interval();
-            let ends_renewals = renewals.end(Instant::now());
+            let ends_renewals = renewals.take_ended(Instant::now());
             self.metrics.store_calls.inc();
             let sent = self.clock.now();
             let sent_uptime = self.view.uptime();
@@ -390,16 +392,20 @@
     where
         F: Future<Output = Result<T, Error>>,
     {
-        let number = async |number: usize, call: F| (number, call.await);
-        let overdue = async |expected, intakes: Vec<Intake>, recovery: Recovery| {
+        let numbered = async |number: usize, call: F| (number, call.await);
+        let answered_while_overdue = async |expected, intakes: Vec<Intake>, recovery: Recovery| {
             wait_until_overdue(expected, &intakes).await;
             self.wait_for_answer(&recovery).await
         };
         let mut returns: Vec<Return> = Vec::new();
         let mut intakes = vec![intake()];
         let mut calls = FuturesUnordered::new();
-        calls.push(number(0, call(intakes[0].clone(), wait)));
-        let mut answer = pin!(overdue(wait + slack, intakes.clone(), recovery));
+        calls.push(numbered(0, call(intakes[0].clone(), wait)));
+        let mut answer = pin!(answered_while_overdue(
+            wait + slack,
+            intakes.clone(),
+            recovery
+        ));
         loop {
             let returned = select! {
                 Some((number, result)) = calls.next() => match result {
@@ -422,10 +428,10 @@
             self.metrics.store_calls.inc();
             let intake = intake();
             intakes.push(intake.clone());
-            calls.push(number(returns.len(), call(intake, Duration::ZERO)));
+            calls.push(numbered(returns.len(), call(intake, Duration::ZERO)));
             recovery.relies_on_reader = returned.is_of_reader;
-            recovery.record_failure();
-            answer.set(overdue(slack, intakes.clone(), recovery));
+            recovery.record_unanswered();
+            answer.set(answered_while_overdue(slack, intakes.clone(), recovery));
         }
     }
 
@@ -478,7 +484,7 @@
     ) {
         self.metrics.store_failures.inc();
         self.send(Message::SourceFailed(sent, error.to_string()));
-        recovery.record_failure();
+        recovery.record_unanswered();
         recovery.is_pending = true;
         let returned = self.wait_for_answer(recovery).await;
         recovery.relies_on_reader = returned.is_of_reader;
@@ -555,7 +561,7 @@
 }
 
 /// Waits until the answer to a call that is sent now is overdue: it was expected within a
-/// time, and nothing arrives of it or of the answers to earlier calls.
+/// time, and nothing arrives of any of the answers that are taken in.
 async fn wait_until_overdue(expected: Duration, intakes: &[Intake]) {
     let pace = Pace {
         window: SNAPSHOT_SLACK,
