--- a/gateway/tests/test_follow.rs
+++ b/gateway/tests/test_follow.rs
@@ -164,6 +164,24 @@
     }
 }
 
+/// Guards against CONFIG and DRAIN where answers take longer than a call is expected to: they are
+/// read, and are no outage.
+#[tokio::test(start_paused = true)]
+async fn slow_answers_are_read() {
+    const LATENCY: Duration = Duration::from_millis(1200);
+    for step in 0..STEPS {
+        let (directory, follower) = with_two_endpoints().await;
+        directory.set_latency(LATENCY);
+        sleep(Duration::from_secs(3) + STEP / 2 * step).await;
+        directory.write("joins", Standing::Live, 1);
+        directory.remove("leaves");
+        sleep(DRAIN_TIME + LATENCY).await;
+        assert!(follower.uses("joins"), "not used in step {step}");
+        assert!(!follower.uses("leaves"), "still used in step {step}");
+        assert!(follower.uses("lives"), "given up in step {step}");
+    }
+}
+
 /// Guards against DRAIN where calls go on to fail after the source returned: the time for
 /// renewals does not begin anew with each of them.
 #[rstest]
