probe: notices of other endpoints say nothing of the process that was asked

An answer that names another endpoint at the address was left out where its notice is recorded, but not where the notice is put down to the process that was found.

--- a/gateway/src/probe.rs
+++ b/gateway/src/probe.rs
@@ -72,7 +72,7 @@
     let (answer, started_ms) = ask(chain, endpoint, address, service, read).await?;
     Ok(Process {
         started_ms,
-        is_leaving: answer.notice.is_leaving,
+        is_leaving: is_of(&answer, endpoint) && answer.notice.is_leaving,
     })
 }
 
@@ -115,13 +115,15 @@
         }
     };
     let (answer, read) = timeout(ANSWER_TIMEOUT, answering).await??;
-    if answer
-        .endpoint
-        .as_ref()
-        .is_none_or(|named| named == endpoint)
-    {
+    if is_of(&answer, endpoint) {
         chain.record_limit(endpoint, answer.limit);
         chain.record_notice(endpoint, &answer.notice);
     }
     Ok((answer, read))
 }
+
+/// Returns whether an answer is of an endpoint, and not of another one at its address.
+fn is_of(answer: &Answer, endpoint: &id::Endpoint) -> bool {
+    let named = answer.endpoint.as_ref();
+    named.is_none_or(|named| named == endpoint)
+}
