follow: one clock for the times of calls, reports in one place

A return carried the same time by two clocks, and both readers of the source worked out from the list of returns what to report, from when, and when to read again. supervise now reports and returns the one time that is needed. The window in which arrival is measured has its own name. The tests share the wait until an endpoint is given up. No change of behaviour.

--- a/gateway/src/controller/follow.rs
+++ b/gateway/src/controller/follow.rs
@@ -60,6 +60,9 @@
 /// The slack is this multiple of the time that the last answer took beyond the wait.
 const SLACK_FACTOR: f64 = 1.5;
 
+/// Time over which it is measured whether an overdue answer arrives.
+const ARRIVAL_WINDOW: Duration = Duration::from_millis(300);
+
 /// Slack of a read of the whole directory.
 const SNAPSHOT_SLACK: Duration = Duration::from_millis(300);
 
@@ -71,7 +74,7 @@
 const RARE_PROBE_INTERVAL: Duration = Duration::from_millis(350);
 
 /// Time by which a read is later than the end of the time for renewals, so that it counts as sent
-/// after it by either clock.
+/// after it by the clock of the node, too.
 const CLOCK_ERROR: Duration = Duration::from_millis(5);
 
 /// Size of changes that are read even if the directory is smaller: a link of 10 Mbit/s
@@ -177,10 +180,8 @@
 /// When a source that was unavailable was known to answer again.
 #[derive(Clone, Copy, Debug)]
 struct Return {
-    /// By the clock of the node.
-    answered: time::Instant,
-    /// The same by the runtime's clock.
-    at: Instant,
+    /// When the call was sent that it answered.
+    sent: Instant,
     /// Whether it answered the coordinator, and not this node.
     is_of_reader: bool,
 }
@@ -236,28 +237,25 @@
         loop {
             renewals.take_ended(Instant::now());
             self.metrics.store_calls.inc();
-            let sent = self.clock.now();
+            let sent = Instant::now();
             let sent_uptime = self.view.uptime();
             let read = |intake: Intake, _wait| async move {
                 let call = self.source.snapshot(&intake);
                 self.record_failure("directory", &intake, call).await
             };
             let patience = (Duration::ZERO, SNAPSHOT_SLACK);
-            let call = self.supervise(sent, patience, Intake::default, recovery, read);
-            let (result, returns) = call.await;
-            for returned in &returns {
-                renewals.begin(returned.at);
-            }
+            let call = self.supervise(patience, Intake::default, read, recovery, renewals);
+            let (result, answered) = call.await;
             match result {
                 Ok(snapshot) => {
                     let Snapshot { revision, size, .. } = snapshot;
                     self.send(Message::Snapshot(Box::new(snapshot)));
-                    let answered = returns.last().map_or(sent, |returned| returned.answered);
+                    let answered = self.time_of(answered.unwrap_or(sent));
                     self.send(Message::Read(answered, sent_uptime));
                     return Start { revision, size };
                 }
                 Err(error) => {
-                    let since = returns.last().map_or(sent, |returned| returned.answered);
+                    let since = answered.unwrap_or(sent);
                     self.recover(&error, since, &mut recovery, renewals).await;
                 }
             }
@@ -285,9 +283,8 @@
             let next_call = Instant::now() + self.poll_interval();
             let ends_renewals = renewals.take_ended(Instant::now());
             self.metrics.store_calls.inc();
-            let sent = self.clock.now();
+            let sent = Instant::now();
             let sent_uptime = self.view.uptime();
-            let started = Instant::now();
             // What changed during an outage is needed without a wait for more.
             let wait = if recovery.is_pending || ends_renewals {
                 Duration::ZERO
@@ -299,13 +296,10 @@
                 self.record_failure("changes", &intake, call).await
             };
             let intake = || Intake::up_to(most);
-            let call = self.supervise(sent, (wait, slack), intake, recovery, read);
-            let (result, returns) = call.await;
-            for returned in &returns {
-                renewals.begin(returned.at);
-            }
-            if returns.is_empty() && result.is_ok() {
-                let beyond = started.elapsed().saturating_sub(wait);
+            let call = self.supervise((wait, slack), intake, read, recovery, renewals);
+            let (result, answered) = call.await;
+            if answered.is_none() && result.is_ok() {
+                let beyond = sent.elapsed().saturating_sub(wait);
                 slack = beyond.mul_f64(SLACK_FACTOR).clamp(SLACK.0, SLACK.1);
             }
             match result {
@@ -321,11 +315,10 @@
                     revision = changes.revision;
                     recovery = Recovery::default();
                     // The source answers without changes only after the whole wait.
-                    let has_waited = changes.changes.is_empty() && started.elapsed() >= wait;
+                    let has_waited = changes.changes.is_empty() && sent.elapsed() >= wait;
                     let waited = if has_waited { wait } else { Duration::ZERO };
                     self.send(Message::Changes(changes));
-                    let answered = returns.last().map(|returned| returned.answered);
-                    let answered = answered.unwrap_or(sent + waited);
+                    let answered = self.time_of(answered.unwrap_or(sent + waited));
                     self.send(Message::Read(answered, sent_uptime + waited));
                     self.wait_for_next_call(next_call, renewals.next_end())
                         .await;
@@ -339,7 +332,7 @@
                     return;
                 }
                 Err(error) => {
-                    let since = returns.last().map_or(sent, |returned| returned.answered);
+                    let since = answered.unwrap_or(sent);
                     self.recover(&error, since, &mut recovery, renewals).await;
                 }
             }
@@ -376,19 +369,19 @@
         }
     }
 
-    /// Returns the result of a call that is `sent` now and waits up to `wait`. While it is
+    /// Returns the result of a call that is sent now and waits up to `wait`. While it is
     /// overdue, by `slack`, the source is probed. Each time that it answers a probe, the call is
-    /// made once more beside the earlier ones, which may be lost. The answers to probes are
-    /// returned as well, unless the first call is answered. A call whose answer arrives is not
-    /// overdue: another one would only share the link with it.
+    /// made once more beside the earlier ones, which may be lost. Unless the first call is
+    /// answered, returns when the last probe was sent that was answered as well. A call whose
+    /// answer arrives is not overdue: another one would only share the link with it.
     async fn supervise<T, F>(
         &self,
-        sent: time::Instant,
         (wait, slack): (Duration, Duration),
         intake: impl Fn() -> Intake,
-        mut recovery: Recovery,
         call: impl Fn(Intake, Duration) -> F,
-    ) -> (Result<T, Error>, Vec<Return>)
+        mut recovery: Recovery,
+        renewals: &mut Renewals,
+    ) -> (Result<T, Error>, Option<Instant>)
     where
         F: Future<Output = Result<T, Error>>,
     {
@@ -397,7 +390,8 @@
             wait_until_overdue(expected, &intakes).await;
             self.wait_for_answer(&recovery).await
         };
-        let mut returns: Vec<Return> = Vec::new();
+        // When the first call and those after answers to probes were sent.
+        let mut sent = vec![Instant::now()];
         let mut intakes = vec![intake()];
         let mut calls = FuturesUnordered::new();
         calls.push(numbered(0, call(intakes[0].clone(), wait)));
@@ -408,42 +402,52 @@
         ));
         loop {
             let returned = select! {
-                Some((number, result)) = calls.next() => match result {
-                    Ok(_) | Err(Error::Refused(_)) if number == 0 => return (result, Vec::new()),
-                    Ok(_) | Err(Error::Refused(_)) => {
-                        let cause = "a call was not answered in time; a later one was";
-                        self.report_lost(sent, cause, &returns);
-                        return (result, returns);
+                Some((number, result)) = calls.next() => {
+                    let is_answered = matches!(result, Ok(_) | Err(Error::Refused(_)));
+                    if is_answered && number == 0 {
+                        return (result, None);
                     }
-                    Err(_) if calls.is_empty() => {
-                        let cause = "calls were not answered, but for probes";
-                        self.report_lost(sent, cause, &returns);
-                        return (result, returns);
+                    if !is_answered && !calls.is_empty() {
+                        continue;
                     }
-                    Err(_) => continue,
-                },
+                    let cause = if is_answered {
+                        "a call was not answered in time; a later one was"
+                    } else {
+                        "calls were not answered, but for probes"
+                    };
+                    for call in sent.windows(2) {
+                        self.report_failure(call[0], cause.to_owned());
+                        self.report_return(call[1], renewals);
+                    }
+                    let answered = sent.last().copied().filter(|_| sent.len() > 1);
+                    return (result, answered);
+                }
                 returned = answer.as_mut() => returned,
             };
-            returns.push(returned);
+            sent.push(returned.sent);
             self.metrics.store_calls.inc();
             let intake = intake();
             intakes.push(intake.clone());
-            calls.push(numbered(returns.len(), call(intake, Duration::ZERO)));
+            calls.push(numbered(sent.len() - 1, call(intake, Duration::ZERO)));
             recovery.relies_on_reader = returned.is_of_reader;
             recovery.record_unanswered();
             answer.set(answered_while_overdue(slack, intakes.clone(), recovery));
         }
     }
 
-    /// Reports that a call which was `sent` at a time was lost, and each one that was made after
-    /// an answer to a probe, except for the last.
-    fn report_lost(&self, sent: time::Instant, cause: &str, returns: &[Return]) {
-        let mut sent = sent;
-        for returned in returns {
-            self.send(Message::SourceFailed(sent, cause.to_owned()));
-            self.send(Message::SourceReturned(returned.answered));
-            sent = returned.answered;
-        }
+    /// Returns a time by the clock of the node.
+    fn time_of(&self, at: Instant) -> time::Instant {
+        self.clock.now() - at.elapsed()
+    }
+
+    fn report_failure(&self, sent: Instant, cause: String) {
+        self.send(Message::SourceFailed(self.time_of(sent), cause));
+    }
+
+    /// Reports that the source answers again: it answered a probe that was `sent` at a time.
+    fn report_return(&self, sent: Instant, renewals: &mut Renewals) {
+        self.send(Message::SourceReturned(self.time_of(sent)));
+        renewals.begin(sent);
     }
 
     /// Returns the result of a call; logs its failure, unless the source answered that the
@@ -478,18 +482,17 @@
     async fn recover(
         &self,
         error: &Error,
-        sent: time::Instant,
+        sent: Instant,
         recovery: &mut Recovery,
         renewals: &mut Renewals,
     ) {
         self.metrics.store_failures.inc();
-        self.send(Message::SourceFailed(sent, error.to_string()));
+        self.report_failure(sent, error.to_string());
         recovery.record_unanswered();
         recovery.is_pending = true;
         let returned = self.wait_for_answer(recovery).await;
         recovery.relies_on_reader = returned.is_of_reader;
-        self.send(Message::SourceReturned(returned.answered));
-        renewals.begin(returned.at);
+        self.report_return(returned.sent, renewals);
         let jitter = rand::rng().random_range(0.3..1.7);
         let pause = recovery.next_pause(renewals, jitter);
         tracing::debug!(
@@ -506,9 +509,8 @@
         let started = Instant::now();
         select! {
             returned = self.wait_for_probe(recovery) => returned,
-            read_at = self.view.wait_for_read(started), if recovery.trusts_reader => Return {
-                answered: self.clock.now() - read_at.elapsed(),
-                at: read_at,
+            sent = self.view.wait_for_read(started), if recovery.trusts_reader => Return {
+                sent,
                 is_of_reader: true,
             },
         }
@@ -544,8 +546,7 @@
     /// Sends one probe; returns when it was sent if it was answered.
     async fn probe(&self) -> Option<Return> {
         let returned = Return {
-            answered: self.clock.now(),
-            at: Instant::now(),
+            sent: Instant::now(),
             is_of_reader: false,
         };
         self.metrics.store_probes.inc();
@@ -564,7 +565,7 @@
 /// time, and nothing arrives of any of the answers that are taken in.
 async fn wait_until_overdue(expected: Duration, intakes: &[Intake]) {
     let pace = Pace {
-        window: SNAPSHOT_SLACK,
+        window: ARRIVAL_WINDOW,
         ..Pace::default()
     };
     let mut timer = Timer::new(Instant::now() + expected, pace);
--- a/gateway/tests/test_follow.rs
+++ b/gateway/tests/test_follow.rs
@@ -102,6 +102,15 @@
     }
 }
 
+/// Returns the time until a node gives up the endpoint that leaves.
+async fn time_until_given_up(follower: &Follower) -> Duration {
+    let start = Instant::now();
+    while follower.uses("leaves") {
+        sleep(Duration::from_millis(10)).await;
+    }
+    start.elapsed()
+}
+
 /// Guards against DRAIN where a call is never answered while the source serves all others: it is
 /// no outage, so an endpoint whose description is removed meanwhile is used no longer than the
 /// bound allows.
@@ -116,11 +125,7 @@
         directory.lose_calls(calls);
         sleep(STEP * step / 2).await;
         directory.remove("leaves");
-        let removed = Instant::now();
-        while follower.uses("leaves") {
-            sleep(Duration::from_millis(10)).await;
-        }
-        longest = longest.max(removed.elapsed());
+        longest = longest.max(time_until_given_up(&follower).await);
         assert!(follower.uses("lives"), "step {step}");
     }
     assert!(longest <= DRAIN_TIME, "used for {longest:?}");
@@ -139,11 +144,7 @@
             sleep(Duration::from_millis(length)).await;
             directory.remove("leaves");
             directory.set_away(None);
-            let returned = Instant::now();
-            while follower.uses("leaves") {
-                sleep(Duration::from_millis(10)).await;
-            }
-            longest = longest.max(returned.elapsed());
+            longest = longest.max(time_until_given_up(&follower).await);
             assert!(follower.uses("lives"), "phase {phase}, {length} ms");
         }
     }
